--- /dev/null
+++ b/src/bilberrypass/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a connection to another process."""
--- /dev/null
+++ b/src/bilberrypass/connection/worker.py
@@ -0,0 +1,118 @@
+"""What an agent asks of the worker on its host."""
+
+import abc
+import typing as t
+
+from bilberrypass import resources
+
+
+class TaskId(t.NamedTuple):
+    """One task of a job, and which attempt at it."""
+
+    team: str
+    job: str
+    index: int
+    attempt: int
+
+
+class Spec(t.NamedTuple):
+    """What a worker needs to run a task; ``checkpoint`` is where to resume.
+
+    The demand is the limit that the worker enforces. ``payload`` is the job's
+    own, handed on as it came.
+    """
+
+    task: TaskId
+    demand: resources.Demand
+    payload: str
+    task_class: str = ""
+    checkpoint: str = ""
+
+
+class Run(t.NamedTuple):
+    """A task on the worker.
+
+    ``state`` is one of ``running``, ``finished``, ``failed``, ``stopped``
+    (also after a lapsed lease) or ``checkpointed``; ``checkpoint`` is its last one.
+    """
+
+    spec: Spec
+    state: str
+    checkpoint: str = ""
+    detail: str = ""
+    throttle: float = 1.0
+
+
+class Usage(t.NamedTuple):
+    """Usage measured over an interval that ended some time ago.
+
+    ``begin_ago_s`` and ``end_ago_s`` are seconds before the answer.
+    ``tasks`` pairs each task with its processor use in thousandths and memory in
+    bytes; ``slowdown`` pairs each service class on the host with its measured
+    latency inflation (1.0: as when alone).
+    """
+
+    begin_ago_s: float
+    end_ago_s: float
+    tasks: list[tuple[TaskId, int, int]]
+    slowdown: list[tuple[str, float]]
+
+
+class Inventory(t.NamedTuple):
+    """What the host holds and what runs on it."""
+
+    capacity: resources.Demand
+    runs: list[Run]
+
+
+class Worker(abc.ABC):
+    """The platform's worker, driven by the newest agent alone.
+
+    ``attach`` gives the agent a generation; commands of an older generation are
+    refused with kind STALE. Every call ends by its deadline (monotonic seconds)
+    and raises ``errors.Error``: ENDPOINT_UNREACHABLE where it certainly had no
+    effect, ANSWER_LOST where it may have had one.
+    """
+
+    @abc.abstractmethod
+    def attach(self, deadline: float) -> Inventory:
+        """Become the newest agent and return all runs not yet forgotten."""
+
+    @abc.abstractmethod
+    def inventory(self, deadline: float) -> Inventory:
+        """Return the host's capacity and all runs not yet forgotten."""
+
+    @abc.abstractmethod
+    def start(self, spec: Spec, lease_s: float, deadline: float) -> Run:
+        """Start a task under a lease; the same task and attempt starts once."""
+
+    @abc.abstractmethod
+    def renew(self, leases: list[tuple[TaskId, float]], deadline: float) -> None:
+        """Set the time left, in seconds, of the tasks' leases."""
+
+    @abc.abstractmethod
+    def checkpoint(self, task: TaskId, deadline: float) -> str:
+        """Make the task write a checkpoint, and return its reference."""
+
+    @abc.abstractmethod
+    def throttle(self, task: TaskId, share: float, deadline: float) -> None:
+        """Let the task use a share (0 to 1) of its processors."""
+
+    @abc.abstractmethod
+    def stop(self, task: TaskId, deadline: float) -> Run | None:
+        """Stop a task and return its end, or None if the worker never had it.
+
+        After this the same task and attempt does not start here any more.
+        """
+
+    @abc.abstractmethod
+    def forget(self, tasks: list[TaskId], deadline: float) -> None:
+        """Drop ended runs whose end has been recorded."""
+
+    @abc.abstractmethod
+    def usage(self, deadline: float) -> Usage:
+        """Return the newest usage report."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close connections."""
--- /dev/null
+++ b/src/bilberrypass/errors.py
@@ -0,0 +1,147 @@
+"""The closed list of error kinds, and the answer that each kind gets."""
+
+import enum
+import typing as t
+
+
+class Ran(enum.StrEnum):
+    """Whether the work behind a request ran."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Kind(enum.StrEnum):
+    """Every kind of error that leaves a process, by its code."""
+
+    BAD_REQUEST = "BAD_REQUEST"
+    BAD_HEADER = "BAD_HEADER"
+    BAD_BODY = "BAD_BODY"
+    BODY_TOO_LARGE = "BODY_TOO_LARGE"
+    NOT_FOUND = "NOT_FOUND"
+    METHOD_NOT_ALLOWED = "METHOD_NOT_ALLOWED"
+    UNAUTHORIZED = "UNAUTHORIZED"
+    FORBIDDEN = "FORBIDDEN"
+    UNKNOWN_SERVICE = "UNKNOWN_SERVICE"
+    DEADLINE_PASSED = "DEADLINE_PASSED"
+    OVERLOADED = "OVERLOADED"
+    NO_ENDPOINT = "NO_ENDPOINT"
+    NO_ROOM = "NO_ROOM"
+    LEAVING = "LEAVING"
+    STALE = "STALE"
+    PEER_UNREACHABLE = "PEER_UNREACHABLE"
+    ENDPOINT_UNREACHABLE = "ENDPOINT_UNREACHABLE"
+    ANSWER_LOST = "ANSWER_LOST"
+    ANSWER_TOO_LARGE = "ANSWER_TOO_LARGE"
+    ALREADY_RAN = "ALREADY_RAN"
+    KEY_IN_USE = "KEY_IN_USE"
+    KEY_REUSED = "KEY_REUSED"
+    STORE_DOWN = "STORE_DOWN"
+    STORE_UNCERTAIN = "STORE_UNCERTAIN"
+    CONFLICT = "CONFLICT"
+    PRECONDITION_REQUIRED = "PRECONDITION_REQUIRED"
+    NEVER_FITS = "NEVER_FITS"
+    QUOTA_EXCEEDED = "QUOTA_EXCEEDED"
+    TOO_MANY_ATTEMPTS = "TOO_MANY_ATTEMPTS"
+    INVALID_SETTINGS = "INVALID_SETTINGS"
+    INVALID_CONFIG = "INVALID_CONFIG"
+    NOT_READY = "NOT_READY"
+    INTERNAL = "INTERNAL"
+
+
+class Answer(t.NamedTuple):
+    """The answer to an error kind.
+
+    ``ran`` is what holds where the error was raised before any work could
+    begin; an error raised later carries its own.
+    """
+
+    status: int
+    title: str
+    ran: Ran
+    retry_helps: bool
+
+
+_NO, _YES, _UNKNOWN = Ran.NO, Ran.YES, Ran.UNKNOWN
+
+ANSWERS: t.Final[dict[Kind, Answer]] = {
+    Kind.BAD_REQUEST: Answer(400, "The request is malformed", _NO, False),
+    Kind.BAD_HEADER: Answer(400, "A header is malformed", _NO, False),
+    Kind.BAD_BODY: Answer(400, "The body is malformed", _NO, False),
+    Kind.BODY_TOO_LARGE: Answer(413, "The body is too large", _NO, False),
+    Kind.NOT_FOUND: Answer(404, "There is no such thing", _NO, False),
+    Kind.METHOD_NOT_ALLOWED: Answer(405, "The method is not allowed", _NO, False),
+    Kind.UNAUTHORIZED: Answer(401, "The token is missing or wrong", _NO, False),
+    Kind.FORBIDDEN: Answer(403, "The token may not do this", _NO, False),
+    Kind.UNKNOWN_SERVICE: Answer(404, "The service is unknown", _NO, True),
+    Kind.DEADLINE_PASSED: Answer(504, "The deadline has passed", _NO, False),
+    Kind.OVERLOADED: Answer(503, "There is more work than room", _NO, True),
+    Kind.NO_ENDPOINT: Answer(503, "No endpoint can take the request", _NO, True),
+    Kind.NO_ROOM: Answer(503, "The host has no room", _NO, True),
+    Kind.LEAVING: Answer(503, "The process is leaving", _NO, True),
+    Kind.STALE: Answer(409, "The sender's knowledge is out of date", _NO, True),
+    Kind.PEER_UNREACHABLE: Answer(502, "A peer is out of reach", _UNKNOWN, True),
+    Kind.ENDPOINT_UNREACHABLE: Answer(502, "The endpoint is unreachable", _NO, True),
+    Kind.ANSWER_LOST: Answer(502, "The answer was lost", _UNKNOWN, True),
+    Kind.ANSWER_TOO_LARGE: Answer(502, "The answer is too large", _YES, False),
+    Kind.ALREADY_RAN: Answer(409, "The request ran before", _YES, False),
+    Kind.KEY_IN_USE: Answer(409, "The key's request is in progress", _UNKNOWN, True),
+    Kind.KEY_REUSED: Answer(422, "The key belongs to another request", _NO, False),
+    Kind.STORE_DOWN: Answer(503, "The store is out of reach", _NO, True),
+    Kind.STORE_UNCERTAIN: Answer(503, "The store's answer was lost", _NO, True),
+    Kind.CONFLICT: Answer(412, "Somebody else changed it first", _NO, False),
+    Kind.PRECONDITION_REQUIRED: Answer(428, "If-Match is missing", _NO, False),
+    Kind.NEVER_FITS: Answer(422, "No host could ever hold it", _NO, False),
+    Kind.QUOTA_EXCEEDED: Answer(403, "The team's quota is spent", _NO, True),
+    Kind.TOO_MANY_ATTEMPTS: Answer(429, "Too many failed attempts", _NO, True),
+    Kind.INVALID_SETTINGS: Answer(422, "The settings are invalid", _NO, False),
+    Kind.INVALID_CONFIG: Answer(422, "The configuration is invalid", _NO, False),
+    Kind.NOT_READY: Answer(503, "The process is not ready", _NO, True),
+    Kind.INTERNAL: Answer(500, "The process failed", _UNKNOWN, True),
+}
+
+
+class Error(Exception):
+    """An error of a listed kind.
+
+    Parameters
+    ----------
+    kind : Kind
+        Its place in the closed list.
+    detail : str
+        Names the culprit and the remedy.
+    ran : Ran, optional
+        Whether the work ran; the kind's own entry if left out.
+    retry_after_s : float, optional
+        Seconds after which a retry can help.
+    """
+
+    def __init__(
+        self,
+        kind: Kind,
+        detail: str,
+        *,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+        self.ran = ANSWERS[kind].ran if ran is None else ran
+        self.retry_after_s = retry_after_s
+
+    def __str__(self) -> str:
+        return f"{self.kind}: {self.detail}"
+
+
+class Refused(Error):
+    """The receiver did nothing, and says why."""
+
+
+class Faulty(Error):
+    """Input with one or more faults, each with its JSON path."""
+
+    def __init__(self, kind: Kind, faults: list[str]) -> None:
+        super().__init__(kind, "; ".join(faults))
+        self.faults = faults
--- /dev/null
+++ b/src/bilberrypass/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a process of the system."""
--- /dev/null
+++ b/src/bilberrypass/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request of a caller."""
