Add the HTTP worker, the stand-ins and the shared fixtures

Cause: agents and entries need a worker and endpoints to be tested against, as separate processes that can be killed, frozen and cut off. Conclusion: a first whole version of the worker's adapter and its stand-in.

--- /dev/null
+++ b/src/bilberrypass/connection/httpworker.py
@@ -0,0 +1,225 @@
+"""The platform's worker over JSON and HTTP."""
+
+import threading
+import time
+import typing as t
+
+import msgspec
+import urllib3
+
+from bilberrypass import errors
+from bilberrypass.connection import worker
+
+GENERATION_HEADER: t.Final = "Worker-Generation"
+
+_READ_BYTES: t.Final = 65_536
+_IDLE_CONNECTIONS: t.Final = 8
+_STALE_STATUS: t.Final = 409
+_NO_GENERATION: t.Final = 0
+
+_T = t.TypeVar("_T")
+
+
+class Attached(t.NamedTuple):
+    """The answer to ``POST /attach``."""
+
+    generation: int
+    inventory: worker.Inventory
+
+
+class Start(t.NamedTuple):
+    """The body of ``POST /start``."""
+
+    spec: worker.Spec
+    lease_s: float
+
+
+class Throttle(t.NamedTuple):
+    """The body of ``POST /throttle``."""
+
+    task: worker.TaskId
+    share: float
+
+
+class Problem(t.TypedDict, total=False):
+    """The part of a problem document that a worker's refusal uses."""
+
+    code: str
+    detail: str
+
+
+@t.final
+class HttpWorker(worker.Worker):
+    """A worker reached by its IP number and port; threads may share it."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._lock = threading.Lock()
+        self._generation = _NO_GENERATION
+        self._pool = self._new_pool()
+
+    def attach(self, deadline: float) -> worker.Inventory:
+        """Become the newest agent and return all runs not yet forgotten."""
+        attached = self._call("POST", "/attach", None, Attached, deadline)
+        with self._lock:
+            self._generation = max(self._generation, attached.generation)
+        return attached.inventory
+
+    def inventory(self, deadline: float) -> worker.Inventory:
+        """Return the host's capacity and all runs not yet forgotten."""
+        return self._call("GET", "/inventory", None, worker.Inventory, deadline)
+
+    def start(self, spec: worker.Spec, lease_s: float, deadline: float) -> worker.Run:
+        """Start a task under a lease; the same task and attempt starts once."""
+        body = Start(spec, lease_s)
+        return self._call("POST", "/start", body, worker.Run, deadline)
+
+    def renew(self, leases: list[tuple[worker.TaskId, float]], deadline: float) -> None:
+        """Set the time left, in seconds, of the tasks' leases."""
+        self._call("POST", "/renew", leases, None, deadline)
+
+    def checkpoint(self, task: worker.TaskId, deadline: float) -> str:
+        """Make the task write a checkpoint, and return its reference."""
+        return self._call("POST", "/checkpoint", task, str, deadline)
+
+    def throttle(self, task: worker.TaskId, share: float, deadline: float) -> None:
+        """Let the task use a share (0 to 1) of its processors."""
+        self._call("POST", "/throttle", Throttle(task, share), None, deadline)
+
+    def stop(self, task: worker.TaskId, deadline: float) -> worker.Run | None:
+        """Stop a task and return its end, or None if the worker never had it."""
+        return self._call("POST", "/stop", task, worker.Run | None, deadline)
+
+    def forget(self, tasks: list[worker.TaskId], deadline: float) -> None:
+        """Drop ended runs whose end has been recorded."""
+        self._call("POST", "/forget", tasks, None, deadline)
+
+    def usage(self, deadline: float) -> worker.Usage:
+        """Return the newest usage report."""
+        return self._call("GET", "/usage", None, worker.Usage, deadline)
+
+    def close(self) -> None:
+        """Close connections."""
+        with self._lock:
+            self._pool.close()
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._host, self._port, maxsize=_IDLE_CONNECTIONS, retries=False
+        )
+
+    def _call(
+        self, method: str, path: str, body: t.Any, kind: t.Any, deadline: float
+    ) -> t.Any:
+        """Send one command, and return its answer decoded as ``kind``."""
+        with self._lock:
+            pool = self._pool
+            generation = self._generation
+        headers = {"Content-Type": "application/json"}
+        if generation != _NO_GENERATION:
+            headers[GENERATION_HEADER] = str(generation)
+        content = None if method == "GET" else msgspec.json.encode(body)
+        status, answer = self._exchange(pool, method, path, content, headers, deadline)
+        if status != 200:
+            raise self._refusal(path, status, answer)
+        return self._decode(path, answer, kind)
+
+    def _exchange(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        method: str,
+        path: str,
+        content: bytes | None,
+        headers: dict[str, str],
+        deadline: float,
+    ) -> tuple[int, bytes]:
+        left_s = deadline - time.monotonic()
+        if left_s <= 0:
+            raise self._unreachable(path, "its deadline passed before it was sent")
+        try:
+            resp = pool.urlopen(
+                method,
+                path,
+                body=content,
+                headers=headers,
+                retries=False,
+                redirect=False,
+                timeout=urllib3.Timeout(total=left_s),
+                preload_content=False,
+            )
+            return resp.status, _read_whole(resp, deadline)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.exceptions.ClosedPoolError,
+        ) as exc:
+            raise self._unreachable(path, str(exc)) from exc
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            self._abandon(pool)
+            raise self._lost(path, str(exc)) from exc
+
+    def _abandon(self, pool: urllib3.HTTPConnectionPool) -> None:
+        """Let later calls use fresh connections.
+
+        A connection that went silent is rarely alone. The old pool is not
+        closed, since other threads may be in the middle of a call on it.
+        """
+        with self._lock:
+            if self._pool is pool:
+                self._pool = self._new_pool()
+
+    def _decode(self, path: str, answer: bytes, kind: type[_T]) -> _T:
+        try:
+            return msgspec.json.decode(answer, type=kind)
+        except msgspec.DecodeError as exc:
+            raise self._lost(path, f"the answer is malformed: {exc}") from exc
+
+    def _refusal(self, path: str, status: int, answer: bytes) -> errors.Error:
+        if status >= 500:
+            return self._lost(path, f"it answered {status}")
+        problem = _problem(answer)
+        detail = f"worker {self._name()} refused {path}: {problem.get('detail', '')}"
+        if status == _STALE_STATUS:
+            return errors.Refused(errors.Kind.STALE, detail)
+        if status == 404:
+            return errors.Refused(errors.Kind.NOT_FOUND, detail)
+        return errors.Refused(errors.Kind.BAD_REQUEST, f"{detail} (status {status})")
+
+    def _unreachable(self, path: str, why: str) -> errors.Error:
+        detail = f"worker {self._name()} did not get {path}: {why}"
+        kind = errors.Kind.ENDPOINT_UNREACHABLE
+        return errors.Error(kind, detail, ran=errors.Ran.NO)
+
+    def _lost(self, path: str, why: str) -> errors.Error:
+        detail = f"worker {self._name()} may have done {path}: {why}"
+        kind = errors.Kind.ANSWER_LOST
+        return errors.Error(kind, detail, ran=errors.Ran.UNKNOWN)
+
+    def _name(self) -> str:
+        return f"{self._host}:{self._port}"
+
+
+def _read_whole(resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    """Read the body, holding each wait to what is left before the deadline."""
+    chunks = []
+    while True:
+        left_s = deadline - time.monotonic()
+        if left_s <= 0:
+            resp.close()
+            raise TimeoutError("the deadline passed in the middle of the answer")
+        sock = getattr(resp.connection, "sock", None)
+        if sock is not None:
+            sock.settimeout(left_s)
+        chunk = resp.read1(_READ_BYTES)
+        if not chunk:
+            resp.release_conn()
+            return b"".join(chunks)
+        chunks.append(chunk)
+
+
+def _problem(answer: bytes) -> Problem:
+    try:
+        return msgspec.json.decode(answer, type=Problem)
+    except msgspec.DecodeError:
+        return Problem(detail=answer.decode(errors="replace"))
--- /dev/null
+++ b/testing/connection/test_httpworker.py
@@ -0,0 +1,380 @@
+import contextlib
+import json
+import threading
+import time
+
+from bilberrypass import errors, resources
+from bilberrypass.connection import httpworker, worker
+from testing import collecting, fixtures
+from testing.standins import link, serving
+
+_DEADLINE_S = 10.0
+_LEASE_S = 30.0
+_LONG_RUN_S = 60.0
+
+
+def _deadline(seconds=_DEADLINE_S):
+    return time.monotonic() + seconds
+
+
+def _spec(index=0, attempt=1, checkpoint="", cpu_milli=1000, **payload):
+    task = worker.TaskId("planners", "plan-1", index, attempt)
+    demand = resources.Demand(cpu_milli, resources.MIB, 0)
+    return worker.Spec(task, demand, json.dumps(payload), "batch", checkpoint)
+
+
+def _client(address):
+    host, port = address.split(":")
+    return httpworker.HttpWorker(host, int(port))
+
+
+@contextlib.contextmanager
+def _attached():
+    with fixtures.process(["testing.standins.worker", "--port", "0"]) as standin:
+        client = _client(standin.addresses["http"])
+        client.attach(_deadline())
+        try:
+            yield standin, client
+        finally:
+            client.close()
+
+
+def _control(standin, **switches):
+    answer = fixtures.http("PUT", f"{standin.url()}/_control", switches)
+    assert answer.status == 200, answer
+
+
+def _judge(standin):
+    return fixtures.http("GET", f"{standin.url()}/_judge").json()
+
+
+def _run_of(client, spec):
+    runs = client.inventory(_deadline()).runs
+    return next((run for run in runs if run.spec.task == spec.task), None)
+
+
+def _wait_for_end(client, spec):
+    def ended():
+        run = _run_of(client, spec)
+        return run if run.state != "running" else None
+
+    return fixtures.wait_until(ended, _DEADLINE_S, f"end of {spec.task}")
+
+
+@contextlib.contextmanager
+def _raises(kind, ran):
+    try:
+        yield
+    except errors.Error as exc:
+        assert (exc.kind, exc.ran) == (kind, ran), exc
+    else:
+        raise AssertionError(f"{kind} was not raised")
+
+
+def test_task_starts_and_finishes():
+    with _attached() as (standin, client):
+        spec = _spec(run_s=0.1, steps=4)
+        run = client.start(spec, _LEASE_S, _deadline())
+        assert (run.spec, run.state) == (spec, "running")
+        assert _wait_for_end(client, spec).state == "finished"
+        (record,) = _judge(standin)["runs"]
+        assert record["steps"] == 4
+        assert record["end"] > record["begin"]
+        assert record["task"] == spec.task._asdict()
+
+
+def test_task_that_fails_is_reported_as_failed():
+    with _attached() as (_, client):
+        spec = _spec(run_s=0.05, fail=True)
+        client.start(spec, _LEASE_S, _deadline())
+        assert _wait_for_end(client, spec).state == "failed"
+
+
+def test_same_attempt_starts_once():
+    with _attached() as (standin, client):
+        spec = _spec(run_s=0.0)
+        client.start(spec, _LEASE_S, _deadline())
+        _wait_for_end(client, spec)
+        assert client.start(spec, _LEASE_S, _deadline()).state == "finished"
+        assert len(_judge(standin)["runs"]) == 1
+
+
+def test_lapsed_lease_stops_the_task():
+    with _attached() as (standin, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        client.start(spec, 0.1, _deadline())
+        run = _wait_for_end(client, spec)
+        assert run.state == "stopped"
+        assert "lease" in run.detail
+        client.renew([(spec.task, _LEASE_S)], _deadline())
+        assert _run_of(client, spec).state == "stopped"
+        (record,) = _judge(standin)["runs"]
+        assert record["end"] is not None
+
+
+def test_renewal_sets_the_time_left():
+    with _attached() as (_, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        client.start(spec, _LEASE_S, _deadline())
+        client.renew([(spec.task, 0.0)], _deadline())
+        assert "lease" in _wait_for_end(client, spec).detail
+
+
+def test_older_generation_is_refused():
+    with _attached() as (standin, older):
+        spec = _spec(run_s=_LONG_RUN_S)
+        older.start(spec, _LEASE_S, _deadline())
+        newer = _client(standin.addresses["http"])
+        inventory = newer.attach(_deadline())
+        assert [run.spec for run in inventory.runs] == [spec]
+        for command in _commands(older, spec):
+            with _raises(errors.Kind.STALE, errors.Ran.NO):
+                command()
+        assert _run_of(newer, spec).state == "running"
+        newer.close()
+
+
+def _commands(client, spec):
+    return [
+        lambda: client.inventory(_deadline()),
+        lambda: client.start(_spec(index=1), _LEASE_S, _deadline()),
+        lambda: client.renew([(spec.task, 0.0)], _deadline()),
+        lambda: client.checkpoint(spec.task, _deadline()),
+        lambda: client.throttle(spec.task, 0.5, _deadline()),
+        lambda: client.stop(spec.task, _deadline()),
+        lambda: client.forget([spec.task], _deadline()),
+        lambda: client.usage(_deadline()),
+    ]
+
+
+def test_command_before_attach_is_refused():
+    with _attached() as (standin, _):
+        stranger = _client(standin.addresses["http"])
+        with _raises(errors.Kind.STALE, errors.Ran.NO):
+            stranger.start(_spec(), _LEASE_S, _deadline())
+        assert _judge(standin)["runs"] == []
+
+
+def test_restarted_worker_refuses_an_old_generation():
+    port = fixtures.free_port()
+    args = ["testing.standins.worker", "--port", str(port)]
+    client = _client(f"127.0.0.1:{port}")
+    with fixtures.process(args) as first:
+        client.attach(_deadline())
+        first.kill()
+    with fixtures.process(args), _raises(errors.Kind.STALE, errors.Ran.NO):
+        client.start(_spec(), _LEASE_S, _deadline())
+    client.close()
+
+
+def test_lost_answer_is_unknown_and_not_sent_again():
+    with _attached() as (standin, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        _control(standin, lose_answers=1)
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.start(spec, _LEASE_S, _deadline())
+        assert len(_judge(standin)["runs"]) == 1
+        assert client.start(spec, _LEASE_S, _deadline()).state == "running"
+        assert len(_judge(standin)["runs"]) == 1
+
+
+def test_command_is_sent_once_when_each_answer_is_lost():
+    seen = []
+
+    def lose(req):
+        seen.append(req.path)
+
+    with serving.listening(lose) as address:
+        client = _client(address)
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.attach(_deadline())
+        client.close()
+    assert seen == ["/attach"]
+
+
+def test_answer_cut_in_the_middle_is_lost():
+    reply = serving.answer_json([1, [[1, 1, 0], []]])._replace(cut_after=5)
+    with serving.listening(lambda req: reply) as address:
+        client = _client(address)
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.attach(_deadline())
+        client.close()
+
+
+def test_malformed_answer_is_lost():
+    reply = serving.answer_json({"no": "generation"})
+    with serving.listening(lambda req: reply) as address:
+        client = _client(address)
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.attach(_deadline())
+        client.close()
+
+
+def test_refused_connection_certainly_had_no_effect():
+    client = _client(f"127.0.0.1:{fixtures.free_port()}")
+    with _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO):
+        client.attach(_deadline())
+    client.close()
+
+
+def test_passed_deadline_sends_nothing():
+    with _attached() as (standin, client):
+        with _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO):
+            client.start(_spec(), _LEASE_S, _deadline(-1.0))
+        assert _judge(standin)["runs"] == []
+
+
+def test_silent_worker_ends_the_call_by_its_deadline():
+    with _attached() as (standin, client):
+        _control(standin, silent=True)
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.inventory(_deadline(0.3))
+        _control(standin, silent=False)
+        client.inventory(_deadline())
+
+
+def test_silent_connection_is_replaced_by_a_fresh_one():
+    with _attached() as (standin, _), link.Link(standin.addresses["http"]) as relay:
+        client = _client(relay.address)
+        client.attach(_deadline())
+        relay.swallow()
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.inventory(_deadline(0.3))
+        assert client.inventory(_deadline()).runs == []
+        client.close()
+
+
+def test_stop_of_a_running_task_ends_it():
+    with _attached() as (_, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        client.start(spec, _LEASE_S, _deadline())
+        assert client.stop(spec.task, _deadline()).state == "stopped"
+        assert client.stop(spec.task, _deadline()).state == "stopped"
+
+
+def test_stop_of_an_unknown_task_leaves_a_tombstone():
+    with _attached() as (standin, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        assert client.stop(spec.task, _deadline()) is None
+        assert client.start(spec, _LEASE_S, _deadline()).state == "stopped"
+        assert _judge(standin)["runs"] == []
+        next_attempt = _spec(attempt=2, run_s=_LONG_RUN_S)
+        run = client.start(next_attempt, _LEASE_S, _deadline())
+        assert run.state == "running"
+
+
+def test_forgotten_run_does_not_start_again():
+    with _attached() as (standin, client):
+        spec = _spec(run_s=0.0)
+        client.start(spec, _LEASE_S, _deadline())
+        _wait_for_end(client, spec)
+        client.forget([spec.task], _deadline())
+        assert _run_of(client, spec) is None
+        assert client.start(spec, _LEASE_S, _deadline()).state == "stopped"
+        assert len(_judge(standin)["runs"]) == 1
+
+
+def test_running_task_is_not_forgotten():
+    with _attached() as (_, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        client.start(spec, _LEASE_S, _deadline())
+        client.forget([spec.task], _deadline())
+        assert _run_of(client, spec).state == "running"
+
+
+def test_next_attempt_resumes_from_the_checkpoint():
+    with _attached() as (standin, client):
+        first = _spec(run_s=1.0, steps=20)
+        client.start(first, _LEASE_S, _deadline())
+
+        def has_progress():
+            return client.checkpoint(first.task, _deadline()) != "step:0"
+
+        fixtures.wait_until(has_progress, _DEADLINE_S, "a first step")
+        end = client.stop(first.task, _deadline())
+        step = int(end.checkpoint.removeprefix("step:"))
+        assert 0 < step < 20
+        second = _spec(attempt=2, checkpoint=end.checkpoint, run_s=1.0, steps=20)
+        client.start(second, _LEASE_S, _deadline())
+        client.throttle(second.task, 0.0, _deadline())
+        _, record = _judge(standin)["runs"]
+        assert record["resumed_from"] == end.checkpoint
+        assert step <= record["steps"] < 20
+        client.throttle(second.task, 1.0, _deadline())
+        assert _wait_for_end(client, second).state == "finished"
+        _, record = _judge(standin)["runs"]
+        assert record["steps"] == 20
+
+
+def test_checkpoint_of_a_task_that_has_none_is_refused():
+    with _attached() as (_, client):
+        spec = _spec(run_s=_LONG_RUN_S, checkpointable=False)
+        client.start(spec, _LEASE_S, _deadline())
+        with _raises(errors.Kind.BAD_REQUEST, errors.Ran.NO):
+            client.checkpoint(spec.task, _deadline())
+        unknown = worker.TaskId("planners", "plan-1", 7, 1)
+        with _raises(errors.Kind.NOT_FOUND, errors.Ran.NO):
+            client.checkpoint(unknown, _deadline())
+
+
+def test_worker_that_fails_everything():
+    with _attached() as (standin, client):
+        _control(standin, fail_all=True)
+        run = client.start(_spec(run_s=_LONG_RUN_S), _LEASE_S, _deadline())
+        assert run.state == "failed"
+
+
+def test_usage_lags_and_tells_of_what_ran_then():
+    with _attached() as (standin, client):
+        _control(standin, slowdown={"echo": 1.5})
+        spec = _spec(run_s=_LONG_RUN_S, cpu_milli=900, memory_bytes=7)
+        client.start(spec, _LEASE_S, _deadline())
+
+        def used():
+            usage = client.usage(_deadline())
+            return usage if usage.tasks and usage.tasks[0][1] > 0 else None
+
+        usage = fixtures.wait_until(used, _DEADLINE_S, "usage")
+        assert (usage.tasks[0][0], usage.tasks[0][2]) == (spec.task, 7)
+        assert usage.slowdown == [("echo", 1.5)]
+        _control(standin, usage_lag_s=_LONG_RUN_S)
+        late = client.usage(_deadline())
+        assert late.end_ago_s >= _LONG_RUN_S
+        assert (late.tasks, late.slowdown) == ([], [])
+
+
+def test_judge_records_a_commitment_beyond_capacity():
+    with _attached() as (standin, client):
+        client.start(_spec(0, cpu_milli=40_000, run_s=60), _LEASE_S, _deadline())
+        assert not _judge(standin)["exceeded"]
+        client.start(_spec(1, cpu_milli=40_000, run_s=60), _LEASE_S, _deadline())
+        client.stop(_spec(1).task, _deadline())
+        judged = _judge(standin)
+        assert judged["exceeded"]
+        assert judged["highest"]["cpu_milli"] == 80_000
+
+
+def test_threads_share_a_client():
+    with _attached() as (standin, client):
+        faults = []
+
+        def start_some(first):
+            try:
+                for index in range(first, first + 10):
+                    client.start(_spec(index, run_s=60), _LEASE_S, _deadline())
+            except errors.Error as exc:
+                faults.append(exc)
+
+        starts = [
+            threading.Thread(target=start_some, args=(first,))
+            for first in range(0, 80, 10)
+        ]
+        for thread in starts:
+            thread.start()
+        for thread in starts:
+            thread.join()
+        assert faults == []
+        assert len(_judge(standin)["runs"]) == 80
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/fixtures.py
@@ -0,0 +1,196 @@
+"""Fixtures shared by the tests, as context managers and small helpers."""
+
+import collections.abc as abc
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing as t
+
+import urllib3
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_POLL_S = 0.02
+_KILL_TIMEOUT_S = 10.0
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(condition: abc.Callable[[], t.Any], timeout_s: float, what: str):
+    """Poll until the condition holds, and return its value."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= deadline:
+            raise AssertionError(f"{what}: not within {timeout_s} s (last: {value!r})")
+        time.sleep(_POLL_S)
+
+
+@contextlib.contextmanager
+def settings_file(settings: abc.Mapping[str, t.Any]):
+    """Write settings to a temporary JSON file, and give its path."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "settings.json"
+        path.write_text(json.dumps(settings))
+        yield str(path)
+
+
+class HttpAnswer(t.NamedTuple):
+    status: int
+    headers: abc.Mapping[str, str]
+    body: bytes
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def http(
+    method: str,
+    url: str,
+    body: t.Any = None,
+    headers: abc.Mapping[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> HttpAnswer:
+    """Send one request on a connection of its own; a body not bytes goes as JSON."""
+    content = body if body is None or isinstance(body, bytes) else json.dumps(body)
+    with urllib3.PoolManager(retries=False) as manager:
+        resp = manager.request(
+            method,
+            url,
+            body=content,
+            headers=dict(headers or {}),
+            timeout=urllib3.Timeout(total=timeout_s),
+            redirect=False,
+        )
+        return HttpAnswer(resp.status, resp.headers, resp.data)
+
+
+class Process:
+    """A started process, its ready line and what it has printed."""
+
+    def __init__(self, args: list[str]) -> None:
+        self._args = args
+        self._popen = subprocess.Popen(
+            args,
+            cwd=_ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            errors="replace",
+        )
+        self._out: list[str] = []
+        self._err: list[str] = []
+        self._readers = [
+            self._collect(self._popen.stdout, self._out),
+            self._collect(self._popen.stderr, self._err),
+        ]
+        self.ready: dict[str, t.Any] = {}
+
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        return self.ready["addresses"]
+
+    def url(self, name: str = "http") -> str:
+        return f"http://{self.addresses[name]}"
+
+    def wait_ready(self, timeout_s: float) -> None:
+        deadline = time.monotonic() + timeout_s
+        while not self._find_ready():
+            if self._popen.poll() is not None:
+                raise AssertionError(self._report("ended before it was ready"))
+            if time.monotonic() >= deadline:
+                raise AssertionError(self._report(f"not ready in {timeout_s} s"))
+            time.sleep(_POLL_S)
+
+    def kill(self) -> None:
+        self._popen.kill()
+        self.wait(_KILL_TIMEOUT_S)
+
+    def terminate(self) -> None:
+        self._popen.terminate()
+
+    def freeze(self) -> None:
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        os.kill(self.pid, signal.SIGCONT)
+
+    def poll(self) -> int | None:
+        return self._popen.poll()
+
+    def wait(self, timeout_s: float) -> int:
+        """Return the exit code."""
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired as exc:
+            raise AssertionError(self._report(f"did not end in {timeout_s} s")) from exc
+
+    def stdout_text(self) -> str:
+        return "".join(self._out)
+
+    def stderr_text(self) -> str:
+        return "".join(self._err)
+
+    def end(self) -> None:
+        """Kill the process if it still runs, and close its pipes."""
+        if self._popen.poll() is None:
+            self.kill()
+        for reader in self._readers:
+            reader.join()
+        self._popen.stdout.close()
+        self._popen.stderr.close()
+
+    def _find_ready(self) -> bool:
+        for line in list(self._out):
+            with contextlib.suppress(json.JSONDecodeError):
+                value = json.loads(line)
+                if isinstance(value, dict) and value.get("ready"):
+                    self.ready = value
+                    return True
+        return False
+
+    def _collect(self, stream, lines: list[str]) -> threading.Thread:
+        def read() -> None:
+            for line in stream:
+                lines.append(line)
+
+        reader = threading.Thread(target=read, daemon=True)
+        reader.start()
+        return reader
+
+    def _report(self, what: str) -> str:
+        return (
+            f"{' '.join(self._args)} {what}\n"
+            f"stdout:\n{self.stdout_text()}\nstderr:\n{self.stderr_text()}"
+        )
+
+
+@contextlib.contextmanager
+def process(module_or_program: list[str], ready_timeout_s: float = 15.0):
+    """Run a module, or a program given by its path, and wait for its ready line."""
+    is_program = os.sep in module_or_program[0]
+    start = [] if is_program else [sys.executable, "-m"]
+    started = Process([*start, *module_or_program])
+    try:
+        started.wait_ready(ready_timeout_s)
+        yield started
+    finally:
+        started.end()
--- /dev/null
+++ b/testing/standins/endpoint.py
@@ -0,0 +1,196 @@
+"""A stand-in of a service's endpoint, which counts what ran on it.
+
+    python -m testing.standins.endpoint --port N --service echo --id ep1 \
+        --slots 8 --announce http://127.0.0.1:AGENTPORT
+"""
+
+import argparse
+import collections
+import sys
+import threading
+import time
+
+import msgspec
+import urllib3
+
+from testing.standins import serving
+
+_ANNOUNCE_INTERVAL_S = 1.0
+_ANNOUNCE_TIMEOUT_S = 1.0
+_POLL_S = 0.02
+# Requests that the agent forwarded before it heard of the leaving still arrive.
+_QUIET_S = 0.5
+
+
+class Control(msgspec.Struct, forbid_unknown_fields=True):
+    delay_s: float = 0.0
+    fail: bool = False
+    die_in_answer: bool = False
+    silent: bool = False
+    down: bool = False
+    run_s_scale: float = 1.0
+
+
+class Endpoint:
+    """What ran here, and how the next requests are answered."""
+
+    def __init__(self, service: str, ident: str, slots: int) -> None:
+        self.service = service
+        self.ident = ident
+        self.slots = slots
+        self._lock = threading.Lock()
+        self._control = Control()
+        self._by_key: collections.Counter[str] = collections.Counter()
+        self._by_name: collections.Counter[str] = collections.Counter()
+        self._total = 0
+        self._in_progress = 0
+        self._highest = 0
+        self._quiet_since = time.monotonic()
+
+    def handle(self, req: serving.Request) -> serving.Reply | None:
+        if req.path == "/_control":
+            return self._set_control(req)
+        if req.path == "/_runs":
+            return serving.answer_json(self._runs())
+        control = self._control
+        if control.silent:
+            self._wait_while_silent()
+            return None
+        if control.down:
+            return None
+        with self._lock:
+            self._begin(req)
+        try:
+            return self._run(req, control)
+        finally:
+            with self._lock:
+                self._in_progress -= 1
+                self._quiet_since = time.monotonic()
+
+    def is_quiet(self) -> bool:
+        with self._lock:
+            quiet_s = time.monotonic() - self._quiet_since
+            return self._in_progress == 0 and quiet_s >= _QUIET_S
+
+    def begin_leaving(self) -> None:
+        with self._lock:
+            self._quiet_since = time.monotonic()
+
+    def _begin(self, req: serving.Request) -> None:
+        self._in_progress += 1
+        self._highest = max(self._highest, self._in_progress)
+        self._total += 1
+        if key := req.headers.get("idempotency-key"):
+            self._by_key[key] += 1
+        if name := req.headers.get("x-request-name"):
+            self._by_name[name] += 1
+
+    def _run(self, req: serving.Request, control: Control) -> serving.Reply:
+        run_s = float(req.headers.get("x-delay-s", "0")) * control.run_s_scale
+        time.sleep(control.delay_s + run_s)
+        if control.fail:
+            return serving.answer_json({"error": "told to fail"}, 500)
+        status = int(req.headers.get("x-status", "200"))
+        reply = serving.answer_json(self._echo(req), status)
+        if control.die_in_answer:
+            return reply._replace(cut_after=len(reply.body) // 2)
+        return reply
+
+    def _echo(self, req: serving.Request) -> dict[str, str]:
+        return {
+            "service": self.service,
+            "endpoint": self.ident,
+            "method": req.method,
+            "path": f"{req.path}?{req.query}" if req.query else req.path,
+            "body": req.body.decode(errors="replace"),
+            "padding": "x" * int(req.headers.get("x-size", "0")),
+        }
+
+    def _wait_while_silent(self) -> None:
+        while self._control.silent:
+            time.sleep(_POLL_S)
+
+    def _set_control(self, req: serving.Request) -> serving.Reply:
+        with self._lock:
+            if req.method == "PUT":
+                merged = msgspec.to_builtins(self._control)
+                merged |= msgspec.json.decode(req.body)
+                try:
+                    self._control = msgspec.convert(merged, Control)
+                except msgspec.ValidationError as exc:
+                    return serving.problem(400, "BAD_BODY", str(exc))
+            return serving.answer_json(msgspec.to_builtins(self._control))
+
+    def _runs(self) -> dict[str, object]:
+        with self._lock:
+            return {
+                "total": self._total,
+                "by_key": dict(self._by_key),
+                "by_name": dict(self._by_name),
+                "in_progress": self._in_progress,
+                "highest": self._highest,
+                "slots": self.slots,
+            }
+
+
+class Announcer:
+    """Tells the agent of the endpoint each second, whether or not it hears."""
+
+    def __init__(self, agent_url: str, endpoint: Endpoint, address: str) -> None:
+        self._url = f"{agent_url}/endpoints/{endpoint.ident}"
+        self._body = {
+            "service": endpoint.service,
+            "address": address,
+            "slots": endpoint.slots,
+            "leaving": False,
+        }
+        self._http = urllib3.PoolManager(retries=False)
+
+    def announce(self) -> bool:
+        try:
+            resp = self._http.request(
+                "PUT", self._url, json=self._body, timeout=_ANNOUNCE_TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            print(f"announce: {exc}", file=sys.stderr, flush=True)
+            # The agent may have been replaced behind a connection kept open.
+            self._http.clear()
+            return False
+        return resp.status < 300
+
+    def run(self) -> None:
+        while True:
+            self.announce()
+            time.sleep(_ANNOUNCE_INTERVAL_S)
+
+    def leave(self) -> None:
+        self._body = {**self._body, "leaving": True}
+        self.announce()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--service", default="echo")
+    parser.add_argument("--id", default="ep1")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--announce", help="the agent's base URL")
+    args = parser.parse_args()
+    endpoint = Endpoint(args.service, args.id, args.slots)
+    made = serving.make(args.port, endpoint.handle)
+    terminated = serving.run("endpoint", args.id, made)
+    announcer = None
+    if args.announce:
+        announcer = Announcer(args.announce, endpoint, serving.address(made))
+        threading.Thread(target=announcer.run, daemon=True).start()
+    terminated.wait()
+    if announcer is not None:
+        announcer.leave()
+    endpoint.begin_leaving()
+    while not endpoint.is_quiet():
+        time.sleep(_POLL_S)
+    made.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/standins/link.py
@@ -0,0 +1,161 @@
+"""A TCP relay between two ends, with switches for what networks do."""
+
+import contextlib
+import socket
+import threading
+import time
+
+_CHUNK_BYTES = 65_536
+_BACKLOG = 128
+_CONNECT_TIMEOUT_S = 5.0
+
+
+class _Pair:
+    """One relayed connection; ``server`` is None if it was never made."""
+
+    def __init__(self, client: socket.socket, server: socket.socket | None) -> None:
+        self.client = client
+        self.server = server
+        self.swallowed = server is None
+
+    def close(self) -> None:
+        for sock in filter(None, (self.client, self.server)):
+            # Shutdown wakes a thread that is blocked in recv; close does not.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+class Link:
+    """Relays ``address`` to a target ``ip:port`` while the context is open."""
+
+    def __init__(self, target: str, port: int = 0) -> None:
+        host, _, target_port = target.rpartition(":")
+        self._target = (host, int(target_port))
+        self._lock = threading.Lock()
+        self._pairs: set[_Pair] = set()
+        self._delay_s = 0.0
+        self._blackhole = False
+        self._port = port
+        self._listener: socket.socket | None = None
+        self._listen()
+
+    def __enter__(self) -> "Link":
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.refuse()
+        self.cut()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._port}"
+
+    def cut(self) -> None:
+        """Drop the open connections now; new ones work as before."""
+        with self._lock:
+            pairs, self._pairs = self._pairs, set()
+        for pair in pairs:
+            pair.close()
+
+    def refuse(self) -> None:
+        """Refuse new connections; the open ones stay."""
+        with self._lock:
+            listener, self._listener = self._listener, None
+        if listener is not None:
+            with contextlib.suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def swallow(self) -> None:
+        """Swallow all bytes of the open connections for good."""
+        with self._lock:
+            for pair in self._pairs:
+                pair.swallowed = True
+
+    def blackhole(self) -> None:
+        """Swallow all bytes, those of new connections too."""
+        with self._lock:
+            self._blackhole = True
+        self.swallow()
+
+    def delay(self, seconds: float) -> None:
+        """Hold each chunk back by at least so long, in each direction."""
+        self._delay_s = seconds
+
+    def heal(self) -> None:
+        """Let new connections work; what was swallowed stays swallowed."""
+        with self._lock:
+            self._blackhole = False
+            self._delay_s = 0.0
+            listens = self._listener is not None
+        if not listens:
+            self._listen()
+
+    def _listen(self) -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self._port))
+        listener.listen(_BACKLOG)
+        self._port = listener.getsockname()[1]
+        with self._lock:
+            self._listener = listener
+        threading.Thread(target=self._accept, args=(listener,), daemon=True).start()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                client, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._relay, args=(client,), daemon=True).start()
+
+    def _relay(self, client: socket.socket) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with self._lock:
+            blackhole = self._blackhole
+        try:
+            server = None if blackhole else self._connect()
+        except OSError:
+            client.close()
+            return
+        pair = _Pair(client, server)
+        with self._lock:
+            pair.swallowed |= self._blackhole
+            self._pairs.add(pair)
+        if server is None:
+            self._pump(pair, client, None)
+            return
+        back = threading.Thread(
+            target=self._pump, args=(pair, server, client), daemon=True
+        )
+        back.start()
+        self._pump(pair, client, server)
+        back.join()
+        self._drop(pair)
+
+    def _connect(self) -> socket.socket:
+        server = socket.create_connection(self._target, _CONNECT_TIMEOUT_S)
+        server.settimeout(None)
+        server.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return server
+
+    def _pump(
+        self, pair: _Pair, source: socket.socket, sink: socket.socket | None
+    ) -> None:
+        """Relay one direction until its end; a swallowed end is not passed on."""
+        with contextlib.suppress(OSError):
+            while chunk := source.recv(_CHUNK_BYTES):
+                time.sleep(self._delay_s)
+                if not pair.swallowed and sink is not None:
+                    sink.sendall(chunk)
+        with contextlib.suppress(OSError):
+            if not pair.swallowed and sink is not None:
+                sink.shutdown(socket.SHUT_WR)
+
+    def _drop(self, pair: _Pair) -> None:
+        if pair.swallowed:
+            return
+        with self._lock:
+            self._pairs.discard(pair)
+        pair.close()
