Take a request and a job through separate processes

Cause: no path from caller to endpoint and from job to worker existed. Agent: ledger, tasks under leases that count from its own reports' sending time, slots at the endpoint by urllib3. Ruled out: pydantic refuses typing.TypedDict below Python 3.12, so typing_extensions brings it; leases counted from the owner's clock, since a paused owner could then start what has lapsed.

--- /dev/null
+++ b/src/bilberrypass/connection/channels.py
@@ -0,0 +1,216 @@
+"""gRPC between the system's own processes, with msgpack messages."""
+
+import collections.abc as abc
+import concurrent.futures as futures
+import threading
+import time
+import typing as t
+
+import grpc
+import logbook
+import msgspec
+
+from bilberrypass import errors
+from bilberrypass.connection import messages
+
+_log = logbook.Logger("channels")
+
+_SERVICE: t.Final = "bilberrypass"
+_KEEPALIVE_MS: t.Final = 2_000
+_MAX_MESSAGE_BYTES: t.Final = 64 << 20
+_SUSPECT: t.Final = (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
+
+
+class Method(t.NamedTuple):
+    """A remote method: its name and its two message types."""
+
+    name: str
+    request: type
+    answer: type
+
+
+FORWARD: t.Final = Method("Forward", messages.Forward, messages.Forwarded)
+REPORT: t.Final = Method("Report", messages.Report, messages.Reported)
+START: t.Final = Method("Start", messages.Start, messages.Started)
+STOP: t.Final = Method("Stop", messages.Stop, messages.Stopped)
+JOB: t.Final = Method("Job", messages.JobCall, messages.JobAnswer)
+
+
+class _Fault(t.NamedTuple):
+    """An error on its way between two processes."""
+
+    kind: errors.Kind
+    detail: str
+    ran: errors.Ran
+    retry_after_s: float | None
+
+
+_CLIENT_OPTIONS: t.Final = (
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.keepalive_time_ms", _KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", _KEEPALIVE_MS),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.min_reconnect_backoff_ms", 200),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 2_000),
+    ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
+)
+_SERVER_OPTIONS: t.Final = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
+)
+
+
+@t.final
+class Peer:
+    """The connection to one other process.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._lock = threading.Lock()
+        self._channel = self._open()
+
+    def _open(self) -> grpc.Channel:
+        return grpc.insecure_channel(self.address, options=_CLIENT_OPTIONS)
+
+    def call(self, method: Method, req: t.Any, deadline: float) -> t.Any:
+        """Call a method and return its answer.
+
+        Raises
+        ------
+        errors.Error
+            The peer's own refusal, or PEER_UNREACHABLE or ANSWER_LOST, whose
+            ``ran`` is unknown.
+        """
+        channel = self._channel
+        invoke = channel.unary_unary(
+            f"/{_SERVICE}/{method.name}",
+            request_serializer=msgspec.msgpack.encode,
+            response_deserializer=_decoder(method.answer),
+        )
+        try:
+            return invoke(req, timeout=max(0.001, deadline - time.monotonic()))
+        except grpc.RpcError as exc:
+            error = self._translate(method, exc)
+            if exc.code() in _SUSPECT:
+                self._replace(channel)
+        except ValueError:
+            error = errors.Error(
+                errors.Kind.PEER_UNREACHABLE,
+                f"the connection to {self.address} was closed; try again",
+            )
+        raise error
+
+    def _translate(self, method: Method, exc: t.Any) -> errors.Error:
+        code, details = exc.code(), exc.details() or ""
+        if code is grpc.StatusCode.ABORTED:
+            fault = msgspec.json.decode(details, type=_Fault)
+            return errors.Refused(
+                fault.kind,
+                fault.detail,
+                ran=fault.ran,
+                retry_after_s=fault.retry_after_s,
+            )
+        if code is grpc.StatusCode.RESOURCE_EXHAUSTED:
+            return errors.Refused(
+                errors.Kind.OVERLOADED,
+                f"{self.address} has too many calls in progress; come back later",
+                ran=errors.Ran.NO,
+            )
+        kind = errors.Kind.PEER_UNREACHABLE
+        if code is grpc.StatusCode.DEADLINE_EXCEEDED:
+            kind = errors.Kind.ANSWER_LOST
+        return errors.Error(
+            kind, f"{method.name} to {self.address} failed: {code.name} {details}"
+        )
+
+    def _replace(self, suspect: grpc.Channel) -> None:
+        """Open a truly new connection; calls on the old one go on."""
+        with self._lock:
+            if self._channel is suspect:
+                self._channel = self._open()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+
+def _decoder(kind: type) -> abc.Callable[[bytes], t.Any]:
+    return msgspec.msgpack.Decoder(kind).decode
+
+
+def _handler(method: Method, serve: abc.Callable[[t.Any], t.Any]) -> t.Any:
+    def invoke(req: t.Any, context: grpc.ServicerContext) -> t.Any:
+        try:
+            return serve(req)
+        except errors.Error as exc:
+            fault = _Fault(exc.kind, exc.detail, exc.ran, exc.retry_after_s)
+        except Exception:
+            _log.exception("channels: {} failed", method.name)
+            fault = _Fault(
+                errors.Kind.INTERNAL,
+                f"{method.name} failed; its log says why",
+                errors.Ran.UNKNOWN,
+                None,
+            )
+        context.abort(grpc.StatusCode.ABORTED, msgspec.json.encode(fault).decode())
+
+    return grpc.unary_unary_rpc_method_handler(
+        invoke,
+        request_deserializer=_decoder(method.request),
+        response_serializer=msgspec.msgpack.encode,
+    )
+
+
+@t.final
+class Server:
+    """Serves methods to other processes.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port; port 0 takes a free one.
+    methods : dict of Method to callable
+        Each takes the request message and returns the answer message.
+    threads : int
+        Calls served at once.
+    queued : int
+        Calls that may wait for a thread; more are refused at once.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        methods: abc.Mapping[Method, abc.Callable[[t.Any], t.Any]],
+        threads: int,
+        queued: int = 1_000,
+    ) -> None:
+        pool = futures.ThreadPoolExecutor(threads, thread_name_prefix="grpc")
+        self._server = grpc.server(
+            pool, options=_SERVER_OPTIONS, maximum_concurrent_rpcs=threads + queued
+        )
+        handlers = {m.name: _handler(m, serve) for m, serve in methods.items()}
+        generic = grpc.method_handlers_generic_handler(_SERVICE, handlers)
+        self._server.add_generic_rpc_handlers((generic,))
+        host = address.rpartition(":")[0]
+        self.address = f"{host}:{self._server.add_insecure_port(address)}"
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+
+    def stop(self, grace_s: float) -> None:
+        """Take no new calls; wait for those in progress up to the grace time."""
+        self._server.stop(grace_s).wait()
--- /dev/null
+++ b/src/bilberrypass/connection/messages.py
@@ -0,0 +1,169 @@
+"""The typed messages between the system's own processes."""
+
+import typing as t
+
+from bilberrypass import resources
+from bilberrypass.connection import worker
+
+
+class Empty(t.NamedTuple):
+    """A message without content."""
+
+
+class Forward(t.NamedTuple):
+    """A caller's request, from entry to agent; time left in seconds."""
+
+    request: str
+    service: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    time_left_s: float
+    idempotent: bool
+    traceparent: str = ""
+
+
+class Forwarded(t.NamedTuple):
+    """An endpoint's whole answer, from agent to entry."""
+
+    request: str
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    length: int
+
+
+class EndpointState(t.NamedTuple):
+    """An endpoint as its agent sees it."""
+
+    id: str
+    service: str
+    slots: int
+    in_use: int
+    queued: int
+    leaving: bool
+
+
+class TaskState(t.NamedTuple):
+    """A task on a host as its agent sees it."""
+
+    task: worker.TaskId
+    state: str
+    demand: resources.Demand
+    checkpoint: str = ""
+    detail: str = ""
+    epoch: int = 0
+
+
+class Report(t.NamedTuple):
+    """What an agent tells an entry, again and again.
+
+    ``incarnation`` rises with each agent started for the host, ``sequence`` with
+    each report of this agent to this entry. ``revision`` is that of the
+    configuration in force at the agent.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+    address: str
+    region: str
+    failure_domain: str
+    rack: str
+    leaving: bool
+    revision: int
+    capacity: resources.Demand
+    committed: resources.Demand
+    endpoints: list[EndpointState]
+    tasks: list[TaskState]
+    usage: worker.Usage | None = None
+
+
+class Grant(t.NamedTuple):
+    """A renewal of the leases of all tasks of a shard on the host.
+
+    Counted from when the answered report was sent.
+    """
+
+    shard: int
+    epoch: int
+    lease_s: float
+
+
+class Reported(t.NamedTuple):
+    """An entry's answer to a report.
+
+    ``recorded`` are ends that the store holds; ``stop`` are tasks that must not
+    run on this host; ``slice`` is the agent's part of a newer configuration.
+    """
+
+    entry: str
+    revision: int
+    entries: list[str]
+    shards: int
+    grants: list[Grant]
+    recorded: list[worker.TaskId]
+    stop: list[worker.TaskId]
+    slice: bytes = b""
+
+
+class Start(t.NamedTuple):
+    """Starts for one host, from the owner of a shard.
+
+    The leases count from when the agent sent the quoted report, so that a
+    sender that was paused cannot start what has lapsed meanwhile.
+    """
+
+    entry: str
+    shard: int
+    epoch: int
+    incarnation: int
+    sequence: int
+    lease_s: float
+    specs: list[worker.Spec]
+
+
+class StartOutcome(t.NamedTuple):
+    """What became of one start; ``kind`` is empty if the task runs."""
+
+    task: worker.TaskId
+    kind: str = ""
+    detail: str = ""
+
+
+class Started(t.NamedTuple):
+    """The outcomes of a ``Start``, in its order."""
+
+    outcomes: list[StartOutcome]
+
+
+class Stop(t.NamedTuple):
+    """Tasks that are to stop; ``checkpoint`` asks for one before."""
+
+    tasks: list[worker.TaskId]
+    checkpoint: bool = False
+
+
+class Stopped(t.NamedTuple):
+    """The tasks' ends; a task that never ran has the state ``stopped``."""
+
+    ends: list[TaskState]
+
+
+class JobCall(t.NamedTuple):
+    """A call on a job, from one entry to the owner of the job's shard."""
+
+    shard: int
+    verb: str
+    team: str
+    job: str
+    body: bytes = b""
+    traceparent: str = ""
+
+
+class JobAnswer(t.NamedTuple):
+    """The owner's answer: JSON, and whether a job was made."""
+
+    body: bytes
+    created: bool = False
--- a/src/bilberrypass/connection/worker.py
+++ b/src/bilberrypass/connection/worker.py
@@ -2,6 +2,7 @@
 
 import abc
 import typing as t
+import zlib
 
 from bilberrypass import resources
 
@@ -15,6 +16,11 @@
     attempt: int
 
 
+def shard_of(team: str, shards: int) -> int:
+    """Return the shard whose pages hold all jobs of a team."""
+    return zlib.crc32(team.encode()) % shards
+
+
 class Spec(t.NamedTuple):
     """What a worker needs to run a task; ``checkpoint`` is where to resume.
 
--- /dev/null
+++ b/src/bilberrypass/process/agent.py
@@ -0,0 +1,243 @@
+"""The agent: the authority on its own host."""
+
+import threading
+import time
+import typing as t
+
+import logbook
+
+from bilberrypass import errors, resources
+from bilberrypass.connection import (
+    channels,
+    endpoint,
+    httpworker,
+    messages,
+    reporting,
+    serving,
+    worker,
+)
+from bilberrypass.process import announcements, tasks
+from bilberrypass.version import settings
+
+_log = logbook.Logger("agent")
+
+_ANNOUNCEMENT_THREADS: t.Final = 2
+_CONTROL_THREADS: t.Final = 8
+_FORWARD_THREADS: t.Final = 96
+_ATTACH_RETRY_S: t.Final = 0.5
+_IN_PROGRESS_POLL_S: t.Final = 0.02
+_LONGEST_LEAVE_S: t.Final = 60.0
+
+
+@t.final
+class Agent:
+    """One host's agent.
+
+    Parameters
+    ----------
+    cfg : settings.Agent
+        Checked settings.
+    driver : worker.Worker, optional
+        The worker, where it is in the same process; otherwise as the settings say.
+    """
+
+    def __init__(
+        self, cfg: settings.Agent, driver: worker.Worker | None = None
+    ) -> None:
+        self._cfg = cfg
+        self.host = cfg["id"]
+        self._incarnation = time.time_ns()
+        self._leaving = threading.Event()
+        self._lock = threading.Lock()
+        self._in_progress = 0
+        self._endpoints: dict[str, endpoint.Endpoint] = {}
+        self._reporters: dict[str, reporting.Reporter] = {}
+        self._revision = 0
+        self._slice = b""
+        self.tasks = self._make_tasks(driver)
+        threads = _FORWARD_THREADS + _CONTROL_THREADS
+        self._server = channels.Server(
+            cfg["peers"],
+            {
+                channels.FORWARD: self._forward,
+                channels.START: self._start_tasks,
+                channels.STOP: self._stop_tasks,
+            },
+            threads,
+        )
+        self._listener = serving.Listener(
+            cfg["announcements"],
+            announcements.Announcements(self.hear_endpoint),
+            _ANNOUNCEMENT_THREADS,
+            cfg["max_body_bytes"],
+        )
+
+    def _make_tasks(self, driver: worker.Worker | None) -> tasks.Tasks | None:
+        if driver is None:
+            if "worker" not in self._cfg:
+                return None
+            driver = httpworker.HttpWorker(
+                *settings.split_address(self._cfg["worker"]["address"])
+            )
+        return tasks.Tasks(self.host, driver)
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """The addresses that the agent listens on."""
+        return {
+            "peers": self._server.address,
+            "announcements": self._listener.address,
+        }
+
+    def start(self) -> None:
+        """Take over the worker's tasks, then serve and report."""
+        if self.tasks is not None:
+            self._attach(self.tasks)
+        self._server.start()
+        self._listener.start()
+        for address in self._cfg["entries"]:
+            self._report_to(address)
+        _log.info("agent: {} serves at {}", self.host, self._server.address)
+
+    def _attach(self, own: tasks.Tasks) -> None:
+        while not self._leaving.is_set():
+            try:
+                own.attach()
+                break
+            except errors.Error as exc:
+                _log.warning("agent: worker not reached yet: {}", exc.detail)
+                self._leaving.wait(_ATTACH_RETRY_S)
+        threading.Thread(
+            target=own.run, args=(self._leaving, self._hurry), daemon=True
+        ).start()
+
+    def _report_to(self, address: str) -> None:
+        with self._lock:
+            if address in self._reporters:
+                return
+            reporter = reporting.Reporter(address, self, self._cfg["report_interval_s"])
+            self._reporters[address] = reporter
+        reporter.start()
+
+    def _hurry(self) -> None:
+        for reporter in list(self._reporters.values()):
+            reporter.hurry()
+
+    def report(self, sequence: int) -> messages.Report:
+        """Describe the host as it is now."""
+        own = self.tasks
+        silence_s = self._cfg["silence_s"]
+        return messages.Report(
+            host=self.host,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            address=self._server.address,
+            region=self._cfg["region"],
+            failure_domain=self._cfg["failure_domain"],
+            rack=self._cfg["rack"],
+            leaving=self._leaving.is_set(),
+            revision=self._revision,
+            capacity=own.ledger.capacity if own else resources.Demand(),
+            committed=own.ledger.committed if own else resources.Demand(),
+            endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
+            tasks=own.states() if own else [],
+            usage=own.usage if own else None,
+        )
+
+    def hear(self, answer: messages.Reported, sent_at: float) -> None:
+        """Take in an entry's answer to a report sent at a time."""
+        for address in answer.entries:
+            self._report_to(address)
+        if answer.slice and answer.revision > self._revision:
+            self._revision, self._slice = answer.revision, answer.slice
+            _log.info("agent: configuration {} in force", answer.revision)
+        if self.tasks is None:
+            return
+        self.tasks.renew(answer.shards, answer.grants, sent_at)
+        self.tasks.forget(answer.recorded)
+        if answer.stop:
+            self.tasks.stop(answer.stop, checkpoint=False)
+
+    def hear_endpoint(self, id: str, said: endpoint.Announcement) -> None:
+        """Take in an endpoint's announcement."""
+        known = self._endpoints.get(id)
+        if known is None or known.said["address"] != said["address"]:
+            self._endpoints[id] = endpoint.Endpoint(
+                id, said, self._cfg["max_queued"], self._cfg["max_body_bytes"]
+            )
+            _log.info("agent: endpoint {} of {} announced", id, said["service"])
+            self._hurry()
+            return
+        changed = known.said["leaving"] != said["leaving"]
+        known.hear(said)
+        if changed:
+            self._hurry()
+
+    def _forward(self, req: messages.Forward) -> messages.Forwarded:
+        deadline = time.monotonic() + req.time_left_s
+        with self._lock:
+            self._in_progress += 1
+        try:
+            return self._choose(req.service).serve(req, deadline)
+        finally:
+            with self._lock:
+                self._in_progress -= 1
+
+    def _choose(self, service: str) -> endpoint.Endpoint:
+        if self._leaving.is_set():
+            raise errors.Refused(
+                errors.Kind.LEAVING, f"the agent of {self.host} leaves; try another"
+            )
+        silence_s = self._cfg["silence_s"]
+        able = [
+            e
+            for e in list(self._endpoints.values())
+            if e.said["service"] == service and not e.state(silence_s).leaving
+        ]
+        if not able:
+            raise errors.Refused(
+                errors.Kind.NO_ENDPOINT,
+                f"{self.host} has no endpoint of {service}; try another host",
+            )
+        return min(
+            able, key=lambda e: (e.slots.in_use + e.slots.queued) / e.slots.count
+        )
+
+    def _start_tasks(self, req: messages.Start) -> messages.Started:
+        if self.tasks is None or self._leaving.is_set():
+            raise errors.Refused(
+                errors.Kind.LEAVING, f"{self.host} takes no tasks; place them elsewhere"
+            )
+        return self.tasks.start(req, self._quoted_report(req))
+
+    def _quoted_report(self, req: messages.Start) -> float:
+        if req.incarnation == self._incarnation:
+            for reporter in list(self._reporters.values()):
+                sent_at = reporter.sent_at(req.sequence)
+                if reporter.entry == req.entry and sent_at is not None:
+                    return sent_at
+        raise errors.Refused(
+            errors.Kind.STALE,
+            f"report {req.sequence} is none of the newest of {self.host}; "
+            "quote a newer one",
+        )
+
+    def _stop_tasks(self, req: messages.Stop) -> messages.Stopped:
+        if self.tasks is None:
+            raise errors.Refused(errors.Kind.NOT_FOUND, f"{self.host} runs no tasks")
+        stopped = self.tasks.stop(req.tasks, req.checkpoint)
+        self._hurry()
+        return stopped
+
+    def stop(self) -> None:
+        """Leave: refuse new work, finish what is in progress, then stop listening."""
+        self._leaving.set()
+        self._hurry()
+        deadline = time.monotonic() + _LONGEST_LEAVE_S
+        time.sleep(self._cfg["leave_wait_s"])
+        while self._in_progress and time.monotonic() < deadline:
+            time.sleep(_IN_PROGRESS_POLL_S)
+        for reporter in list(self._reporters.values()):
+            reporter.stop()
+        self._server.stop(_CONTROL_THREADS)
+        self._listener.stop()
--- /dev/null
+++ b/src/bilberrypass/process/local.py
@@ -0,0 +1,68 @@
+"""One entry, one agent, a store, a service and a worker in one process."""
+
+import typing as t
+
+from bilberrypass.connection import memory
+from bilberrypass.process import agent, entry, sample
+from bilberrypass.version import settings
+
+_LOOPBACK: t.Final = "127.0.0.1"
+_CALLERS_PORT: t.Final = 8080
+_OPERATORS_PORT: t.Final = 8081
+
+DEFAULTS: t.Final[t.Any] = {
+    "id": "local",
+    "failure_domain": "local",
+    "callers": f"{_LOOPBACK}:{_CALLERS_PORT}",
+    "operators": f"{_LOOPBACK}:{_OPERATORS_PORT}",
+    "peers": f"{_LOOPBACK}:0",
+    "store": {"kind": "memory"},
+    "shards": 1,
+    "leave_wait_s": 0.2,
+}
+
+
+@t.final
+class Local:
+    """Everything that a newcomer needs to see the main job.
+
+    Parameters
+    ----------
+    cfg : settings.Entry
+        Checked settings of the entry.
+    """
+
+    def __init__(self, cfg: settings.Entry) -> None:
+        self._entry = entry.Entry(cfg, memory.MemoryStore())
+        agent_cfg = settings.check_agent(
+            {
+                "id": "local-host",
+                "failure_domain": cfg["failure_domain"],
+                "peers": f"{_LOOPBACK}:0",
+                "announcements": f"{_LOOPBACK}:0",
+                "entries": [self._entry.addresses["peers"]],
+                "report_interval_s": 0.2,
+                "leave_wait_s": 0.2,
+            }
+        )
+        self._agent = agent.Agent(agent_cfg, sample.SampleWorker())
+        self._echo = sample.Echo(self._agent.hear_endpoint)
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """The addresses that the process listens on."""
+        return self._entry.addresses | {
+            "announcements": self._agent.addresses["announcements"]
+        }
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._entry.start()
+        self._agent.start()
+        self._echo.start()
+
+    def stop(self) -> None:
+        """Leave from the callers' side inwards."""
+        self._entry.stop()
+        self._agent.stop()
+        self._echo.stop()
--- /dev/null
+++ b/src/bilberrypass/request/problems.py
@@ -0,0 +1,53 @@
+"""Answers to callers and operators: problem+json after RFC 9457."""
+
+import math
+import random
+import typing as t
+
+import msgspec
+
+from bilberrypass import errors
+
+CONTENT_TYPE: t.Final = "application/problem+json"
+_DEFAULT_RETRY_S: t.Final = 1.0
+_SPREAD: t.Final = 0.5
+
+
+class Problem(t.NamedTuple):
+    """A whole answer: status, headers and body."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+def problem(exc: errors.Error) -> Problem:
+    """Turn an error into its answer.
+
+    ``Retry-After`` is spread out, so that callers do not come back together.
+    """
+    answer = errors.ANSWERS[exc.kind]
+    content: dict[str, t.Any] = {
+        "type": "about:blank",
+        "title": answer.title,
+        "status": answer.status,
+        "code": exc.kind,
+        "ran": exc.ran,
+        "detail": exc.detail,
+    }
+    if isinstance(exc, errors.Faulty):
+        content["faults"] = exc.faults
+    headers = [("Content-Type", CONTENT_TYPE)]
+    if answer.retry_helps:
+        headers.append(("Retry-After", _retry_after(exc.retry_after_s)))
+    if answer.status == 401:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    body = msgspec.json.encode(content)
+    headers.append(("Content-Length", str(len(body))))
+    return Problem(answer.status, headers, body)
+
+
+def _retry_after(base_s: float | None) -> str:
+    base_s = _DEFAULT_RETRY_S if base_s is None else base_s
+    spread_s = base_s * (1.0 + _SPREAD * random.random())
+    return str(max(1, math.ceil(spread_s)))
--- /dev/null
+++ b/src/bilberrypass/version/page.py
@@ -0,0 +1,181 @@
+"""A job page: the jobs of some teams, as one value of the store."""
+
+import collections.abc as abc
+import hashlib
+import typing as t
+import zlib
+
+import msgspec
+import pydantic
+import typing_extensions as te
+
+from bilberrypass import errors, resources
+from bilberrypass.connection import worker
+from bilberrypass.version import settings
+
+WAITING: t.Final = "waiting"
+PLACED: t.Final = "placed"
+RUNNING: t.Final = "running"
+STOPPING: t.Final = "stopping"
+FINISHED: t.Final = "finished"
+FAILED: t.Final = "failed"
+CANCELLED: t.Final = "cancelled"
+
+ON_HOST: t.Final = frozenset({PLACED, RUNNING, STOPPING})
+ENDED: t.Final = frozenset({FINISHED, FAILED, CANCELLED})
+
+_MAX_TASKS: t.Final = 2_000
+_MAX_ATTEMPTS: t.Final = 20
+_COMPRESSION: t.Final = 1
+
+
+class DemandBody(te.TypedDict, total=False):
+    """A task's demand as it comes in."""
+
+    __pydantic_config__ = pydantic.ConfigDict(  # type: ignore[misc]
+        extra="forbid", strict=True
+    )
+
+    cpu_milli: te.Required[t.Annotated[int, pydantic.Field(ge=1, le=10_000_000)]]
+    memory_bytes: te.Required[t.Annotated[int, pydantic.Field(ge=1, le=1 << 50)]]
+    accelerators: t.Annotated[int, pydantic.Field(ge=0, le=1_000)]
+
+
+class JobBody(te.TypedDict, total=False):
+    """A job as it comes in."""
+
+    __pydantic_config__ = pydantic.ConfigDict(  # type: ignore[misc]
+        extra="forbid", strict=True
+    )
+
+    team: te.Required[settings.Name]
+    demand: te.Required[DemandBody]
+    tasks: t.Annotated[int, pydantic.Field(ge=1, le=_MAX_TASKS)]
+    payload: t.Annotated[str, pydantic.Field(max_length=4096)]
+    task_class: settings.Name
+    urgent: bool
+    max_attempts: t.Annotated[int, pydantic.Field(ge=1, le=_MAX_ATTEMPTS)]
+
+
+_ADAPTER: t.Final = pydantic.TypeAdapter(JobBody)
+
+
+class TaskRecord(t.NamedTuple):
+    """One task: where it is, at which attempt, and its last checkpoint."""
+
+    state: str = WAITING
+    attempt: int = 0
+    host: str = ""
+    checkpoint: str = ""
+    detail: str = ""
+
+
+class JobRecord(t.NamedTuple):
+    """One job and its tasks; ``submitted_at`` is Unix time in seconds."""
+
+    team: str
+    id: str
+    demand: resources.Demand
+    payload: str
+    task_class: str
+    urgent: bool
+    max_attempts: int
+    digest: str
+    submitted_at: float
+    traceparent: str
+    tasks: list[TaskRecord]
+
+    @property
+    def state(self) -> str:
+        """The state of the whole job, from its tasks'."""
+        states = {task.state for task in self.tasks}
+        if states <= ENDED:
+            for state in (CANCELLED, FAILED):
+                if state in states:
+                    return state
+            return FINISHED
+        return RUNNING if states & {RUNNING, PLACED, FINISHED} else WAITING
+
+    def with_task(self, index: int, record: TaskRecord) -> "JobRecord":
+        """Return the job with one task's record replaced."""
+        tasks = list(self.tasks)
+        tasks[index] = record
+        return self._replace(tasks=tasks)
+
+    def spec(self, index: int) -> worker.Spec:
+        """Return what a worker needs for a task's present attempt."""
+        record = self.tasks[index]
+        task = worker.TaskId(self.team, self.id, index, record.attempt)
+        return worker.Spec(
+            task, self.demand, self.payload, self.task_class, record.checkpoint
+        )
+
+
+class Page(t.NamedTuple):
+    """The jobs of a shard, written by one owner at a time.
+
+    ``write`` tells this value from any other, so that a lost answer of the
+    store can be settled by reading back.
+    """
+
+    shard: int
+    epoch: int
+    write: str
+    jobs: list[JobRecord]
+
+
+def encode(page: Page) -> bytes:
+    """Write a page as the store's value."""
+    return zlib.compress(msgspec.msgpack.encode(page), _COMPRESSION)
+
+
+def decode(value: bytes) -> Page:
+    """Read a page from the store's value."""
+    return msgspec.msgpack.decode(zlib.decompress(value), type=Page)
+
+
+def parse_job(id: str, body: bytes, now: float, traceparent: str) -> JobRecord:
+    """Check a job's body whole.
+
+    Raises
+    ------
+    errors.Error
+        BAD_BODY with every fault by its JSON path.
+    """
+    try:
+        value = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.Error(
+            errors.Kind.BAD_BODY, f"the body is no JSON ({exc}); correct it"
+        ) from None
+    checked = settings.check(_ADAPTER, value, errors.Kind.BAD_BODY)
+    return JobRecord(
+        team=checked["team"],
+        id=id,
+        demand=resources.Demand(**checked["demand"]),
+        payload=checked.get("payload", ""),
+        task_class=checked.get("task_class", ""),
+        urgent=checked.get("urgent", False),
+        max_attempts=checked.get("max_attempts", 3),
+        digest=_digest(checked),
+        submitted_at=now,
+        traceparent=traceparent,
+        tasks=[TaskRecord() for _ in range(checked.get("tasks", 1))],
+    )
+
+
+def _digest(value: abc.Mapping[str, t.Any]) -> str:
+    ordered = msgspec.json.encode(value, order="sorted")
+    return hashlib.blake2b(ordered, digest_size=16).hexdigest()
+
+
+def describe(job: JobRecord) -> dict[str, t.Any]:
+    """Return a job as callers see it."""
+    return {
+        "id": job.id,
+        "team": job.team,
+        "state": job.state,
+        "urgent": job.urgent,
+        "submitted_at": job.submitted_at,
+        "tasks": [record._asdict() for record in job.tasks],
+    }
--- /dev/null
+++ b/testing/process/test_path.py
@@ -0,0 +1,48 @@
+"""The whole path, thin: every process separate, on real sockets."""
+
+import json
+
+from testing import collecting, fixtures, system
+
+
+def _get_json(url):
+    answer = fixtures.http("GET", url)
+    return answer.status, json.loads(answer.body)
+
+
+def test_request_goes_to_the_endpoint_and_back():
+    with system.system() as run:
+        url = f"{run.callers()}/services/echo/fit/check?room=3"
+        fixtures.wait_until(
+            lambda: fixtures.http("GET", url).status == 200, 10, "an answer"
+        )
+        answer = fixtures.http("POST", url, body=b"sofa", headers={"X-A": "b"})
+        assert answer.status == 200, answer.body
+        assert b"sofa" in answer.body, answer.body
+
+
+def test_job_is_stored_placed_started_and_seen_finished():
+    with system.system() as run:
+        url = f"{run.callers()}/jobs/plan-1"
+        fixtures.wait_until(
+            lambda: (
+                fixtures.http("PUT", url, body=system.job_body()).status in (200, 201)
+            ),
+            10,
+            "the job to be taken",
+        )
+        fixtures.wait_until(
+            lambda: _get_json(url)[1]["state"] == "finished", 10, "the job's end"
+        )
+        judged = _get_json(f"http://{run.workers[0].addresses['http']}/_judge")[1]
+        assert len(judged["runs"]) == 1, judged
+
+
+def test_processes_leave_cleanly_on_sigterm():
+    with system.system() as run:
+        for proc in (*run.endpoints, *run.agents, *run.entries, run.store):
+            proc.terminate()
+            assert proc.wait(15) == 0, proc.stderr_text()
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/system.py
@@ -0,0 +1,138 @@
+"""The whole system as separate processes on loopback: settings and fixtures."""
+
+import contextlib
+import json
+import typing as t
+
+from testing import fixtures
+
+DAEMON = "bilberrypass.daemon"
+
+
+class System(t.NamedTuple):
+    """The running processes, by name."""
+
+    store: t.Any
+    entries: list[t.Any]
+    agents: list[t.Any]
+    workers: list[t.Any]
+    endpoints: list[t.Any]
+
+    def callers(self, number: int = 0) -> str:
+        return f"http://{self.entries[number].addresses['callers']}"
+
+    def operators(self, number: int = 0) -> str:
+        return f"http://{self.entries[number].addresses['operators']}"
+
+
+def address() -> str:
+    return f"127.0.0.1:{fixtures.free_port()}"
+
+
+def entry_settings(number: int, store: str, **changes) -> dict:
+    cfg = {
+        "id": f"e{number}",
+        "failure_domain": f"fd{number % 4}",
+        "callers": address(),
+        "operators": address(),
+        "peers": address(),
+        "store": {"kind": "etcd", "addresses": [store]},
+        "shards": 2,
+        "member_ttl_s": 2,
+        "task_lease_s": 3.0,
+        "leave_wait_s": 0.5,
+        "logs": {"level": "debug"},
+    }
+    return cfg | changes
+
+
+def agent_settings(number: int, entries: list[str], worker: str, **changes) -> dict:
+    cfg = {
+        "id": f"h{number}",
+        "failure_domain": f"fd{number % 4}",
+        "rack": f"r{number // 3}",
+        "peers": address(),
+        "announcements": address(),
+        "entries": entries,
+        "worker": {"kind": "http", "address": worker},
+        "report_interval_s": 0.3,
+        "silence_s": 1.5,
+        "leave_wait_s": 0.5,
+        "logs": {"level": "debug"},
+    }
+    return cfg | changes
+
+
+@contextlib.contextmanager
+def daemon(role: str, cfg: dict):
+    with fixtures.settings_file(cfg) as path:
+        with fixtures.process([DAEMON, role, "--settings", str(path)]) as proc:
+            yield proc
+
+
+@contextlib.contextmanager
+def store(**options):
+    args = ["testing.standins.platform", "--port", str(fixtures.free_port())]
+    with fixtures.process(args) as proc:
+        yield proc
+
+
+@contextlib.contextmanager
+def worker(cpu_milli: int = 8_000, memory_gb: int = 16, accelerators: int = 0):
+    args = ["testing.standins.worker", "--port", str(fixtures.free_port())]
+    args += ["--cpu-milli", str(cpu_milli), "--memory-gb", str(memory_gb)]
+    args += ["--accelerators", str(accelerators)]
+    with fixtures.process(args) as proc:
+        yield proc
+
+
+@contextlib.contextmanager
+def endpoint(agent: str, service: str = "echo", id: str = "ep1", slots: int = 8):
+    args = ["testing.standins.endpoint", "--port", str(fixtures.free_port())]
+    args += ["--service", service, "--id", id, "--slots", str(slots)]
+    args += ["--announce", f"http://{agent}"]
+    with fixtures.process(args) as proc:
+        yield proc
+
+
+@contextlib.contextmanager
+def system(entries: int = 1, hosts: int = 1, entry_changes=None, agent_changes=None):
+    """Run a store, entries, and hosts with agent, worker and endpoint each."""
+    with contextlib.ExitStack() as stack:
+        kv = stack.enter_context(store())
+        fronts = [
+            stack.enter_context(
+                daemon(
+                    "entry",
+                    entry_settings(n, kv.addresses["store"], **(entry_changes or {})),
+                )
+            )
+            for n in range(entries)
+        ]
+        peers = [front.addresses["peers"] for front in fronts]
+        workers = [stack.enter_context(worker()) for _ in range(hosts)]
+        agents = [
+            stack.enter_context(
+                daemon(
+                    "agent",
+                    agent_settings(
+                        n, peers, w.addresses["http"], **(agent_changes or {})
+                    ),
+                )
+            )
+            for n, w in enumerate(workers)
+        ]
+        endpoints = [
+            stack.enter_context(endpoint(a.addresses["announcements"], id=f"ep{n}"))
+            for n, a in enumerate(agents)
+        ]
+        yield System(kv, fronts, agents, workers, endpoints)
+
+
+def job_body(**changes) -> dict:
+    body = {
+        "team": "plans",
+        "demand": {"cpu_milli": 500, "memory_bytes": 1 << 20},
+        "payload": json.dumps({"run_s": 0.2}),
+    }
+    return body | changes
