Split the worker's stand-in, and test deadlines and frozen workers

Ruled out: a bound on the time of an answer's headers (urllib3 gives none short of a timer; the body is bounded between reads). Run: python -m testing connection.test_httpworker standins.test_standins, six times, two at once on 10 cores; seen: 54 passed, 0 failed each time. Conclusion: tasks.py holds the tasks, worker.py the commands.

--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -19,6 +19,7 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _POLL_S = 0.02
 _KILL_TIMEOUT_S = 10.0
+_WAIT_TIMEOUT_S = 15.0
 
 
 def free_port() -> int:
@@ -65,13 +66,17 @@
     timeout_s: float = 10.0,
 ) -> HttpAnswer:
     """Send one request on a connection of its own; a body not bytes goes as JSON."""
-    content = body if body is None or isinstance(body, bytes) else json.dumps(body)
+    fields = dict(headers or {})
+    content = body
+    if body is not None and not isinstance(body, bytes):
+        fields.setdefault("Content-Type", "application/json")
+        content = json.dumps(body)
     with urllib3.PoolManager(retries=False) as manager:
         resp = manager.request(
             method,
             url,
             body=content,
-            headers=dict(headers or {}),
+            headers=fields,
             timeout=urllib3.Timeout(total=timeout_s),
             redirect=False,
         )
@@ -136,7 +141,7 @@
     def poll(self) -> int | None:
         return self._popen.poll()
 
-    def wait(self, timeout_s: float) -> int:
+    def wait(self, timeout_s: float = _WAIT_TIMEOUT_S) -> int:
         """Return the exit code."""
         try:
             return self._popen.wait(timeout_s)
--- a/testing/standins/serving.py
+++ b/testing/standins/serving.py
@@ -13,6 +13,8 @@
 _THREADS = 96
 _KEPT_ALIVE = 256
 _BACKLOG = 256
+# A shorter one closes idle connections just as a client sends on them again.
+_IDLE_TIMEOUT_S = 60
 
 
 class Request(t.NamedTuple):
@@ -55,6 +57,7 @@
         ("127.0.0.1", port), Gateway, minthreads=_THREADS, maxthreads=_THREADS
     )
     made.request_queue_size = _BACKLOG
+    made.timeout = _IDLE_TIMEOUT_S
     made.keep_alive_conn_limit = _KEPT_ALIVE
     made.prepare()
     return made
--- /dev/null
+++ b/testing/standins/tasks.py
@@ -0,0 +1,102 @@
+"""A task on the stand-in of the worker, and what its payload makes it do."""
+
+import typing as t
+
+import msgspec
+
+from bilberrypass.connection import worker
+
+
+class Payload(msgspec.Struct):
+    run_s: float = 0.5
+    steps: t.Annotated[int, msgspec.Meta(ge=1)] = 10
+    fail: bool = False
+    cpu_milli: int | None = None
+    memory_bytes: int | None = None
+    checkpointable: bool = True
+
+
+class Task:
+    """A run and its progress; times are monotonic seconds of this process."""
+
+    def __init__(self, spec: worker.Spec, generation: int, now: float) -> None:
+        self.spec = spec
+        self.payload = msgspec.json.decode(spec.payload or "{}", type=Payload)
+        self.generation = generation
+        self.begun = now
+        self.ended: float | None = None
+        self.state = "running"
+        self.detail = ""
+        self._complete = False
+        self.checkpoint = spec.checkpoint
+        self.throttle = 1.0
+        self.lease_deadline = now
+        self._step_s = self.payload.run_s / self.payload.steps
+        self._done_s = _step_of(spec.checkpoint) * self._step_s
+        self._advanced = now
+
+    def steps(self) -> int:
+        if self._complete:
+            return self.payload.steps
+        # Rounding keeps sums of floats from losing a step that is complete.
+        return int(round(self._done_s / self._step_s, 6)) if self._step_s else 0
+
+    def finish_at(self) -> float:
+        left_s = max(0.0, self.payload.run_s - self._done_s)
+        return self._advanced + (left_s / self.throttle if left_s else 0.0)
+
+    def settle(self, now: float) -> None:
+        """Bring the run to its state at ``now``, as if nothing ever woke late."""
+        if self.state != "running":
+            return
+        finish = self.finish_at()
+        if min(finish, self.lease_deadline) > now:
+            self._advance(now)
+        elif finish <= self.lease_deadline:
+            self._advance(finish)
+            self._complete = True
+            self.end("failed" if self.payload.fail else "finished", finish)
+        else:
+            self._advance(self.lease_deadline)
+            # A renewal may have set a deadline that had already passed.
+            lapsed = max(self.lease_deadline, self._advanced)
+            self.end("stopped", lapsed, "its lease lapsed")
+
+    def end(self, state: str, moment: float, detail: str = "") -> None:
+        self.state, self.ended, self.detail = state, moment, detail
+
+    def run(self) -> worker.Run:
+        return worker.Run(
+            self.spec, self.state, self.checkpoint, self.detail, self.throttle
+        )
+
+    def _advance(self, moment: float) -> None:
+        self._done_s += max(0.0, moment - self._advanced) * self.throttle
+        self._advanced = moment
+
+
+def _step_of(checkpoint: str) -> int:
+    return int(checkpoint.removeprefix("step:")) if checkpoint else 0
+
+
+def usage_of(task: Task, share: float) -> tuple[worker.TaskId, int, int]:
+    demand, payload = task.spec.demand, task.payload
+    cpu = demand.cpu_milli if payload.cpu_milli is None else payload.cpu_milli
+    memory = payload.memory_bytes
+    memory = demand.memory_bytes if memory is None else memory
+    return task.spec.task, round(cpu * task.throttle * share), memory
+
+
+def record(task: Task, offset: float) -> dict[str, t.Any]:
+    return {
+        "task": task.spec.task._asdict(),
+        "attempt": task.spec.task.attempt,
+        "generation": task.generation,
+        "begin": task.begun + offset,
+        "end": None if task.ended is None else task.ended + offset,
+        "state": task.state,
+        "detail": task.detail,
+        "resumed_from": task.spec.checkpoint,
+        "checkpoint": task.checkpoint,
+        "steps": task.steps(),
+    }
