Add the stores in memory and over etcd's gateway, and a stand-in

Ruled out: read timeouts to wake an idle watch, since http.client reads nothing more after one; each connection of a watch has a reading thread instead. Waiting for the server's progress messages to judge silence, since etcd sends them rarely by default; a connection silent for 2 s is replaced by a fresh one at the same revision, and a store that does not answer that one is down. Not run: against a real etcd.

--- /dev/null
+++ b/src/bilberrypass/connection/etcd.py
@@ -0,0 +1,305 @@
+"""A store behind etcd v3's published JSON gateway."""
+
+import collections.abc as abc
+import threading
+import time
+import typing as t
+
+import msgspec
+import urllib3
+
+from bilberrypass import errors
+from bilberrypass.connection import etcd_watch, etcd_wire, store
+
+_CONNECT_TIMEOUT_S: t.Final = 2.0
+_IDLE_CONNECTIONS: t.Final = 16
+_CHUNK_BYTES: t.Final = 1 << 16
+_OK: t.Final = 200
+_NOT_FOUND: t.Final = 404
+_FIRST_SERVER_ERROR: t.Final = 500
+
+_NOT_SENT: t.Final = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+_Answer = t.TypeVar("_Answer")
+
+
+class _Address(t.NamedTuple):
+    host: str
+    port: int
+
+
+class _Reply(t.NamedTuple):
+    status: int
+    body: bytes
+
+
+@t.final
+class EtcdStore(store.Store):
+    """A store reached over HTTP at the first of its addresses that answers.
+
+    Parameters
+    ----------
+    addresses : abc.Sequence[str]
+        Each as ``ip:port``; used in turn when one fails.
+    """
+
+    def __init__(self, addresses: abc.Sequence[str]) -> None:
+        self._addresses = [_parse_address(address) for address in addresses]
+        self._lock = threading.Lock()
+        self._turn = 0
+        self._pool = self._open_pool()
+        self._watches: set[etcd_watch.Watch] = set()
+        self._closed = False
+
+    def get(self, key: str, deadline: float) -> store.Item | None:
+        """Return the key's item, or None."""
+        request = etcd_wire.RangeRequest(key=key.encode())
+        answer = self._read("/v3/kv/range", request, etcd_wire.RangeAnswer, deadline)
+        return _first_item(answer)
+
+    def list(self, prefix: str, deadline: float) -> store.Listing:
+        """Return all items below the prefix, sorted by key."""
+        start = prefix.encode()
+        request = etcd_wire.RangeRequest(
+            key=start or b"\0", range_end=etcd_wire.range_end(start)
+        )
+        answer = self._read("/v3/kv/range", request, etcd_wire.RangeAnswer, deadline)
+        items = [_item(found) for found in answer.get("kvs", [])]
+        return store.Listing(items, _revision(answer.get("header")))
+
+    def swap(
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        deadline: float,
+        lease: int = store.NO_LEASE,
+    ) -> store.Swap:
+        """Write the key if its revision is the expected one."""
+        put = etcd_wire.PutRequest(key=key.encode(), value=value, lease=lease)
+        return self._compare(
+            key, expected, etcd_wire.RequestOp(request_put=put), deadline
+        )
+
+    def delete(self, key: str, expected: int, deadline: float) -> store.Swap:
+        """Delete the key if its revision is the expected one."""
+        keys = etcd_wire.RangeRequest(key=key.encode())
+        step = etcd_wire.RequestOp(request_delete_range=keys)
+        return self._compare(key, expected, step, deadline)
+
+    def grant(self, ttl_s: int, deadline: float) -> int:
+        """Return a new lease."""
+        request = etcd_wire.LeaseRequest(TTL=ttl_s)
+        answer = self._write(
+            "/v3/lease/grant", request, etcd_wire.LeaseAnswer, deadline
+        )
+        if not answer.get("ID"):
+            raise _lost("the store's answer names no lease", is_write=True)
+        return answer["ID"]
+
+    def renew(self, lease: int, deadline: float) -> bool:
+        """Renew a lease; False if it has lapsed."""
+        request = etcd_wire.LeaseRequest(ID=lease)
+        answer = self._write(
+            "/v3/lease/keepalive", request, etcd_wire.KeepAliveAnswer, deadline
+        )
+        if "result" not in answer:
+            raise _lost("the store's answer holds no renewal", is_write=True)
+        return answer["result"].get("TTL", 0) > 0
+
+    def revoke(self, lease: int, deadline: float) -> None:
+        """End a lease; its keys go away."""
+        request = etcd_wire.encode(etcd_wire.LeaseRequest(ID=lease))
+        reply = self._post("/v3/lease/revoke", request, deadline, is_write=True)
+        # A lease that is not found has ended already.
+        if reply.status != _NOT_FOUND:
+            _decode(reply, etcd_wire.RevokeAnswer, is_write=True)
+
+    def watch(
+        self, prefix: str, after: int, deadline: float
+    ) -> abc.Iterator[store.Events]:
+        """Yield changes below the prefix after a store revision."""
+        with self._lock:
+            if self._closed:
+                return
+            pool = self._pool
+            watch = etcd_watch.Watch(pool.host, pool.port, prefix, after, deadline)
+            self._watches.add(watch)
+        try:
+            yield from watch.events()
+        except errors.Error:
+            self._replace(pool)
+            raise
+        finally:
+            with self._lock:
+                self._watches.discard(watch)
+
+    def close(self) -> None:
+        """Close connections; a waiting watch ends."""
+        with self._lock:
+            self._closed = True
+            watches = list(self._watches)
+            pool = self._pool
+        for watch in watches:
+            watch.stop()
+        pool.close()
+
+    def _compare(
+        self, key: str, expected: int, step: etcd_wire.RequestOp, deadline: float
+    ) -> store.Swap:
+        name = key.encode()
+        compare = etcd_wire.Compare(
+            key=name, target="MOD", result="EQUAL", mod_revision=expected
+        )
+        otherwise = etcd_wire.RequestOp(request_range=etcd_wire.RangeRequest(key=name))
+        request = etcd_wire.TxnRequest(
+            compare=[compare], success=[step], failure=[otherwise]
+        )
+        answer = self._write("/v3/kv/txn", request, etcd_wire.TxnAnswer, deadline)
+        revision = _revision(answer.get("header"))
+        if answer.get("succeeded"):
+            return store.Swap(done=True, revision=revision, current=None)
+        found = answer.get("responses") or [etcd_wire.ResponseOp()]
+        current = _first_item(found[0].get("response_range", {}))
+        return store.Swap(done=False, revision=revision, current=current)
+
+    def _read(
+        self, path: str, request: t.Any, answer: type[_Answer], deadline: float
+    ) -> _Answer:
+        reply = self._post(path, etcd_wire.encode(request), deadline, is_write=False)
+        return _decode(reply, answer, is_write=False)
+
+    def _write(
+        self, path: str, request: t.Any, answer: type[_Answer], deadline: float
+    ) -> _Answer:
+        reply = self._post(path, etcd_wire.encode(request), deadline, is_write=True)
+        return _decode(reply, answer, is_write=True)
+
+    def _post(
+        self, path: str, body: bytes, deadline: float, *, is_write: bool
+    ) -> _Reply:
+        """Call the first address that takes a connection."""
+        reason = "no address"
+        for _ in self._addresses:
+            with self._lock:
+                self._check_open()
+                pool = self._pool
+            if time.monotonic() >= deadline:
+                raise errors.Error(
+                    errors.Kind.STORE_DOWN,
+                    f"the deadline passed before the store's call; {reason}",
+                )
+            try:
+                return _exchange(pool, path, body, deadline)
+            except _NOT_SENT as exc:
+                self._replace(pool)
+                reason = f"{pool.host}:{pool.port} takes no connection: {exc}"
+            except (urllib3.exceptions.HTTPError, OSError) as exc:
+                # Other idle connections to the address may be broken as well.
+                self._replace(pool)
+                raise _lost(f"{pool.host}:{pool.port}: {exc}", is_write) from exc
+        raise errors.Error(errors.Kind.STORE_DOWN, reason)
+
+    def _check_open(self) -> None:
+        if self._closed:
+            raise errors.Error(errors.Kind.STORE_DOWN, "the store is closed")
+
+    def _open_pool(self) -> urllib3.HTTPConnectionPool:
+        address = self._addresses[self._turn]
+        return urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=_IDLE_CONNECTIONS, retries=False
+        )
+
+    def _replace(self, pool: urllib3.HTTPConnectionPool) -> None:
+        """Use fresh connections, to the next address."""
+        with self._lock:
+            if self._pool is not pool or self._closed:
+                return
+            self._turn = (self._turn + 1) % len(self._addresses)
+            self._pool = self._open_pool()
+
+
+def _parse_address(address: str) -> _Address:
+    host, _, port = address.rpartition(":")
+    return _Address(host.strip("[]"), int(port))
+
+
+def _exchange(
+    pool: urllib3.HTTPConnectionPool, path: str, body: bytes, deadline: float
+) -> _Reply:
+    left_s = max(0.001, deadline - time.monotonic())
+    connect_s = min(_CONNECT_TIMEOUT_S, left_s)
+    response = pool.urlopen(
+        "POST",
+        path,
+        body=body,
+        headers={"Content-Type": "application/json"},
+        timeout=urllib3.Timeout(connect=connect_s, read=left_s, total=left_s),
+        retries=False,
+        redirect=False,
+        preload_content=False,
+    )
+    try:
+        return _Reply(response.status, _read_body(response, deadline))
+    except BaseException:
+        response.close()
+        raise
+
+
+def _read_body(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    parts = []
+    while True:
+        _limit(response, deadline)
+        part = response.read1(_CHUNK_BYTES)
+        if not part:
+            return b"".join(parts)
+        parts.append(part)
+
+
+def _limit(response: urllib3.BaseHTTPResponse, deadline: float) -> None:
+    """Let the next read last no longer than the deadline."""
+    left_s = deadline - time.monotonic()
+    if left_s <= 0:
+        raise TimeoutError("the deadline passed before the whole answer came")
+    conn = response.connection
+    if conn is not None and conn.sock is not None:
+        conn.sock.settimeout(left_s)
+
+
+def _decode(reply: _Reply, answer: type[_Answer], *, is_write: bool) -> _Answer:
+    if reply.status >= _FIRST_SERVER_ERROR:
+        raise _lost(f"the store answered {_summary(reply)}", is_write)
+    if reply.status != _OK:
+        raise errors.Error(
+            errors.Kind.STORE_DOWN, f"the store refused with {_summary(reply)}"
+        )
+    try:
+        return etcd_wire.decode(reply.body, answer)
+    except msgspec.MsgspecError as exc:
+        raise _lost(f"the store's answer is malformed: {exc}", is_write) from exc
+
+
+def _summary(reply: _Reply) -> str:
+    return f"{reply.status}: {reply.body[:200].decode(errors='replace')}"
+
+
+def _lost(reason: str, is_write: bool) -> errors.Error:
+    kind = errors.Kind.STORE_UNCERTAIN if is_write else errors.Kind.STORE_DOWN
+    return errors.Error(kind, reason)
+
+
+def _revision(header: etcd_wire.Header | None) -> int:
+    return (header or {}).get("revision", 0)
+
+
+def _first_item(answer: etcd_wire.RangeAnswer) -> store.Item | None:
+    found = answer.get("kvs", [])
+    return _item(found[0]) if found else None
+
+
+def _item(found: etcd_wire.KeyValue) -> store.Item:
+    key = found["key"].decode()
+    return store.Item(key, found.get("value", b""), found.get("mod_revision", 0))
--- /dev/null
+++ b/testing/standins/platform.py
@@ -0,0 +1,364 @@
+"""A stand-in of the platform's store, speaking etcd v3's JSON gateway.
+
+``PUT /_control`` sets the failure switches, ``GET /_calls`` counts the calls.
+The switch ``silent_watches`` silences for good the watches that are open then.
+"""
+
+import argparse
+import collections
+import http.client
+import itertools
+import json
+import math
+import select
+import signal
+import socket
+import sys
+import threading
+import typing as t
+
+import msgspec
+from cheroot import wsgi
+
+from bilberrypass import errors
+from bilberrypass.connection import etcd_wire, memory, store
+
+_THREADS = 128
+_KEEP_ALIVE_CONNECTIONS = 1000
+_BACKLOG = 512
+_STOP_TIMEOUT_S = 1
+_POLL_S = 0.1
+_GRPC_NOT_FOUND = 5
+_FOREVER = math.inf
+
+
+class _Control(t.TypedDict, total=False):
+    """The failure switches."""
+
+    delay_s: float
+    down: bool
+    lose_answers: int
+    silent: bool
+    silent_watches: bool
+    drop_leases: list[int] | str
+
+
+class _Refused(Exception):
+    """An answer other than 200."""
+
+    def __init__(self, status: int, code: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.body = {"code": code, "message": message, "error": message}
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Hands the connection to the application, so that it can cut it."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ["standin.request"] = self.req
+        return environ
+
+
+class Platform:
+    """The WSGI application: store calls, switches and counts."""
+
+    def __init__(self, history_events: int) -> None:
+        self._store = memory.MemoryStore(history_events)
+        self._lock = threading.Lock()
+        self._calls: collections.Counter[str] = collections.Counter()
+        self._leases: set[int] = set()
+        self._delay_s = 0.0
+        self._down = False
+        self._silent = False
+        self._lose_answers = 0
+        self._watch_ids = itertools.count(1)
+        self._silenced_watches = 0
+        self._stopping = threading.Event()
+        self._handlers = {
+            "/v3/kv/range": ("range", self._range),
+            "/v3/kv/put": ("put", self._put),
+            "/v3/kv/txn": ("txn", self._txn),
+            "/v3/lease/grant": ("lease_grant", self._grant),
+            "/v3/lease/keepalive": ("lease_keepalive", self._keep_alive),
+            "/v3/lease/revoke": ("lease_revoke", self._revoke),
+        }
+
+    def stop(self) -> None:
+        self._stopping.set()
+        self._store.close()
+
+    def __call__(self, environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        path = environ["PATH_INFO"]
+        try:
+            if path == "/_control":
+                return _answer(start_response, self._set_control(body))
+            if path == "/_calls":
+                return _answer(start_response, dict(self._calls))
+            return self._serve(path, body, environ["standin.request"], start_response)
+        except _Refused as exc:
+            return _answer(start_response, exc.body, exc.status)
+        except msgspec.MsgspecError as exc:
+            return _answer(start_response, {"code": 3, "message": str(exc)}, 400)
+
+    def _set_control(self, body: bytes):
+        control = msgspec.json.decode(body, type=_Control)
+        unknown = set(json.loads(body)) - set(_Control.__annotations__)
+        if unknown:
+            raise _Refused(400, 3, f"unknown switches {sorted(unknown)}")
+        self._delay_s = control.get("delay_s", self._delay_s)
+        self._down = control.get("down", self._down)
+        self._silent = control.get("silent", self._silent)
+        with self._lock:
+            self._lose_answers = control.get("lose_answers", self._lose_answers)
+        if control.get("silent_watches"):
+            self._silenced_watches = next(self._watch_ids)
+        self._drop_leases(control.get("drop_leases", []))
+        return {}
+
+    def _drop_leases(self, chosen: list[int] | str) -> None:
+        with self._lock:
+            leases = list(self._leases) if chosen == "all" else list(chosen)
+            self._leases.difference_update(leases)
+        for lease in leases:
+            self._store.revoke(lease, _FOREVER)
+
+    def _serve(self, path, body, req, start_response):
+        if path != "/v3/watch" and path not in self._handlers:
+            raise _Refused(404, _GRPC_NOT_FOUND, f"no such path {path}")
+        kind, handler = self._handlers.get(path, ("watch", None))
+        with self._lock:
+            self._calls[kind] += 1
+        self._stopping.wait(self._delay_s)
+        if self._silent:
+            self._stay_silent(req)
+            return _cut(req, start_response)
+        if self._down or self._stopping.is_set():
+            return _cut(req, start_response)
+        if handler is None:
+            return self._watch(body, req, start_response)
+        reply = handler(body)
+        if self._loses_answer(kind, reply):
+            return _cut(req, start_response)
+        return _answer(start_response, reply)
+
+    def _stay_silent(self, req) -> None:
+        """Hold the connection until its peer gives it up."""
+        while not self._stopping.is_set() and not _is_gone(req.conn.socket):
+            self._stopping.wait(_POLL_S)
+
+    def _loses_answer(self, kind: str, reply) -> bool:
+        took_effect = kind == "put" or (kind == "txn" and reply.get("succeeded"))
+        with self._lock:
+            if not took_effect or not self._lose_answers:
+                return False
+            self._lose_answers -= 1
+            return True
+
+    def _range(self, body: bytes):
+        return self._find(etcd_wire.decode(body, etcd_wire.RangeRequest))
+
+    def _find(self, request: etcd_wire.RangeRequest) -> etcd_wire.RangeAnswer:
+        listing = self._store.list(_prefix(request), _FOREVER)
+        exact = "range_end" not in request
+        items = [
+            item
+            for item in listing.items
+            if not exact or item.key.encode() == request["key"]
+        ]
+        found = [_key_value(item.key, item.value, item.revision) for item in items]
+        answer = etcd_wire.RangeAnswer(header=_header(listing.revision))
+        return answer | {"kvs": found, "count": len(found)} if found else answer
+
+    def _put(self, body: bytes):
+        request = etcd_wire.decode(body, etcd_wire.PutRequest)
+        key = request["key"].decode()
+        while True:
+            current = self._store.get(key, _FOREVER)
+            expected = store.ABSENT if current is None else current.revision
+            swap = self._swap(request, expected)
+            if swap.done:
+                return {"header": _header(swap.revision)}
+
+    def _swap(self, request: etcd_wire.PutRequest, expected: int) -> store.Swap:
+        key, value = request["key"].decode(), request.get("value", b"")
+        lease = request.get("lease", store.NO_LEASE)
+        try:
+            return self._store.swap(key, value, expected, _FOREVER, lease)
+        except errors.Error as exc:
+            raise _Refused(404, _GRPC_NOT_FOUND, "requested lease not found") from exc
+
+    def _txn(self, body: bytes):
+        request = etcd_wire.decode(body, etcd_wire.TxnRequest)
+        (compare,) = request["compare"]
+        (step,) = request["success"]
+        if (compare.get("target"), compare.get("result")) != ("MOD", "EQUAL"):
+            raise _Refused(400, 3, "the stand-in compares only MOD for EQUAL")
+        expected = compare.get("mod_revision", store.ABSENT)
+        if "request_put" in step:
+            swap = self._swap(step["request_put"], expected)
+        else:
+            key = step["request_delete_range"]["key"].decode()
+            swap = self._store.delete(key, expected, _FOREVER)
+        answer = etcd_wire.TxnAnswer(header=_header(swap.revision))
+        if swap.done:
+            return answer | {"succeeded": True, "responses": [{}]}
+        found = etcd_wire.RangeAnswer()
+        if swap.current is not None:
+            found["kvs"] = [_key_value(*swap.current)]
+        return answer | {"responses": [{"response_range": found}]}
+
+    def _grant(self, body: bytes):
+        ttl_s = etcd_wire.decode(body, etcd_wire.LeaseRequest)["TTL"]
+        lease = self._store.grant(ttl_s, _FOREVER)
+        with self._lock:
+            self._leases.add(lease)
+        return {"ID": lease, "TTL": ttl_s}
+
+    def _keep_alive(self, body: bytes):
+        lease = etcd_wire.decode(body, etcd_wire.LeaseRequest)["ID"]
+        answer = etcd_wire.LeaseAnswer(ID=lease)
+        if self._store.renew(lease, _FOREVER):
+            answer["TTL"] = 1
+        return {"result": answer}
+
+    def _revoke(self, body: bytes):
+        lease = etcd_wire.decode(body, etcd_wire.LeaseRequest)["ID"]
+        with self._lock:
+            known = lease in self._leases
+            self._leases.discard(lease)
+        if not known:
+            raise _Refused(404, _GRPC_NOT_FOUND, "requested lease not found")
+        self._store.revoke(lease, _FOREVER)
+        return {"header": _header(self._store.revision())}
+
+    def _watch(self, body: bytes, req, start_response):
+        create = etcd_wire.decode(body, etcd_wire.WatchRequest)["create_request"]
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return self._stream(create, req)
+
+    def _stream(self, create: etcd_wire.WatchCreate, req):
+        watch_id = next(self._watch_ids)
+        yield _line({"header": _header(self._store.revision()), "created": True})
+        prefix, after = _prefix(create), create.get("start_revision", 0) - 1
+        if after < 0:
+            after = self._store.revision()
+        batches = self._store.watch(prefix, after, _FOREVER)
+        while True:
+            # What is older than this has been sent once the next batch is empty.
+            revision = self._store.revision()
+            try:
+                events = next(batches, None)
+            except errors.Error:
+                yield _line({"canceled": True, "compact_revision": revision})
+                return
+            if self._silent or watch_id < self._silenced_watches:
+                self._stay_silent(req)
+            if events is None or self._down or _is_gone(req.conn.socket):
+                _cut_connection(req)
+                return
+            if events:
+                yield _line({"header": _header(events[-1].revision)} | _events(events))
+            elif create.get("progress_notify"):
+                yield _line({"header": _header(revision)})
+
+
+def _prefix(request) -> str:
+    return "" if request["key"] == b"\0" else request["key"].decode()
+
+
+def _header(revision: int) -> etcd_wire.Header:
+    return etcd_wire.Header(revision=revision)
+
+
+def _key_value(key: str, value: bytes, revision: int) -> etcd_wire.KeyValue:
+    found = etcd_wire.KeyValue(key=key.encode(), mod_revision=revision)
+    return found | {"value": value} if value else found
+
+
+def _events(events: list[store.Event]):
+    return {"events": [_event(event) for event in events]}
+
+
+def _event(event: store.Event) -> etcd_wire.Event:
+    if event.value is None:
+        kv = _key_value(event.key, b"", event.revision)
+        return etcd_wire.Event(type=etcd_wire.DELETE, kv=kv)
+    return etcd_wire.Event(kv=_key_value(*event))
+
+
+def _line(result) -> bytes:
+    return etcd_wire.encode({"result": result}) + b"\n"
+
+
+def _answer(start_response, reply, status: int = 200):
+    body = etcd_wire.encode(reply)
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start_response(f"{status} {http.client.responses[status]}", headers)
+    return [body]
+
+
+def _cut(req, start_response):
+    _cut_connection(req)
+    start_response("200 OK", [])
+    return []
+
+
+def _cut_connection(req) -> None:
+    """Close the connection; what cheroot writes afterwards goes nowhere."""
+    req.close_connection = True
+    try:
+        req.conn.socket.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer was first.
+        return
+
+
+def _is_gone(sock) -> bool:
+    """Tell whether the peer has closed the connection."""
+    try:
+        readable, _, _ = select.select([sock], [], [], 0)
+        return bool(readable) and not sock.recv(1, socket.MSG_PEEK)
+    except (OSError, ValueError):
+        return True
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--history", type=int, default=4096)
+    args = parser.parse_args()
+    platform = Platform(args.history)
+    server = wsgi.Server(
+        (args.host, args.port),
+        platform,
+        numthreads=_THREADS,
+        request_queue_size=_BACKLOG,
+        shutdown_timeout=_STOP_TIMEOUT_S,
+    )
+    server.gateway = _Gateway
+    server.keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS
+    leaving = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: leaving.set())
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    _announce(server.bind_addr)
+    leaving.wait()
+    platform.stop()
+    server.stop()
+    return 0
+
+
+def _announce(address: tuple[str, int]) -> None:
+    host, port = address[:2]
+    addresses = {"store": f"{host}:{port}"}
+    ready = {"ready": True, "role": "store", "id": "store", "addresses": addresses}
+    print(json.dumps(ready), flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
