Return from freeze only once all threads stand still

Cause: SIGSTOP is delivered to a process as a whole but its threads stop one by one; a request sent at once was still answered (test_frozen_process_answers_after_it_is_thawed failed once in three runs). Ruled out: the time-out of the test's own request. Conclusion: the fixture polls the threads' states.

--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -133,7 +133,13 @@
         self._popen.terminate()
 
     def freeze(self) -> None:
+        """Stop all threads, and return once they stand still."""
         os.kill(self.pid, signal.SIGSTOP)
+        wait_until(self._is_frozen, _KILL_TIMEOUT_S, f"freeze of {self.pid}")
+
+    def _is_frozen(self) -> bool:
+        stats = pathlib.Path(f"/proc/{self.pid}/task").glob("*/stat")
+        return all(s.read_text().rpartition(")")[2].split()[0] == "T" for s in stats)
 
     def thaw(self) -> None:
         os.kill(self.pid, signal.SIGCONT)
