Refuse answers of the store that say too little

Cause: an empty JSON object as the answer to a transaction was read as a certain "not done", although the write may have taken effect. An answer without header, or without what stood in the way, now counts as lost. Not run: against a real etcd. Conclusion: a write's outcome is said only where the answer is whole.

--- a/src/bilberrypass/connection/etcd.py
+++ b/src/bilberrypass/connection/etcd.py
@@ -57,8 +57,7 @@
     def get(self, key: str, deadline: float) -> store.Item | None:
         """Return the key's item, or None."""
         request = etcd_wire.RangeRequest(key=key.encode())
-        answer = self._read("/v3/kv/range", request, etcd_wire.RangeAnswer, deadline)
-        return _first_item(answer)
+        return _first_item(self._range(request, deadline))
 
     def list(self, prefix: str, deadline: float) -> store.Listing:
         """Return all items below the prefix, sorted by key."""
@@ -66,9 +65,9 @@
         request = etcd_wire.RangeRequest(
             key=start or b"\0", range_end=etcd_wire.range_end(start)
         )
-        answer = self._read("/v3/kv/range", request, etcd_wire.RangeAnswer, deadline)
+        answer = self._range(request, deadline)
         items = [_item(found) for found in answer.get("kvs", [])]
-        return store.Listing(items, _revision(answer.get("header")))
+        return store.Listing(items, answer["header"]["revision"])
 
     def swap(
         self,
@@ -159,18 +158,24 @@
             compare=[compare], success=[step], failure=[otherwise]
         )
         answer = self._write("/v3/kv/txn", request, etcd_wire.TxnAnswer, deadline)
-        revision = _revision(answer.get("header"))
+        revision = answer["header"]["revision"]
         if answer.get("succeeded"):
             return store.Swap(done=True, revision=revision, current=None)
-        found = answer.get("responses") or [etcd_wire.ResponseOp()]
-        current = _first_item(found[0].get("response_range", {}))
+        responses = answer.get("responses", [])
+        if len(responses) != 1 or "response_range" not in responses[0]:
+            raise _lost("the store's answer does not say what it found", is_write=True)
+        current = _first_item(responses[0]["response_range"])
         return store.Swap(done=False, revision=revision, current=current)
 
-    def _read(
-        self, path: str, request: t.Any, answer: type[_Answer], deadline: float
-    ) -> _Answer:
-        reply = self._post(path, etcd_wire.encode(request), deadline, is_write=False)
-        return _decode(reply, answer, is_write=False)
+    def _range(
+        self, request: etcd_wire.RangeRequest, deadline: float
+    ) -> etcd_wire.RangeAnswer:
+        body = etcd_wire.encode(request)
+        reply = self._post("/v3/kv/range", body, deadline, is_write=False)
+        answer = _decode(reply, etcd_wire.RangeAnswer, is_write=False)
+        if "header" not in answer:
+            raise _lost("the store's answer has no header", is_write=False)
+        return answer
 
     def _write(
         self, path: str, request: t.Any, answer: type[_Answer], deadline: float
@@ -200,7 +205,9 @@
             except (urllib3.exceptions.HTTPError, OSError) as exc:
                 # Other idle connections to the address may be broken as well.
                 self._replace(pool)
-                raise _lost(f"{pool.host}:{pool.port}: {exc}", is_write) from exc
+                raise _lost(
+                    f"{pool.host}:{pool.port}: {exc}", is_write=is_write
+                ) from exc
         raise errors.Error(errors.Kind.STORE_DOWN, reason)
 
     def _check_open(self) -> None:
@@ -271,7 +278,7 @@
 
 def _decode(reply: _Reply, answer: type[_Answer], *, is_write: bool) -> _Answer:
     if reply.status >= _FIRST_SERVER_ERROR:
-        raise _lost(f"the store answered {_summary(reply)}", is_write)
+        raise _lost(f"the store answered {_summary(reply)}", is_write=is_write)
     if reply.status != _OK:
         raise errors.Error(
             errors.Kind.STORE_DOWN, f"the store refused with {_summary(reply)}"
@@ -279,22 +286,20 @@
     try:
         return etcd_wire.decode(reply.body, answer)
     except msgspec.MsgspecError as exc:
-        raise _lost(f"the store's answer is malformed: {exc}", is_write) from exc
+        raise _lost(
+            f"the store's answer is malformed: {exc}", is_write=is_write
+        ) from exc
 
 
 def _summary(reply: _Reply) -> str:
     return f"{reply.status}: {reply.body[:200].decode(errors='replace')}"
 
 
-def _lost(reason: str, is_write: bool) -> errors.Error:
+def _lost(reason: str, *, is_write: bool) -> errors.Error:
     kind = errors.Kind.STORE_UNCERTAIN if is_write else errors.Kind.STORE_DOWN
     return errors.Error(kind, reason)
 
 
-def _revision(header: etcd_wire.Header | None) -> int:
-    return (header or {}).get("revision", 0)
-
-
 def _first_item(answer: etcd_wire.RangeAnswer) -> store.Item | None:
     found = answer.get("kvs", [])
     return _item(found[0]) if found else None
--- a/src/bilberrypass/connection/etcd_wire.py
+++ b/src/bilberrypass/connection/etcd_wire.py
@@ -17,7 +17,7 @@
 class Header(t.TypedDict, total=False):
     """What each answer begins with; ``revision`` is the store's newest."""
 
-    revision: int
+    revision: t.Required[int]
 
 
 class KeyValue(t.TypedDict, total=False):
@@ -86,7 +86,7 @@
 class TxnAnswer(t.TypedDict, total=False):
     """Whether the conditions held, and the answers to the steps taken."""
 
-    header: Header
+    header: t.Required[Header]
     succeeded: bool
     responses: list[ResponseOp]
 
