--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -35,6 +35,8 @@
 STOP: t.Final = Method("Stop", messages.Stop, messages.Stopped)
 JOB: t.Final = Method("Job", messages.JobCall, messages.JobAnswer)
 
+CONFIG: t.Final = Method("Config", messages.ConfigAsk, messages.ConfigTold)
+
 
 class _Fault(t.NamedTuple):
     """An error on its way between two processes."""
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -61,7 +61,7 @@
 
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
     each report of this agent to this entry. ``revision`` is that of the
-    configuration in force at the agent.
+    configuration in force at the agent, ``revision_since`` its Unix time.
     """
 
     host: str
@@ -78,6 +78,7 @@
     endpoints: list[EndpointState]
     tasks: list[TaskState]
     usage: worker.Usage | None = None
+    revision_since: float = 0.0
 
 
 class Grant(t.NamedTuple):
@@ -167,3 +168,27 @@
 
     body: bytes
     created: bool = False
+
+
+class ConfigAsk(t.NamedTuple):
+    """A question for the configuration, with the revision known to the asker."""
+
+    revision: int
+    is_whole: bool = True
+
+
+class ConfigTold(t.NamedTuple):
+    """The revision in force at a process.
+
+    ``document`` is empty where the asker knows it; an agent's holds only what
+    concerns its host. ``age_s`` is the age of the newest confirmation that the
+    revision is the newest one. ``entries`` are the peer addresses that it knows.
+    """
+
+    revision: int
+    since: float
+    age_s: float
+    is_informed: bool
+    why_not_ready: str
+    document: bytes
+    entries: list[str]
--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -44,6 +44,7 @@
     def __init__(self, address: str, source: Source, interval_s: float) -> None:
         self.address = address
         self.entry = ""
+        self.answered_at = time.monotonic()
         self._source = source
         self._interval_s = interval_s
         self._peer = channels.Peer(address)
@@ -64,11 +65,15 @@
 
     def stop(self) -> None:
         """End reporting after the report in progress."""
-        self._stopping = True
-        self._hurry.set()
+        self.end()
         self._thread.join(_CALL_S)
         self._peer.close()
 
+    def end(self) -> None:
+        """End reporting without waiting for it."""
+        self._stopping = True
+        self._hurry.set()
+
     def sent_at(self, sequence: int) -> float | None:
         """Return when a recent report was sent (monotonic seconds)."""
         return self._sent_at.get(sequence)
@@ -91,6 +96,7 @@
             report = self._source.report(sequence)
             answer = self._peer.call(channels.REPORT, report, began + _CALL_S)
             self.entry = answer.entry
+            self.answered_at = time.monotonic()
             self._source.hear(answer, began)
         except errors.Error as exc:
             _log.debug("reporting: {} did not answer: {}", self.address, exc.detail)
--- a/src/bilberrypass/daemon.py
+++ b/src/bilberrypass/daemon.py
@@ -56,15 +56,15 @@
     return 0
 
 
-def _run_entry(value: object) -> int:
+def _run_entry(value: object, path: pathlib.Path) -> int:
     from bilberrypass.process import entry, logs
 
     cfg = settings.check_entry(value)
     logs.install(cfg["logs"])
-    return _run("entry", cfg["id"], entry.Entry(cfg))
+    return _run("entry", cfg["id"], entry.Entry(cfg, path=path))
 
 
-def _run_agent(value: object) -> int:
+def _run_agent(value: object, path: pathlib.Path) -> int:
     from bilberrypass.process import agent, logs
 
     cfg = settings.check_agent(value)
@@ -72,7 +72,7 @@
     return _run("agent", cfg["id"], agent.Agent(cfg))
 
 
-def _run_local(value: object) -> int:
+def _run_local(value: object, path: pathlib.Path) -> int:
     from bilberrypass.process import local, logs
 
     given = value if isinstance(value, dict) else {}
@@ -81,7 +81,7 @@
     return _run("local", cfg["id"], local.Local(cfg))
 
 
-def _check(value: object) -> int:
+def _check(value: object, path: pathlib.Path) -> int:
     looks_like_agent = isinstance(value, dict) and "announcements" in value
     role = "agent" if looks_like_agent else "entry"
     (settings.check_agent if looks_like_agent else settings.check_entry)(value)
@@ -102,7 +102,7 @@
     args = _parser().parse_args()
     try:
         value = settings.read(args.settings) if args.settings else {}
-        return _ROLES[args.role](value)
+        return _ROLES[args.role](value, args.settings)
     except errors.Faulty as exc:
         for fault in exc.faults:
             print(f"bilberrypassd: {exc.kind}: {fault}", file=sys.stderr)
--- a/src/bilberrypass/errors.py
+++ b/src/bilberrypass/errors.py
@@ -145,3 +145,11 @@
     def __init__(self, kind: Kind, faults: list[str]) -> None:
         super().__init__(kind, "; ".join(faults))
         self.faults = faults
+
+
+class Conflict(Error):
+    """Somebody else's write came first, with what it changed."""
+
+    def __init__(self, detail: str, changed: list[t.Any]) -> None:
+        super().__init__(Kind.CONFLICT, detail)
+        self.changed = changed
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -1,5 +1,6 @@
 """The agent: the authority on its own host."""
 
+import math
 import threading
 import time
 import typing as t
@@ -16,8 +17,8 @@
     serving,
     worker,
 )
-from bilberrypass.process import announcements, tasks
-from bilberrypass.version import settings
+from bilberrypass.process import announcements, configuring, tasks
+from bilberrypass.version import configuration, settings
 
 _log = logbook.Logger("agent")
 
@@ -27,6 +28,7 @@
 _ATTACH_RETRY_S: t.Final = 0.5
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
+_FORGET_ENTRY_S: t.Final = 30.0
 
 
 @t.final
@@ -52,8 +54,12 @@
         self._in_progress = 0
         self._endpoints: dict[str, endpoint.Endpoint] = {}
         self._reporters: dict[str, reporting.Reporter] = {}
-        self._revision = 0
-        self._slice = b""
+        self._own_reporters = frozenset(cfg["entries"])
+        self._vouched_deadlines: dict[str, float] = {}
+        self.in_force = configuring.InForce()
+        self.subject = configuration.Subject(
+            cfg["id"], cfg["rack"], cfg["failure_domain"], cfg["region"]
+        )
         self.tasks = self._make_tasks(driver)
         threads = _FORWARD_THREADS + _CONTROL_THREADS
         self._server = channels.Server(
@@ -62,6 +68,7 @@
                 channels.FORWARD: self._forward,
                 channels.START: self._start_tasks,
                 channels.STOP: self._stop_tasks,
+                channels.CONFIG: self._tell_config,
             },
             threads,
         )
@@ -135,8 +142,9 @@
             region=self._cfg["region"],
             failure_domain=self._cfg["failure_domain"],
             rack=self._cfg["rack"],
-            leaving=self._leaving.is_set(),
-            revision=self._revision,
+            leaving=self.is_leaving,
+            revision=self.in_force.revision,
+            revision_since=self.in_force.since,
             capacity=own.ledger.capacity if own else resources.Demand(),
             committed=own.ledger.committed if own else resources.Demand(),
             endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
@@ -146,11 +154,9 @@
 
     def hear(self, answer: messages.Reported, sent_at: float) -> None:
         """Take in an entry's answer to a report sent at a time."""
-        for address in answer.entries:
-            self._report_to(address)
-        if answer.slice and answer.revision > self._revision:
-            self._revision, self._slice = answer.revision, answer.slice
-            _log.info("agent: configuration {} in force", answer.revision)
+        self._hear_entries(answer.entries)
+        if answer.slice and answer.revision > self.in_force.revision:
+            self._adopt(answer.slice)
         if self.tasks is None:
             return
         self.tasks.renew(answer.shards, answer.grants, sent_at)
@@ -158,6 +164,57 @@
         if answer.stop:
             self.tasks.stop(answer.stop, checkpoint=False)
 
+    def _hear_entries(self, addresses: list[str]) -> None:
+        """Report to all entries, and no more to those long gone."""
+        now = time.monotonic()
+        for address in addresses:
+            self._vouched_deadlines[address] = now + _FORGET_ENTRY_S
+            self._report_to(address)
+        for address, deadline in list(self._vouched_deadlines.items()):
+            if now > deadline and address not in self._own_reporters:
+                self._forget_entry(address, now)
+
+    def _forget_entry(self, address: str, now: float) -> None:
+        """Stop reporting to an entry that no other names and that is silent."""
+        with self._lock:
+            reporter = self._reporters.get(address)
+            if reporter is None or now < reporter.answered_at + _FORGET_ENTRY_S:
+                return
+            del self._reporters[address]
+            del self._vouched_deadlines[address]
+        reporter.end()
+        _log.info("agent: entry at {} is gone", address)
+
+    def _adopt(self, slice: bytes) -> None:
+        was_leaving = self.is_leaving
+        self.in_force.adopt(configuration.decode(slice))
+        if self.is_leaving != was_leaving:
+            _log.info("agent: drain of {}: {}", self.host, self.values.drain or "over")
+        self._hurry()
+
+    def _tell_config(self, ask: messages.ConfigAsk) -> messages.ConfigTold:
+        document = self.in_force.document
+        asks_more = ask.revision < document.revision or not ask.is_whole
+        return messages.ConfigTold(
+            revision=document.revision,
+            since=self.in_force.since,
+            age_s=math.inf,
+            is_informed=document.revision > 0,
+            why_not_ready="",
+            document=configuration.encode(document) if asks_more else b"",
+            entries=list(self._reporters),
+        )
+
+    @property
+    def values(self) -> configuration.Values:
+        """What the configuration says for this host."""
+        return self.in_force.values(self.subject)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the host takes no new work: it stops, or it is drained."""
+        return self._leaving.is_set() or bool(self.values.drain)
+
     def hear_endpoint(self, id: str, said: endpoint.Announcement) -> None:
         """Take in an endpoint's announcement."""
         known = self._endpoints.get(id)
@@ -184,7 +241,7 @@
                 self._in_progress -= 1
 
     def _choose(self, service: str) -> endpoint.Endpoint:
-        if self._leaving.is_set():
+        if self.is_leaving:
             raise errors.Refused(
                 errors.Kind.LEAVING, f"the agent of {self.host} leaves; try another"
             )
@@ -204,7 +261,7 @@
         )
 
     def _start_tasks(self, req: messages.Start) -> messages.Started:
-        if self.tasks is None or self._leaving.is_set():
+        if self.tasks is None or self.is_leaving:
             raise errors.Refused(
                 errors.Kind.LEAVING, f"{self.host} takes no tasks; place them elsewhere"
             )
--- a/src/bilberrypass/process/directory.py
+++ b/src/bilberrypass/process/directory.py
@@ -1,5 +1,6 @@
 """What all entries share through the store: each other, owners, configuration."""
 
+import hashlib
 import threading
 import time
 import typing as t
@@ -9,19 +10,17 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import store
+from bilberrypass.process import membership
 
 _log = logbook.Logger("directory")
 
-_CALL_S: t.Final = 2.0
+_CALL_S: t.Final = 3.5
 _POLL_INTERVAL_S: t.Final = 1.0
 _RETRY_S: t.Final = 0.5
+_SETTLE_S: t.Final = 2.0
+_WATCH_S: t.Final = 60.0
 
-
-class Member(t.NamedTuple):
-    """An entry as the others see it; the addresses are IP numbers and ports."""
-
-    id: str
-    peers: str
+Member = membership.Member
 
 
 class Owner(t.NamedTuple):
@@ -32,12 +31,20 @@
     entry: str
     peers: str
     epoch: int
+    lease: int = store.NO_LEASE
+    write: str = ""
+
+
+def _ignore(value: bytes) -> None:
+    """Take no notice of a configuration."""
 
 
 @t.final
 class Directory:
     """Keeps this entry's lease, and a view of the shared keys below ``fleet/``.
 
+    The view never goes back to an older state of the store.
+
     Parameters
     ----------
     kv : store.Store
@@ -53,38 +60,38 @@
     def __init__(self, kv: store.Store, prefix: str, me: Member, ttl_s: int) -> None:
         self.kv = kv
         self.me = me
+        self.seen_at = 0.0
+        self.on_config: t.Callable[[bytes], None] = _ignore
         self._root = f"{prefix}fleet/"
-        self._ttl_s = ttl_s
+        self._members_root = f"{self._root}entries/"
+        self._membership = membership.Membership(kv, self._members_root, me, ttl_s)
         self._lock = threading.Lock()
         self._items: dict[str, store.Item] = {}
-        self._lease = store.NO_LEASE
-        self._lease_deadline = 0.0
+        self._revision = 0
+        self._members: list[Member] = []
+        self._member_since: dict[str, float] = {}
+        self._config_revision = 0
         self._stopping = threading.Event()
-        self._threads: list[threading.Thread] = []
-        self.seen_at = 0.0
 
     def start(self) -> None:
         """Begin to renew, to poll and to watch."""
-        for target in (self._run_lease, self._run_poll, self._run_watch):
-            thread = threading.Thread(target=target, daemon=True)
-            thread.start()
-            self._threads.append(thread)
+        self._membership.start()
+        for target in (self._run_poll, self._run_watch):
+            threading.Thread(target=target, daemon=True).start()
+
+    def withdraw(self) -> None:
+        """Be a member no longer, but keep the lease for what is still owned."""
+        self._membership.withdraw()
 
     def stop(self) -> None:
         """Give the lease back, so that others need not wait for it to lapse."""
         self._stopping.set()
-        if self._lease:
-            try:
-                self.kv.revoke(self._lease, time.monotonic() + _CALL_S)
-            except errors.Error as exc:
-                _log.warning("directory: lease not given back: {}", exc.detail)
+        self._membership.stop()
 
     @property
     def lease(self) -> int:
         """This entry's lease, or NO_LEASE while it has none for certain."""
-        if time.monotonic() < self._lease_deadline:
-            return self._lease
-        return store.NO_LEASE
+        return self._membership.lease
 
     def owner_key(self, kind: str, shard: int) -> str:
         """Return the key that names a shard's owner."""
@@ -101,10 +108,21 @@
 
     def members(self) -> list[Member]:
         """Return the entries that hold a lease."""
-        root = f"{self._root}entries/"
-        with self._lock:
-            values = [i.value for k, i in self._items.items() if k.startswith(root)]
-        return [msgspec.json.decode(value, type=Member) for value in values]
+        return self._members
+
+    def preferred(self, kind: str, shard: int) -> str:
+        """Return the id of the member that should own a shard.
+
+        Rendezvous hashing moves few shards when members come and go. A member
+        that came lately is left out, unless all did.
+        """
+        now = time.monotonic()
+        ids = [member.id for member in self.members()]
+        settled = [
+            id for id in ids if now >= self._member_since.get(id, now) + _SETTLE_S
+        ]
+        weigh = lambda id: _weigh(id, kind, shard)
+        return max(settled or ids, key=weigh, default="")
 
     def owner(self, kind: str, shard: int) -> Owner | None:
         """Return a shard's owner as last seen."""
@@ -114,29 +132,10 @@
         owner = msgspec.json.decode(item.value, type=Owner)
         return owner._replace(epoch=item.revision)
 
-    def _run_lease(self) -> None:
-        while not self._stopping.is_set():
-            try:
-                self._hold_lease()
-                self._stopping.wait(self._ttl_s / 4)
-            except errors.Error as exc:
-                _log.warning("directory: lease not renewed: {}", exc.detail)
-                self._stopping.wait(_RETRY_S)
-
-    def _hold_lease(self) -> None:
-        began = time.monotonic()
-        deadline = began + _CALL_S
-        if self._lease and self.kv.renew(self._lease, deadline):
-            self._lease_deadline = began + self._ttl_s
-            return
-        self._lease_deadline = 0.0
-        self._lease = self.kv.grant(self._ttl_s, deadline)
-        key = f"{self._root}entries/{self.me.id}"
-        current = self.kv.get(key, deadline)
-        expected = current.revision if current else store.ABSENT
-        value = msgspec.json.encode(self.me)
-        self.kv.swap(key, value, expected, deadline, self._lease)
-        self._lease_deadline = began + self._ttl_s
+    def owner_epoch(self, kind: str, shard: int) -> int:
+        """Return the epoch of a shard's owner as last seen, 0 if it has none."""
+        item = self._items.get(self.owner_key(kind, shard))
+        return item.revision if item else 0
 
     def _run_poll(self) -> None:
         while not self._stopping.is_set():
@@ -148,12 +147,14 @@
 
     def refresh(self) -> int:
         """Read all shared keys; return the store's revision."""
-        listing = self.kv.list(self._root, time.monotonic() + _CALL_S)
+        began = time.monotonic()
+        listing = self.kv.list(self._root, began + _CALL_S)
         with self._lock:
-            newest = max((i.revision for i in self._items.values()), default=0)
-            if listing.revision >= newest:
+            if listing.revision >= self._revision:
                 self._items = {item.key: item for item in listing.items}
-        self.seen_at = time.monotonic()
+                self._revision = listing.revision
+        self.seen_at = max(self.seen_at, began)
+        self._note_changes()
         return listing.revision
 
     def _run_watch(self) -> None:
@@ -165,18 +166,46 @@
                 self._stopping.wait(_RETRY_S)
 
     def _watch(self, after: int) -> None:
-        for events in self.kv.watch(self._root, after, time.monotonic() + 60.0):
+        for events in self.kv.watch(self._root, after, time.monotonic() + _WATCH_S):
             with self._lock:
                 for event in events:
                     self._apply(event)
+            self._note_changes()
             if self._stopping.is_set():
                 return
 
     def _apply(self, event: store.Event) -> None:
-        known = self._items.get(event.key)
-        if known is not None and known.revision >= event.revision:
+        """Apply an event, unless a listing has brought it already."""
+        if event.revision < self._revision:
             return
+        self._revision = event.revision
         if event.value is None:
             self._items.pop(event.key, None)
         else:
             self._items[event.key] = store.Item(event.key, event.value, event.revision)
+
+    def _note_changes(self) -> None:
+        self._note_members()
+        item = self.config()
+        if item is not None and item.revision != self._config_revision:
+            self._config_revision = item.revision
+            self.on_config(item.value)
+
+    def _note_members(self) -> None:
+        now = time.monotonic()
+        with self._lock:
+            items = list(self._items.values())
+        members = [
+            msgspec.json.decode(item.value, type=Member)
+            for item in items
+            if item.key.startswith(self._members_root)
+        ]
+        since = self._member_since
+        self._member_since = {m.id: since.get(m.id, now) for m in members}
+        self._members = members
+        if all(member.id != self.me.id for member in members):
+            self._membership.note_absent()
+
+
+def _weigh(id: str, kind: str, shard: int) -> bytes:
+    return hashlib.sha256(f"{id} {kind} {shard}".encode()).digest()
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -1,5 +1,6 @@
 """The entry: between callers and agents."""
 
+import pathlib
 import threading
 import time
 import typing as t
@@ -9,14 +10,24 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, etcd, messages, serving, store, worker
-from bilberrypass.process import directory, fleet, jobs, operators, owner, placement
+from bilberrypass.process import (
+    configuring,
+    directory,
+    fleet,
+    jobs,
+    operators,
+    owner,
+    placement,
+    revisions,
+    tokens,
+)
 from bilberrypass.request import callers, routing
-from bilberrypass.version import settings
+from bilberrypass.version import configuration, settings
 
 _log = logbook.Logger("entry")
 
 _SPARE_THREADS: t.Final = 16
-_OPERATOR_THREADS: t.Final = 4
+_OPERATOR_THREADS: t.Final = 8
 _PEER_THREADS: t.Final = 16
 _DEFAULT_PREFIX: t.Final = "/bilberrypass/"
 _IN_PROGRESS_POLL_S: t.Final = 0.02
@@ -34,9 +45,16 @@
         Checked settings.
     kv : store.Store, optional
         The store, where it is in the same process; otherwise as the settings say.
+    path : pathlib.Path, optional
+        The settings file, from which the operators' tokens are read anew.
     """
 
-    def __init__(self, cfg: settings.Entry, kv: store.Store | None = None) -> None:
+    def __init__(
+        self,
+        cfg: settings.Entry,
+        kv: store.Store | None = None,
+        path: pathlib.Path | None = None,
+    ) -> None:
         serving.quiet_cherrypy()
         self._cfg = cfg
         self._leaving = threading.Event()
@@ -44,7 +62,11 @@
         self.fleet = fleet.Fleet(cfg["silence_s"])
         self._server = channels.Server(
             cfg["peers"],
-            {channels.REPORT: self._hear_report, channels.JOB: self._serve_job},
+            {
+                channels.REPORT: self._hear_report,
+                channels.JOB: self._serve_job,
+                channels.CONFIG: self._tell_config,
+            },
             _PEER_THREADS,
         )
         self.names = directory.Directory(
@@ -53,6 +75,9 @@
             directory.Member(cfg["id"], self._server.address),
             cfg["member_ttl_s"],
         )
+        self.config = configuring.Configuring(self.names)
+        self.keeper = tokens.Keeper(cfg["operator_tokens"])
+        self._rereader = tokens.Rereader(path, self.keeper) if path else None
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
         self._callers = callers.Callers(cfg, self.fleet, routing.LeastOutstanding())
@@ -82,16 +107,30 @@
     def _listen_operators(self) -> serving.Listener:
         tree = cherrypy._cptree.Tree()
         operators.mount(tree, "/healthz", operators.Health(lambda: ""))
-        operators.mount(tree, "/readyz", operators.Health(self.why_not_ready))
-        operators.mount(tree, "/hosts", operators.Hosts(self.fleet))
-        operators.mount(tree, "/status", operators.Status(self.names, self.shards))
+        ready = operators.Health(self.why_not_ready, self.config.why_not_current)
+        operators.mount(tree, "/readyz", ready)
+        for path, app in self._operator_apps().items():
+            operators.mount(tree, path, app, self.keeper)
         return serving.Listener(
             self._cfg["operators"],
             tree,
             _OPERATOR_THREADS,
-            self._cfg["max_body_bytes"],
+            operators.MAX_BODY_BYTES,
         )
 
+    def _operator_apps(self) -> dict[str, object]:
+        """Return the applications that ask for a token, by path."""
+        in_force = self.config.in_force
+        prefix = self._cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        changes = revisions.Revisions(self.names, in_force, prefix)
+        return {
+            "/config": operators.Config(in_force, changes),
+            "/hosts": operators.Hosts(self.fleet, in_force, changes),
+            "/status": operators.Status(
+                self.names, self.config, self.fleet, self.shards, self.why_not_ready
+            ),
+        }
+
     @property
     def addresses(self) -> dict[str, str]:
         """The addresses that the entry listens on."""
@@ -103,19 +142,39 @@
 
     def why_not_ready(self) -> str:
         """Tell why the entry takes no new work; empty if it does."""
-        return "the entry leaves; use another" if self._leaving.is_set() else ""
+        if self._leaving.is_set():
+            return "the entry leaves; use another"
+        return self.config.why_not_ready()
 
     def start(self) -> None:
         """Serve agents, share the store, then serve callers."""
         self._server.start()
         self.names.start()
+        self.config.start()
+        if self._rereader:
+            self._rereader.start()
         for shard in self.shards:
             shard.start()
         for listener in self._listeners:
             listener.start()
         _log.info("entry: {} serves at {}", self._cfg["id"], self.addresses["callers"])
 
+    def _tell_config(self, ask: messages.ConfigAsk) -> messages.ConfigTold:
+        told = self.config.tell(ask)
+        return told._replace(why_not_ready=self.why_not_ready())
+
+    def _slice_for(self, report: messages.Report) -> bytes:
+        """Return what concerns the host of a newer configuration, if there is one."""
+        document = self.config.in_force.document
+        if document.revision <= report.revision:
+            return b""
+        host = configuration.Subject(
+            report.host, report.rack, report.failure_domain, report.region
+        )
+        return configuration.encode(configuration.part_for(document, host))
+
     def _hear_report(self, report: messages.Report) -> messages.Reported:
+        self.config.hear(report.revision, report.address)
         self.fleet.hear(report)
         grants, recorded, stop = [], [], []
         for shard in self.shards:
@@ -128,16 +187,15 @@
             grants += [grant] if grant else []
             recorded += ends
             stop += unwanted
-        config = self.names.config()
         return messages.Reported(
             entry=self._cfg["id"],
-            revision=config.revision if config else 0,
+            revision=self.config.in_force.revision,
             entries=[member.peers for member in self.names.members()],
             shards=len(self.shards),
             grants=grants,
             recorded=recorded,
             stop=stop,
-            slice=config.value if config and config.revision > report.revision else b"",
+            slice=self._slice_for(report),
         )
 
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
@@ -151,6 +209,7 @@
         """Leave: readiness first, then new connections, then what is in progress."""
         self._leaving.set()
         self._callers.leaving = True
+        self.names.withdraw()
         time.sleep(self._cfg["leave_wait_s"])
         deadline = time.monotonic() + _LONGEST_LEAVE_S
         while self._callers.in_progress and time.monotonic() < deadline:
@@ -159,6 +218,9 @@
             shard.stop()
         for listener in self._listeners:
             listener.stop()
+        if self._rereader:
+            self._rereader.stop()
+        self.config.stop()
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
         self._kv.close()
--- a/src/bilberrypass/process/grouped.py
+++ b/src/bilberrypass/process/grouped.py
@@ -101,10 +101,11 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop after the write in progress; the lease's end hands the value over."""
+        """Stop after the write in progress, and hand the value over."""
         self._stopping.set()
         self._wake.set()
         self._thread.join(_CALL_S)
+        self.ownership.release()
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -129,6 +130,10 @@
         self._load()
         while not self._stopping.is_set():
             self._pass()
+            if self.ownership.is_due_to_move:
+                self._revision = store.ABSENT
+                self.ownership.release()
+                return
 
     def _load(self) -> None:
         """Read the value and stamp it, so that no former owner can write it."""
@@ -186,7 +191,7 @@
                 pending = self._pending.get_nowait()
             except queue.Empty:
                 return
-            pending.fut.set_exception(_as_answer(_Lost()))
+            pending.fut.set_exception(_not_applied())
 
     def submit(self, change: t.Callable[[State], t.Any]) -> "futures.Future[t.Any]":
         """Apply a change with the next grouped write."""
@@ -224,3 +229,12 @@
         ran=errors.Ran.UNKNOWN,
         retry_after_s=1.0,
     )
+
+
+def _not_applied() -> errors.Error:
+    return errors.Error(
+        errors.Kind.STALE,
+        "the shard changed its owner before the change was looked at; ask again",
+        ran=errors.Ran.NO,
+        retry_after_s=1.0,
+    )
--- a/src/bilberrypass/process/operators.py
+++ b/src/bilberrypass/process/operators.py
@@ -1,11 +1,30 @@
-"""The interface to operators: status, hosts, health."""
+"""The interface to operators: configuration, status, hosts, health."""
 
+import collections.abc as abc
+import re
 import typing as t
 
 import cherrypy
+import msgspec
 
 from bilberrypass import errors
-from bilberrypass.process import directory, fleet, owner, web
+from bilberrypass.connection import messages
+from bilberrypass.process import (
+    configuring,
+    directory,
+    fleet,
+    grouped,
+    revisions,
+    tokens,
+    web,
+)
+from bilberrypass.version import configuration
+
+MAX_BODY_BYTES: t.Final = 1 << 20
+
+_ETAG: t.Final = re.compile(r'^"(\d{1,15})"$')
+_WRITE_KEY: t.Final = re.compile(r"^[A-Za-z0-9._-]{8,64}$")
+_READ_METHODS: t.Final = frozenset({"GET", "HEAD"})
 
 
 @t.final
@@ -16,43 +35,133 @@
     ----------
     is_ready : callable
         Tells whether the process takes new work, and if not why.
+    doubt : callable, optional
+        Tells why the configuration may be out of date; empty if it is not.
     """
 
     exposed = True
 
-    def __init__(self, is_ready: t.Callable[[], str]) -> None:
+    def __init__(
+        self, is_ready: t.Callable[[], str], doubt: t.Callable[[], str] = lambda: ""
+    ) -> None:
         self._why_not = is_ready
+        self._doubt = doubt
 
     def GET(self, **query: str) -> bytes:  # noqa: N802
         """Answer 200, or 503 with the reason."""
         why_not = self._why_not()
         if why_not:
             raise errors.Error(errors.Kind.NOT_READY, why_not)
-        return web.answer_json({"ready": True})
+        doubt = self._doubt()
+        return web.answer_json({"ready": True, "current": not doubt, "doubt": doubt})
+
+
+@t.final
+class Config:
+    """``/config``, ``/config/history`` and ``/config/<revision>``.
+
+    Parameters
+    ----------
+    in_force : configuring.InForce
+        What is in force at this entry.
+    changes : revisions.Revisions
+        Accepts changes, and finds older revisions.
+    """
+
+    exposed = True
+
+    def __init__(
+        self, in_force: configuring.InForce, changes: revisions.Revisions
+    ) -> None:
+        self._in_force = in_force
+        self._changes = changes
+
+    def GET(self, which: str = "", *rest: str, **query: str) -> bytes:  # noqa: N802
+        """Show the revision in force, an older one, or the history."""
+        _check_rest(rest)
+        if which == "history":
+            return web.answer_json(_describe_history(self._in_force.document))
+        if not which:
+            return _answer_document(self._in_force.document)
+        if not which.isdecimal() or len(which) > 15:
+            raise errors.Error(
+                errors.Kind.NOT_FOUND,
+                f"{which[:32]!r} is no revision; see GET /config/history",
+            )
+        return _answer_document(self._changes.find(int(which)))
+
+    def PUT(self, *rest: str, **query: str) -> bytes:  # noqa: N802
+        """Replace the revision that ``If-Match`` names."""
+        _check_rest(rest)
+        revision = _read_if_match()
+        key = _read_write_key()
+        value = _read_json()
+        author = cherrypy.request.login
+        return _answer_document(self._changes.propose(value, revision, author, key))
 
 
 @t.final
 class Hosts:
-    """``/hosts``: the hosts as this entry knows them."""
+    """``/hosts``: the hosts as this entry knows them, and their drains.
+
+    Parameters
+    ----------
+    hosts : fleet.Fleet
+        The hosts known by reports.
+    in_force : configuring.InForce
+        What is in force at this entry.
+    changes : revisions.Revisions
+        Accepts changes.
+    """
 
     exposed = True
 
-    def __init__(self, hosts: fleet.Fleet) -> None:
+    def __init__(
+        self,
+        hosts: fleet.Fleet,
+        in_force: configuring.InForce,
+        changes: revisions.Revisions,
+    ) -> None:
         self._hosts = hosts
+        self._in_force = in_force
+        self._changes = changes
 
-    def GET(self, **query: str) -> bytes:  # noqa: N802
+    def GET(self, *rest: str, **query: str) -> bytes:  # noqa: N802
         """List the hosts."""
+        _check_rest(rest)
         return web.answer_json([self._describe(host) for host in self._hosts.all()])
 
+    def POST(self, *path: str, **query: str) -> bytes:  # noqa: N802
+        """Drain a host; the body gives the reason."""
+        host = _check_drain(path)
+        body = _read_json()
+        reason = body.get("reason") if isinstance(body, dict) else None
+        if not isinstance(reason, str) or not reason.strip():
+            raise errors.Error(
+                errors.Kind.BAD_BODY, 'reason: is missing; send {"reason": "why"}'
+            )
+        drained = self._changes.drain(host, reason, cherrypy.request.login)
+        return web.answer_json(drained._asdict())
+
+    def DELETE(self, *path: str, **query: str) -> bytes:  # noqa: N802
+        """End a host's drain."""
+        host = _check_drain(path)
+        resumed = self._changes.resume(host, cherrypy.request.login)
+        return web.answer_json(resumed._asdict())
+
     def _describe(self, host: fleet.Host) -> dict[str, t.Any]:
         report = host.report
+        drain = revisions.find_drain(self._in_force.document, report.host)
         return {
             "id": report.host,
+            "region": report.region,
             "failure_domain": report.failure_domain,
             "rack": report.rack,
             "silent": self._hosts.is_silent(host),
             "leaving": report.leaving,
+            "drain": drain["reason"] if drain else "",
             "revision": report.revision,
+            "since": report.revision_since,
             "capacity": report.capacity._asdict(),
             "committed": report.committed._asdict(),
             "tasks": len(report.tasks),
@@ -62,28 +171,201 @@
 
 @t.final
 class Status:
-    """``/status``: this entry, the other entries and the shards."""
+    """``/status``: the entries, the hosts in short and the shards.
+
+    Parameters
+    ----------
+    names : directory.Directory
+        Knows the entries and the owners.
+    config : configuring.Configuring
+        What is in force here, and at the other entries.
+    hosts : fleet.Fleet
+        The hosts known by reports.
+    shards : list of grouped.Grouped
+        This entry's part of the shards.
+    why_not_ready : callable
+        Tells why this entry takes no new work; empty if it does.
+    """
 
     exposed = True
 
-    def __init__(self, names: directory.Directory, shards: list[owner.Shard]) -> None:
+    def __init__(
+        self,
+        names: directory.Directory,
+        config: configuring.Configuring,
+        hosts: fleet.Fleet,
+        shards: abc.Sequence[grouped.Grouped[t.Any]],
+        why_not_ready: t.Callable[[], str],
+    ) -> None:
         self._names = names
+        self._config = config
+        self._hosts = hosts
         self._shards = shards
+        self._why_not_ready = why_not_ready
 
     def GET(self, **query: str) -> bytes:  # noqa: N802
-        """Describe the entry."""
+        """Describe the system as this entry sees it."""
+        told = self._config.ask_all()
+        ids = {member.peers: member.id for member in self._names.members()}
+        others = [_describe_entry(ids.get(a, ""), a, told[a]) for a in told]
         return web.answer_json(
             {
                 "entry": self._names.me.id,
-                "entries": [member._asdict() for member in self._names.members()],
-                "shards": [
-                    {"shard": shard.number, "owned": shard.is_owned}
-                    for shard in self._shards
-                ],
+                "entries": [self._describe_self(), *others],
+                "shards": [self._describe_shard(shard) for shard in self._shards],
+                "hosts": self._describe_hosts(),
             }
         )
 
+    def _describe_self(self) -> dict[str, t.Any]:
+        me = self._names.me
+        answer = self._config.tell(messages.ConfigAsk(self._config.in_force.revision))
+        answer = answer._replace(why_not_ready=self._why_not_ready())
+        return _describe_entry(me.id, me.peers, answer)
+
+    def _describe_shard(self, shard: grouped.Grouped[t.Any]) -> dict[str, t.Any]:
+        kind = shard.ownership.kind
+        owner = self._names.owner(kind, shard.number)
+        return {
+            "kind": kind,
+            "shard": shard.number,
+            "owner": owner.entry if owner else "",
+            "epoch": owner.epoch if owner else 0,
+            "owned": shard.is_owned,
+        }
+
+    def _describe_hosts(self) -> dict[str, t.Any]:
+        known = self._hosts.all()
+        revision = self._config.in_force.revision
+        live = [host for host in known if not self._hosts.is_silent(host)]
+        behind = [h.report.host for h in live if h.report.revision < revision]
+        return {
+            "count": len(known),
+            "silent": len(known) - len(live),
+            "behind": sorted(behind),
+        }
 
-def mount(tree: cherrypy._cptree.Tree, path: str, app: object) -> None:
-    """Mount an application with the shared answers to errors."""
-    tree.mount(app, path, web.APP_CONFIG)
+
+def _describe_entry(
+    id: str, peers: str, told: messages.ConfigTold | None
+) -> dict[str, t.Any]:
+    if told is None:
+        return {"id": id, "peers": peers, "reachable": False, "ready": False}
+    return {
+        "id": id,
+        "peers": peers,
+        "reachable": True,
+        "ready": not told.why_not_ready,
+        "why_not_ready": told.why_not_ready,
+        "revision": told.revision,
+        "since": told.since,
+        "current": told.age_s <= configuring.CURRENT_LIMIT_S,
+        "age_s": round(told.age_s, 3),
+    }
+
+
+def _describe_history(document: configuration.Document) -> list[dict[str, t.Any]]:
+    return [
+        record._asdict() | {"changes": [change._asdict() for change in record.changes]}
+        for record in document.history
+    ]
+
+
+def _answer_document(document: configuration.Document) -> bytes:
+    cherrypy.response.headers["ETag"] = f'"{document.revision}"'
+    return web.answer_json(
+        {
+            "revision": document.revision,
+            "author": document.author,
+            "time": document.time,
+            "defaults": document.defaults,
+            "exceptions": document.exceptions,
+        }
+    )
+
+
+def _read_if_match() -> int:
+    text = cherrypy.request.headers.get("If-Match", "")
+    if not text:
+        raise errors.Error(
+            errors.Kind.PRECONDITION_REQUIRED,
+            "send If-Match with the ETag of the revision that you changed",
+        )
+    found = _ETAG.match(text)
+    if found is None:
+        raise errors.Error(
+            errors.Kind.BAD_HEADER, 'If-Match is no revision; write it like "7"'
+        )
+    return int(found[1])
+
+
+def _read_write_key() -> str:
+    key = cherrypy.request.headers.get("Idempotency-Key", "")
+    if key and not _WRITE_KEY.match(key):
+        raise errors.Error(
+            errors.Kind.BAD_HEADER,
+            "Idempotency-Key: use 8 to 64 letters, digits, . _ -",
+        )
+    return key
+
+
+def _read_json() -> t.Any:
+    body = web.read_body(MAX_BODY_BYTES)
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
+        raise errors.Error(
+            errors.Kind.BAD_BODY, f"the body is not JSON ({exc}); correct it there"
+        ) from None
+
+
+def _check_rest(rest: tuple[str, ...]) -> None:
+    if rest:
+        raise errors.Error(
+            errors.Kind.NOT_FOUND, f"{rest[0][:32]!r} is nothing; see the docs"
+        )
+
+
+def _check_drain(path: tuple[str, ...]) -> str:
+    if len(path) != 2 or path[1] != "drain":
+        raise errors.Error(errors.Kind.NOT_FOUND, "use /hosts/<id>/drain")
+    return web.check_id(path[0], "host")
+
+
+def _check_token(keeper: tokens.Keeper) -> None:
+    req = cherrypy.request
+    holder = keeper.check(req.headers.get("Authorization", ""), req.remote.ip)
+    if holder.role != tokens.WRITE and req.method not in _READ_METHODS:
+        raise errors.Error(
+            errors.Kind.FORBIDDEN,
+            f"the token of {holder.name} may only read; use one with the role write",
+        )
+    req.login = holder.name
+
+
+cherrypy.tools.bearer = cherrypy.Tool("before_handler", _check_token)
+
+
+def mount(
+    tree: cherrypy._cptree.Tree,
+    path: str,
+    app: object,
+    keeper: tokens.Keeper | None = None,
+) -> None:
+    """Mount an application with the shared answers to errors.
+
+    Parameters
+    ----------
+    tree : cherrypy tree
+        Where to mount it.
+    path : str
+        Where it is found.
+    app : object
+        The application.
+    keeper : tokens.Keeper, optional
+        Whose tokens it asks for; left out, it asks for none.
+    """
+    config = {"/": dict(web.APP_CONFIG["/"])}
+    if keeper is not None:
+        config["/"] |= {"tools.bearer.on": True, "tools.bearer.keeper": keeper}
+    tree.mount(app, path, config)
--- a/src/bilberrypass/process/ownership.py
+++ b/src/bilberrypass/process/ownership.py
@@ -1,17 +1,22 @@
 """The ownership of one shard: a key under the entry's lease, and its epoch."""
 
+import secrets
 import time
 import typing as t
 
 import logbook
 import msgspec
 
+from bilberrypass import errors
 from bilberrypass.connection import store
 from bilberrypass.process import directory
 
 _log = logbook.Logger("ownership")
 
-_CALL_S: t.Final = 2.0
+_CALL_S: t.Final = 3.5
+_VACANCY_S: t.Final = 1.0
+_LEAST_TERM_S: t.Final = 1.0
+_SUBSTITUTE_TERM_S: t.Final = 30.0
 
 
 @t.final
@@ -35,15 +40,29 @@
         self.owned_at = 0.0
         self._names = names
         self._lease = store.NO_LEASE
+        self._vacant_since: float | None = None
+        self._term_deadline = 0.0
 
     @property
     def is_held(self) -> bool:
         """Tell whether this entry owns the shard for certain now."""
         lease = self._names.lease
-        return self.epoch > 0 and lease != store.NO_LEASE and lease == self._lease
+        if not self.epoch or lease == store.NO_LEASE or lease != self._lease:
+            return False
+        return self._names.owner_epoch(self.kind, self.number) <= self.epoch
+
+    @property
+    def is_preferred(self) -> bool:
+        """Tell whether this entry should own the shard."""
+        return self._names.preferred(self.kind, self.number) == self._names.me.id
+
+    @property
+    def is_due_to_move(self) -> bool:
+        """Tell whether to release the shard for a member that should own it."""
+        return time.monotonic() > self._term_deadline and not self.is_preferred
 
     def acquire(self) -> bool:
-        """Take the shard if nobody owns it.
+        """Take the shard if nobody owns it and no better member takes it.
 
         Raises
         ------
@@ -54,29 +73,61 @@
             return True
         self.epoch = 0
         lease = self._names.lease
-        if lease == store.NO_LEASE:
+        is_preferred = self.is_preferred
+        if lease == store.NO_LEASE or not self._may_take(lease, is_preferred):
             return False
+        # A key that this entry left behind is replaced, so that a delayed delete
+        # of it misses.
+        expected = self._names.owner_epoch(self.kind, self.number)
         me = self._names.me
-        value = msgspec.json.encode(
-            directory.Owner(self.kind, self.number, me.id, me.peers, lease)
+        owner = directory.Owner(
+            self.kind, self.number, me.id, me.peers, 0, lease, secrets.token_hex(8)
         )
         swap = store.settle_swap(
             self._names.kv,
             self._names.owner_key(self.kind, self.number),
-            value,
-            store.ABSENT,
+            msgspec.json.encode(owner),
+            expected,
             time.monotonic() + _CALL_S,
             lease,
         )
         if not swap.done:
             return False
+        self._hold(lease, swap.revision, is_preferred)
+        return True
+
+    def _may_take(self, lease: int, is_preferred: bool) -> bool:
+        """Look at the directory first: an attempt for each shard costs a write."""
+        now = time.monotonic()
+        owner = self._names.owner(self.kind, self.number)
+        if owner is not None:
+            self._vacant_since = None
+            return owner.lease == lease
+        if self._vacant_since is None:
+            self._vacant_since = now
+        return is_preferred or now > self._vacant_since + _VACANCY_S
+
+    def _hold(self, lease: int, epoch: int, is_preferred: bool) -> None:
         self._lease = lease
+        self._vacant_since = None
         self.owned_at = time.monotonic()
-        self.epoch = swap.revision
-        _log.info(
-            "ownership: {} {} owned, epoch {}", self.kind, self.number, self.epoch
-        )
-        return True
+        term_s = _LEAST_TERM_S if is_preferred else _SUBSTITUTE_TERM_S
+        self._term_deadline = self.owned_at + term_s
+        self.epoch = epoch
+        _log.info("ownership: {} {} owned, epoch {}", self.kind, self.number, epoch)
+
+    def release(self) -> None:
+        """Give the shard up, so that another member takes it at once."""
+        epoch, self.epoch = self.epoch, 0
+        if not epoch:
+            return
+        key = self._names.owner_key(self.kind, self.number)
+        try:
+            self._names.kv.delete(key, epoch, time.monotonic() + _CALL_S)
+        except errors.Error as exc:
+            _log.warning("ownership: {} not given up: {}", key, exc.detail)
+            return
+        _log.info("ownership: {} {} given up", self.kind, self.number)
 
     def lose(self) -> None:
         """Note that another entry owns the shard."""
--- a/src/bilberrypass/request/problems.py
+++ b/src/bilberrypass/request/problems.py
@@ -37,6 +37,8 @@
     }
     if isinstance(exc, errors.Faulty):
         content["faults"] = exc.faults
+    if isinstance(exc, errors.Conflict):
+        content["changed"] = exc.changed
     headers = [("Content-Type", CONTENT_TYPE)]
     if answer.retry_helps:
         headers.append(("Retry-After", _retry_after(exc.retry_after_s)))
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -30,6 +30,7 @@
 
 Address = t.Annotated[str, pydantic.AfterValidator(_check_address)]
 Name = t.Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Hex = t.Annotated[str, pydantic.Field(pattern=r"^([0-9a-f]{2}){8,64}$")]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Count = t.Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
 Bytes = t.Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
@@ -93,8 +94,8 @@
 
     name: t.Annotated[Name, "who holds the token"]
     role: t.Annotated[t.Literal["read", "write"], "what it may do"]
-    salt: t.Annotated[str, "random salt, hexadecimal"]
-    hash: t.Annotated[str, "scrypt hash of the token, hexadecimal"]
+    salt: t.Annotated[Hex, "random salt, hexadecimal"]
+    hash: t.Annotated[Hex, "scrypt hash of the token, hexadecimal"]
 
 
 class Entry(te.TypedDict, total=False):
