Test resumption near the end, and suspicion of idle connections

Cause: trials with a fault put in on a scratch copy: a task that resumed from step 0 passed the old resumption test, and the test of a dripping answer hung.

--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -241,7 +241,7 @@
         with conn, contextlib.suppress(OSError):
             conn.recv(65_536)
             conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
-            for _ in range(100_000):
+            for _ in range(500):
                 conn.sendall(b" ")
                 gone.wait(0.02)
         gone.set()
@@ -284,6 +284,31 @@
         client.close()
 
 
+def test_one_silent_connection_makes_the_idle_others_suspect():
+    both_here = threading.Barrier(2)
+
+    def answer(req):
+        if req.path == "/usage":
+            both_here.wait(_DEADLINE_S)
+            return serving.answer_json([0, 0, [], []])
+        return serving.answer_json(None)
+
+    with serving.listening(answer) as address, link.Link(address) as relay:
+        client = _client(relay.address)
+        calls = [
+            threading.Thread(target=client.usage, args=(_deadline(),)) for _ in range(2)
+        ]
+        for call in calls:
+            call.start()
+        for call in calls:
+            call.join()
+        relay.swallow()
+        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+            client.renew([], _deadline(0.3))
+        client.renew([], _deadline())
+        client.close()
+
+
 def test_stop_of_a_running_task_ends_it():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S)
@@ -334,13 +359,21 @@
         end = client.stop(first.task, _deadline())
         step = int(end.checkpoint.removeprefix("step:"))
         assert 0 < step < 12_000
-        second = _spec(attempt=2, checkpoint=end.checkpoint, run_s=0.5, steps=12_000)
+        second = _spec(
+            attempt=2, checkpoint=end.checkpoint, run_s=_LONG_RUN_S, steps=12_000
+        )
         client.start(second, _LEASE_S, _deadline())
         _, record = _judge(standin)["runs"]
         assert record["resumed_from"] == end.checkpoint
         assert record["steps"] >= step
-        assert _wait_for_end(client, second).state == "finished"
-        _, record = _judge(standin)["runs"]
+
+
+def test_run_resumed_near_its_end_has_little_left_to_do():
+    with _attached() as (standin, client):
+        spec = _spec(checkpoint="step:11990", run_s=_LONG_RUN_S, steps=12_000)
+        client.start(spec, _LEASE_S, _deadline())
+        assert _wait_for_end(client, spec).state == "finished"
+        (record,) = _judge(standin)["runs"]
         assert record["steps"] == 12_000
 
 
