Prove that idle connections are suspected with a silent one

Cause: the test passed without the guard. urllib3 puts an empty place on top of its pool after an error, so that the very next call is fresh anyway; only two calls at once reach the idle connection below it. Run: python -m testing connection.test_httpworker standins.test_standins; seen: 56 passed, 0 failed. Trial on a scratch copy without _abandon: this test fails, the 35 others pass. Conclusion: the pool is replaced on suspicion, and the test needs it.

--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -1,3 +1,4 @@
+import concurrent.futures as futures
 import contextlib
 import json
 import socket
@@ -295,20 +296,21 @@
 
     with serving.listening(answer) as address, link.Link(address) as relay:
         client = _client(relay.address)
-        calls = [
-            threading.Thread(target=client.usage, args=(_deadline(),)) for _ in range(2)
-        ]
-        for call in calls:
-            call.start()
-        for call in calls:
-            call.join()
+        _call_twice_at_once(client)
         relay.swallow()
         with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
             client.renew([], _deadline(0.3))
-        client.renew([], _deadline())
+        _call_twice_at_once(client)
         client.close()
 
 
+def _call_twice_at_once(client):
+    with futures.ThreadPoolExecutor(2) as pool:
+        calls = [pool.submit(client.usage, _deadline()) for _ in range(2)]
+    for call in calls:
+        call.result()
+
+
 def test_stop_of_a_running_task_ends_it():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S)
