Serve the operators' interface: configuration, drains, status, tokens

Cause: the configuration was an opaque value and the operators' address asked for no token. What is accepted is one compare-and-swap of fleet/config, whose value carries its own revision, a write identity and the newest history. Heads of requests have a deadline of their own: with the socket's timeout alone, 40 senders of half a head kept an operator out for over 10 s (run: python -m testing process.test_operators, before connection/heads.py). Run: python -m testing process.test_operators process.test_path

--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -67,7 +67,6 @@
         """End reporting after the report in progress."""
         self.end()
         self._thread.join(_CALL_S)
-        self._peer.close()
 
     def end(self) -> None:
         """End reporting without waiting for it."""
@@ -87,6 +86,7 @@
             self._report_once(sequence, began)
             time.sleep(_LEAST_GAP_S)
             self._hurry.wait(max(0.0, began + self._interval_s - time.monotonic()))
+        self._peer.close()
 
     def _report_once(self, sequence: int, began: float) -> None:
         self._sent_at[sequence] = began
--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -6,6 +6,7 @@
 import cheroot.wsgi
 import cherrypy
 
+from bilberrypass.connection import heads
 from bilberrypass.version import settings
 
 _SHUTDOWN_S: t.Final = 5
@@ -39,6 +40,8 @@
             shutdown_timeout=_SHUTDOWN_S,
         )
         self._server.max_request_header_size = 64 << 10
+        self._heads = heads.HeadLimit()
+        self._heads.install(self._server)
         self._server.prepare()
         host, port = self._server.bind_addr[:2]
         self.address = f"{host}:{port}"
@@ -46,12 +49,14 @@
 
     def start(self) -> None:
         """Begin to serve."""
+        self._heads.start()
         self._thread.start()
 
     def stop(self) -> None:
         """Take no new connections and end those that are idle."""
         self._server.stop()
         self._thread.join(_SHUTDOWN_S)
+        self._heads.stop()
 
 
 def quiet_cherrypy() -> None:
--- a/src/bilberrypass/daemon.py
+++ b/src/bilberrypass/daemon.py
@@ -50,6 +50,8 @@
         signal.signal(number, lambda *_: stopping.set())
     program.start()
     ready = {"ready": True, "role": role, "id": id, "addresses": program.addresses}
+    token = getattr(program, "operator_token", "")
+    ready |= {"operator_token": token} if token else {}
     print(msgspec.json.encode(ready).decode(), flush=True)
     stopping.wait()
     program.stop()
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -27,7 +27,7 @@
 _log = logbook.Logger("entry")
 
 _SPARE_THREADS: t.Final = 16
-_OPERATOR_THREADS: t.Final = 8
+_OPERATOR_THREADS: t.Final = 16
 _PEER_THREADS: t.Final = 16
 _DEFAULT_PREFIX: t.Final = "/bilberrypass/"
 _IN_PROGRESS_POLL_S: t.Final = 0.02
--- a/src/bilberrypass/process/local.py
+++ b/src/bilberrypass/process/local.py
@@ -3,12 +3,13 @@
 import typing as t
 
 from bilberrypass.connection import memory
-from bilberrypass.process import agent, entry, sample
+from bilberrypass.process import agent, entry, sample, tokens
 from bilberrypass.version import settings
 
 _LOOPBACK: t.Final = "127.0.0.1"
 _CALLERS_PORT: t.Final = 8080
 _OPERATORS_PORT: t.Final = 8081
+_OPERATOR: t.Final = "newcomer"
 
 DEFAULTS: t.Final[t.Any] = {
     "id": "local",
@@ -29,10 +30,16 @@
     Parameters
     ----------
     cfg : settings.Entry
-        Checked settings of the entry.
+        Checked settings of the entry. Without a token of an operator one is made;
+        ``operator_token`` is shown once, in the ready line.
     """
 
     def __init__(self, cfg: settings.Entry) -> None:
+        self.operator_token = ""
+        if not cfg["operator_tokens"]:
+            made = tokens.make(_OPERATOR, tokens.WRITE)
+            self.operator_token = made.token
+            cfg = t.cast(settings.Entry, cfg | {"operator_tokens": [made.kept]})
         self._entry = entry.Entry(cfg, memory.MemoryStore())
         agent_cfg = settings.check_agent(
             {
--- a/src/bilberrypass/version/configuration.py
+++ b/src/bilberrypass/version/configuration.py
@@ -450,7 +450,9 @@
 
 def _concerns(match: Match, host: Subject) -> bool:
     return all(
-        getattr(host, key) == value for key, value in match.items() if key in _PLACE_KEYS
+        getattr(host, key) == value
+        for key, value in match.items()
+        if key in _PLACE_KEYS
     )
 
 
--- /dev/null
+++ b/testing/process/test_operators.py
@@ -0,0 +1,220 @@
+"""The operators' interface: tokens, revisions, drains, and hostile input."""
+
+import contextlib
+import json
+import pathlib
+import socket
+import time
+
+from bilberrypass.process import tokens
+from testing import collecting, fixtures, system
+
+_ANSWER_S = 10.0
+
+
+def _get(url, path):
+    answer = system.operate("GET", f"{url}{path}")
+    assert answer.status == 200, answer.body
+    return answer.json()
+
+
+def _change(url, revision, defaults=None, exceptions=(), token=system.OPERATOR.token):
+    body = {"defaults": defaults or {}, "exceptions": list(exceptions)}
+    etag = {"If_Match": f'"{revision}"'}
+    return system.operate("PUT", f"{url}/config", body, token, **etag)
+
+
+def _exemption(host, **set_):
+    return {"match": {"host": host}, "set": set_, "reason": "a test"}
+
+
+@contextlib.contextmanager
+def _entry(**changes):
+    with system.system(hosts=1, entry_changes=changes) as run:
+        url = run.operators()
+        _wait_hosts(url, 1)
+        yield run, url
+
+
+def _wait_hosts(url, count):
+    fixtures.wait_until(
+        lambda: len(_get(url, "/hosts")) == count, _ANSWER_S, "the hosts' reports"
+    )
+
+
+def test_change_is_accepted_shown_and_kept():
+    with _entry() as (_, url):
+        first = _change(url, 0, {"weights": {"evictions": 2}})
+        assert (first.status, first.headers["ETag"]) == (200, '"1"'), first.body
+        shown = _get(url, "/config")
+        assert shown["revision"] == 1 and shown["author"] == "operator", shown
+        assert shown["defaults"]["weights"]["evictions"] == 2, shown
+        assert shown["defaults"]["guards"]["admission_limit"] is True, shown
+        second = _change(url, 1, exceptions=[_exemption("h0", drain=True)])
+        assert second.json()["exceptions"][0]["author"] == "operator", second.body
+        history = _get(url, "/config/history")
+        assert [r["revision"] for r in history] == [2, 1], history
+        change = {"path": "defaults.weights.evictions", "old": 0.3, "new": 2}
+        assert history[1]["changes"] == [change], history
+        fixtures.wait_until(
+            lambda: system.operate("GET", f"{url}/config/1").status == 200,
+            _ANSWER_S,
+            "the older revision",
+        )
+        assert _get(url, "/config/1")["defaults"] == shown["defaults"]
+
+
+def test_change_is_refused_with_every_reason():
+    with _entry() as (_, url):
+        assert system.operate("PUT", f"{url}/config", {}).status == 428
+        assert _change(url, 0, {"weights": {"evictions": 2}}).status == 200
+        late = _change(url, 0, {"weights": {"evictions": 3}})
+        assert (late.status, late.json()["code"]) == (412, "CONFLICT"), late.body
+        (changed,) = late.json()["changed"]
+        assert changed["changes"][0]["path"] == "defaults.weights.evictions", changed
+        wrong = _change(
+            url,
+            1,
+            {"weights": {"eviction": 1, "throughput": "x"}},
+            [{"match": {"host": "h0"}, "set": {"drain": True}, "reason": " "}],
+        )
+        assert (wrong.status, wrong.json()["code"]) == (422, "INVALID_CONFIG")
+        paths = sorted(f.partition(":")[0] for f in wrong.json()["faults"])
+        assert paths == [
+            "defaults.weights.eviction",
+            "defaults.weights.throughput",
+            "exceptions[0].reason",
+        ], wrong.body
+        assert _get(url, "/config")["revision"] == 1
+
+
+def test_drained_host_takes_nothing_new_until_resumed():
+    with _entry() as (run, url):
+        call = f"{run.callers()}/services/echo/a"
+        fixtures.wait_until(
+            lambda: fixtures.http("GET", call).status == 200, _ANSWER_S, "an answer"
+        )
+        drained = system.operate("POST", f"{url}/hosts/h0/drain", {"reason": "disks"})
+        assert drained.json()["drain"]["reason"] == "disks", drained.body
+        fixtures.wait_until(
+            lambda: _get(url, "/hosts")[0]["leaving"], _ANSWER_S, "the drain"
+        )
+        assert _get(url, "/hosts")[0]["drain"] == "disks"
+        assert fixtures.http("GET", call).status == 503
+        again = system.operate("POST", f"{url}/hosts/h0/drain", {"reason": "disks"})
+        assert again.json() == drained.json(), again.body
+        resumed = system.operate("DELETE", f"{url}/hosts/h0/drain")
+        assert resumed.json() == {"host": "h0", "drain": None, "revision": 2}
+        fixtures.wait_until(
+            lambda: fixtures.http("GET", call).status == 200, _ANSWER_S, "the return"
+        )
+
+
+def test_status_names_entries_shards_and_hosts_behind():
+    with system.system(entries=2, hosts=1) as run:
+        url = run.operators(1)
+        assert fixtures.http("GET", f"{url}/healthz").status == 200
+        _wait_hosts(url, 1)
+        assert _change(url, 0, {"weights": {"evictions": 2}}).status == 200
+        fixtures.wait_until(lambda: _is_settled(url), _ANSWER_S, "one revision")
+        status = _get(url, "/status")
+        assert all(e["ready"] and e["current"] for e in status["entries"]), status
+        assert {s["kind"] for s in status["shards"]} >= {"jobs"}, status
+
+
+def _is_settled(url):
+    status = _get(url, "/status")
+    revisions = [entry.get("revision") for entry in status["entries"]]
+    owners = [shard["owner"] for shard in status["shards"]]
+    return revisions == [1, 1] and all(owners) and status["hosts"]["behind"] == []
+
+
+def test_only_known_tokens_get_in_and_only_writers_write():
+    with _entry() as (_, url):
+        for path in ("/config", "/config/history", "/status", "/hosts"):
+            assert fixtures.http("GET", f"{url}{path}").status == 401, path
+            read = system.operate("GET", f"{url}{path}", token=system.READER.token)
+            assert read.status == 200, (path, read.body)
+        denied = _change(url, 0, token=system.READER.token)
+        assert (denied.status, denied.json()["code"]) == (403, "FORBIDDEN")
+        drain = f"{url}/hosts/h0/drain"
+        body = {"reason": "a try"}
+        assert system.operate("POST", drain, body, system.READER.token).status == 403
+        assert fixtures.http("POST", drain, body).status == 401
+        assert system.operate("DELETE", drain, token="operator:x").status == 401
+        assert _get(url, "/config")["revision"] == 0
+
+
+def test_wrong_tokens_are_bounded_while_known_ones_still_work():
+    with _entry() as (run, url):
+        _get(url, "/config")
+        answers = [
+            system.operate("GET", f"{url}/config", token=f"operator:{n}")
+            for n in range(12)
+        ]
+        statuses = [answer.status for answer in answers]
+        assert statuses == [401] * 10 + [429] * 2, statuses
+        assert int(answers[-1].headers["Retry-After"]) >= 1
+        _get(url, "/config")
+        text = run.entries[0].stderr_text()
+        assert system.OPERATOR.token not in text
+        assert system.OPERATOR.kept["hash"] not in text
+
+
+def test_tokens_are_replaced_without_a_restart():
+    fresh = tokens.make("fresh", tokens.WRITE)
+    with system.store() as kv:
+        cfg = system.entry_settings(0, kv.addresses["store"])
+        with fixtures.settings_file(cfg) as path:
+            args = [system.DAEMON, "entry", "--settings", path]
+            with fixtures.process(args) as proc:
+                url = proc.url("operators")
+                _get(url, "/config")
+                pathlib.Path(path).write_text("{")
+                changed = json.dumps(cfg | {"operator_tokens": [fresh.kept]})
+                fixtures.wait_until(
+                    lambda: "tokens: kept" in proc.stderr_text(), _ANSWER_S, "a warning"
+                )
+                _get(url, "/config")
+                pathlib.Path(path).write_text(changed)
+                fixtures.wait_until(
+                    lambda: system.operate("GET", f"{url}/config").status == 401,
+                    _ANSWER_S,
+                    "the withdrawal",
+                )
+                assert _change(url, 0, token=fresh.token).status == 200
+
+
+def test_oversized_and_malformed_input_is_refused():
+    with _entry() as (_, url):
+        etag = {"If_Match": '"0"'}
+        for body, status in (
+            (b"x" * (1 << 21), 413),
+            (b"{", 400),
+            (b"[" * 100_000, 400),
+            (b"\xff\xfe", 400),
+            (b"null", 422),
+        ):
+            answer = system.operate("PUT", f"{url}/config", body, **etag)
+            assert answer.status == status, (body[:8], answer.status, answer.body)
+        large = {"X_Large": "x" * (1 << 17)}
+        assert system.operate("GET", f"{url}/config", **large).status in (400, 413)
+        odd = system.operate("PUT", f"{url}/config", {}, If_Match="7")
+        assert odd.status == 400, odd.body
+        assert _get(url, "/config")["revision"] == 0
+
+
+def test_slow_senders_do_not_keep_operators_out():
+    with _entry() as (run, url), contextlib.ExitStack() as stack:
+        host, port = run.entries[0].addresses["operators"].split(":")
+        for _ in range(40):
+            conn = socket.create_connection((host, int(port)), _ANSWER_S)
+            stack.enter_context(conn)
+            conn.sendall(b"PUT /config HTTP/1.1\r\nHost: a\r\nX-Slow: ")
+        began = time.monotonic()
+        answer = system.operate("GET", f"{url}/config")
+        assert answer.status == 200, answer.body
+        assert time.monotonic() - began < _ANSWER_S
+
+
+load_tests = collecting.hook(__name__)
--- a/testing/system.py
+++ b/testing/system.py
@@ -4,9 +4,12 @@
 import json
 import typing as t
 
+from bilberrypass.process import tokens
 from testing import fixtures
 
 DAEMON = "bilberrypass.daemon"
+OPERATOR = tokens.make("operator", tokens.WRITE)
+READER = tokens.make("reader", tokens.READ)
 
 
 class System(t.NamedTuple):
@@ -25,6 +28,14 @@
         return f"http://{self.entries[number].addresses['operators']}"
 
 
+def operate(method: str, url: str, body=None, token=OPERATOR.token, **headers):
+    """Send one request to the operators' interface, with a token."""
+    fields = {name.replace("_", "-"): value for name, value in headers.items()}
+    return fixtures.http(
+        method, url, body, {"Authorization": f"Bearer {token}"} | fields
+    )
+
+
 def address() -> str:
     return f"127.0.0.1:{fixtures.free_port()}"
 
@@ -37,6 +48,7 @@
         "operators": address(),
         "peers": address(),
         "store": {"kind": "etcd", "addresses": [store]},
+        "operator_tokens": [OPERATOR.kept, READER.kept],
         "shards": 2,
         "member_ttl_s": 2,
         "task_lease_s": 3.0,
