Keep the configuration in force while the store, watches or entries fail

An entry that hears of a higher revision from an agent asks that agent, and the other entries while the store has not answered for 1.5 s. Parts of several agents join to what concerns their hosts; a whole document replaces them.

--- a/src/bilberrypass/process/configuring.py
+++ b/src/bilberrypass/process/configuring.py
@@ -106,7 +106,9 @@
         self.in_force = InForce()
         self._names = names
         self._heard = _Heard(0, 0.0)
-        self._teller = ""
+        self._tellers: set[str] = set()
+        self._asked: set[str] = set()
+        self._asked_revision = 0
         self._learned_peers: set[str] = set()
         self._confirmed_at = 0.0
         self._is_informed = False
@@ -138,13 +140,26 @@
 
     def hear(self, revision: int, address: str) -> None:
         """Note the revision that an agent has in force."""
-        if not self._names.seen_at and not self._peers():
-            self._teller = address
-            self._wake.set()
         if revision > self.in_force.revision:
             self._note(revision)
-            self._teller = address
-            self._wake.set()
+            self._ask_soon(address)
+        elif self._may_know_more(revision, address):
+            self._asked.add(address)
+            self._ask_soon(address)
+
+    def _may_know_more(self, revision: int, address: str) -> bool:
+        """Tell whether an agent may know another part, or an entry, not asked for."""
+        if self._asked_revision != self.in_force.revision:
+            self._asked_revision = self.in_force.revision
+            self._asked = set()
+        if address in self._asked:
+            return False
+        knows_part = revision == self.in_force.revision and not self._is_whole()
+        return knows_part or not (self._names.seen_at or self._peers())
+
+    def _ask_soon(self, address: str) -> None:
+        self._tellers.add(address)
+        self._wake.set()
 
     def _note(self, revision: int) -> None:
         if revision >= self._heard_revision():
@@ -215,16 +230,18 @@
                 _log.exception("config: peers not asked")
 
     def _catch_up(self) -> None:
-        if self._teller:
-            self._ask(self._teller)
-            self._teller = ""
+        tellers, self._tellers = self._tellers, set()
+        list(self._pool.map(self._ask, tellers))
         is_doubted = time.monotonic() - self._names.seen_at > _DOUBT_S
         if is_doubted or self._lacks_some():
             list(self._pool.map(self._ask, self._peers()))
 
     def _lacks_some(self) -> bool:
         is_behind = self._heard_revision() > self.in_force.revision
-        return is_behind or not self.in_force.document.is_whole
+        return is_behind or not self._is_whole()
+
+    def _is_whole(self) -> bool:
+        return self.in_force.document.is_whole
 
     def _peers(self) -> list[str]:
         known = {member.peers for member in self._names.members()}
--- a/src/bilberrypass/process/revisions.py
+++ b/src/bilberrypass/process/revisions.py
@@ -17,7 +17,8 @@
 _log = logbook.Logger("config")
 
 _CALL_S: t.Final = 5.0
-_ACCEPT_S: t.Final = 15.0
+_WRITE_S: t.Final = 3.5
+_SETTLE_S: t.Final = 5.0
 _RETRY_AFTER_S: t.Final = 2.0
 _DRAIN_ATTEMPTS: t.Final = 10
 _KEPT_REVISIONS: t.Final = 1_000
@@ -107,7 +108,8 @@
     def _base(self, revision: int) -> _Base:
         """Return what stands in the store, read afresh if it is not as expected."""
         seen = self._names.config()
-        if seen is not None:
+        seen_deadline = self._names.seen_at + configuring.CURRENT_LIMIT_S
+        if seen is not None and time.monotonic() < seen_deadline:
             found = configuration.decode(seen.value)
             if found.revision == revision >= self._in_force.revision:
                 return _Base(found, seen.revision)
@@ -128,12 +130,8 @@
         return _Base(found, expected)
 
     def _accept(self, made: configuration.Document, expected: int) -> None:
-        value = configuration.encode(made)
-        deadline = time.monotonic() + _ACCEPT_S
         try:
-            swap = store.settle_swap(
-                self._names.kv, self._names.config_key, value, expected, deadline
-            )
+            swap = self._write(configuration.encode(made), expected)
         except errors.Error as exc:
             raise _explain(exc, made) from exc
         if not swap.done:
@@ -145,6 +143,18 @@
         except queue.Full:
             _log.warning("config: revision {} not kept whole", made.revision)
 
+    def _write(self, value: bytes, expected: int) -> store.Swap:
+        """Write once, giving a slow store time; then find out what became of it."""
+        kv, key = self._names.kv, self._names.config_key
+        try:
+            swap = kv.swap(key, value, expected, time.monotonic() + _WRITE_S)
+        except errors.Error as exc:
+            if exc.kind is not errors.Kind.STORE_UNCERTAIN:
+                raise
+            deadline = time.monotonic() + _SETTLE_S
+            swap = store.settle_swap(kv, key, value, expected, deadline)
+        return swap
+
     def _check_superseded(
         self, made: configuration.Document, item: store.Item | None
     ) -> None:
@@ -189,7 +199,7 @@
     def _keep(self, made: configuration.Document) -> None:
         kv = self._names.kv
         key, value = self._key(made.revision), configuration.encode(made)
-        store.settle_swap(kv, key, value, store.ABSENT, time.monotonic() + _ACCEPT_S)
+        store.settle_swap(kv, key, value, store.ABSENT, time.monotonic() + _SETTLE_S)
         if made.revision <= _KEPT_REVISIONS:
             return
         oldest = self._key(made.revision - _KEPT_REVISIONS)
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -21,6 +21,8 @@
 _KILL_TIMEOUT_S = 10.0
 _WAIT_TIMEOUT_S = 15.0
 
+HTTP_ERRORS = (urllib3.exceptions.HTTPError,)
+
 
 def free_port() -> int:
     with socket.socket() as sock:
@@ -40,6 +42,14 @@
         time.sleep(_POLL_S)
 
 
+def polls(duration_s: float):
+    """Yield again and again until the time is over."""
+    deadline = time.monotonic() + duration_s
+    while time.monotonic() < deadline:
+        yield
+        time.sleep(_POLL_S)
+
+
 @contextlib.contextmanager
 def settings_file(settings: abc.Mapping[str, t.Any]):
     """Write settings to a temporary JSON file, and give its path."""
--- /dev/null
+++ b/testing/process/fleets.py
@@ -0,0 +1,159 @@
+"""Entries and agents for tests of the configuration, and what they have in force."""
+
+import concurrent.futures as futures
+import contextlib
+import threading
+import time
+import typing as t
+
+from testing import fixtures, system
+from testing.standins import link
+
+LIMIT_S = 4.0
+START_S = 15.0
+_SAMPLE_S = 0.05
+
+
+class Fleet(t.NamedTuple):
+    store: t.Any
+    links: list[link.Link]
+    entries: list[t.Any]
+    agents: list[t.Any]
+
+    def url(self, number: int = 0) -> str:
+        return self.entries[number].url("operators")
+
+
+def entry_settings(number: int, store: str, **changes) -> dict:
+    return system.entry_settings(number, store, shards=1, member_ttl_s=3, **changes)
+
+
+def agent_settings(number: int, peers: list[str]) -> dict:
+    cfg = system.agent_settings(number, peers, "")
+    del cfg["worker"]
+    return cfg
+
+
+def start_all(stack: contextlib.ExitStack, role: str, settings: list[dict]) -> list:
+    """Start daemons side by side."""
+    contexts = [system.daemon(role, cfg) for cfg in settings]
+    with futures.ThreadPoolExecutor(len(contexts)) as pool:
+        started = list(pool.map(lambda context: context.__enter__(), contexts))
+    for context in contexts:
+        stack.push(context)
+    return started
+
+
+@contextlib.contextmanager
+def fleet(entries: int = 2, hosts: int = 2):
+    """Run a store, entries with a link each to it, and agents without workers."""
+    with contextlib.ExitStack() as stack:
+        kv = stack.enter_context(system.store())
+        address = kv.addresses["store"]
+        links = [stack.enter_context(link.Link(address)) for _ in range(entries)]
+        settings = [entry_settings(n, links[n].address) for n in range(entries)]
+        peers = [cfg["peers"] for cfg in settings]
+        fronts = start_all(stack, "entry", settings)
+        settings = [agent_settings(n, peers) for n in range(hosts)]
+        agents = start_all(stack, "agent", settings)
+        run = Fleet(kv, links, fronts, agents)
+        for number in range(entries):
+            wait_hosts(run.url(number), hosts)
+            wait_members(run.url(number), entries)
+        yield run
+
+
+def control(store, **switches) -> None:
+    answer = fixtures.http("PUT", f"{store.url('store')}/_control", switches)
+    assert answer.status == 200, answer.body
+
+
+def get(url: str, path: str):
+    answer = system.operate("GET", f"{url}{path}")
+    assert answer.status == 200, answer.body
+    return answer.json()
+
+
+def wait_hosts(url: str, count: int) -> None:
+    fixtures.wait_until(
+        lambda: len([h for h in get(url, "/hosts") if not h["silent"]]) == count,
+        START_S,
+        "the hosts' reports",
+    )
+
+
+def wait_members(url: str, count: int) -> None:
+    fixtures.wait_until(
+        lambda: len([e for e in get(url, "/status")["entries"] if e["ready"]]) == count,
+        START_S,
+        "the entries",
+    )
+
+
+def put(url: str, revision: int, number: int, **headers):
+    """Set one weight to a number, in place of a revision."""
+    body = {"defaults": {"weights": {"evictions": number}}, "exceptions": []}
+    etag = {"If_Match": f'"{revision}"'}
+    return system.operate("PUT", f"{url}/config", body, **etag, **headers)
+
+
+def revisions(url: str) -> dict[str, int]:
+    """Return the revision in force at an entry, and at the agents known there."""
+    found = {h["id"]: h["revision"] for h in get(url, "/hosts")}
+    return found | {"entry": get(url, "/config")["revision"]}
+
+
+def wait_in_force(url: str, revision: int, limit_s: float = LIMIT_S) -> None:
+    fixtures.wait_until(
+        lambda: min(revisions(url).values()) >= revision,
+        limit_s,
+        f"revision {revision} in force at {url}: {revisions(url)}",
+    )
+
+
+class Observer:
+    """Samples the revision at each process, and judges the course of it."""
+
+    def __init__(self, urls: list[str]) -> None:
+        self._urls = urls
+        self._first_seen: dict[str, dict[int, float]] = {}
+        self._last: dict[str, int] = {}
+        self.falls: list[str] = []
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(url,)) for url in urls
+        ]
+
+    def __enter__(self) -> "Observer":
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_) -> None:
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, url: str) -> None:
+        while not self._stopping.wait(_SAMPLE_S):
+            with contextlib.suppress(OSError, AssertionError, *fixtures.HTTP_ERRORS):
+                for process, revision in revisions(url).items():
+                    self._note(f"{process} by {url}", revision)
+
+    def _note(self, process: str, revision: int) -> None:
+        last = self._last.get(process, 0)
+        if revision < last:
+            self.falls.append(f"{process}: {last} to {revision}")
+        self._last[process] = revision
+        seen = self._first_seen.setdefault(process, {})
+        seen.setdefault(revision, time.monotonic())
+
+    def longest_s(self, accepted: dict[int, float]) -> float:
+        """Return the longest time from acceptance to force at a process."""
+        longest = 0.0
+        for process, seen in self._first_seen.items():
+            for revision, accepted_at in accepted.items():
+                later = [at for known, at in seen.items() if known >= revision]
+                assert later, f"{process} never had revision {revision}: {seen}"
+                longest = max(longest, min(later) - accepted_at)
+        return longest
--- /dev/null
+++ b/testing/process/test_configuring.py
@@ -0,0 +1,164 @@
+"""The configuration in force everywhere, while parts of the system fail."""
+
+import contextlib
+import time
+
+from testing import collecting, fixtures, system
+from testing.process import fleets
+
+
+def test_change_reaches_all_though_watches_are_silent():
+    with fleets.fleet() as run:
+        fleets.control(run.store, silent_watches=True)
+        assert fleets.put(run.url(0), 0, 1).status == 200
+        for number in (0, 1):
+            fleets.wait_in_force(run.url(number), 1)
+
+
+def test_change_reaches_an_entry_cut_off_from_the_store_alone():
+    with fleets.fleet() as run:
+        run.links[1].blackhole()
+        accepted = fleets.put(run.url(0), 0, 1)
+        assert accepted.status == 200, accepted.body
+        fleets.wait_in_force(run.url(1), 1)
+        for _ in fixtures.polls(2 * fleets.LIMIT_S):
+            ready = fixtures.http("GET", f"{run.url(1)}/readyz")
+            assert (ready.status, ready.json()["current"]) == (200, True), ready.body
+
+
+def test_change_reaches_a_cut_off_entry_by_its_agents_alone():
+    with fleets.fleet() as run:
+        run.entries[1].freeze()
+        run.links[1].blackhole()
+        assert fleets.put(run.url(0), 0, 1).status == 200
+        fleets.wait_in_force(run.url(0), 1)
+        run.entries[0].freeze()
+        run.entries[1].thaw()
+        fleets.wait_in_force(run.url(1), 1)
+        run.entries[0].thaw()
+
+
+def test_change_reaches_all_though_the_store_is_slow():
+    with fleets.fleet() as run:
+        fleets.control(run.store, delay_s=2.0, silent_watches=True)
+        accepted = system.operate(
+            "POST", f"{run.url(0)}/hosts/h0/drain", {"reason": "a"}
+        )
+        assert accepted.status == 200, accepted.body
+        for number in (0, 1):
+            fleets.wait_in_force(run.url(number), 1)
+
+
+def test_change_is_refused_and_doubt_shown_while_the_store_is_down():
+    with fleets.fleet() as run:
+        assert fleets.put(run.url(0), 0, 1).status == 200
+        fleets.wait_in_force(run.url(1), 1)
+        fleets.control(run.store, down=True)
+        refused = fleets.put(run.url(0), 1, 2)
+        assert refused.status == 503, refused.body
+        assert refused.json()["ran"] in ("no", "unknown"), refused.body
+        assert "Retry-After" in refused.headers
+        for number in (0, 1):
+            url = f"{run.url(number)}/readyz"
+            answer = fixtures.wait_until(
+                lambda url=url: _doubts(url), 3 * fleets.LIMIT_S, "the doubt"
+            )
+            assert answer["ready"] and answer["doubt"], answer
+            assert fleets.get(run.url(number), "/config")["revision"] == 1
+        entries = fleets.get(run.url(0), "/status")["entries"]
+        assert not any(entry["current"] for entry in entries), entries
+        fleets.control(run.store, down=False)
+        fixtures.wait_until(
+            lambda: fleets.put(run.url(1), 1, 3).status == 200, 10, "the change"
+        )
+        fleets.wait_in_force(run.url(0), 2)
+
+
+def _doubts(url):
+    answer = fixtures.http("GET", url).json()
+    return None if answer["current"] else answer
+
+
+def test_change_is_counted_once_though_the_answer_is_lost():
+    with fleets.fleet(entries=1, hosts=1) as run:
+        for number in range(5):
+            fleets.control(run.store, lose_answers=1)
+            accepted = fleets.put(run.url(0), number, number + 1)
+            assert accepted.status == 200, accepted.body
+            assert accepted.json()["revision"] == number + 1
+        history = fleets.get(run.url(0), "/config/history")
+        assert [r["revision"] for r in history] == [5, 4, 3, 2, 1], history
+
+
+def test_repeated_change_with_its_key_is_accepted_once():
+    with fleets.fleet(entries=2, hosts=1) as run:
+        key = {"Idempotency_Key": "change-0001"}
+        assert fleets.put(run.url(0), 0, 1, **key).status == 200
+        assert fleets.put(run.url(1), 1, 2).json()["revision"] == 2
+        again = fleets.put(run.url(1), 0, 1, **key)
+        assert (again.status, again.json()["revision"]) == (200, 2), again.body
+
+
+def test_going_back_is_a_new_revision():
+    with fleets.fleet(entries=1, hosts=1) as run:
+        url = run.url(0)
+        assert fleets.put(url, 0, 1).status == 200
+        assert fleets.put(url, 1, 2).status == 200
+        old = fixtures.wait_until(
+            lambda: system.operate("GET", f"{url}/config/1"), 10, "revision 1"
+        ).json()
+        body = {"defaults": old["defaults"], "exceptions": old["exceptions"]}
+        back = system.operate("PUT", f"{url}/config", body, If_Match='"2"')
+        assert back.json()["revision"] == 3, back.body
+        assert back.json()["defaults"] == old["defaults"]
+
+
+def test_entry_started_while_the_store_is_away_takes_what_peers_know():
+    with fleets.fleet() as run:
+        assert fleets.put(run.url(0), 0, 1).status == 200
+        fleets.wait_in_force(run.url(1), 1)
+        fleets.control(run.store, down=True)
+        run.entries[1].kill()
+        with _replaced(run) as url:
+            fleets.wait_in_force(url, 1)
+            shown = fleets.get(url, "/config")
+            assert shown == fleets.get(run.url(0), "/config"), shown
+
+
+def test_entry_started_without_store_or_peers_takes_what_agents_know():
+    with fleets.fleet() as run:
+        drained = system.operate(
+            "POST", f"{run.url(0)}/hosts/h1/drain", {"reason": "a"}
+        )
+        assert drained.status == 200, drained.body
+        fleets.wait_in_force(run.url(0), 1)
+        fleets.control(run.store, down=True)
+        for entry in run.entries:
+            entry.kill()
+        with _replaced(run) as url:
+            fleets.wait_in_force(url, 1)
+            fixtures.wait_until(
+                lambda: (
+                    {h["id"]: h["drain"] for h in fleets.get(url, "/hosts")}
+                    == {"h0": "", "h1": "a"}
+                ),
+                10,
+                "the parts of both agents",
+            )
+            refused = fleets.put(url, 1, 2)
+            assert refused.status == 503, refused.body
+
+
+@contextlib.contextmanager
+def _replaced(run):
+    """Start the second entry anew, at its former address; give its operators' URL."""
+    peers = run.entries[1].addresses["peers"]
+    cfg = fleets.entry_settings(1, run.links[1].address, peers=peers)
+    with system.daemon("entry", cfg) as entry:
+        began = time.monotonic()
+        fleets.wait_hosts(entry.url("operators"), 2)
+        assert time.monotonic() - began < fleets.START_S
+        yield entry.url("operators")
+
+
+load_tests = collecting.hook(__name__)
