Let agents find entries that were all replaced at once, and race operators

One entry keeps the agents' addresses in the store; each entry reads the list and introduces itself to agents that do not report to it.

--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -36,6 +36,7 @@
 JOB: t.Final = Method("Job", messages.JobCall, messages.JobAnswer)
 
 CONFIG: t.Final = Method("Config", messages.ConfigAsk, messages.ConfigTold)
+INTRODUCE: t.Final = Method("Introduce", messages.Introduction, messages.Empty)
 
 
 class _Fault(t.NamedTuple):
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -192,3 +192,9 @@
     why_not_ready: str
     document: bytes
     entries: list[str]
+
+
+class Introduction(t.NamedTuple):
+    """The peer addresses of entries, for an agent that may know none of them."""
+
+    entries: list[str]
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -69,6 +69,7 @@
                 channels.START: self._start_tasks,
                 channels.STOP: self._stop_tasks,
                 channels.CONFIG: self._tell_config,
+                channels.INTRODUCE: self._hear_introduction,
             },
             threads,
         )
@@ -174,6 +175,10 @@
             if now > deadline and address not in self._own_reporters:
                 self._forget_entry(address, now)
 
+    def _hear_introduction(self, said: messages.Introduction) -> messages.Empty:
+        self._hear_entries(said.entries)
+        return messages.Empty()
+
     def _forget_entry(self, address: str, now: float) -> None:
         """Stop reporting to an entry that no other names and that is silent."""
         with self._lock:
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -14,6 +14,7 @@
     configuring,
     directory,
     fleet,
+    introductions,
     jobs,
     operators,
     owner,
@@ -76,6 +77,10 @@
             cfg["member_ttl_s"],
         )
         self.config = configuring.Configuring(self.names)
+        prefix = cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        self._introductions = introductions.Introductions(
+            self.names, self.fleet, prefix
+        )
         self.keeper = tokens.Keeper(cfg["operator_tokens"])
         self._rereader = tokens.Rereader(path, self.keeper) if path else None
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
@@ -151,6 +156,7 @@
         self._server.start()
         self.names.start()
         self.config.start()
+        self._introductions.start()
         if self._rereader:
             self._rereader.start()
         for shard in self.shards:
@@ -220,6 +226,7 @@
             listener.stop()
         if self._rereader:
             self._rereader.stop()
+        self._introductions.stop()
         self.config.stop()
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
--- a/testing/process/fleets.py
+++ b/testing/process/fleets.py
@@ -115,18 +115,15 @@
     """Samples the revision at each process, and judges the course of it."""
 
     def __init__(self, urls: list[str]) -> None:
-        self._urls = urls
         self._first_seen: dict[str, dict[int, float]] = {}
         self._last: dict[str, int] = {}
         self.falls: list[str] = []
         self._stopping = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._run, args=(url,)) for url in urls
-        ]
+        self._threads: list[threading.Thread] = []
+        for url in urls:
+            self.watch(url)
 
     def __enter__(self) -> "Observer":
-        for thread in self._threads:
-            thread.start()
         return self
 
     def __exit__(self, *_) -> None:
@@ -134,24 +131,38 @@
         for thread in self._threads:
             thread.join()
 
+    def watch(self, url: str) -> None:
+        """Begin to sample an entry, and the agents as it knows them."""
+        thread = threading.Thread(target=self._run, args=(url,))
+        thread.start()
+        self._threads.append(thread)
+
     def _run(self, url: str) -> None:
         while not self._stopping.wait(_SAMPLE_S):
             with contextlib.suppress(OSError, AssertionError, *fixtures.HTTP_ERRORS):
                 for process, revision in revisions(url).items():
-                    self._note(f"{process} by {url}", revision)
+                    self._note(process, url, revision)
 
-    def _note(self, process: str, revision: int) -> None:
-        last = self._last.get(process, 0)
+    def _note(self, process: str, url: str, revision: int) -> None:
+        sampled = f"{process} by {url}"
+        last = self._last.get(sampled, 0)
         if revision < last:
-            self.falls.append(f"{process}: {last} to {revision}")
-        self._last[process] = revision
+            self.falls.append(f"{sampled}: {last} to {revision}")
+        self._last[sampled] = revision
+        process = sampled if process == "entry" else process
         seen = self._first_seen.setdefault(process, {})
         seen.setdefault(revision, time.monotonic())
 
-    def longest_s(self, accepted: dict[int, float]) -> float:
+    def lowest(self) -> int:
+        """Return the lowest of the newest samples."""
+        return min(self._last.values(), default=0)
+
+    def longest_s(self, accepted: dict[int, float], prefix: str = "") -> float:
         """Return the longest time from acceptance to force at a process."""
         longest = 0.0
         for process, seen in self._first_seen.items():
+            if not process.startswith(prefix):
+                continue
             for revision, accepted_at in accepted.items():
                 later = [at for known, at in seen.items() if known >= revision]
                 assert later, f"{process} never had revision {revision}: {seen}"
