--- /dev/null
+++ b/src/bilberrypass/commands/fleet.py
@@ -0,0 +1,86 @@
+"""The commands about entries and hosts."""
+
+import json
+import typing as t
+import urllib.parse
+
+import typer
+
+from bilberrypass.commands import options, output
+
+
+def status(
+    as_json: options.Json = False,
+    operators: options.Operators = options.DEFAULT_OPERATORS,
+    token_file: options.TokenFile = None,
+) -> None:
+    """Show an entry, its peers and the shards that it owns."""
+    value = options.operators(operators, token_file).call("GET", "/status").value
+    if as_json:
+        output.write_json(value)
+        return
+    rows = [(path, json.dumps(v)) for path, v in output.flatten(value).items()]
+    output.write_table(("WHAT", "VALUE"), rows)
+
+
+def hosts(
+    as_json: options.Json = False,
+    operators: options.Operators = options.DEFAULT_OPERATORS,
+    token_file: options.TokenFile = None,
+) -> None:
+    """List the hosts, what they hold and what is committed."""
+    found = options.operators(operators, token_file).call("GET", "/hosts").value
+    if as_json:
+        output.write_json(found)
+        return
+    output.write_table(
+        ("HOST", "DOMAIN", "RACK", "STATE", "CPU", "MEMORY", "ACCEL", "TASKS", "SLOTS"),
+        [_host_row(host) for host in found],
+    )
+
+
+def _host_row(host: dict[str, t.Any]) -> tuple[object, ...]:
+    held, used = host["capacity"], host["committed"]
+    memory = [output.format_bytes(part["memory_bytes"]) for part in (used, held)]
+    slots = sum(e["slots"] for e in host["endpoints"])
+    slots_used = sum(e["in_use"] for e in host["endpoints"])
+    return (
+        host["id"],
+        host["failure_domain"],
+        host["rack"],
+        _host_state(host),
+        f"{used['cpu_milli'] / 1000:g}/{held['cpu_milli'] / 1000:g}",
+        "/".join(memory),
+        f"{used['accelerators']}/{held['accelerators']}",
+        host["tasks"],
+        f"{slots_used}/{slots}",
+    )
+
+
+def _host_state(host: dict[str, t.Any]) -> str:
+    if host["silent"]:
+        return "silent"
+    if host.get("drained") or host.get("drain"):
+        return "drained"
+    return "leaving" if host["leaving"] else "live"
+
+
+def drain(
+    host: t.Annotated[str, typer.Argument(help="Id of the host.")],
+    reason: t.Annotated[str, typer.Option(help="Why, for the other operators.")] = "",
+    undo: t.Annotated[
+        bool, typer.Option("--undo", help="Let the host take work again.")
+    ] = False,
+    as_json: options.Json = False,
+    operators: options.Operators = options.DEFAULT_OPERATORS,
+    token_file: options.TokenFile = None,
+) -> None:
+    """Give a host no new work."""
+    path = f"/hosts/{urllib.parse.quote(host, safe='')}/drain"
+    method = "DELETE" if undo else "POST"
+    entries = options.operators(operators, token_file)
+    answer = entries.call(method, path, {"reason": reason})
+    if as_json:
+        output.write_json(answer.value)
+        return
+    typer.echo(f"host {host} {'takes work again' if undo else 'takes no new work'}")
--- /dev/null
+++ b/src/bilberrypass/commands/jobs.py
@@ -0,0 +1,196 @@
+"""The commands about jobs: ``submit`` and ``job``."""
+
+import collections
+import json
+import pathlib
+import time
+import typing as t
+import urllib.parse
+
+import typer
+
+from bilberrypass.commands import client, options, output
+
+_POLL_S: t.Final = 0.25
+_RETRY_S: t.Final = 15.0
+_ENDED: t.Final = frozenset({"finished", "failed", "cancelled"})
+
+APP: t.Final = typer.Typer(no_args_is_help=True, help="Show, list and cancel jobs.")
+
+_Id = t.Annotated[str, typer.Argument(help="The job's id.")]
+
+
+def _path(id: str, team: str = "", part: str = "") -> str:
+    query = f"?team={urllib.parse.quote(team, safe='')}" if team else ""
+    return f"/jobs/{urllib.parse.quote(id, safe='')}{part}{query}"
+
+
+def submit(
+    id: t.Annotated[str, typer.Argument(help="The job's id; the same on a retry.")],
+    file: t.Annotated[
+        pathlib.Path | None, typer.Option("--file", help="The job's body as JSON.")
+    ] = None,
+    team: options.Team = "",
+    cpu_milli: t.Annotated[
+        int | None, typer.Option(help="Processors of a task, in thousandths.")
+    ] = None,
+    memory_mb: t.Annotated[
+        int | None, typer.Option(help="Memory of a task, in MB of 2**20 bytes.")
+    ] = None,
+    accelerators: t.Annotated[
+        int | None, typer.Option(help="Accelerators of a task.")
+    ] = None,
+    tasks: t.Annotated[int | None, typer.Option(help="Number of tasks.")] = None,
+    payload: t.Annotated[
+        str | None, typer.Option(help="What the worker is given.")
+    ] = None,
+    urgent: t.Annotated[
+        bool, typer.Option("--urgent", help="Place before other work.")
+    ] = False,
+    wait: t.Annotated[
+        bool, typer.Option("--wait", help="Wait until the job has ended.")
+    ] = False,
+    timeout_s: t.Annotated[
+        float, typer.Option(help="Longest wait in seconds with --wait.")
+    ] = 3600.0,
+    as_json: options.Json = False,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+) -> None:
+    """Submit a job; doing so again with the same body changes nothing."""
+    body = client.read_json(file, "--file") if file else {}
+    flags = {"team": team, "tasks": tasks, "payload": payload, "urgent": urgent}
+    body |= {
+        key: value for key, value in flags.items() if value not in (None, "", False)
+    }
+    body |= _demand(body, cpu_milli, memory_mb, accelerators)
+    calls = options.callers(entry)
+    deadline = time.monotonic() + _RETRY_S
+    job = calls.call_until("PUT", _path(id), body, deadline).value
+    if wait:
+        job = _wait(calls, job, time.monotonic() + timeout_s)
+    _write_job(job, as_json)
+    if wait:
+        _exit_by(job)
+
+
+def _demand(
+    body: dict[str, t.Any],
+    cpu_milli: int | None,
+    memory_mb: int | None,
+    accelerators: int | None,
+) -> dict[str, t.Any]:
+    named = {
+        "cpu_milli": cpu_milli,
+        "memory_bytes": None if memory_mb is None else memory_mb << 20,
+        "accelerators": accelerators,
+    }
+    given = {key: value for key, value in named.items() if value is not None}
+    return {"demand": body.get("demand", {}) | given} if given else {}
+
+
+def _wait(
+    calls: client.Client, job: dict[str, t.Any], deadline: float
+) -> dict[str, t.Any]:
+    path = _path(job["id"], job["team"])
+    shown = ""
+    while True:
+        line = _progress(job)
+        if line != shown:
+            output.write_progress(line)
+            shown = line
+        if job["state"] in _ENDED or time.monotonic() >= deadline:
+            output.end_progress()
+            return job
+        time.sleep(_POLL_S)
+        job = calls.call_until("GET", path, None, deadline).value
+
+
+def _progress(job: dict[str, t.Any]) -> str:
+    counts = collections.Counter(task["state"] for task in job["tasks"])
+    parts = [f"{count} {state}" for state, count in sorted(counts.items())]
+    return f"job {job['id']}: {job['state']} ({', '.join(parts)})"
+
+
+def _exit_by(job: dict[str, t.Any]) -> None:
+    if job["state"] not in _ENDED:
+        raise typer.Exit(client.Exit.STILL_WAITING)
+    if job["state"] != "finished":
+        raise typer.Exit(client.Exit.JOB_FAILED)
+
+
+def _write_job(job: dict[str, t.Any], as_json: bool) -> None:
+    if as_json:
+        output.write_json(job)
+        return
+    submitted = output.format_time(job["submitted_at"])
+    typer.echo(f"job {job['id']} of {job['team']}: {job['state']}, since {submitted}")
+    rows = [
+        (n, task["state"], task["attempt"], task["host"], task["detail"])
+        for n, task in enumerate(job["tasks"])
+    ]
+    output.write_table(("TASK", "STATE", "ATTEMPT", "HOST", "DETAIL"), rows)
+
+
+@APP.command()
+def show(
+    id: _Id,
+    team: options.Team = "",
+    as_json: options.Json = False,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+) -> None:
+    """Show one job and its tasks."""
+    _write_job(options.callers(entry).call("GET", _path(id, team)).value, as_json)
+
+
+@APP.command(name="list")
+def list_jobs(
+    team: options.Team = "",
+    as_json: options.Json = False,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+) -> None:
+    """List a team's jobs, or all."""
+    query = f"?team={urllib.parse.quote(team, safe='')}" if team else ""
+    jobs = options.callers(entry).call("GET", f"/jobs{query}").value
+    if as_json:
+        output.write_json(jobs)
+        return
+    rows = [
+        (
+            job["id"],
+            job["team"],
+            job["state"],
+            sum(task["state"] in _ENDED for task in job["tasks"]),
+            len(job["tasks"]),
+            output.format_time(job["submitted_at"]),
+        )
+        for job in jobs
+    ]
+    columns = ("JOB", "TEAM", "STATE", "ENDED", "TASKS", "SUBMITTED")
+    output.write_table(columns, rows)
+
+
+@APP.command()
+def cancel(
+    id: _Id,
+    team: options.Team = "",
+    as_json: options.Json = False,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+) -> None:
+    """Cancel a job; its tasks are stopped."""
+    _write_job(options.callers(entry).call("DELETE", _path(id, team)).value, as_json)
+
+
+@APP.command()
+def explain(
+    id: _Id,
+    team: options.Team = "",
+    as_json: options.Json = False,
+    entry: options.Entry = options.DEFAULT_ENTRY,
+) -> None:
+    """Tell why a job is where it is, or why it waits."""
+    answer = options.callers(entry).call("GET", _path(id, team, "/explain"))
+    if as_json:
+        output.write_json(answer.value)
+        return
+    rows = [(path, json.dumps(v)) for path, v in output.flatten(answer.value).items()]
+    output.write_table(("WHAT", "VALUE"), rows)
--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -188,6 +188,11 @@
         Calls served at once.
     queued : int
         Calls that may wait for a thread; more are refused at once.
+
+    Raises
+    ------
+    errors.Error
+        INVALID_SETTINGS if the address cannot be listened on.
     """
 
     def __init__(
@@ -205,7 +210,14 @@
         generic = grpc.method_handlers_generic_handler(_SERVICE, handlers)
         self._server.add_generic_rpc_handlers((generic,))
         host = address.rpartition(":")[0]
-        self.address = f"{host}:{self._server.add_insecure_port(address)}"
+        try:
+            port = self._server.add_insecure_port(address)
+        except RuntimeError:
+            raise errors.Error(
+                errors.Kind.INVALID_SETTINGS,
+                f"cannot listen on {address}; free it or name another",
+            ) from None
+        self.address = f"{host}:{port}"
 
     def start(self) -> None:
         """Begin to serve."""
--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -6,6 +6,7 @@
 import cheroot.wsgi
 import cherrypy
 
+from bilberrypass import errors
 from bilberrypass.version import settings
 
 _SHUTDOWN_S: t.Final = 5
@@ -26,6 +27,11 @@
         Requests served at once.
     max_body_bytes : int
         Larger bodies are refused.
+
+    Raises
+    ------
+    errors.Error
+        INVALID_SETTINGS if the address cannot be listened on.
     """
 
     def __init__(
@@ -39,9 +45,15 @@
             shutdown_timeout=_SHUTDOWN_S,
         )
         self._server.max_request_header_size = 64 << 10
-        self._server.prepare()
+        try:
+            self._server.prepare()
+        except OSError as exc:
+            raise errors.Error(
+                errors.Kind.INVALID_SETTINGS,
+                f"cannot listen on {address} ({exc}); free it or name another",
+            ) from None
         host, port = self._server.bind_addr[:2]
-        self.address = f"{host}:{port}"
+        self.address = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
     def start(self) -> None:
--- a/src/bilberrypass/daemon.py
+++ b/src/bilberrypass/daemon.py
@@ -1,10 +1,12 @@
 """The daemon ``bilberrypassd``."""
 
 import argparse
+import os
 import pathlib
 import signal
 import sys
 import threading
+import traceback
 import typing as t
 
 import msgspec
@@ -12,7 +14,10 @@
 from bilberrypass import __version__, errors
 from bilberrypass.version import settings
 
+_EXIT_FAILED: t.Final = 1
 _EXIT_INVALID: t.Final = 2
+_STOP_SIGNALS: t.Final = frozenset({signal.SIGTERM, signal.SIGINT})
+_START_GRACE_S: t.Final = 1.0
 
 
 class Program(t.Protocol):
@@ -41,27 +46,77 @@
     ):
         sub = roles.add_parser(role, help=text)
         sub.add_argument("--settings", type=pathlib.Path, required=role != "local")
+        if role == "check":
+            sub.add_argument("--role", dest="of", choices=("entry", "agent"))
     return parser
 
 
-def _run(role: str, id: str, program: Program) -> int:
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
-    program.start()
-    ready = {"ready": True, "role": role, "id": id, "addresses": program.addresses}
-    print(msgspec.json.encode(ready).decode(), flush=True)
-    stopping.wait()
+@t.final
+class _Start:
+    """The start of a program, aside, since a stop may have to overtake it.
+
+    Parameters
+    ----------
+    program : Program
+        What to start.
+    ready : dict
+        Printed as one line of JSON once the program serves.
+    """
+
+    def __init__(self, program: Program, ready: dict[str, t.Any]) -> None:
+        self._program = program
+        self._ready = ready
+        self.exc: BaseException | None = None
+        self.thread = threading.Thread(target=self._run, name="start", daemon=True)
+
+    def _run(self) -> None:
+        try:
+            self._program.start()
+            ready = self._ready | {"addresses": self._program.addresses}
+            print(msgspec.json.encode(ready).decode(), flush=True)
+        except BaseException as exc:
+            self.exc = exc
+            signal.pthread_kill(threading.main_thread().ident or 0, signal.SIGTERM)
+
+
+def _run(role: str, id: str, make: t.Callable[[], Program]) -> int:
+    # Blocked in every thread: a second signal stays pending and cuts nothing.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    try:
+        program = make()
+    except Exception as exc:
+        _abandon(exc)
+    start = _Start(program, {"ready": True, "role": role, "id": id})
+    start.thread.start()
+    signal.sigwait(_STOP_SIGNALS)
+    start.thread.join(_START_GRACE_S)
+    if start.exc is not None or start.thread.is_alive():
+        _abandon(start.exc)
     program.stop()
     return 0
 
 
+def _abandon(exc: BaseException | None) -> t.NoReturn:
+    """End a process that serves nothing yet.
+
+    The threads of an HTTP server that was made but never started cannot be ended
+    in another way.
+    """
+    if isinstance(exc, errors.Error):
+        print(f"bilberrypassd: {exc}", file=sys.stderr)
+    elif exc is not None:
+        traceback.print_exception(exc)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0 if exc is None else _EXIT_FAILED)
+
+
 def _run_entry(value: object) -> int:
     from bilberrypass.process import entry, logs
 
     cfg = settings.check_entry(value)
     logs.install(cfg["logs"])
-    return _run("entry", cfg["id"], entry.Entry(cfg))
+    return _run("entry", cfg["id"], lambda: entry.Entry(cfg))
 
 
 def _run_agent(value: object) -> int:
@@ -69,32 +124,27 @@
 
     cfg = settings.check_agent(value)
     logs.install(cfg["logs"])
-    return _run("agent", cfg["id"], agent.Agent(cfg))
+    return _run("agent", cfg["id"], lambda: agent.Agent(cfg))
 
 
 def _run_local(value: object) -> int:
     from bilberrypass.process import local, logs
 
-    given = value if isinstance(value, dict) else {}
-    cfg = settings.check_entry(local.DEFAULTS | given)
+    given = local.DEFAULTS | value if isinstance(value, dict) else value
+    cfg = settings.check_entry(given, is_local=True)
     logs.install(cfg["logs"])
-    return _run("local", cfg["id"], local.Local(cfg))
+    return _run("local", cfg["id"], lambda: local.Local(cfg))
 
 
-def _check(value: object) -> int:
-    looks_like_agent = isinstance(value, dict) and "announcements" in value
-    role = "agent" if looks_like_agent else "entry"
-    (settings.check_agent if looks_like_agent else settings.check_entry)(value)
+def _check(value: object, role: str | None) -> int:
+    role = role or settings.find_role(value)
+    check = settings.check_entry if role == "entry" else settings.check_agent
+    check(value)
     print(f"valid settings of an {role}")
     return 0
 
 
-_ROLES: t.Final = {
-    "entry": _run_entry,
-    "agent": _run_agent,
-    "local": _run_local,
-    "check": _check,
-}
+_ROLES: t.Final = {"entry": _run_entry, "agent": _run_agent, "local": _run_local}
 
 
 def main() -> int:
@@ -102,6 +152,8 @@
     args = _parser().parse_args()
     try:
         value = settings.read(args.settings) if args.settings else {}
+        if args.role == "check":
+            return _check(value, args.of)
         return _ROLES[args.role](value)
     except errors.Faulty as exc:
         for fault in exc.faults:
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -18,7 +18,6 @@
 _SPARE_THREADS: t.Final = 16
 _OPERATOR_THREADS: t.Final = 4
 _PEER_THREADS: t.Final = 16
-_DEFAULT_PREFIX: t.Final = "/bilberrypass/"
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _PEER_GRACE_S: t.Final = 5.0
@@ -49,7 +48,7 @@
         )
         self.names = directory.Directory(
             self._kv,
-            cfg["store"].get("prefix", _DEFAULT_PREFIX),
+            cfg["store"]["prefix"],
             directory.Member(cfg["id"], self._server.address),
             cfg["member_ttl_s"],
         )
@@ -65,7 +64,7 @@
             self.fleet,
             placement.FirstFit(),
             self._cfg["task_lease_s"],
-            self._cfg["store"].get("prefix", _DEFAULT_PREFIX),
+            self._cfg["store"]["prefix"],
         )
 
     def _listen_callers(self) -> serving.Listener:
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -15,20 +15,41 @@
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
 
-def _check_address(value: str) -> str:
+def check_address(value: str) -> str:
+    """Return an IP number and port, or raise ValueError with the remedy."""
     host, _, port = value.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        number = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
         raise ValueError(
             f"{value!r} is no IP number and port; write it like 127.0.0.1:8080"
         ) from None
-    if not port.isdigit() or int(port) > 65535:
+    if (number.version == 6) != host.startswith("["):
+        raise ValueError(f"{value!r} is ambiguous; write IPv6 like [::1]:8080")
+    if not (port.isascii() and port.isdigit()) or int(port) > 65535:
         raise ValueError(f"{value!r} has no port from 0 to 65535; add one")
     return value
 
 
-Address = t.Annotated[str, pydantic.AfterValidator(_check_address)]
+def _check_remote(value: str) -> str:
+    check_address(value)
+    if split_address(value)[1] == 0:
+        raise ValueError(f"{value!r} has port 0; name the port that is listened on")
+    return value
+
+
+def _check_announced(value: str) -> str:
+    check_address(value)
+    if ipaddress.ip_address(split_address(value)[0]).is_unspecified:
+        raise ValueError(
+            f"{value!r} is told to other processes; write this host's own IP number"
+        )
+    return value
+
+
+Address = t.Annotated[str, pydantic.AfterValidator(check_address)]
+RemoteAddress = t.Annotated[str, pydantic.AfterValidator(_check_remote)]
+AnnouncedAddress = t.Annotated[str, pydantic.AfterValidator(_check_announced)]
 Name = t.Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Count = t.Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
@@ -51,7 +72,9 @@
 
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
-    statsd: t.Annotated[Address, "address of a statsd server; left out: no metrics"]
+    statsd: t.Annotated[
+        RemoteAddress, "address of a statsd server; left out: no metrics"
+    ]
     prefix: t.Annotated[Name, "first part of each metric's name"]
 
 
@@ -73,7 +96,7 @@
     kind: te.Required[
         t.Annotated[t.Literal["etcd", "memory"], "the adapter; memory is for local"]
     ]
-    addresses: t.Annotated[list[Address], "addresses of the store's HTTP gateway"]
+    addresses: t.Annotated[list[RemoteAddress], "addresses of the store's HTTP gateway"]
     prefix: t.Annotated[str, "first part of each key"]
 
 
@@ -83,7 +106,7 @@
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
     kind: te.Required[t.Annotated[t.Literal["http"], "the adapter"]]
-    address: te.Required[t.Annotated[Address, "address of the worker"]]
+    address: te.Required[t.Annotated[RemoteAddress, "address of the worker"]]
 
 
 class OperatorToken(te.TypedDict):
@@ -107,7 +130,9 @@
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     callers: te.Required[t.Annotated[Address, "address for callers, HTTP"]]
     operators: te.Required[t.Annotated[Address, "address for operators, HTTP"]]
-    peers: te.Required[t.Annotated[Address, "address for agents and entries, gRPC"]]
+    peers: te.Required[
+        t.Annotated[AnnouncedAddress, "address for agents and entries, gRPC"]
+    ]
     store: te.Required[Store]
     operator_tokens: t.Annotated[list[OperatorToken], "tokens of the operators"]
     max_body_bytes: t.Annotated[Bytes, "largest body of a request or an answer"]
@@ -132,11 +157,11 @@
     region: t.Annotated[Name, "region that it stands in"]
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     rack: t.Annotated[Name, "rack that it stands in"]
-    peers: te.Required[t.Annotated[Address, "address for entries, gRPC"]]
+    peers: te.Required[t.Annotated[AnnouncedAddress, "address for entries, gRPC"]]
     announcements: te.Required[t.Annotated[Address, "address for endpoints, HTTP"]]
     entries: te.Required[
         t.Annotated[
-            list[Address],
+            list[RemoteAddress],
             pydantic.Field(min_length=1),
             "peer addresses of entries to begin with",
         ]
@@ -156,6 +181,7 @@
     Entry,
     {
         "region": "default",
+        "store": {"prefix": "/bilberrypass/"},
         "operator_tokens": [],
         "max_body_bytes": 4 << 20,
         "max_requests": 128,
@@ -200,15 +226,31 @@
 
 
 def describe_fault(fault: abc.Mapping[str, t.Any], known: abc.Iterable[str]) -> str:
-    """Write one fault of a pydantic check with its path and a remedy."""
+    """Write one fault of a pydantic check with its path and a remedy.
+
+    Parameters
+    ----------
+    fault : mapping
+        As in ``pydantic.ValidationError.errors()``.
+    known : iterable of str
+        The keys that may stand where the fault is.
+    """
     path = format_path(fault["loc"])
+    if fault["type"] == "missing":
+        return f"{path}: is missing; add it"
     if fault["type"] != "extra_forbidden":
         return f"{path}: {fault['msg'].removeprefix('Value error, ')}"
-    near = difflib.get_close_matches(str(fault["loc"][-1]), list(known), 1, 0.6)
-    hint = f"did you mean {near[0]!r}?" if near else "remove it"
+    near = _nearest(str(fault["loc"][-1]), list(known))
+    hint = f"did you mean {near!r}?" if near else "remove it"
     return f"{path}: unknown key; {hint}"
 
 
+def _nearest(key: str, known: list[str]) -> str:
+    with_unit = [name for name in known if name.startswith(f"{key}_")]
+    near = with_unit or difflib.get_close_matches(key, known, 1, 0.6)
+    return near[0] if near else ""
+
+
 def check(
     adapter: pydantic.TypeAdapter[t.Any], value: object, kind: errors.Kind
 ) -> t.Any:
@@ -222,40 +264,128 @@
     try:
         return adapter.validate_python(value)
     except pydantic.ValidationError as exc:
-        known = _known_keys(adapter)
-        faults = [describe_fault(fault, known) for fault in exc.errors()]
+        faults = _describe_faults(adapter, exc)
         raise errors.Faulty(kind, faults) from None
 
 
-def _known_keys(adapter: pydantic.TypeAdapter[t.Any]) -> set[str]:
+def _describe_faults(
+    adapter: pydantic.TypeAdapter[t.Any], exc: pydantic.ValidationError
+) -> list[str]:
     schema = adapter.json_schema()
-    parts = [schema, *schema.get("$defs", {}).values()]
-    return {key for part in parts for key in part.get("properties", {})}
+    return [
+        describe_fault(fault, _known_keys(schema, fault["loc"][:-1]))
+        for fault in exc.errors()
+    ]
+
+
+def _known_keys(schema: t.Any, loc: abc.Sequence[int | str]) -> list[str]:
+    """Return the keys that a JSON schema allows at a place."""
+    place = schema
+    for part in (*loc, None):
+        if "$ref" in place:
+            place = schema["$defs"][place["$ref"].rpartition("/")[2]]
+        if part is None:
+            break
+        inner = place.get("properties", {}).get(part)
+        place = place.get("items", {}) if isinstance(part, int) else inner or {}
+    return list(place.get("properties", {}))
 
 
 def _with_defaults(value: t.Any, defaults: abc.Mapping[str, t.Any]) -> t.Any:
     merged = dict(defaults) | dict(value)
-    for part in ("logs", "metrics", "traces"):
-        merged[part] = defaults[part] | value.get(part, {})
+    for part, default in defaults.items():
+        if isinstance(default, dict):
+            merged[part] = default | value.get(part, {})
     return merged
 
 
-def check_entry(value: object) -> Entry:
-    """Check an entry's settings and fill in the defaults."""
-    checked = check(_ENTRY, value, errors.Kind.INVALID_SETTINGS)
-    if checked["store"]["kind"] == "etcd" and not checked["store"].get("addresses"):
-        raise errors.Faulty(
-            errors.Kind.INVALID_SETTINGS,
-            ["store.addresses: is empty; name the addresses of the store's gateway"],
-        )
-    return _with_defaults(checked, ENTRY_DEFAULTS)
+def check_entry(value: object, *, is_local: bool = False) -> Entry:
+    """Check an entry's settings and fill in the defaults.
+
+    Parameters
+    ----------
+    value : object
+        Settings as read from JSON.
+    is_local : bool, optional
+        Whether the store may be the one in memory.
+
+    Raises
+    ------
+    errors.Faulty
+        INVALID_SETTINGS, with every fault by its JSON path.
+    """
+    faults = _clashes(value) + _store_faults(value, is_local)
+    return _with_defaults(_check_whole(_ENTRY, value, faults), ENTRY_DEFAULTS)
 
 
 def check_agent(value: object) -> Agent:
     """Check an agent's settings and fill in the defaults."""
-    return _with_defaults(
-        check(_AGENT, value, errors.Kind.INVALID_SETTINGS), AGENT_DEFAULTS
-    )
+    faults = _clashes(value)
+    return _with_defaults(_check_whole(_AGENT, value, faults), AGENT_DEFAULTS)
+
+
+def _check_whole(
+    adapter: pydantic.TypeAdapter[t.Any], value: object, more: list[str]
+) -> t.Any:
+    """Check a value, and report faults between its keys along with those in them."""
+    kind = errors.Kind.INVALID_SETTINGS
+    try:
+        checked = check(adapter, value, kind)
+    except errors.Faulty as exc:
+        raise errors.Faulty(kind, exc.faults + more) from None
+    if more:
+        raise errors.Faulty(kind, more)
+    return checked
+
+
+def _clashes(value: object) -> list[str]:
+    if not isinstance(value, dict):
+        return []
+    faults = []
+    taken: dict[object, str] = {}
+    for key in ("callers", "operators", "peers", "announcements"):
+        address = value.get(key)
+        if not isinstance(address, str) or address.endswith(":0"):
+            continue
+        if address in taken:
+            faults.append(f"{key}: is the same as {taken[address]}; use another port")
+        taken.setdefault(address, key)
+    return faults
+
+
+def _store_faults(value: object, is_local: bool) -> list[str]:
+    store = value.get("store") if isinstance(value, dict) else None
+    if not isinstance(store, dict):
+        return []
+    if store.get("kind") == "etcd" and store.get("addresses", []) == []:
+        return ["store.addresses: is empty; name the addresses of the store's gateway"]
+    if store.get("kind") == "memory" and not is_local:
+        return ["store.kind: 'memory' is for `bilberrypassd local`; write 'etcd'"]
+    return []
+
+
+def find_role(value: object) -> t.Literal["entry", "agent"]:
+    """Tell whose settings these are, by the keys that only one role has.
+
+    Raises
+    ------
+    errors.Faulty
+        INVALID_SETTINGS if the value is no object, or has keys of neither or of both.
+    """
+    if not isinstance(value, dict):
+        raise errors.Faulty(
+            errors.Kind.INVALID_SETTINGS,
+            ["(whole): is no JSON object; write the settings as {...}"],
+        )
+    entry_keys, agent_keys = set(Entry.__annotations__), set(Agent.__annotations__)
+    as_entry = len(value.keys() & (entry_keys - agent_keys))
+    as_agent = len(value.keys() & (agent_keys - entry_keys))
+    if as_entry == as_agent:
+        raise errors.Faulty(
+            errors.Kind.INVALID_SETTINGS,
+            ["(whole): neither an entry's nor an agent's; tell which with --role"],
+        )
+    return "entry" if as_entry > as_agent else "agent"
 
 
 def read(path: pathlib.Path) -> object:
@@ -267,14 +397,31 @@
         INVALID_SETTINGS if the file is missing or is not JSON.
     """
     try:
-        return json.loads(path.read_text())
+        return json.loads(
+            path.read_text(),
+            object_pairs_hook=_unique,
+            parse_constant=_refuse_constant,
+        )
     except OSError as exc:
         fault = f"{path}: cannot be read ({exc.strerror}); name an existing file"
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         fault = f"{path}: is not JSON ({exc}); correct it there"
     raise errors.Faulty(errors.Kind.INVALID_SETTINGS, [fault])
 
 
+def _unique(pairs: list[tuple[str, t.Any]]) -> dict[str, t.Any]:
+    found: dict[str, t.Any] = {}
+    for key, value in pairs:
+        if key in found:
+            raise ValueError(f"key {key!r} stands twice")
+        found[key] = value
+    return found
+
+
+def _refuse_constant(text: str) -> t.NoReturn:
+    raise ValueError(f"{text} is no number of JSON")
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port`` into its parts."""
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/testing/commands/test_tool.py
@@ -0,0 +1,143 @@
+"""The tool as a process, against ``bilberrypassd local``."""
+
+import contextlib
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing as t
+
+from testing import collecting, fixtures, system
+
+_TIMEOUT_S = 30
+
+
+class _Done(t.NamedTuple):
+    code: int
+    out: str
+    err: str
+
+
+@contextlib.contextmanager
+def _local():
+    cfg = {"callers": system.address(), "operators": system.address()}
+    with system.daemon("local", cfg) as proc:
+        yield proc
+
+
+def _run(proc, *args, **environment):
+    addresses = proc.addresses if proc else {"callers": "127.0.0.1:1"}
+    done = subprocess.run(
+        [sys.executable, "-m", "bilberrypass.tool", *args],
+        env={
+            "BILBERRYPASS_ENTRY": addresses["callers"],
+            "BILBERRYPASS_OPERATORS": addresses.get("operators", "127.0.0.1:1"),
+            **environment,
+        },
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_S,
+    )
+    return _Done(done.returncode, done.stdout, done.stderr)
+
+
+_JOB = ("--team", "plans", "--cpu-milli", "100", "--memory-mb", "1")
+
+
+def test_submit_wait_shows_progress_and_ends_with_the_job():
+    with _local() as proc:
+        done = _run(
+            proc, "submit", "j1", *_JOB, "--payload", '{"run_s": 0.3}', "--wait"
+        )
+        assert done.code == 0, done
+        assert "job j1 of plans: finished" in done.out
+        assert "job j1: finished (1 finished)" in done.err
+        again = _run(
+            proc, "submit", "j1", *_JOB, "--payload", '{"run_s": 0.3}', "--json"
+        )
+        assert json.loads(again.out)["state"] == "finished", again
+        listed = _run(proc, "job", "list", "--team", "plans")
+        lines = listed.out.splitlines()
+        assert [line.index("plans") for line in lines[1:]] == [lines[0].index("TEAM")]
+
+
+def test_cancelled_job_and_passed_wait_have_their_exit_codes():
+    with _local() as proc:
+        long = ("submit", "j2", *_JOB, "--payload", '{"run_s": 60}')
+        waited = _run(proc, *long, "--wait", "--timeout-s", "0.1")
+        assert waited.code == 6, waited
+        assert _run(proc, "job", "cancel", "j2").code == 0
+        ended = _run(proc, *long, "--wait", "--timeout-s", "10")
+        assert ended.code == 4, ended
+        assert "cancelled" in ended.out
+
+
+def test_refusals_name_their_code_in_one_line():
+    with _local() as proc:
+        missing = _run(proc, "job", "show", "none")
+        assert missing.code == 1
+        assert missing.err.count("\n") == 1
+        assert missing.err.startswith("bilberrypass: NOT_FOUND: there is no job none")
+        bad = _run(proc, "submit", "j3", "--team", "plans", "--json")
+        assert bad.code == 1
+        said = json.loads(bad.err)
+        assert (said["code"], said["ran"]) == ("BAD_BODY", "no")
+        assert said["faults"] == ["demand: is missing; add it"], said
+
+
+def test_absent_entry_is_told_in_one_line():
+    done = _run(None, "job", "list")
+    assert done.code == 3
+    assert done.err.count("\n") == 1
+    assert done.err.startswith("bilberrypass: PEER_UNREACHABLE: no entry answers at")
+    assert "--entry" in done.err
+
+
+def test_wrong_addresses_and_files_are_usage_errors():
+    named = _run(None, "job", "list", "--entry", "localhost:80")
+    assert named.code == 2
+    assert "--entry: 'localhost:80' is no IP number" in named.err
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "job.json"
+        path.write_text("{")
+        done = _run(None, "submit", "j", "--file", str(path))
+    assert done.code == 2
+    assert "is no JSON" in done.err
+
+
+def test_hosts_and_status_speak_to_people_and_programs():
+    with _local() as proc:
+        fixtures.wait_until(
+            lambda: "echo" in _run(proc, "hosts", "--json").out, 10, "host with echo"
+        )
+        table = _run(proc, "hosts").out.splitlines()
+        assert table[0].split()[:2] == ["HOST", "DOMAIN"]
+        assert table[1].startswith("local-host")
+        status = _run(proc, "status", "--json")
+        assert json.loads(status.out)["entry"] == "local", status
+
+
+def test_token_is_made_with_its_settings_line():
+    made = json.loads(_run(None, "token", "ann", "--role", "write", "--json").out)
+    assert made["settings"]["name"] == "ann"
+    assert made["settings"]["role"] == "write"
+    assert made["token"] not in json.dumps(made["settings"])
+    other = json.loads(_run(None, "token", "ann", "--json").out)
+    assert other["token"] != made["token"]
+
+
+def test_daemon_loads_no_command_line_library():
+    probe = (
+        "import sys; from bilberrypass import daemon; "
+        "from bilberrypass.process import agent; "
+        "print([m for m in ('typer', 'click', 'rich') if m in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", probe], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]", done.stdout
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/version/test_settings.py
@@ -0,0 +1,188 @@
+"""The check of settings: every fault at once, each with its path and remedy."""
+
+import contextlib
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from bilberrypass import errors
+from bilberrypass.version import settings
+from testing import collecting, fixtures
+
+_ENTRY = {
+    "id": "e1",
+    "failure_domain": "fd1",
+    "callers": "127.0.0.1:8080",
+    "operators": "127.0.0.1:8081",
+    "peers": "127.0.0.1:8082",
+    "store": {"kind": "etcd", "addresses": ["127.0.0.1:2379"]},
+}
+_AGENT = {
+    "id": "h1",
+    "failure_domain": "fd1",
+    "peers": "127.0.0.1:8083",
+    "announcements": "127.0.0.1:8084",
+    "entries": ["127.0.0.1:8082"],
+}
+
+
+def _faults(check, value, **options):
+    try:
+        check(value, **options)
+    except errors.Faulty as exc:
+        assert exc.kind is errors.Kind.INVALID_SETTINGS
+        return sorted(exc.faults)
+    return []
+
+
+def _with(base, **changes):
+    return base | changes
+
+
+def test_valid_settings_get_their_defaults():
+    cfg = settings.check_entry(_with(_ENTRY, logs={"level": "debug"}))
+    assert cfg["max_body_bytes"] == settings.ENTRY_DEFAULTS["max_body_bytes"]
+    assert cfg["logs"] == {"level": "debug", "json_lines": False}
+    assert settings.check_agent(_AGENT)["silence_s"] == 3.0
+
+
+def test_all_faults_are_told_at_once():
+    found = _faults(
+        settings.check_entry,
+        _with(
+            _ENTRY,
+            callers="entry-1:8080",
+            shards="8",
+            silence=3,
+            logs={"levle": "info"},
+            store={"kind": "etcd"},
+        ),
+    )
+    assert [fault.partition(":")[0] for fault in found] == [
+        "callers",
+        "logs.levle",
+        "shards",
+        "silence",
+        "store.addresses",
+    ]
+
+
+def test_unknown_keys_are_told_the_nearest_of_their_place():
+    for changes, fault in (
+        (
+            {"report_interval": 1.0},
+            "report_interval: unknown key; did you mean 'report_interval_s'?",
+        ),
+        ({"enries": []}, "enries: unknown key; did you mean 'entries'?"),
+        ({"xyzzy": 1}, "xyzzy: unknown key; remove it"),
+        (
+            {"metrics": {"statd": "127.0.0.1:1"}},
+            "metrics.statd: unknown key; did you mean 'statsd'?",
+        ),
+        ({"logs": {"entries": 1}}, "logs.entries: unknown key; remove it"),
+    ):
+        assert _faults(settings.check_agent, _with(_AGENT, **changes)) == [fault]
+
+
+def test_addresses_are_ip_numbers_with_ports():
+    for address in (
+        "localhost:80",
+        "127.0.0.1",
+        "127.0.0.1:",
+        ":80",
+        "127.0.0.1:99999",
+    ):
+        (fault,) = _faults(settings.check_entry, _with(_ENTRY, callers=address))
+        assert fault.startswith(f"callers: {address!r}"), fault
+    for address in ("::1:80", "[127.0.0.1]:80", "127.0.0.1:٣", "1.2.3.4:-1"):
+        assert _faults(settings.check_entry, _with(_ENTRY, callers=address)), address
+    for address in ("0.0.0.0:80", "[::1]:80", "127.0.0.1:0"):
+        assert not _faults(settings.check_entry, _with(_ENTRY, callers=address))
+
+
+def test_addresses_told_to_others_and_reached_are_usable():
+    (fault,) = _faults(settings.check_entry, _with(_ENTRY, peers="0.0.0.0:8082"))
+    assert fault.startswith("peers: ") and "own IP number" in fault
+    (fault,) = _faults(settings.check_agent, _with(_AGENT, entries=["127.0.0.1:0"]))
+    assert fault.startswith("entries[0]: ")
+    (fault,) = _faults(settings.check_agent, _with(_AGENT, entries=[]))
+    assert fault.startswith("entries: ")
+
+
+def test_clashes_between_keys_are_faults():
+    (fault,) = _faults(settings.check_entry, _with(_ENTRY, operators="127.0.0.1:8080"))
+    assert fault == "operators: is the same as callers; use another port"
+    memory = _with(_ENTRY, store={"kind": "memory"})
+    assert _faults(settings.check_entry, memory) == [
+        "store.kind: 'memory' is for `bilberrypassd local`; write 'etcd'"
+    ]
+    assert not _faults(settings.check_entry, memory, is_local=True)
+
+
+def test_anything_but_an_object_is_told():
+    for value in (None, [], 3, "x"):
+        assert _faults(settings.check_entry, value)
+        assert _faults(settings.check_agent, value)
+        assert _faults(settings.find_role, value)
+
+
+def test_role_is_found_also_with_keys_missing():
+    for key in _AGENT:
+        part = {k: v for k, v in _AGENT.items() if k != key}
+        assert settings.find_role(part) == "agent", key
+    for key in _ENTRY:
+        part = {k: v for k, v in _ENTRY.items() if k != key}
+        assert settings.find_role(part) == "entry", key
+    (fault,) = _faults(settings.find_role, {"id": "x"})
+    assert "--role" in fault
+
+
+def test_files_that_are_no_json_are_told():
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "settings.json"
+        (fault,) = _faults(settings.read, path)
+        assert "name an existing file" in fault
+        for text in ("", "{", '{"a": 1, "a": 2}', '{"a": NaN}', "[" * 100_000):
+            path.write_text(text)
+            (fault,) = _faults(settings.read, path)
+            assert "is not JSON" in fault, fault
+        path.write_bytes(b"\xff\xfe")
+        assert _faults(settings.read, path)
+
+
+@contextlib.contextmanager
+def _checked(value, *args):
+    with fixtures.settings_file(value) as path:
+        yield subprocess.run(
+            [sys.executable, "-m", "bilberrypass.daemon", *args, "--settings", path],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+
+def test_check_exits_by_its_verdict():
+    with _checked(_AGENT, "check") as done:
+        assert (done.returncode, done.stdout) == (0, "valid settings of an agent\n")
+    with _checked(_with(_ENTRY, shards=0, nonsense=1), "check") as done:
+        assert done.returncode == 2
+        lines = done.stderr.splitlines()
+        assert len(lines) == 2, lines
+        assert all(
+            line.startswith("bilberrypassd: INVALID_SETTINGS: ") for line in lines
+        )
+    with _checked({"id": "x"}, "check", "--role", "agent") as done:
+        assert done.returncode == 2
+        assert "entries: is missing; add it" in done.stderr
+
+
+def test_nothing_starts_with_faulty_settings():
+    for role in ("entry", "agent", "local"):
+        with _checked([json.dumps(_ENTRY)], role) as done:
+            assert done.returncode == 2, done
+            assert done.stdout == ""
+
+
+load_tests = collecting.hook(__name__)
