Measure and trace the way of requests and jobs, and hold the house style by tests

Cause: nothing told how long a hop took or where a job was; logs had a prefix by habit only; a trailing line break passed the checks of ids (fullmatch now). Metrics go over statsd, spans over opentelemetry; neither library is loaded while its setting is off (testing/process/test_metrics.py holds that). Ruled out: an own metrics format, and spans kept per job in the store.

--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -12,6 +12,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
+from bilberrypass.process import metrics
 
 _log = logbook.Logger("channels")
 
@@ -156,6 +157,7 @@
         try:
             return serve(req)
         except errors.Error as exc:
+            metrics.count(metrics.Name.REFUSALS, exc.kind)
             fault = _Fault(exc.kind, exc.detail, exc.ran, exc.retry_after_s)
         except Exception:
             _log.exception("channels: {} failed", method.name)
--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -10,6 +10,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
+from bilberrypass.process import traces
 
 _CONNECT_S: t.Final = 1.0
 _CHUNK_BYTES: t.Final = 64 << 10
@@ -156,7 +157,8 @@
         """
         self.slots.take(deadline)
         try:
-            return self._exchange(req, deadline)
+            with traces.span("endpoint", req.traceparent, endpoint=self.id) as parent:
+                return self._exchange(req._replace(traceparent=parent), deadline)
         finally:
             self.slots.release()
 
@@ -172,7 +174,7 @@
                 req.method,
                 req.target,
                 body=req.body or None,
-                headers=urllib3.HTTPHeaderDict(req.headers),
+                headers=_traced(req),
                 timeout=timeout,
                 redirect=False,
                 preload_content=False,
@@ -219,3 +221,10 @@
     def close(self) -> None:
         """Close idle connections."""
         self._pool.close()
+
+
+def _traced(req: messages.Forward) -> urllib3.HTTPHeaderDict:
+    headers = urllib3.HTTPHeaderDict(req.headers)
+    if req.traceparent:
+        headers["traceparent"] = req.traceparent
+    return headers
--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -9,6 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
+from bilberrypass.process import metrics
 
 _log = logbook.Logger("reporting")
 
@@ -92,7 +93,9 @@
             answer = self._peer.call(channels.REPORT, report, began + _CALL_S)
             self.entry = answer.entry
             self._source.hear(answer, began)
+            metrics.count(metrics.Name.REPORTS)
         except errors.Error as exc:
+            metrics.count(metrics.Name.REPORT_FAILURES)
             _log.debug("reporting: {} did not answer: {}", self.address, exc.detail)
         except Exception:
             _log.exception("reporting: report to {} failed", self.address)
--- a/src/bilberrypass/connection/worker.py
+++ b/src/bilberrypass/connection/worker.py
@@ -33,6 +33,7 @@
     payload: str
     task_class: str = ""
     checkpoint: str = ""
+    traceparent: str = ""
 
 
 class Run(t.NamedTuple):
--- a/src/bilberrypass/daemon.py
+++ b/src/bilberrypass/daemon.py
@@ -111,28 +111,36 @@
     os._exit(0 if exc is None else _EXIT_FAILED)
 
 
+def _observe(cfg: settings.Entry | settings.Agent, role: str) -> None:
+    from bilberrypass.process import logs, metrics, traces
+
+    logs.install(cfg["logs"])
+    metrics.install(cfg["metrics"], role, cfg["id"])
+    traces.install(cfg["traces"], role, cfg["id"])
+
+
 def _run_entry(value: object) -> int:
-    from bilberrypass.process import entry, logs
+    from bilberrypass.process import entry
 
     cfg = settings.check_entry(value)
-    logs.install(cfg["logs"])
+    _observe(cfg, "entry")
     return _run("entry", cfg["id"], lambda: entry.Entry(cfg))
 
 
 def _run_agent(value: object) -> int:
-    from bilberrypass.process import agent, logs
+    from bilberrypass.process import agent
 
     cfg = settings.check_agent(value)
-    logs.install(cfg["logs"])
+    _observe(cfg, "agent")
     return _run("agent", cfg["id"], lambda: agent.Agent(cfg))
 
 
 def _run_local(value: object) -> int:
-    from bilberrypass.process import local, logs
+    from bilberrypass.process import local
 
     given = local.DEFAULTS | value if isinstance(value, dict) else value
     cfg = settings.check_entry(given, is_local=True)
-    logs.install(cfg["logs"])
+    _observe(cfg, "local")
     return _run("local", cfg["id"], lambda: local.Local(cfg))
 
 
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -16,7 +16,7 @@
     serving,
     worker,
 )
-from bilberrypass.process import announcements, tasks
+from bilberrypass.process import announcements, metrics, tasks, traces
 from bilberrypass.version import settings
 
 _log = logbook.Logger("agent")
@@ -127,7 +127,7 @@
         """Describe the host as it is now."""
         own = self.tasks
         silence_s = self._cfg["silence_s"]
-        return messages.Report(
+        made = messages.Report(
             host=self.host,
             incarnation=self._incarnation,
             sequence=sequence,
@@ -143,6 +143,9 @@
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
         )
+        if metrics.is_on():
+            _measure(made)
+        return made
 
     def hear(self, answer: messages.Reported, sent_at: float) -> None:
         """Take in an entry's answer to a report sent at a time."""
@@ -174,14 +177,19 @@
             self._hurry()
 
     def _forward(self, req: messages.Forward) -> messages.Forwarded:
-        deadline = time.monotonic() + req.time_left_s
+        began = time.monotonic()
+        deadline = began + req.time_left_s
         with self._lock:
             self._in_progress += 1
         try:
-            return self._choose(req.service).serve(req, deadline)
+            with traces.span("agent", req.traceparent, host=self.host) as traceparent:
+                req = req._replace(traceparent=traceparent)
+                return self._choose(req.service).serve(req, deadline)
         finally:
             with self._lock:
                 self._in_progress -= 1
+            metrics.count(metrics.Name.REQUESTS)
+            metrics.timing(metrics.Name.REQUEST_MS, began)
 
     def _choose(self, service: str) -> endpoint.Endpoint:
         if self._leaving.is_set():
@@ -241,3 +249,13 @@
             reporter.stop()
         self._server.stop(_CONTROL_THREADS)
         self._listener.stop()
+
+
+def _measure(report: messages.Report) -> None:
+    metrics.gauge(metrics.Name.REVISION, report.revision)
+    metrics.gauge(metrics.Name.SLOTS, sum(e.slots for e in report.endpoints))
+    metrics.gauge(metrics.Name.SLOTS_IN_USE, sum(e.in_use for e in report.endpoints))
+    metrics.gauge(metrics.Name.QUEUED, sum(e.queued for e in report.endpoints))
+    metrics.gauge(metrics.Name.TASKS, len(report.tasks))
+    metrics.gauge(metrics.Name.CPU_COMMITTED, report.committed.cpu_milli)
+    metrics.gauge(metrics.Name.MEMORY_COMMITTED, report.committed.memory_bytes)
--- a/src/bilberrypass/process/announcements.py
+++ b/src/bilberrypass/process/announcements.py
@@ -56,7 +56,7 @@
         return [body]
 
     def _answer(self, environ: dict[str, t.Any]) -> tuple[int, bytes]:
-        found = _PATH.match(environ["PATH_INFO"])
+        found = _PATH.fullmatch(environ["PATH_INFO"])
         if not found or environ["REQUEST_METHOD"] != "PUT":
             return 404, b'{"detail": "use PUT /endpoints/<id>"}'
         try:
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -9,7 +9,16 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, etcd, messages, serving, store, worker
-from bilberrypass.process import directory, fleet, jobs, operators, owner, placement
+from bilberrypass.process import (
+    directory,
+    fleet,
+    jobs,
+    metered,
+    metrics,
+    operators,
+    owner,
+    placement,
+)
 from bilberrypass.request import callers, routing
 from bilberrypass.version import settings
 
@@ -39,7 +48,7 @@
         serving.quiet_cherrypy()
         self._cfg = cfg
         self._leaving = threading.Event()
-        self._kv = kv or etcd.EtcdStore(cfg["store"]["addresses"])
+        self._kv = metered.metered(kv or etcd.EtcdStore(cfg["store"]["addresses"]))
         self.fleet = fleet.Fleet(cfg["silence_s"])
         self._server = channels.Server(
             cfg["peers"],
@@ -128,6 +137,9 @@
             recorded += ends
             stop += unwanted
         config = self.names.config()
+        metrics.count(metrics.Name.REPORTS)
+        metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
+        metrics.gauge(metrics.Name.REVISION, config.revision if config else 0)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=config.revision if config else 0,
--- a/src/bilberrypass/process/jobs.py
+++ b/src/bilberrypass/process/jobs.py
@@ -8,7 +8,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages, worker
-from bilberrypass.process import directory, owner, web
+from bilberrypass.process import directory, owner, traces, web
 from bilberrypass.version import page, settings
 
 _CALL_S: t.Final = 8.0
@@ -104,12 +104,13 @@
         web.check_id(id, "job")
         _check_rest(rest)
         body = web.read_body(self._cfg["max_body_bytes"])
-        trace = cherrypy.request.headers.get("Traceparent", "")
-        job = page.parse_job(id, body, time.time(), trace)
+        parent = traces.clean(cherrypy.request.headers.get("Traceparent", ""))
+        job = page.parse_job(id, body, time.time(), parent)
         shard = worker.shard_of(job.team, self._cfg["shards"])
-        answer = self._router.call(
-            messages.JobCall(shard, "put", job.team, id, body, trace)
-        )
+        with traces.span("job submitted", parent, job=id) as trace:
+            answer = self._router.call(
+                messages.JobCall(shard, "put", job.team, id, body, trace)
+            )
         return web.answer_raw(answer.body, 201 if answer.created else 200)
 
     def GET(self, id: str = "", *rest: str, team: str = "", **query: str) -> bytes:  # noqa: N802
--- a/src/bilberrypass/process/logs.py
+++ b/src/bilberrypass/process/logs.py
@@ -13,6 +13,14 @@
 )
 
 
+def _format_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    """Write a record as one line, whatever line breaks its message brings."""
+    line = _FORMAT.format(record=record).replace("\r", "\\r").replace("\n", "\\n")
+    if record.formatted_exception:
+        line += f"\n{record.formatted_exception}"
+    return line
+
+
 def _format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
     fields = {
         "time": record.time.isoformat(),
@@ -29,7 +37,5 @@
     """Write logs to standard error as the settings say."""
     logbook.set_datetime_format("utc")
     handler = logbook.StreamHandler(sys.stderr, level=cfg["level"].upper())
-    handler.format_string = _FORMAT
-    if cfg["json_lines"]:
-        handler.formatter = _format_json
+    handler.formatter = _format_json if cfg["json_lines"] else _format_line
     handler.push_application()
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -8,7 +8,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import channels, messages, worker
-from bilberrypass.process import directory, fleet, grouped, placement
+from bilberrypass.process import directory, fleet, grouped, jobevents, placement
 from bilberrypass.version import page
 
 _log = logbook.Logger("owner")
@@ -86,6 +86,8 @@
 
     def written(self) -> None:
         """Start what the store says is placed."""
+        for host, specs in self._starts.items():
+            jobevents.placed(host, specs)
         for host, specs in self._unconfirmed(self._starts).items():
             self._start_on(host, specs)
 
@@ -380,6 +382,8 @@
         if new == page.RUNNING:
             return
         new = page.CANCELLED
+    if new in page.ENDED:
+        jobevents.ended(job, task, new)
     retried = new == page.FAILED and task.attempt < job.max_attempts
     if retried:
         new = page.WAITING
--- a/src/bilberrypass/process/tasks.py
+++ b/src/bilberrypass/process/tasks.py
@@ -8,7 +8,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import ledger
+from bilberrypass.process import jobevents, ledger
 
 _log = logbook.Logger("tasks")
 
@@ -92,6 +92,7 @@
             self._expiries[spec.task] = expiry
         if run.state not in _LIVE:
             self.ledger.release(spec.task)
+        jobevents.started(self._host, spec)
         return messages.StartOutcome(spec.task)
 
     def renew(self, shards: int, grants: list[messages.Grant], sent_at: float) -> None:
--- a/src/bilberrypass/process/web.py
+++ b/src/bilberrypass/process/web.py
@@ -23,7 +23,7 @@
 
 def check_id(id: str, what: str) -> str:
     """Return the id, or refuse it with BAD_REQUEST."""
-    if not _ID.match(id):
+    if not _ID.fullmatch(id):
         raise errors.Error(
             errors.Kind.BAD_REQUEST,
             f"{id[:64]!r} is no {what} id; use 1 to 128 letters, digits, . _ -",
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -10,7 +10,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, endpoint, messages
-from bilberrypass.process import fleet
+from bilberrypass.process import fleet, metrics, traces
 from bilberrypass.request import headers as steering_headers
 from bilberrypass.request import problems, routing
 from bilberrypass.version import settings
@@ -48,13 +48,17 @@
 
     def __call__(self, environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
         """Answer one request."""
+        began = time.monotonic()
         with self._lock:
             self.in_progress += 1
+        metrics.gauge(metrics.Name.IN_PROGRESS, self.in_progress)
         try:
             status, headers, body = self._answer(environ)
         finally:
             with self._lock:
                 self.in_progress -= 1
+            metrics.count(metrics.Name.REQUESTS)
+            metrics.timing(metrics.Name.REQUEST_MS, began)
         if self.leaving:
             headers.append(("Connection", "close"))
         start(f"{status} {_HTTP_REASONS.get(status, 'Status')}", headers)
@@ -98,9 +102,11 @@
             body=body,
             time_left_s=steering.deadline - time.monotonic(),
             idempotent=steering.idempotent,
-            traceparent=environ.get("HTTP_TRACEPARENT", ""),
+            traceparent=traces.clean(environ.get("HTTP_TRACEPARENT", "")),
         )
-        return self._forward(req, steering.deadline)
+        with traces.span("entry", req.traceparent, service=service) as traceparent:
+            req = req._replace(traceparent=traceparent)
+            return self._forward(req, steering.deadline)
 
     def _forward(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
         hosts = self._hosts.serving(req.service)
@@ -138,7 +144,7 @@
             errors.Kind.NOT_FOUND, "use /services/<service>/<path> or /jobs/<id>"
         )
     service, _, rest = path.removeprefix(_PREFIX).partition("/")
-    if not _SERVICE.match(service):
+    if not _SERVICE.fullmatch(service):
         raise errors.Error(
             errors.Kind.BAD_REQUEST,
             f"{service[:64]!r} is no service name; use letters, digits, . _ -",
--- a/src/bilberrypass/request/headers.py
+++ b/src/bilberrypass/request/headers.py
@@ -34,7 +34,7 @@
     errors.Error
         BAD_HEADER or DEADLINE_PASSED.
     """
-    if not _METHOD.match(method):
+    if not _METHOD.fullmatch(method):
         raise errors.Error(
             errors.Kind.BAD_REQUEST, f"{method[:20]!r} is no method; send a usual one"
         )
@@ -46,7 +46,7 @@
 
 
 def _parse_key(text: str) -> str:
-    if text and not _KEY.match(text):
+    if text and not _KEY.fullmatch(text):
         raise errors.Error(
             errors.Kind.BAD_HEADER,
             "Idempotency-Key must have 1 to 200 visible ASCII characters; shorten it",
--- a/src/bilberrypass/request/problems.py
+++ b/src/bilberrypass/request/problems.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bilberrypass import errors
+from bilberrypass.process import metrics
 
 CONTENT_TYPE: t.Final = "application/problem+json"
 _DEFAULT_RETRY_S: t.Final = 1.0
@@ -26,6 +27,7 @@
 
     ``Retry-After`` is spread out, so that callers do not come back together.
     """
+    metrics.count(metrics.Name.REFUSALS, exc.kind)
     answer = errors.ANSWERS[exc.kind]
     content: dict[str, t.Any] = {
         "type": "about:blank",
--- /dev/null
+++ b/src/bilberrypass/version/checking.py
@@ -0,0 +1,83 @@
+"""The check of JSON values: every fault at once, by its path and with a remedy."""
+
+import collections.abc as abc
+import difflib
+import typing as t
+
+import pydantic
+
+from bilberrypass import errors
+
+
+def format_path(loc: abc.Sequence[int | str]) -> str:
+    """Write the place of a fault as a JSON path such as ``exceptions[2].reason``."""
+    path = ""
+    for part in loc:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path.lstrip(".") or "(whole)"
+
+
+def describe_fault(fault: abc.Mapping[str, t.Any], known: abc.Iterable[str]) -> str:
+    """Write one fault of a pydantic check with its path and a remedy.
+
+    Parameters
+    ----------
+    fault : mapping
+        As in ``pydantic.ValidationError.errors()``.
+    known : iterable of str
+        The keys that may stand where the fault is.
+    """
+    path = format_path(fault["loc"])
+    if fault["type"] == "missing":
+        return f"{path}: is missing; add it"
+    if fault["type"] != "extra_forbidden":
+        return f"{path}: {fault['msg'].removeprefix('Value error, ')}"
+    near = _nearest(str(fault["loc"][-1]), list(known))
+    hint = f"did you mean {near!r}?" if near else "remove it"
+    return f"{path}: unknown key; {hint}"
+
+
+def _nearest(key: str, known: list[str]) -> str:
+    with_unit = [name for name in known if name.startswith(f"{key}_")]
+    near = with_unit or difflib.get_close_matches(key, known, 1, 0.6)
+    return near[0] if near else ""
+
+
+def check(
+    adapter: pydantic.TypeAdapter[t.Any], value: object, kind: errors.Kind
+) -> t.Any:
+    """Check a value whole.
+
+    Raises
+    ------
+    errors.Faulty
+        Of the given kind, with every fault by its JSON path.
+    """
+    try:
+        return adapter.validate_python(value)
+    except pydantic.ValidationError as exc:
+        faults = _describe_faults(adapter, exc)
+        raise errors.Faulty(kind, faults) from None
+
+
+def _describe_faults(
+    adapter: pydantic.TypeAdapter[t.Any], exc: pydantic.ValidationError
+) -> list[str]:
+    schema = adapter.json_schema()
+    return [
+        describe_fault(fault, _known_keys(schema, fault["loc"][:-1]))
+        for fault in exc.errors()
+    ]
+
+
+def _known_keys(schema: t.Any, loc: abc.Sequence[int | str]) -> list[str]:
+    """Return the keys that a JSON schema allows at a place."""
+    place = schema
+    for part in (*loc, None):
+        if "$ref" in place:
+            place = schema["$defs"][place["$ref"].rpartition("/")[2]]
+        if part is None:
+            break
+        inner = place.get("properties", {}).get(part)
+        place = place.get("items", {}) if isinstance(part, int) else inner or {}
+    return list(place.get("properties", {}))
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -107,7 +107,12 @@
         record = self.tasks[index]
         task = worker.TaskId(self.team, self.id, index, record.attempt)
         return worker.Spec(
-            task, self.demand, self.payload, self.task_class, record.checkpoint
+            task,
+            self.demand,
+            self.payload,
+            self.task_class,
+            record.checkpoint,
+            self.traceparent,
         )
 
 
--- /dev/null
+++ b/testing/process/test_metrics.py
@@ -0,0 +1,107 @@
+"""Metrics as a statsd server hears them, and their page."""
+
+import contextlib
+import pathlib
+import re
+import socket
+import subprocess
+import sys
+import threading
+
+from bilberrypass.process import metrics
+from testing import collecting, fixtures, system
+
+_PAGE = pathlib.Path(__file__).parent.parent.parent / "docs/METRICS.md"
+_ROW = re.compile(r"^\| `([a-z_]+)(?:\.<\w+>)?` \|", re.M)
+
+
+@contextlib.contextmanager
+def _statsd():
+    """Listen as a statsd server; gives its address and the names heard."""
+    names: set[str] = set()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(0.2)
+        done = threading.Event()
+
+        def read():
+            while not done.is_set():
+                with contextlib.suppress(TimeoutError):
+                    text = sock.recv(65536).decode()
+                    names.update(line.partition(":")[0] for line in text.splitlines())
+
+        reader = threading.Thread(target=read)
+        reader.start()
+        try:
+            yield f"127.0.0.1:{sock.getsockname()[1]}", names
+        finally:
+            done.set()
+            reader.join()
+
+
+def test_page_lists_every_name():
+    assert set(_ROW.findall(_PAGE.read_text())) == {name.value for name in metrics.Name}
+
+
+def test_processes_send_what_the_page_says():
+    with _statsd() as (address, names):
+        changes = {"metrics": {"statsd": address, "prefix": "bp"}}
+        with system.system(entry_changes=changes, agent_changes=changes) as run:
+            url = run.callers() + "/services/echo/x"
+            fixtures.wait_until(
+                lambda: fixtures.http("GET", url).status == 200, 10, "the path"
+            )
+            fixtures.http("GET", run.callers() + "/services/no/x")
+            fixtures.http("PUT", run.callers() + "/jobs/j1", system.job_body())
+            expected = {
+                "bp.entry.e0.requests",
+                "bp.entry.e0.request_ms",
+                "bp.entry.e0.refusals.UNKNOWN_SERVICE",
+                "bp.entry.e0.in_progress",
+                "bp.entry.e0.reports",
+                "bp.entry.e0.hosts",
+                "bp.entry.e0.revision",
+                "bp.entry.e0.tasks_placed",
+                "bp.entry.e0.tasks_ended.finished",
+                "bp.entry.e0.store_calls.swap",
+                "bp.entry.e0.store_ms.swap",
+                "bp.agent.h0.requests",
+                "bp.agent.h0.request_ms",
+                "bp.agent.h0.reports",
+                "bp.agent.h0.revision",
+                "bp.agent.h0.slots",
+                "bp.agent.h0.slots_in_use",
+                "bp.agent.h0.queued",
+                "bp.agent.h0.tasks",
+                "bp.agent.h0.tasks_started",
+                "bp.agent.h0.cpu_milli_committed",
+                "bp.agent.h0.memory_bytes_committed",
+            }
+            fixtures.wait_until(lambda: expected <= names, 15, "all names")
+            run.store.kill()
+            fixtures.wait_until(
+                lambda: "bp.entry.e0.store_errors.STORE_DOWN" in names, 15, "errors"
+            )
+            for entry in run.entries:
+                entry.kill()
+            fixtures.wait_until(
+                lambda: "bp.agent.h0.report_failures" in names, 15, "failed reports"
+            )
+
+
+def test_metrics_and_traces_load_nothing_while_off():
+    probe = (
+        "import sys; from bilberrypass.process import entry, agent, metrics, traces; "
+        "metrics.install({'prefix': 'bp'}, 'entry', 'e0'); "
+        "traces.install({'exporter': 'none'}, 'entry', 'e0'); "
+        "metrics.count(metrics.Name.REQUESTS); "
+        "traces.span('entry', '').__enter__(); "
+        "print([m for m in ('statsd', 'opentelemetry') if m in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", probe], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]", done.stdout
+
+
+load_tests = collecting.hook(__name__)
