Answer malformed input with problem+json, and close after an unread body

Cause: the HTTP server's own refusals were plain text; unknown paths for operators and faults of announcements had no problem; a chunked body that was refused left its rest on the connection, and cheroot, which does not look at the application's 'Connection: close', took it for the next request (seen: 'GET /hidden' inside a body was answered); HEAD refusals carried a body; a Content-Length beyond 63 bits was a traceback on standard error. Ruled out: draining the rest, which has no bound. Conclusion: refusals of the server go through problems.problem, and the connection closes after a body that is malformed or too large.

--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -3,14 +3,71 @@
 import threading
 import typing as t
 
+import cheroot.server
 import cheroot.wsgi
 import cherrypy
+import logbook
 
 from bilberrypass import errors
+from bilberrypass.request import problems
 from bilberrypass.version import settings
 
+_log = logbook.Logger("serving")
+
 _SHUTDOWN_S: t.Final = 5
 _BACKLOG: t.Final = 1024
+_MAX_HEADER_BYTES: t.Final = 64 << 10
+_CHUNK_OVERHEAD_BYTES: t.Final = 64 << 10
+
+_KIND_BY_STATUS: t.Final = {
+    405: errors.Kind.METHOD_NOT_ALLOWED,
+    413: errors.Kind.BODY_TOO_LARGE,
+    500: errors.Kind.INTERNAL,
+    503: errors.Kind.OVERLOADED,
+}
+
+
+@t.final
+class _Request(cheroot.server.HTTPRequest):
+    """A request; what the server itself refuses is problem+json too."""
+
+    def send_headers(self) -> None:
+        """Close the connection where the application says so."""
+        for key, value in self.outheaders:
+            if key.lower() == b"connection" and value.lower() == b"close":
+                self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status: str | int, msg: str | bytes = "") -> None:
+        """Refuse the request and close the connection."""
+        number, _, reason = str(status).partition(" ")
+        kind = _KIND_BY_STATUS.get(int(number), errors.Kind.BAD_REQUEST)
+        said = msg.decode("latin-1") if isinstance(msg, bytes) else msg
+        detail = f"{said or reason or 'no valid HTTP/1.1'}; correct the request"
+        if kind is errors.Kind.BODY_TOO_LARGE:
+            limit = self.server.max_request_body_size - _CHUNK_OVERHEAD_BYTES
+            detail = f"the body is over {limit} bytes; send less"
+        found = problems.problem(errors.Error(kind, detail))
+        lines = [f"HTTP/1.1 {found.status} {reason or 'Status'}", "Connection: close"]
+        lines += [f"{key}: {value}" for key, value in found.headers]
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        self.close_connection = True
+        try:
+            self.conn.wfile.write(head + found.body)
+        except OSError:
+            _log.debug("serving: a refused caller was gone already")
+
+
+def _log_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Take the server's own log lines, of which most blame a caller."""
+    _log.debug("serving: {}", msg, exc_info=traceback)
+
+
+@t.final
+class _Connection(cheroot.server.HTTPConnection):
+    """A connection of one caller."""
+
+    RequestHandlerClass = _Request
 
 
 @t.final
@@ -44,7 +101,11 @@
             request_queue_size=_BACKLOG,
             shutdown_timeout=_SHUTDOWN_S,
         )
-        self._server.max_request_header_size = 64 << 10
+        self._server.ConnectionClass = _Connection
+        # The application refuses larger bodies; this bounds what is read at all.
+        self._server.max_request_body_size = max_body_bytes + _CHUNK_OVERHEAD_BYTES
+        self._server.error_log = _log_error
+        self._server.max_request_header_size = _MAX_HEADER_BYTES
         try:
             self._server.prepare()
         except OSError as exc:
--- a/src/bilberrypass/process/announcements.py
+++ b/src/bilberrypass/process/announcements.py
@@ -9,6 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import endpoint
+from bilberrypass.request import problems
 from bilberrypass.version import settings
 
 _MAX_ANNOUNCEMENT_BYTES: t.Final = 4096
@@ -29,7 +30,6 @@
 
 
 _ADAPTER: t.Final = pydantic.TypeAdapter(_Announcement)
-_STATUS: t.Final = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found"}
 
 
 @t.final
@@ -47,30 +47,37 @@
 
     def __call__(self, environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
         """Answer one request."""
-        status, body = self._answer(environ)
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-        ]
-        start(_STATUS[status], headers)
-        return [body]
-
-    def _answer(self, environ: dict[str, t.Any]) -> tuple[int, bytes]:
+        try:
+            self._take(environ)
+        except errors.Error as exc:
+            found = problems.problem(exc)
+            start(f"{found.status} Refused", found.headers)
+            return [found.body]
+        headers = [("Content-Type", "application/json"), ("Content-Length", "2")]
+        start("200 OK", headers)
+        return [b"{}"]
+
+    def _take(self, environ: dict[str, t.Any]) -> None:
         found = _PATH.fullmatch(environ["PATH_INFO"])
         if not found or environ["REQUEST_METHOD"] != "PUT":
-            return 404, b'{"detail": "use PUT /endpoints/<id>"}'
+            raise errors.Error(errors.Kind.NOT_FOUND, "use PUT /endpoints/<id>")
         try:
             raw = environ["wsgi.input"].read(_length(environ))
             value = msgspec.json.decode(raw)
-            said = settings.check(_ADAPTER, value, errors.Kind.BAD_BODY)
-        except (errors.Error, msgspec.DecodeError, ValueError) as exc:
-            return 400, msgspec.json.encode({"detail": str(exc)})
+        except (msgspec.DecodeError, ValueError, OSError) as exc:
+            raise errors.Error(
+                errors.Kind.BAD_BODY, f"the announcement is no JSON ({exc}); correct it"
+            ) from None
+        said = settings.check(_ADAPTER, value, errors.Kind.BAD_BODY)
         self._hear(found[1], t.cast(endpoint.Announcement, said))
-        return 200, b"{}"
 
 
 def _length(environ: dict[str, t.Any]) -> int:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+    text = environ.get("CONTENT_LENGTH") or "0"
+    length = int(text) if text.isascii() and text.isdigit() else -1
     if not 0 <= length <= _MAX_ANNOUNCEMENT_BYTES:
-        raise ValueError(f"longer than {_MAX_ANNOUNCEMENT_BYTES} bytes; shorten it")
+        raise errors.Error(
+            errors.Kind.BODY_TOO_LARGE,
+            f"the announcement is over {_MAX_ANNOUNCEMENT_BYTES} bytes; shorten it",
+        )
     return length
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -18,6 +18,7 @@
     operators,
     owner,
     placement,
+    web,
 )
 from bilberrypass.request import callers, routing
 from bilberrypass.version import settings
@@ -89,6 +90,7 @@
 
     def _listen_operators(self) -> serving.Listener:
         tree = cherrypy._cptree.Tree()
+        tree.graft(web.refuse_path, "")
         operators.mount(tree, "/healthz", operators.Health(lambda: ""))
         operators.mount(tree, "/readyz", operators.Health(self.why_not_ready))
         operators.mount(tree, "/hosts", operators.Hosts(self.fleet))
--- a/src/bilberrypass/process/web.py
+++ b/src/bilberrypass/process/web.py
@@ -60,6 +60,16 @@
     return body
 
 
+def refuse_path(environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
+    """Answer a request whose path no application has, as a WSGI application."""
+    path = environ["PATH_INFO"][:64]
+    found = problems.problem(
+        errors.Error(errors.Kind.NOT_FOUND, f"{path!r} is nothing; see the docs")
+    )
+    start(f"{found.status} Not Found", found.headers)
+    return [found.body]
+
+
 def _answer_error() -> None:
     exc = sys.exc_info()[1]
     if not isinstance(exc, errors.Error):
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -6,6 +6,7 @@
 import time
 import typing as t
 
+import cheroot.errors
 import logbook
 
 from bilberrypass import errors
@@ -62,7 +63,7 @@
         if self.leaving:
             headers.append(("Connection", "close"))
         start(f"{status} {_HTTP_REASONS.get(status, 'Status')}", headers)
-        return [body]
+        return [b"" if environ["REQUEST_METHOD"] == "HEAD" else body]
 
     def _answer(
         self, environ: dict[str, t.Any]
@@ -171,7 +172,14 @@
     chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
     if not chunked and not length:
         return b""
-    body = environ["wsgi.input"].read(limit + 1 if chunked else length)
+    try:
+        body = environ["wsgi.input"].read(limit + 1 if chunked else length)
+    except (cheroot.errors.MaxSizeExceeded, OSError):
+        raise _too_large(limit) from None
+    except ValueError as exc:
+        raise errors.Error(
+            errors.Kind.BAD_BODY, f"the body cannot be read ({exc}); send it whole"
+        ) from None
     if len(body) > limit:
         raise _too_large(limit)
     if not chunked and len(body) != length:
--- a/src/bilberrypass/request/problems.py
+++ b/src/bilberrypass/request/problems.py
@@ -12,6 +12,7 @@
 CONTENT_TYPE: t.Final = "application/problem+json"
 _DEFAULT_RETRY_S: t.Final = 1.0
 _SPREAD: t.Final = 0.5
+_BODY_UNREAD: t.Final = (errors.Kind.BAD_BODY, errors.Kind.BODY_TOO_LARGE)
 
 
 class Problem(t.NamedTuple):
@@ -42,6 +43,9 @@
     headers = [("Content-Type", CONTENT_TYPE)]
     if answer.retry_helps:
         headers.append(("Retry-After", _retry_after(exc.retry_after_s)))
+    if exc.kind in _BODY_UNREAD:
+        # What is left of the body would be taken for the next request.
+        headers.append(("Connection", "close"))
     if answer.status == 401:
         headers.append(("WWW-Authenticate", "Bearer"))
     body = msgspec.json.encode(content)
--- /dev/null
+++ b/testing/request/test_bad_input.py
@@ -0,0 +1,284 @@
+"""Malformed input at the interfaces of an entry: always an answer that helps."""
+
+import contextlib
+import json
+import time
+
+import hypothesis
+from hypothesis import strategies
+
+from testing import collecting, fixtures, rawhttp, system
+
+_MAX_BODY_BYTES = 4096
+_EXAMPLES = 150
+
+_fixed = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=_EXAMPLES,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+_ids = strategies.one_of(
+    strategies.sampled_from(
+        ["", "a", "..", ".", "%2e%2e", "a/b", "a%2Fb", "a%0A", "%00", "%ff", "-x"]
+    ),
+    strategies.text(max_size=200),
+)
+_junk = strategies.binary(max_size=60).map(
+    lambda raw: raw.replace(b"\r", b"").replace(b"\n", b"")
+)
+_json = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=10), inner, max_size=4)
+    ),
+    max_leaves=10,
+)
+
+
+@contextlib.contextmanager
+def _local():
+    cfg = {
+        "callers": system.address(),
+        "operators": system.address(),
+        "max_body_bytes": _MAX_BODY_BYTES,
+    }
+    with system.daemon("local", cfg) as proc:
+        fixtures.wait_until(lambda: _serves(proc), 10, "the sample service")
+        yield proc
+        assert _serves(proc), proc.stderr_text()
+        assert "Traceback" not in proc.stderr_text(), proc.stderr_text()
+
+
+def _serves(proc):
+    url = f"http://{proc.addresses['callers']}/services/echo/x"
+    return fixtures.http("POST", url, b"sofa").body == b"sofa"
+
+
+def _send(proc, name, raw):
+    """Return the code of the refusal; empty if it was none."""
+    answer = rawhttp.first_answer(rawhttp.exchange(proc.addresses[name], raw))
+    if answer is None or answer.status < 400:
+        return ""
+    return rawhttp.check_refusal(answer)
+
+
+def test_garbage_gets_a_refusal_or_a_close():
+    with _local() as proc:
+
+        @_fixed
+        @hypothesis.given(
+            strategies.sampled_from(["callers", "operators", "announcements"]),
+            strategies.binary(max_size=300),
+            strategies.booleans(),
+        )
+        def send(name, raw, ended):
+            _send(proc, name, raw + (b"\r\n\r\n" if ended else b""))
+
+        send()
+
+
+def test_any_headers_get_an_answer():
+    with _local() as proc:
+
+        @_fixed
+        @hypothesis.given(
+            strategies.sampled_from([b"GET", b"POST", b"PUT", b"get", b"", b"A" * 99]),
+            strategies.sampled_from([b"/services/echo/x", b"/jobs/j1", b"/jobs"]),
+            strategies.lists(
+                strategies.tuples(
+                    strategies.sampled_from(
+                        [
+                            b"Idempotency-Key",
+                            b"Bilberrypass-Idempotent",
+                            b"Bilberrypass-Deadline",
+                            b"Content-Length",
+                            b"Transfer-Encoding",
+                            b"Traceparent",
+                            b"Expect",
+                            b"X Y",
+                        ]
+                    ),
+                    _junk
+                    | strategies.sampled_from(
+                        [
+                            b"chunked",
+                            b"-1",
+                            b"3",
+                            b"true",
+                            b"nan",
+                            b"1e400",
+                            b"",
+                            b"9" * 30,
+                        ]
+                    ),
+                ),
+                max_size=4,
+            ),
+            strategies.binary(max_size=50),
+        )
+        def send(method, target, headers, body):
+            _send(proc, "callers", rawhttp.request(method, target, headers, body))
+
+        send()
+
+
+def test_any_path_gets_an_answer():
+    with _local() as proc:
+
+        @_fixed
+        @hypothesis.given(
+            strategies.sampled_from(["callers", "operators", "announcements"]),
+            strategies.sampled_from([b"GET", b"PUT", b"DELETE", b"POST", b"PATCH"]),
+            strategies.sampled_from(
+                [
+                    "/jobs/",
+                    "/services/",
+                    "/services/echo/",
+                    "/hosts/",
+                    "/config/",
+                    "/",
+                    "",
+                ]
+                + ["/endpoints/"]
+            ),
+            _ids,
+        )
+        def send(name, method, start, id):
+            target = (start + id).encode("utf-8", "replace").replace(b" ", b"%20")
+            raw = rawhttp.request(method, target, [(b"Content-Length", b"0")])
+            _send(proc, name, raw)
+
+        send()
+
+
+def test_any_job_gets_an_answer():
+    job = system.job_body()
+    with _local() as proc:
+
+        @_fixed
+        @hypothesis.given(
+            _json
+            | strategies.builds(
+                lambda key, value: job | {key: value},
+                strategies.sampled_from([*job, "tasks", "urgent", "max_attempts", "x"]),
+                _json,
+            )
+        )
+        def send(value):
+            body = json.dumps(value).encode()
+            length = str(len(body)).encode()
+            raw = rawhttp.request(
+                b"PUT", b"/jobs/j-bad", [(b"Content-Length", length)], body
+            )
+            assert _send(proc, "callers", raw) in (
+                "",
+                "BAD_BODY",
+                "KEY_REUSED",
+                "NEVER_FITS",
+                "QUOTA_EXCEEDED",
+                "BODY_TOO_LARGE",
+            )
+
+        send()
+
+
+def test_each_fault_has_its_code():
+    now = str(time.time() - 10).encode()
+    big = b"x" * (_MAX_BODY_BYTES + 1)
+    size = str(len(big)).encode()
+    echo = b"/services/echo/x"
+    with _local() as proc:
+        for code, raw in (
+            ("UNKNOWN_SERVICE", rawhttp.request(b"GET", b"/services/none/x")),
+            ("BAD_REQUEST", rawhttp.request(b"GET", b"/services/!/x")),
+            ("NOT_FOUND", rawhttp.request(b"GET", b"/nothing")),
+            (
+                "DEADLINE_PASSED",
+                rawhttp.request(b"GET", echo, [(b"Bilberrypass-Deadline", now)]),
+            ),
+            (
+                "BAD_HEADER",
+                rawhttp.request(b"GET", echo, [(b"Bilberrypass-Deadline", b"soon")]),
+            ),
+            (
+                "BAD_HEADER",
+                rawhttp.request(b"GET", echo, [(b"Bilberrypass-Idempotent", b"maybe")]),
+            ),
+            (
+                "BAD_HEADER",
+                rawhttp.request(b"GET", echo, [(b"Idempotency-Key", b"k" * 300)]),
+            ),
+            (
+                "BODY_TOO_LARGE",
+                rawhttp.request(b"POST", echo, [(b"Content-Length", size)], big),
+            ),
+            (
+                "BODY_TOO_LARGE",
+                rawhttp.request(
+                    b"POST",
+                    echo,
+                    [(b"Transfer-Encoding", b"chunked")],
+                    b"%x\r\n" % len(big) + big + b"\r\n0\r\n\r\n",
+                ),
+            ),
+            (
+                "BAD_BODY",
+                rawhttp.request(
+                    b"POST", echo, [(b"Transfer-Encoding", b"chunked")], b"zz\r\n"
+                ),
+            ),
+            (
+                "BAD_BODY",
+                rawhttp.request(b"POST", echo, [(b"Content-Length", b"50")], b"short"),
+            ),
+            (
+                "BODY_TOO_LARGE",
+                rawhttp.request(b"PUT", b"/jobs/j", [(b"Content-Length", size)], big),
+            ),
+            ("BAD_REQUEST", rawhttp.request(b"GET", b"/jobs/a%0A")),
+            ("BAD_BODY", rawhttp.request(b"PUT", b"/jobs/j")),
+            ("NOT_FOUND", rawhttp.request(b"GET", b"/jobs/none")),
+            ("METHOD_NOT_ALLOWED", rawhttp.request(b"PATCH", b"/jobs/j")),
+            ("BAD_REQUEST", b"nonsense\r\n\r\n"),
+        ):
+            assert _send(proc, "callers", raw) == code, raw[:80]
+        for code, raw in (
+            ("NOT_FOUND", rawhttp.request(b"GET", b"/nothing")),
+            ("METHOD_NOT_ALLOWED", rawhttp.request(b"POST", b"/status")),
+        ):
+            assert _send(proc, "operators", raw) == code, raw[:80]
+
+
+def test_an_unread_body_is_not_taken_for_a_request():
+    hidden = rawhttp.request(b"GET", b"/services/echo/hidden")
+    size = str(_MAX_BODY_BYTES + len(hidden)).encode()
+    padding = b"x" * _MAX_BODY_BYTES
+    with _local() as proc:
+        for headers, body in (
+            ([(b"Content-Length", size)], hidden + padding),
+            ([(b"Transfer-Encoding", b"chunked")], b"zz\r\n" + hidden),
+            ([(b"Transfer-Encoding", b"chunked")], b"fffff\r\n" + hidden + padding),
+        ):
+            raw = rawhttp.request(b"POST", b"/services/echo/x", headers, body)
+            received = rawhttp.exchange(proc.addresses["callers"], raw)
+            assert received.count(b"HTTP/1.1 ") == 1, received
+            rawhttp.check_refusal(rawhttp.first_answer(received))
+
+
+def test_head_gets_headers_only():
+    with _local() as proc:
+        for target in (b"/services/none/x", b"/jobs/none", b"/services/echo/x"):
+            raw = rawhttp.request(b"HEAD", target, [(b"Connection", b"close")])
+            received = rawhttp.exchange(proc.addresses["callers"], raw)
+            assert received.endswith(b"\r\n\r\n"), received
+
+
+load_tests = collecting.hook(__name__)
