--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -5,7 +5,6 @@
 
 import cheroot.server
 import cheroot.wsgi
-import cherrypy
 import logbook
 
 from bilberrypass import errors
@@ -125,14 +124,3 @@
         """Take no new connections and end those that are idle."""
         self._server.stop()
         self._thread.join(_SHUTDOWN_S)
-
-
-def quiet_cherrypy() -> None:
-    """Leave logs and signals to the process."""
-    cherrypy.config.update(
-        {
-            "log.screen": False,
-            "engine.autoreload.on": False,
-            "checker.on": False,
-        }
-    )
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -46,7 +46,7 @@
     """
 
     def __init__(self, cfg: settings.Entry, kv: store.Store | None = None) -> None:
-        serving.quiet_cherrypy()
+        web.quiet_cherrypy()
         self._cfg = cfg
         self._leaving = threading.Event()
         self._kv = metered.metered(kv or etcd.EtcdStore(cfg["store"]["addresses"]))
--- a/src/bilberrypass/process/web.py
+++ b/src/bilberrypass/process/web.py
@@ -21,6 +21,17 @@
 }
 
 
+def quiet_cherrypy() -> None:
+    """Leave logs and signals to the process."""
+    cherrypy.config.update(
+        {
+            "log.screen": False,
+            "engine.autoreload.on": False,
+            "checker.on": False,
+        }
+    )
+
+
 def check_id(id: str, what: str) -> str:
     """Return the id, or refuse it with BAD_REQUEST."""
     if not _ID.fullmatch(id):
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -1,6 +1,7 @@
 """A job page: the jobs of some teams, as one value of the store."""
 
 import collections.abc as abc
+import functools
 import hashlib
 import typing as t
 import zlib
@@ -57,7 +58,9 @@
     max_attempts: t.Annotated[int, pydantic.Field(ge=1, le=_MAX_ATTEMPTS)]
 
 
-_ADAPTER: t.Final = pydantic.TypeAdapter(JobBody)
+@functools.cache
+def _adapter() -> pydantic.TypeAdapter[t.Any]:
+    return pydantic.TypeAdapter(JobBody)
 
 
 class TaskRecord(t.NamedTuple):
@@ -153,7 +156,7 @@
         raise errors.Error(
             errors.Kind.BAD_BODY, f"the body is no JSON ({exc}); correct it"
         ) from None
-    checked = settings.check(_ADAPTER, value, errors.Kind.BAD_BODY)
+    checked = settings.check(_adapter(), value, errors.Kind.BAD_BODY)
     return JobRecord(
         team=checked["team"],
         id=id,
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -1,6 +1,7 @@
 """The settings of a process: read from JSON, checked whole."""
 
 import collections.abc as abc
+import functools
 import ipaddress
 import json
 import pathlib
@@ -213,12 +214,15 @@
     },
 )
 
-_ENTRY: t.Final = pydantic.TypeAdapter(Entry)
-_AGENT: t.Final = pydantic.TypeAdapter(Agent)
-
 check = checking.check
 
 
+@functools.cache
+def _adapter(role: type) -> pydantic.TypeAdapter[t.Any]:
+    """Make an adapter when it is needed; each takes about a megabyte."""
+    return pydantic.TypeAdapter(role)
+
+
 def _with_defaults(value: t.Any, defaults: abc.Mapping[str, t.Any]) -> t.Any:
     merged = dict(defaults) | dict(value)
     for part, default in defaults.items():
@@ -243,22 +247,20 @@
         INVALID_SETTINGS, with every fault by its JSON path.
     """
     faults = _clashes(value) + _store_faults(value, is_local)
-    return _with_defaults(_check_whole(_ENTRY, value, faults), ENTRY_DEFAULTS)
+    return _with_defaults(_check_whole(Entry, value, faults), ENTRY_DEFAULTS)
 
 
 def check_agent(value: object) -> Agent:
     """Check an agent's settings and fill in the defaults."""
     faults = _clashes(value)
-    return _with_defaults(_check_whole(_AGENT, value, faults), AGENT_DEFAULTS)
+    return _with_defaults(_check_whole(Agent, value, faults), AGENT_DEFAULTS)
 
 
-def _check_whole(
-    adapter: pydantic.TypeAdapter[t.Any], value: object, more: list[str]
-) -> t.Any:
+def _check_whole(role: type, value: object, more: list[str]) -> t.Any:
     """Check a value, and report faults between its keys along with those in them."""
     kind = errors.Kind.INVALID_SETTINGS
     try:
-        checked = checking.check(adapter, value, kind)
+        checked = checking.check(_adapter(role), value, kind)
     except errors.Faulty as exc:
         raise errors.Faulty(kind, exc.faults + more) from None
     if more:
