--- a/src/bilberrypass/version/configuration.py
+++ b/src/bilberrypass/version/configuration.py
@@ -10,147 +10,15 @@
 
 import msgspec
 import pydantic
-import typing_extensions as te
 
 from bilberrypass import errors, resources
-from bilberrypass.version import settings
+from bilberrypass.version import schema, settings
 
-_STRICT: t.Final = pydantic.ConfigDict(extra="forbid", strict=True)
 _MAX_DOCUMENT_BYTES: t.Final = 512 << 10
 _HISTORY_RECORDS: t.Final = 50
 _HISTORY_BYTES: t.Final = 64 << 10
 _MAX_VALUE_CHARS: t.Final = 2_000
 
-Share = t.Annotated[float, pydantic.Field(ge=0, le=1)]
-Weight = t.Annotated[float, pydantic.Field(ge=0, le=1_000)]
-
-
-def _check_text(value: str) -> str:
-    if not value.strip():
-        raise ValueError("is empty; say why this differs from the fleet")
-    return value
-
-
-def _check_date(value: str) -> str:
-    try:
-        datetime.date.fromisoformat(value)
-    except ValueError:
-        raise ValueError(f"{value!r} is no date; write it like 2027-01-31") from None
-    return value
-
-
-Reason = t.Annotated[
-    str, pydantic.Field(max_length=500), pydantic.AfterValidator(_check_text)
-]
-Date = t.Annotated[str, pydantic.AfterValidator(_check_date)]
-
-
-class Guards(te.TypedDict, total=False):
-    """The agents' own protections; each can be switched off alone."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    admission_limit: t.Annotated[bool, "refuse what a host does not hold"]
-    throttle_on_disturbance: t.Annotated[bool, "throttle batch work that disturbs"]
-    set_aside_failing_workers: t.Annotated[bool, "rest a worker that fails everything"]
-    eviction_budget: t.Annotated[bool, "bound the number of evictions"]
-
-
-class Weights(te.TypedDict, total=False):
-    """What placement weighs against each other."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    tail_latency: t.Annotated[Weight, "weight of the services' tail latency"]
-    throughput: t.Annotated[Weight, "weight of the batch throughput"]
-    evictions: t.Annotated[Weight, "weight of each eviction"]
-
-
-class Limits(te.TypedDict, total=False):
-    """The numbers that bound what the system does."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    requests_in_progress: t.Annotated[settings.Count, "requests at once, per service"]
-    retry_budget_share: t.Annotated[Share, "retries, as a share of first attempts"]
-    claim_retention_s: t.Annotated[
-        float, pydantic.Field(ge=60, le=2_678_400), "life of a key's claim"
-    ]
-    evictions_per_hour: t.Annotated[
-        int, pydantic.Field(ge=0, le=100_000), "budget of evictions of an entry"
-    ]
-    max_exceptions: t.Annotated[
-        int, pydantic.Field(ge=0, le=1_000), "longest list of exceptions"
-    ]
-
-
-class Quota(te.TypedDict, total=False):
-    """What a team's tasks may hold at once; a part left out is not limited."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    cpu_milli: t.Annotated[int, pydantic.Field(ge=0, le=1 << 40)]
-    memory_bytes: t.Annotated[int, pydantic.Field(ge=0, le=1 << 60)]
-    accelerators: t.Annotated[int, pydantic.Field(ge=0, le=1 << 20)]
-
-
-class Defaults(te.TypedDict, total=False):
-    """What holds for the whole fleet."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    guards: Guards
-    weights: Weights
-    limits: Limits
-    quotas: t.Annotated[dict[settings.Name, Quota], "by team"]
-
-
-class Overrides(te.TypedDict, total=False):
-    """What an exception sets in place of the defaults."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    guards: Guards
-    weights: Weights
-    limits: Limits
-    quotas: t.Annotated[dict[settings.Name, Quota], "by team"]
-    drain: t.Annotated[bool, "place nothing new on the host"]
-
-
-class Match(te.TypedDict, total=False):
-    """Where an exception holds; each key that is given must agree."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    host: settings.Name
-    rack: settings.Name
-    failure_domain: settings.Name
-    region: settings.Name
-    service: settings.Name
-    team: settings.Name
-
-
-class Exemption(te.TypedDict, total=False):
-    """One of the list of exceptions: where, what, why, by whom and how long."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    match: te.Required[Match]
-    set: te.Required[Overrides]
-    reason: te.Required[Reason]
-    author: t.Annotated[settings.Name, "left out: the holder of the token"]
-    expires: t.Annotated[Date, "last day on which it holds, in UTC"]
-
-
-class Proposal(te.TypedDict, total=False):
-    """What an operator sends."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-
-    defaults: te.Required[Defaults]
-    exceptions: te.Required[list[Exemption]]
-    note: t.Annotated[str, pydantic.Field(max_length=500)]
-
 
 class Change(t.NamedTuple):
     """One path that a revision changed; None where there was or is nothing."""
@@ -182,8 +50,8 @@
     author: str
     time: float
     write: str
-    defaults: Defaults
-    exceptions: list[Exemption]
+    defaults: schema.Defaults
+    exceptions: list[schema.Exemption]
     history: list[Record] = []
     is_whole: bool = True
     places: list[int] = []
@@ -223,7 +91,7 @@
     drain: str
 
 
-BUILT_IN: t.Final[Defaults] = {
+BUILT_IN: t.Final[schema.Defaults] = {
     "guards": {
         "admission_limit": True,
         "throttle_on_disturbance": True,
@@ -244,12 +112,12 @@
 FIRST: t.Final = Document(0, "", 0.0, "", BUILT_IN, [])
 """What holds before anyone has written a configuration."""
 
-_PROPOSAL: t.Final = pydantic.TypeAdapter(Proposal)
+_PROPOSAL: t.Final = pydantic.TypeAdapter(schema.Proposal)
 _UNLIMITED: t.Final = resources.Demand(1 << 40, 1 << 60, 1 << 20)
 _PLACE_KEYS: t.Final = ("host", "rack", "failure_domain", "region")
 
 
-def check(value: object, current: Document, today: datetime.date) -> Proposal:
+def check(value: object, current: Document, today: datetime.date) -> schema.Proposal:
     """Check a proposal whole, and fill in the defaults that it leaves out.
 
     Parameters
@@ -273,12 +141,12 @@
         faults.append(f"(whole): is over {_MAX_DOCUMENT_BYTES} bytes; shorten it")
     if faults:
         raise errors.Faulty(errors.Kind.INVALID_CONFIG, faults)
-    return t.cast(Proposal, proposal | {"defaults": defaults})
+    return t.cast(schema.Proposal, proposal | {"defaults": defaults})
 
 
 def _find_faults(
-    defaults: Defaults,
-    exceptions: list[Exemption],
+    defaults: schema.Defaults,
+    exceptions: list[schema.Exemption],
     current: Document,
     today: datetime.date,
 ) -> abc.Iterator[str]:
@@ -306,7 +174,7 @@
                 yield f"{path}.set.{key}: exceptions[{first}] sets it for the same"
 
 
-def is_in_force(exemption: Exemption, today: datetime.date) -> bool:
+def is_in_force(exemption: schema.Exemption, today: datetime.date) -> bool:
     """Tell whether an exception has not expired."""
     expires = exemption.get("expires")
     return expires is None or today <= datetime.date.fromisoformat(expires)
@@ -318,7 +186,7 @@
 
 
 def succeed(
-    current: Document, proposal: Proposal, author: str, now: float, write: str
+    current: Document, proposal: schema.Proposal, author: str, now: float, write: str
 ) -> Document:
     """Return the document that follows the current one.
 
@@ -326,7 +194,7 @@
     ----------
     current : Document
         The revision to replace.
-    proposal : Proposal
+    proposal : schema.Proposal
         A checked proposal.
     author : str
         Who made it.
@@ -342,7 +210,7 @@
         now,
         write,
         proposal["defaults"],
-        t.cast("list[Exemption]", exceptions),
+        t.cast("list[schema.Exemption]", exceptions),
     )
     note = proposal.get("note", "")
     changes = [_shorten(change) for change in diff(current, found)]
@@ -425,11 +293,11 @@
     )
 
 
-def _quota(quota: Quota) -> resources.Demand:
+def _quota(quota: schema.Quota) -> resources.Demand:
     return resources.Demand(**(_UNLIMITED._asdict() | quota))
 
 
-def _agrees(match: Match, subject: Subject) -> bool:
+def _agrees(match: schema.Match, subject: Subject) -> bool:
     return all(getattr(subject, key) == value for key, value in match.items())
 
 
@@ -448,7 +316,7 @@
     )
 
 
-def _concerns(match: Match, host: Subject) -> bool:
+def _concerns(match: schema.Match, host: Subject) -> bool:
     return all(
         getattr(host, key) == value
         for key, value in match.items()
