Claim keys before dispatch, revoke after lost answers

Cause: the thin path dispatched a keyed non-idempotent request once for each retry, and told 'unknown' wherever an agent's answer was lost. Ruled out: claims at the agents - an agent's host keeps nothing, so a replaced agent would forget them. Conclusion: one grouped write of the key's shard before a dispatch; Revoke settles a lost answer while the agent lives; both have bounded records.

--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -18,6 +18,10 @@
 _SERVICE: t.Final = "bilberrypass"
 _KEEPALIVE_MS: t.Final = 2_000
 _MAX_MESSAGE_BYTES: t.Final = 64 << 20
+# The texts of the library for a call that was never begun at the other end.
+_TOO_MANY_CALLS: t.Final = "Concurrent RPC limit exceeded!"
+_NOT_CONNECTED: t.Final = "failed to connect to all addresses"
+_MAX_DETAIL: t.Final = 1_000
 _SUSPECT: t.Final = (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED)
 
 
@@ -33,6 +37,8 @@
 REPORT: t.Final = Method("Report", messages.Report, messages.Reported)
 START: t.Final = Method("Start", messages.Start, messages.Started)
 STOP: t.Final = Method("Stop", messages.Stop, messages.Stopped)
+REVOKE: t.Final = Method("Revoke", messages.Revoke, messages.Revoked)
+CLAIM: t.Final = Method("Claim", messages.ClaimCall, messages.ClaimAnswer)
 JOB: t.Final = Method("Job", messages.JobCall, messages.JobAnswer)
 
 
@@ -67,6 +73,44 @@
 )
 
 
+@t.final
+class _Connection:
+    """One channel, closed when it is retired and its last call has ended."""
+
+    def __init__(self, address: str) -> None:
+        self._channel = grpc.insecure_channel(address, options=_CLIENT_OPTIONS)
+        self._lock = threading.Lock()
+        self._calls = 0
+        self._is_retired = False
+
+    def invoke(self, method: Method, req: t.Any, timeout_s: float) -> t.Any:
+        """Call a method; ``ValueError`` if the channel is closed."""
+        with self._lock:
+            self._calls += 1
+        try:
+            call = self._channel.unary_unary(
+                f"/{_SERVICE}/{method.name}",
+                request_serializer=msgspec.msgpack.encode,
+                response_deserializer=_decoder(method.answer),
+            )
+            return call(req, timeout=timeout_s)
+        finally:
+            with self._lock:
+                self._calls -= 1
+            self._close_if_done()
+
+    def retire(self) -> None:
+        """Close once the calls in progress have ended."""
+        self._is_retired = True
+        self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        with self._lock:
+            is_done = self._is_retired and not self._calls
+        if is_done:
+            self._channel.close()
+
+
 @t.final
 class Peer:
     """The connection to one other process.
@@ -80,10 +124,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._lock = threading.Lock()
-        self._channel = self._open()
-
-    def _open(self) -> grpc.Channel:
-        return grpc.insecure_channel(self.address, options=_CLIENT_OPTIONS)
+        self._conn = _Connection(address)
 
     def call(self, method: Method, req: t.Any, deadline: float) -> t.Any:
         """Call a method and return its answer.
@@ -91,21 +132,16 @@
         Raises
         ------
         errors.Error
-            The peer's own refusal, or PEER_UNREACHABLE or ANSWER_LOST, whose
-            ``ran`` is unknown.
+            The peer's own refusal; PEER_UNREACHABLE, whose ``ran`` is "no" if no
+            connection could be made; otherwise that or ANSWER_LOST, and unknown.
         """
-        channel = self._channel
-        invoke = channel.unary_unary(
-            f"/{_SERVICE}/{method.name}",
-            request_serializer=msgspec.msgpack.encode,
-            response_deserializer=_decoder(method.answer),
-        )
+        conn = self._conn
         try:
-            return invoke(req, timeout=max(0.001, deadline - time.monotonic()))
+            return conn.invoke(method, req, max(0.001, deadline - time.monotonic()))
         except grpc.RpcError as exc:
             error = self._translate(method, exc)
             if exc.code() in _SUSPECT:
-                self._replace(channel)
+                self._replace(conn)
         except ValueError:
             error = errors.Error(
                 errors.Kind.PEER_UNREACHABLE,
@@ -116,19 +152,20 @@
     def _translate(self, method: Method, exc: t.Any) -> errors.Error:
         code, details = exc.code(), exc.details() or ""
         if code is grpc.StatusCode.ABORTED:
-            fault = msgspec.json.decode(details, type=_Fault)
-            return errors.Refused(
-                fault.kind,
-                fault.detail,
-                ran=fault.ran,
-                retry_after_s=fault.retry_after_s,
-            )
-        if code is grpc.StatusCode.RESOURCE_EXHAUSTED:
+            return _read_fault(details)
+        if details == _TOO_MANY_CALLS:
             return errors.Refused(
                 errors.Kind.OVERLOADED,
                 f"{self.address} has too many calls in progress; come back later",
                 ran=errors.Ran.NO,
             )
+        if code is grpc.StatusCode.UNAVAILABLE and details.startswith(_NOT_CONNECTED):
+            return errors.Refused(
+                errors.Kind.PEER_UNREACHABLE,
+                f"{self.address} takes no connection; try another",
+                ran=errors.Ran.NO,
+                retry_after_s=1.0,
+            )
         kind = errors.Kind.PEER_UNREACHABLE
         if code is grpc.StatusCode.DEADLINE_EXCEEDED:
             kind = errors.Kind.ANSWER_LOST
@@ -136,15 +173,24 @@
             kind, f"{method.name} to {self.address} failed: {code.name} {details}"
         )
 
-    def _replace(self, suspect: grpc.Channel) -> None:
+    def _replace(self, suspect: _Connection) -> None:
         """Open a truly new connection; calls on the old one go on."""
         with self._lock:
-            if self._channel is suspect:
-                self._channel = self._open()
+            if self._conn is not suspect:
+                return
+            self._conn = _Connection(self.address)
+        suspect.retire()
 
     def close(self) -> None:
-        """Close the connection."""
-        self._channel.close()
+        """Close the connection once the calls in progress have ended."""
+        self._conn.retire()
+
+
+def _read_fault(details: str) -> errors.Error:
+    fault = msgspec.json.decode(details, type=_Fault)
+    return errors.Refused(
+        fault.kind, fault.detail, ran=fault.ran, retry_after_s=fault.retry_after_s
+    )
 
 
 def _decoder(kind: type) -> abc.Callable[[bytes], t.Any]:
@@ -156,7 +202,9 @@
         try:
             return serve(req)
         except errors.Error as exc:
-            fault = _Fault(exc.kind, exc.detail, exc.ran, exc.retry_after_s)
+            fault = _Fault(
+                exc.kind, exc.detail[:_MAX_DETAIL], exc.ran, exc.retry_after_s
+            )
         except Exception:
             _log.exception("channels: {} failed", method.name)
             fault = _Fault(
--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -1,23 +1,42 @@
 """An agent's connection to one endpoint on its host."""
 
+import collections.abc as abc
 import heapq
+import http.client
 import itertools
 import threading
 import time
 import typing as t
 
+import logbook
 import urllib3
+import urllib3.connection
 
 from bilberrypass import errors
-from bilberrypass.connection import messages
+from bilberrypass.connection import messages, pool
+
+_log = logbook.Logger("endpoint")
 
 _CONNECT_S: t.Final = 1.0
 _CHUNK_BYTES: t.Final = 64 << 10
+_LEAST_SILENCE_S: t.Final = 2.0
+_SILENCE_FACTOR: t.Final = 4.0
+_SMOOTHING: t.Final = 0.1
+_NO_BODY_STATUSES: t.Final = (204, 304)
 _HOP_BY_HOP: t.Final = frozenset(
     "connection keep-alive proxy-authenticate proxy-authorization te trailer "
-    "transfer-encoding upgrade content-length host".split()
+    "transfer-encoding upgrade content-length host expect".split()
+)
+_BROKEN: t.Final = (
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
 )
 
+Begin = abc.Callable[[], None]
+"""Notes that the request reaches the endpoint from now on, or refuses it."""
+
 
 class Announcement(t.TypedDict):
     """What an endpoint says of itself to its agent."""
@@ -33,6 +52,10 @@
     return [(k, v) for k, v in headers if k.lower() not in _HOP_BY_HOP]
 
 
+class _Silent(Exception):
+    """A connection that was used before gives no sign of life."""
+
+
 @t.final
 class Slots:
     """The slots of one endpoint; waiting requests stand ordered by deadline.
@@ -52,6 +75,7 @@
         self._order = itertools.count()
         self._waiting: list[tuple[float, int, threading.Event]] = []
         self.in_use = 0
+        self.service_s = 0.0
 
     @property
     def queued(self) -> int:
@@ -59,40 +83,53 @@
         return len(self._waiting)
 
     def take(self, deadline: float) -> None:
-        """Take a slot, waiting up to the deadline (monotonic seconds).
+        """Take a slot, waiting while the deadline (monotonic seconds) can be met.
 
         Raises
         ------
         errors.Refused
-            OVERLOADED if the queue is full or no slot came free in time.
+            OVERLOADED if the queue is full or no slot comes free in time.
         """
         with self._lock:
             if self.in_use < self.count:
                 self.in_use += 1
                 return
-            if len(self._waiting) >= self._max_queued:
-                raise self._refusal("its queue is full")
+            self._check_room(deadline)
             ready = threading.Event()
             place = (deadline, next(self._order), ready)
             heapq.heappush(self._waiting, place)
-        if ready.wait(max(0.0, deadline - time.monotonic())):
+        # What cannot be served by its deadline any more is refused at once.
+        latest = deadline - self.service_s
+        if ready.wait(max(0.0, latest - time.monotonic())):
             return
         with self._lock:
             if ready.is_set():
                 return
             self._waiting.remove(place)
             heapq.heapify(self._waiting)
-        raise self._refusal("no slot came free by the deadline")
+        raise self._refusal("no slot came free in time")
+
+    def _check_room(self, deadline: float) -> None:
+        if len(self._waiting) >= self._max_queued:
+            raise self._refusal("its queue is full")
+        ahead = sum(1 for place in self._waiting if place[0] <= deadline)
+        wait_s = (ahead + 1) / self.count * self.service_s
+        if time.monotonic() + wait_s + self.service_s > deadline:
+            raise self._refusal("the wait would pass the deadline")
 
     def _refusal(self, why: str) -> errors.Refused:
+        drained_s = (len(self._waiting) + 1) / self.count * self.service_s
         return errors.Refused(
             errors.Kind.OVERLOADED,
             f"the endpoint has {self.count} slots in use and {why}; come back later",
+            retry_after_s=max(1.0, drained_s),
         )
 
-    def release(self) -> None:
+    def release(self, service_s: float) -> None:
         """Give a slot back; the waiting request with the nearest deadline has it."""
         with self._lock:
+            gain = service_s - self.service_s
+            self.service_s += gain * (_SMOOTHING if self.service_s else 1.0)
             if self._waiting:
                 heapq.heappop(self._waiting)[2].set()
             else:
@@ -124,9 +161,7 @@
         self.slots = Slots(said["slots"], max_queued)
         self._max_body_bytes = max_body_bytes
         host, _, port = said["address"].rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=said["slots"], block=False, retries=False
-        )
+        self._pool = pool.Connections(host.strip("[]"), int(port), said["slots"])
 
     def hear(self, said: Announcement) -> None:
         """Note that the endpoint announced itself again."""
@@ -143,11 +178,23 @@
             self.slots.in_use,
             self.slots.queued,
             self.said["leaving"] or silent,
+            self.slots.service_s,
         )
 
-    def serve(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
+    def serve(
+        self, req: messages.Forward, deadline: float, begin: Begin
+    ) -> messages.Forwarded:
         """Have the endpoint answer a request within a slot.
 
+        Parameters
+        ----------
+        req : messages.Forward
+            The request.
+        deadline : float
+            Monotonic seconds.
+        begin : callable
+            Called once, just before the first byte can reach the endpoint.
+
         Raises
         ------
         errors.Error
@@ -155,67 +202,148 @@
             (unknown) or ANSWER_TOO_LARGE (it ran).
         """
         self.slots.take(deadline)
+        began = time.monotonic()
         try:
-            return self._exchange(req, deadline)
+            return self._exchange(req, deadline, begin)
         finally:
-            self.slots.release()
+            self.slots.release(time.monotonic() - began)
 
-    def _exchange(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
-        left_s = deadline - time.monotonic()
-        if left_s <= 0:
+    def _exchange(
+        self, req: messages.Forward, deadline: float, begin: Begin
+    ) -> messages.Forwarded:
+        if time.monotonic() >= deadline:
             raise errors.Refused(
                 errors.Kind.DEADLINE_PASSED, "the deadline passed in the queue"
             )
-        timeout = urllib3.Timeout(connect=min(_CONNECT_S, left_s), read=left_s)
-        try:
-            resp = self._pool.urlopen(
-                req.method,
-                req.target,
-                body=req.body or None,
-                headers=urllib3.HTTPHeaderDict(req.headers),
-                timeout=timeout,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
+        if self.said["leaving"]:
+            raise errors.Refused(
+                errors.Kind.LEAVING, f"endpoint {self.id} leaves; try another"
             )
-            body = self._read_whole(resp, deadline)
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ):
+        # A connection used before may have gone stale or silent: only what may
+        # run twice goes on one.
+        idle = self._pool.take_idle() if req.idempotent else None
+        if idle is None:
+            conn = self._open(deadline)
+            begin()
+            return self._answer(conn, req, deadline)
+        begin()
+        silence_s = max(_LEAST_SILENCE_S, _SILENCE_FACTOR * self.slots.service_s)
+        try:
+            return self._answer(idle, req, deadline, silence_s)
+        except _Silent:
+            _log.info("endpoint: {} silent on a used connection, renewed", self.id)
+            self._pool.clear()
+        try:
+            return self._answer(self._open(deadline), req, deadline)
+        except errors.Refused as exc:
+            # The first sending may have arrived.
+            raise errors.Error(exc.kind, exc.detail, ran=errors.Ran.UNKNOWN) from None
+
+    def _open(self, deadline: float) -> urllib3.connection.HTTPConnection:
+        left_s = max(0.001, deadline - time.monotonic())
+        try:
+            return self._pool.open(min(_CONNECT_S, left_s))
+        except (urllib3.exceptions.HTTPError, OSError):
             raise errors.Refused(
                 errors.Kind.ENDPOINT_UNREACHABLE,
                 f"endpoint {self.id} takes no connection; try another",
             ) from None
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
+
+    def _answer(
+        self,
+        conn: urllib3.connection.HTTPConnection,
+        req: messages.Forward,
+        deadline: float,
+        silence_s: float | None = None,
+    ) -> messages.Forwarded:
+        """Send a request on a connection and read its answer whole.
+
+        With ``silence_s`` the connection was used before, and ``_Silent`` tells
+        that no answer began on it.
+        """
+        is_whole = False
+        try:
+            resp = self._await_answer(conn, req, deadline, silence_s)
+            body = self._read_whole(conn, resp, req.method, deadline)
+            is_whole = True
+        except _BROKEN as exc:
             raise errors.Error(
                 errors.Kind.ANSWER_LOST,
                 f"endpoint {self.id} gave no whole answer ({type(exc).__name__})",
             ) from None
+        finally:
+            if is_whole:
+                self._pool.give_back(conn)
+            else:
+                conn.close()
         headers = end_to_end(resp.headers.items())
         return messages.Forwarded(req.request, resp.status, headers, body, len(body))
 
-    def _read_whole(self, resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    def _await_answer(
+        self,
+        conn: urllib3.connection.HTTPConnection,
+        req: messages.Forward,
+        deadline: float,
+        silence_s: float | None,
+    ) -> urllib3.HTTPResponse:
+        left_s = max(0.001, deadline - time.monotonic())
+        conn.timeout = left_s if silence_s is None else min(left_s, silence_s)
+        try:
+            conn.request(
+                req.method,
+                req.target,
+                body=req.body or None,
+                headers=urllib3.HTTPHeaderDict(req.headers),
+                preload_content=False,
+                decode_content=False,
+            )
+            return conn.getresponse()
+        except _BROKEN:
+            if silence_s is None or time.monotonic() >= deadline:
+                raise
+            raise _Silent from None
+
+    def _read_whole(
+        self,
+        conn: urllib3.connection.HTTPConnection,
+        resp: urllib3.HTTPResponse,
+        method: str,
+        deadline: float,
+    ) -> bytes:
+        self._check_framing(resp, method)
         parts, size = [], 0
         for part in resp.stream(_CHUNK_BYTES, decode_content=False):
             parts.append(part)
             size += len(part)
+            left_s = deadline - time.monotonic()
             if size > self._max_body_bytes:
-                resp.close()
                 raise errors.Error(
                     errors.Kind.ANSWER_TOO_LARGE,
                     f"endpoint {self.id} answered more than {self._max_body_bytes} "
                     "bytes; raise max_body_bytes or answer less",
                 )
-            if time.monotonic() > deadline:
-                resp.close()
+            if left_s <= 0:
                 raise errors.Error(
                     errors.Kind.ANSWER_LOST,
                     f"endpoint {self.id} was still answering at the deadline",
                 )
-        resp.release_conn()
+            if conn.sock is not None:
+                conn.sock.settimeout(left_s)
         return b"".join(parts)
 
+    def _check_framing(self, resp: urllib3.HTTPResponse, method: str) -> None:
+        """Refuse an answer whose end cannot be told from a broken connection."""
+        if method == "HEAD" or resp.status in _NO_BODY_STATUSES:
+            return
+        if resp.chunked or "content-length" in resp.headers:
+            return
+        raise errors.Error(
+            errors.Kind.ANSWER_LOST,
+            f"endpoint {self.id} answered without Content-Length or chunks; "
+            "have it send one of them",
+            ran=errors.Ran.YES,
+        )
+
     def close(self) -> None:
         """Close idle connections."""
-        self._pool.close()
+        self._pool.clear()
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -11,7 +11,11 @@
 
 
 class Forward(t.NamedTuple):
-    """A caller's request, from entry to agent; time left in seconds."""
+    """A caller's request, from entry to agent; time left in seconds.
+
+    ``incarnation`` and ``clock`` quote the newest report of the agent, so that it
+    can refuse what was delayed on the way.
+    """
 
     request: str
     service: str
@@ -22,6 +26,25 @@
     time_left_s: float
     idempotent: bool
     traceparent: str = ""
+    incarnation: int = 0
+    clock: float = 0.0
+
+
+class Revoke(t.NamedTuple):
+    """Asks an agent that a request, if it has not begun, shall never begin.
+
+    ``incarnation`` and ``clock`` are those that the request quoted.
+    """
+
+    request: str
+    incarnation: int
+    clock: float
+
+
+class Revoked(t.NamedTuple):
+    """The agent's answer; ``never_runs`` is certain, its opposite is not."""
+
+    never_runs: bool
 
 
 class Forwarded(t.NamedTuple):
@@ -35,7 +58,7 @@
 
 
 class EndpointState(t.NamedTuple):
-    """An endpoint as its agent sees it."""
+    """An endpoint as its agent sees it; ``service_s`` is a smoothed mean."""
 
     id: str
     service: str
@@ -43,6 +66,7 @@
     in_use: int
     queued: int
     leaving: bool
+    service_s: float = 0.0
 
 
 class TaskState(t.NamedTuple):
@@ -61,7 +85,7 @@
 
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
     each report of this agent to this entry. ``revision`` is that of the
-    configuration in force at the agent.
+    configuration in force at the agent, ``clock`` the agent's monotonic clock.
     """
 
     host: str
@@ -78,6 +102,7 @@
     endpoints: list[EndpointState]
     tasks: list[TaskState]
     usage: worker.Usage | None = None
+    clock: float = 0.0
 
 
 class Grant(t.NamedTuple):
@@ -167,3 +192,24 @@
 
     body: bytes
     created: bool = False
+
+
+class ClaimCall(t.NamedTuple):
+    """A call on a key's claim, from one entry to the owner of its shard.
+
+    ``claim`` names the attempt that claims; ``answer`` comes with a finished one.
+    """
+
+    shard: int
+    verb: str
+    key: bytes
+    digest: bytes
+    claim: bytes
+    answer: Forwarded | None = None
+
+
+class ClaimAnswer(t.NamedTuple):
+    """The owner's answer: whether the attempt may dispatch, or the first answer."""
+
+    is_mine: bool
+    answer: Forwarded | None = None
--- /dev/null
+++ b/src/bilberrypass/connection/pool.py
@@ -0,0 +1,75 @@
+"""An agent's HTTP connections to one endpoint."""
+
+import threading
+import time
+import typing as t
+
+import urllib3
+import urllib3.connection
+
+_LONGEST_IDLE_S: t.Final = 5.0
+
+
+class Idle(t.NamedTuple):
+    """A connection that waits for its next request; the deadline is monotonic."""
+
+    conn: urllib3.connection.HTTPConnection
+    deadline: float
+
+
+@t.final
+class Connections:
+    """Idle connections to one address.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    max_idle : int
+        Connections kept for further requests.
+    """
+
+    def __init__(self, host: str, port: int, max_idle: int) -> None:
+        self._host = host
+        self._port = port
+        self._max_idle = max_idle
+        self._lock = threading.Lock()
+        self._idle: list[Idle] = []
+
+    def take_idle(self) -> urllib3.connection.HTTPConnection | None:
+        """Return the connection that was used last, if it seems alive."""
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                conn, deadline = self._idle.pop()
+            if time.monotonic() < deadline and conn.is_connected:
+                return conn
+            conn.close()
+
+    def open(self, timeout_s: float) -> urllib3.connection.HTTPConnection:
+        """Return a new connection, connected."""
+        conn = urllib3.connection.HTTPConnection(
+            self._host, self._port, timeout=timeout_s
+        )
+        conn.connect()
+        return conn
+
+    def give_back(self, conn: urllib3.connection.HTTPConnection) -> None:
+        """Keep a connection whose answer was read whole."""
+        if conn.sock is None:
+            return
+        with self._lock:
+            if len(self._idle) < self._max_idle:
+                self._idle.append(Idle(conn, time.monotonic() + _LONGEST_IDLE_S))
+                return
+        conn.close()
+
+    def clear(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for conn, _ in idle:
+            conn.close()
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -1,5 +1,6 @@
 """The agent: the authority on its own host."""
 
+import functools
 import threading
 import time
 import typing as t
@@ -17,6 +18,7 @@
     worker,
 )
 from bilberrypass.process import announcements, tasks
+from bilberrypass.request import attempts
 from bilberrypass.version import settings
 
 _log = logbook.Logger("agent")
@@ -50,6 +52,7 @@
         self._leaving = threading.Event()
         self._lock = threading.Lock()
         self._in_progress = 0
+        self._attempts = attempts.Attempts()
         self._endpoints: dict[str, endpoint.Endpoint] = {}
         self._reporters: dict[str, reporting.Reporter] = {}
         self._revision = 0
@@ -60,6 +63,7 @@
             cfg["peers"],
             {
                 channels.FORWARD: self._forward,
+                channels.REVOKE: self._revoke,
                 channels.START: self._start_tasks,
                 channels.STOP: self._stop_tasks,
             },
@@ -142,6 +146,7 @@
             endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
+            clock=time.monotonic(),
         )
 
     def hear(self, answer: messages.Reported, sent_at: float) -> None:
@@ -175,14 +180,31 @@
 
     def _forward(self, req: messages.Forward) -> messages.Forwarded:
         deadline = time.monotonic() + req.time_left_s
+        self._check_incarnation(req.incarnation)
         with self._lock:
             self._in_progress += 1
         try:
-            return self._choose(req.service).serve(req, deadline)
+            self._attempts.enter(req.request, req.clock)
+            try:
+                begin = functools.partial(self._attempts.begin, req.request)
+                return self._choose(req.service).serve(req, deadline, begin)
+            finally:
+                self._attempts.end(req.request)
         finally:
             with self._lock:
                 self._in_progress -= 1
 
+    def _check_incarnation(self, quoted: int) -> None:
+        if quoted != self._incarnation:
+            raise errors.Refused(
+                errors.Kind.STALE, f"the agent of {self.host} was replaced; ask again"
+            )
+
+    def _revoke(self, req: messages.Revoke) -> messages.Revoked:
+        is_same = req.incarnation == self._incarnation
+        never_runs = is_same and self._attempts.revoke(req.request, req.clock)
+        return messages.Revoked(never_runs)
+
     def _choose(self, service: str) -> endpoint.Endpoint:
         if self._leaving.is_set():
             raise errors.Refused(
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -9,8 +9,17 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, etcd, messages, serving, store, worker
-from bilberrypass.process import directory, fleet, jobs, operators, owner, placement
-from bilberrypass.request import callers, routing
+from bilberrypass.process import (
+    claiming,
+    claims,
+    directory,
+    fleet,
+    jobs,
+    operators,
+    owner,
+    placement,
+)
+from bilberrypass.request import callers, dispatch, routing
 from bilberrypass.version import settings
 
 _log = logbook.Logger("entry")
@@ -44,7 +53,11 @@
         self.fleet = fleet.Fleet(cfg["silence_s"])
         self._server = channels.Server(
             cfg["peers"],
-            {channels.REPORT: self._hear_report, channels.JOB: self._serve_job},
+            {
+                channels.REPORT: self._hear_report,
+                channels.JOB: self._serve_job,
+                channels.CLAIM: self._serve_claim,
+            },
             _PEER_THREADS,
         )
         self.names = directory.Directory(
@@ -55,9 +68,22 @@
         )
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
-        self._callers = callers.Callers(cfg, self.fleet, routing.LeastOutstanding())
+        self._claims = self._make_claims()
+        dispatcher = dispatch.Dispatcher(
+            self.fleet, routing.LeastWait(), cfg["failure_domain"]
+        )
+        self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
 
+    def _make_claims(self) -> claiming.Router:
+        prefix = self._cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        retention_s = self._cfg["claim_retention_s"]
+        shards = [
+            claims.Shard(number, self.names, prefix, retention_s)
+            for number in range(self._cfg["claim_shards"])
+        ]
+        return claiming.Router(self.names, shards)
+
     def _make_shard(self, number: int) -> owner.Shard:
         return owner.Shard(
             number,
@@ -111,6 +137,7 @@
         self.names.start()
         for shard in self.shards:
             shard.start()
+        self._claims.start()
         for listener in self._listeners:
             listener.start()
         _log.info("entry: {} serves at {}", self._cfg["id"], self.addresses["callers"])
@@ -147,6 +174,9 @@
             )
         return self._router.serve(req)
 
+    def _serve_claim(self, req: messages.ClaimCall) -> messages.ClaimAnswer:
+        return self._claims.serve(req)
+
     def stop(self) -> None:
         """Leave: readiness first, then new connections, then what is in progress."""
         self._leaving.set()
@@ -157,6 +187,7 @@
             time.sleep(_IN_PROGRESS_POLL_S)
         for shard in self.shards:
             shard.stop()
+        self._claims.stop()
         for listener in self._listeners:
             listener.stop()
         self.names.stop()
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -6,18 +6,20 @@
 import time
 import typing as t
 
+import cheroot.errors
 import logbook
 
 from bilberrypass import errors
-from bilberrypass.connection import channels, endpoint, messages
-from bilberrypass.process import fleet
+from bilberrypass.connection import endpoint, messages
+from bilberrypass.process import claiming, claims
+from bilberrypass.request import dispatch, limits, problems
 from bilberrypass.request import headers as steering_headers
-from bilberrypass.request import problems, routing
 from bilberrypass.version import settings
 
 _log = logbook.Logger("callers")
 
 _SERVICE: t.Final = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+_TARGET: t.Final = re.compile(r"^[\x21-\x7e]+$")
 _PREFIX: t.Final = "/services/"
 _HTTP_REASONS: t.Final = {200: "OK", 201: "Created", 204: "No Content"}
 
@@ -30,18 +32,22 @@
     ----------
     cfg : settings.Entry
         Checked settings.
-    hosts : fleet.Fleet
-        The hosts known by reports.
-    policy : routing.Policy
-        Chooses hosts.
+    dispatcher : dispatch.Dispatcher
+        Sends requests to agents.
+    router : claiming.Router
+        Claims the keys of non-idempotent requests.
     """
 
     def __init__(
-        self, cfg: settings.Entry, hosts: fleet.Fleet, policy: routing.Policy
+        self,
+        cfg: settings.Entry,
+        dispatcher: dispatch.Dispatcher,
+        router: claiming.Router,
     ) -> None:
         self._cfg = cfg
-        self._hosts = hosts
-        self._policy = policy
+        self._dispatcher = dispatcher
+        self._router = router
+        self._shares = limits.Shares(cfg["max_requests"])
         self._lock = threading.Lock()
         self.leaving = False
         self.in_progress = 0
@@ -64,12 +70,6 @@
         self, environ: dict[str, t.Any]
     ) -> tuple[int, list[tuple[str, str]], bytes]:
         try:
-            if self.in_progress > self._cfg["max_requests"]:
-                raise errors.Error(
-                    errors.Kind.OVERLOADED,
-                    f"{self._cfg['max_requests']} requests are in progress here; "
-                    "come back later",
-                )
             answer = self._serve(environ)
             headers = [*answer.headers, ("Content-Length", str(answer.length))]
             return answer.status, headers, answer.body
@@ -100,34 +100,33 @@
             idempotent=steering.idempotent,
             traceparent=environ.get("HTTP_TRACEPARENT", ""),
         )
-        return self._forward(req, steering.deadline)
-
-    def _forward(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
-        hosts = self._hosts.serving(req.service)
-        if not hosts:
-            self._refuse(req.service)
-        host = self._policy.choose(req.service, hosts)
-        left_s = deadline - time.monotonic()
-        answer = host.peer.call(
-            channels.FORWARD, req._replace(time_left_s=left_s), deadline
-        )
-        if answer.request != req.request or answer.length != len(answer.body):
-            raise errors.Error(
-                errors.Kind.ANSWER_LOST,
-                f"{host.report.host} gave the answer to another request; ask again",
-            )
+        with self._shares.hold(service):
+            if steering.key and not steering.idempotent:
+                return self._run_claimed(req, steering)
+            return self._dispatcher.run(req, steering.deadline)
+
+    def _run_claimed(
+        self, req: messages.Forward, steering: steering_headers.Steering
+    ) -> messages.Forwarded:
+        """Run a keyed non-idempotent request at most once."""
+        self._dispatcher.check(req.service)
+        claim = claims.identify(steering.key, req, self._cfg["claim_shards"])
+        first = self._router.take(claim, steering.deadline)
+        if first is not None:
+            return first
+        try:
+            answer = self._dispatcher.run(req, steering.deadline)
+        except errors.Error as exc:
+            self._end_claim(claim, exc)
+            raise
+        self._router.finish(claim, answer)
         return answer
 
-    def _refuse(self, service: str) -> t.NoReturn:
-        if self._hosts.knows(service):
-            raise errors.Error(
-                errors.Kind.NO_ENDPOINT,
-                f"no endpoint of {service} takes requests now; come back later",
-            )
-        raise errors.Error(
-            errors.Kind.UNKNOWN_SERVICE,
-            f"no endpoint of {service!r} ever announced itself; check the name",
-        )
+    def _end_claim(self, claim: messages.ClaimCall, exc: errors.Error) -> None:
+        if exc.ran is errors.Ran.YES:
+            self._router.finish(claim, None)
+        elif exc.ran is errors.Ran.NO and not self._router.release(claim):
+            exc.detail += "; until its key is free, the same key is told KEY_IN_USE"
 
 
 def _split_target(environ: dict[str, t.Any]) -> tuple[str, str]:
@@ -143,6 +142,10 @@
             errors.Kind.BAD_REQUEST,
             f"{service[:64]!r} is no service name; use letters, digits, . _ -",
         )
+    if not _TARGET.match(raw):
+        raise errors.Error(
+            errors.Kind.BAD_REQUEST, "the target has other than visible ASCII; quote it"
+        )
     return service, f"/{rest}" + (f"?{query}" if query else "")
 
 
@@ -165,7 +168,12 @@
     chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
     if not chunked and not length:
         return b""
-    body = environ["wsgi.input"].read(limit + 1 if chunked else length)
+    try:
+        body = environ["wsgi.input"].read(limit + 1 if chunked else length)
+    except (OSError, ValueError, cheroot.errors.MaxSizeExceeded):
+        raise errors.Error(
+            errors.Kind.BAD_BODY, "the body is malformed or broke off; send it whole"
+        ) from None
     if len(body) > limit:
         raise _too_large(limit)
     if not chunked and len(body) != length:
