Notice a silent connection while another ping is on its way

Cause: gRPC 1.85 sends no keepalive ping while a ping of its own (flow control) is outstanding, and that one's timeout is a minute by default. A call on a swallowed connection then ended only by its deadline. Ruled out: keepalive_permit_without_calls and bdp_probe=0 (both still 20 s). Before: DEADLINE_EXCEEDED after 20.0 s of a 20 s deadline; with ping_timeout_ms 2000 UNAVAILABLE after 2.0 s (trial). Test test_silent_connection_is_noticed_and_replaced failed before with a 30 s deadline, passes after. Conclusion: ping_timeout_ms of 3 s.

--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -17,6 +17,7 @@
 
 _SERVICE: t.Final = "bilberrypass"
 _KEEPALIVE_MS: t.Final = 2_000
+_PING_TIMEOUT_MS: t.Final = 3_000
 _MAX_MESSAGE_BYTES: t.Final = 64 << 20
 # The texts of the library for a call that was never begun at the other end.
 _TOO_MANY_CALLS: t.Final = "Concurrent RPC limit exceeded!"
@@ -57,6 +58,9 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.keepalive_time_ms", _KEEPALIVE_MS),
     ("grpc.keepalive_timeout_ms", _KEEPALIVE_MS),
+    # A ping of the library's own on its way takes the keepalive's place, and
+    # would wait for a minute.
+    ("grpc.http2.ping_timeout_ms", _PING_TIMEOUT_MS),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.min_reconnect_backoff_ms", 200),
     ("grpc.initial_reconnect_backoff_ms", 200),
