--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -135,7 +135,7 @@
             host=self.host,
             incarnation=self._incarnation,
             sequence=sequence,
-            address=self._server.address,
+            address=self._cfg.get("advertised", self._server.address),
             region=self._cfg["region"],
             failure_domain=self._cfg["failure_domain"],
             rack=self._cfg["rack"],
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -139,6 +139,7 @@
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     rack: t.Annotated[Name, "rack that it stands in"]
     peers: te.Required[t.Annotated[Address, "address for entries, gRPC"]]
+    advertised: t.Annotated[Address, "address that entries use, if not that of peers"]
     announcements: te.Required[t.Annotated[Address, "address for endpoints, HTTP"]]
     entries: te.Required[
         t.Annotated[
