--- a/testing/request/linked.py
+++ b/testing/request/linked.py
@@ -27,16 +27,20 @@
         self.agent = Restartable("agent", cfg, stack)
         self._announcements = cfg["announcements"]
         self.is_leaving = False
-        stopping = threading.Event()
-        thread = threading.Thread(target=self._announce, args=(stopping,), daemon=True)
+        self._silent = threading.Event()
+        thread = threading.Thread(target=self._announce, daemon=True)
         thread.start()
         stack.callback(thread.join)
-        stack.callback(stopping.set)
+        stack.callback(self._silent.set)
 
-    def _announce(self, stopping: threading.Event) -> None:
-        while not stopping.wait(_ANNOUNCE_INTERVAL_S):
+    def _announce(self) -> None:
+        while not self._silent.wait(_ANNOUNCE_INTERVAL_S):
             self.announce()
 
+    def fall_silent(self) -> None:
+        """Announce nothing any more."""
+        self._silent.set()
+
     def announce(self) -> None:
         said = {
             "service": "echo",
