Refuse an answer whose Content-Length is no number

Cause: urllib3 takes such an answer as one that ends with its connection, so a truncated body was passed on as whole. Before: test_broken_answers_are_lost_and_not_passed_on got status 200 with 'abc'. After: ANSWER_LOST. Conclusion: an answer needs chunks or a length that was read.

--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -22,7 +22,6 @@
 _LEAST_SILENCE_S: t.Final = 2.0
 _SILENCE_FACTOR: t.Final = 4.0
 _SMOOTHING: t.Final = 0.1
-_NO_BODY_STATUSES: t.Final = (204, 304)
 _HOP_BY_HOP: t.Final = frozenset(
     "connection keep-alive proxy-authenticate proxy-authorization te trailer "
     "transfer-encoding upgrade content-length host expect".split()
@@ -264,7 +263,7 @@
         is_whole = False
         try:
             resp = self._await_answer(conn, req, deadline, silence_s)
-            body = self._read_whole(conn, resp, req.method, deadline)
+            body = self._read_whole(conn, resp, deadline)
             is_whole = True
         except _BROKEN as exc:
             raise errors.Error(
@@ -307,10 +306,9 @@
         self,
         conn: urllib3.connection.HTTPConnection,
         resp: urllib3.HTTPResponse,
-        method: str,
         deadline: float,
     ) -> bytes:
-        self._check_framing(resp, method)
+        self._check_framing(resp)
         parts, size = [], 0
         for part in resp.stream(_CHUNK_BYTES, decode_content=False):
             parts.append(part)
@@ -331,11 +329,9 @@
                 conn.sock.settimeout(left_s)
         return b"".join(parts)
 
-    def _check_framing(self, resp: urllib3.HTTPResponse, method: str) -> None:
+    def _check_framing(self, resp: urllib3.HTTPResponse) -> None:
         """Refuse an answer whose end cannot be told from a broken connection."""
-        if method == "HEAD" or resp.status in _NO_BODY_STATUSES:
-            return
-        if resp.chunked or "content-length" in resp.headers:
+        if resp.chunked or resp.length_remaining is not None:
             return
         raise errors.Error(
             errors.Kind.ANSWER_LOST,
--- /dev/null
+++ b/testing/connection/test_endpoint.py
@@ -0,0 +1,192 @@
+"""An agent's connections to an endpoint: whole answers, silence, its slots."""
+
+import collections.abc as abc
+import contextlib
+import socket
+import threading
+import time
+
+from bilberrypass import errors
+from bilberrypass.connection import endpoint, messages
+from testing import collecting, fixtures
+from testing.standins import endpoint as standin
+from testing.standins import link, serving
+
+_MAX_BODY_BYTES = 1 << 20
+_OK = b"HTTP/1.1 200 OK\r\n"
+
+
+def _request(method="POST", idempotent=False, body=b"", **headers):
+    fields = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return messages.Forward(
+        "r1", "echo", method, "/a", fields, body, 10.0, idempotent=idempotent
+    )
+
+
+def _to(address: str, slots: int = 2, max_queued: int = 2) -> endpoint.Endpoint:
+    said = {"service": "echo", "address": address, "slots": slots, "leaving": False}
+    return endpoint.Endpoint("ep1", said, max_queued, _MAX_BODY_BYTES)
+
+
+def _serve(target, req, timeout_s=10.0, begin=lambda: None):
+    return target.serve(req, time.monotonic() + timeout_s, begin)
+
+
+def _failure(target, req, timeout_s=10.0) -> errors.Error:
+    try:
+        answer = _serve(target, req, timeout_s)
+    except errors.Error as exc:
+        return exc
+    raise AssertionError(f"answered: {answer}")
+
+
+@contextlib.contextmanager
+def _scripted(*answers: bytes) -> abc.Iterator[str]:
+    """Answer one connection after another with bytes, then close it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def run():
+            for answer in answers:
+                conn, _ = listener.accept()
+                with conn:
+                    conn.recv(65_536)
+                    conn.sendall(answer)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+        thread.join(5)
+
+
+def test_chunked_answer_is_read_whole():
+    whole = _OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    with _scripted(whole) as address:
+        answer = _serve(_to(address), _request())
+        assert (answer.body, answer.length) == (b"abcde", 5), answer
+
+
+def test_broken_answers_are_lost_and_not_passed_on():
+    broken = [
+        b"",
+        b"nonsense\r\n\r\n",
+        _OK + b"Content-Length: 10\r\n\r\nabc",
+        _OK + b"Content-Length: x\r\n\r\nabc",
+        _OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+        _OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab",
+        _OK + b"\r\nno length",
+    ]
+    for answer in broken:
+        with _scripted(answer) as address:
+            exc = _failure(_to(address), _request())
+            assert exc.kind is errors.Kind.ANSWER_LOST, (answer, exc)
+            assert exc.ran is not errors.Ran.NO, (answer, exc)
+
+
+def test_answer_over_the_limit_ran():
+    with serving.listening(standin.Endpoint("echo", "ep1", 2).handle) as address:
+        exc = _failure(_to(address), _request(X_Size=str(_MAX_BODY_BYTES)))
+        assert (exc.kind, exc.ran) == (errors.Kind.ANSWER_TOO_LARGE, "yes"), exc
+
+
+def test_endpoint_that_takes_no_connection_ran_nothing():
+    begun = []
+    target = _to(f"127.0.0.1:{fixtures.free_port()}")
+    try:
+        _serve(target, _request(), begin=lambda: begun.append(1))
+    except errors.Refused as exc:
+        assert (exc.kind, exc.ran) == (errors.Kind.ENDPOINT_UNREACHABLE, "no"), exc
+    assert not begun
+
+
+def test_non_idempotent_goes_on_a_fresh_connection():
+    ran = standin.Endpoint("echo", "ep1", 2)
+    with (
+        serving.listening(ran.handle) as address,
+        link.Link(address) as between,
+    ):
+        target = _to(between.address)
+        _serve(target, _request("GET", idempotent=True))
+        between.swallow()
+        answer = _serve(target, _request("POST", body=b"x"), timeout_s=1.0)
+        assert answer.status == 200, answer
+        assert ran._runs()["total"] == 2
+
+
+def test_silent_idle_connection_is_replaced_for_an_idempotent_request():
+    ran = standin.Endpoint("echo", "ep1", 2)
+    with (
+        serving.listening(ran.handle) as address,
+        link.Link(address) as between,
+    ):
+        target = _to(between.address)
+        _serve(target, _request("GET", idempotent=True))
+        between.swallow()
+        answer = _serve(target, _request("GET", idempotent=True), timeout_s=9.0)
+        assert answer.status == 200, answer
+
+
+def test_idle_connection_that_was_cut_is_replaced():
+    ran = standin.Endpoint("echo", "ep1", 2)
+    with serving.listening(ran.handle) as address, link.Link(address) as between:
+        target = _to(between.address)
+        for _ in range(3):
+            assert _serve(target, _request("GET", idempotent=True)).status == 200
+            between.cut()
+
+
+def test_slots_are_never_exceeded_and_the_nearest_deadline_goes_first():
+    slots = endpoint.Slots(1, 8)
+    slots.take(time.monotonic() + 1)
+    order = []
+
+    def wait(name, left_s):
+        slots.take(time.monotonic() + left_s)
+        order.append(name)
+        slots.release(0.0)
+
+    threads = []
+    for name, left_s in (("late", 30), ("early", 10), ("middle", 20)):
+        thread = threading.Thread(target=wait, args=(name, left_s))
+        thread.start()
+        threads.append(thread)
+        fixtures.wait_until(lambda: slots.queued == len(threads), 5, "the queue")
+    slots.release(0.0)
+    for thread in threads:
+        thread.join()
+    assert order == ["early", "middle", "late"], order
+    assert slots.in_use == 0
+
+
+def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
+    slots = endpoint.Slots(1, 8)
+    slots.take(time.monotonic() + 1)
+    slots.release(service_s=5.0)
+    slots.take(time.monotonic() + 60)
+    try:
+        slots.take(time.monotonic() + 8)
+    except errors.Refused as exc:
+        assert (exc.kind, exc.ran) == (errors.Kind.OVERLOADED, "no"), exc
+        assert exc.retry_after_s == 5.0, exc.retry_after_s
+    else:
+        raise AssertionError("took a slot")
+
+
+def test_endpoint_that_leaves_takes_nothing_from_the_queue():
+    ran = standin.Endpoint("echo", "ep1", 1)
+    with serving.listening(ran.handle) as address:
+        target = _to(address, slots=1)
+        target.slots.take(time.monotonic() + 10)
+        failures = []
+        thread = threading.Thread(
+            target=lambda: failures.append(_failure(target, _request()))
+        )
+        thread.start()
+        fixtures.wait_until(lambda: target.slots.queued == 1, 5, "the queue")
+        target.hear(target.said | {"leaving": True})
+        target.slots.release(0.0)
+        thread.join()
+        assert (failures[0].kind, failures[0].ran) == (errors.Kind.LEAVING, "no")
+        assert ran._runs()["total"] == 0
+
+
+load_tests = collecting.hook(__name__)
