Fix the number of claims shards, prove whole bodies, say what ran means

A setting for the shards would have let a rolling restart look a held key up in another shard, and run it again; it is a constant now. Tests' ports lie below the range of outgoing connections: with several suites at once an entry and an agent failed to bind a port taken meanwhile.

--- a/src/bilberrypass/process/claiming.py
+++ b/src/bilberrypass/process/claiming.py
@@ -79,8 +79,8 @@
         if not 0 <= req.shard < len(self.shards):
             raise errors.Refused(
                 errors.Kind.BAD_REQUEST,
-                f"there is no claims shard {req.shard}; give all entries the same "
-                "claim_shards",
+                f"there is no claims shard {req.shard}; run the same version at all "
+                "entries",
             )
         return self.shards[req.shard].call(req, time.monotonic() + _CALL_S)
 
--- a/src/bilberrypass/process/claims.py
+++ b/src/bilberrypass/process/claims.py
@@ -24,6 +24,9 @@
 _MAX_ANSWERS_BYTES: t.Final = 4 << 20
 
 MAX_ANSWER_BYTES: t.Final = 64 << 10
+SHARDS: t.Final = 8
+"""Fixed: with another number a held key would be looked up in another shard."""
+
 CLAIM: t.Final = "claim"
 RELEASE: t.Final = "release"
 FINISH: t.Final = "finish"
@@ -167,8 +170,8 @@
         if len(state) >= _MAX_CLAIMS:
             raise errors.Refused(
                 errors.Kind.OVERLOADED,
-                f"claims shard {self.number} holds {_MAX_CLAIMS} keys; raise "
-                "claim_shards or shorten claim_retention_s",
+                f"claims shard {self.number} holds {_MAX_CLAIMS} keys; "
+                "shorten claim_retention_s or come back later",
                 retry_after_s=_FULL_RETRY_S,
             )
         expires_at = int(time.time() + self._retention_s) + 1
@@ -212,7 +215,7 @@
             del state[req.key]
 
 
-def identify(key: str, req: messages.Forward, shards: int) -> messages.ClaimCall:
+def identify(key: str, req: messages.Forward) -> messages.ClaimCall:
     """Return the claim of one attempt at a keyed request.
 
     Parameters
@@ -221,13 +224,11 @@
         The caller's name for the request.
     req : messages.Forward
         The request.
-    shards : int
-        How many shards hold the claims.
     """
     hashed = hashlib.sha256(f"{req.service}\0{key}".encode()).digest()
     content = hashlib.sha256(f"{req.method}\0{req.target}\0".encode() + req.body)
     return messages.ClaimCall(
-        shard=int.from_bytes(hashed[-4:]) % shards,
+        shard=int.from_bytes(hashed[-4:]) % SHARDS,
         verb=CLAIM,
         key=hashed[:_KEY_BYTES],
         digest=content.digest()[:_DIGEST_BYTES],
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -80,7 +80,7 @@
         retention_s = self._cfg["claim_retention_s"]
         shards = [
             claims.Shard(number, self.names, prefix, retention_s)
-            for number in range(self._cfg["claim_shards"])
+            for number in range(claims.SHARDS)
         ]
         return claiming.Router(self.names, shards)
 
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -110,7 +110,7 @@
     ) -> messages.Forwarded:
         """Run a keyed non-idempotent request at most once."""
         self._dispatcher.check(req.service)
-        claim = claims.identify(steering.key, req, self._cfg["claim_shards"])
+        claim = claims.identify(steering.key, req)
         first = self._router.take(claim, steering.deadline)
         if first is not None:
             return first
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -115,7 +115,6 @@
     request_timeout_s: t.Annotated[Seconds, "deadline of a request that names none"]
     silence_s: t.Annotated[Seconds, "silence after which an agent is left out"]
     shards: t.Annotated[Count, "job page shards; the same at all entries"]
-    claim_shards: t.Annotated[Count, "shards of the claims on idempotency keys"]
     claim_retention_s: t.Annotated[
         float,
         pydantic.Field(ge=7_200, le=604_800),
@@ -169,7 +168,6 @@
         "request_timeout_s": 30.0,
         "silence_s": 3.0,
         "shards": 8,
-        "claim_shards": 8,
         "claim_retention_s": 86_400.0,
         "member_ttl_s": 10,
         "task_lease_s": 300.0,
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,14 +19,18 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _POLL_S = 0.02
+_PORTS = (10_000, 32_000)
 _KILL_TIMEOUT_S = 10.0
 _WAIT_TIMEOUT_S = 15.0
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that no outgoing connection will be given meanwhile."""
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 def wait_until(condition: abc.Callable[[], t.Any], timeout_s: float, what: str):
--- a/testing/request/linked.py
+++ b/testing/request/linked.py
@@ -103,7 +103,7 @@
     with contextlib.ExitStack() as stack:
         kv = stack.enter_context(system.store())
         store_link = stack.enter_context(link.Link(kv.addresses["store"]))
-        changes = {"claim_shards": 2, "shards": 1} | entry_changes
+        changes = {"shards": 1} | entry_changes
         fronts, caller_links = [], []
         for number in range(entries):
             cfg = system.entry_settings(number, store_link.address, **changes)
--- /dev/null
+++ b/testing/request/test_bodies.py
@@ -0,0 +1,117 @@
+"""Whole bodies both ways, and malformed input that breaks nothing."""
+
+import contextlib
+import json
+import socket
+
+from testing import collecting, fixtures, system
+from testing.request import calling
+
+_MAX_BODY_BYTES = 1 << 20
+_VERSION_UNKNOWN = b"505"
+_MALFORMED = [
+    b"\x00\xff\xfe nonsense\r\n\r\n",
+    b"GET /services/echo/a HTTP/9.9\r\n\r\n",
+    b"GET /services/../../etc HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /services/echo/\xff\x80 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /services/%00/a HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET /services/echo/a HTTP/1.1\r\nHost: a\r\nIdempotency-Key: \xc3\xa9\r\n\r\n",
+    b"GET /services/echo/a HTTP/1.1\r\nBilberrypass-Deadline: nan\r\n\r\n",
+    b"GET /services/echo/a HTTP/1.1\r\nBilberrypass-Deadline: 1e400\r\n\r\n",
+    b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\nabc",
+    b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\nabc",
+    b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+    b"\r\nzz\r\nabc\r\n",
+    b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+    b"\r\n5\r\nab",
+    b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
+]
+
+
+@contextlib.contextmanager
+def _system():
+    limits = {"max_body_bytes": _MAX_BODY_BYTES}
+    with system.system(entry_changes=limits, agent_changes=limits) as run:
+        fixtures.wait_until(
+            lambda: calling.call(run.callers(), method="GET").status == 200,
+            10,
+            "an answer",
+        )
+        yield run
+
+
+def _send_raw(run, raw: bytes) -> bytes:
+    """Send bytes, end the sending, and return all that comes back."""
+    host, _, port = run.callers().removeprefix("http://").rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as conn:
+        conn.sendall(raw)
+        conn.shutdown(socket.SHUT_WR)
+        parts = []
+        with contextlib.suppress(ConnectionResetError):
+            while part := conn.recv(65_536):
+                parts.append(part)
+        return b"".join(parts)
+
+
+def _total(run) -> int:
+    return fixtures.http("GET", f"{run.endpoints[0].url()}/_runs").json()["total"]
+
+
+def test_large_bodies_pass_whole_both_ways():
+    with _system() as run:
+        body = b"0123456789abcdef" * 50_000
+        told = calling.call(run.callers(), body=body)
+        assert json.loads(told.body)["body"].encode() == body
+        told = calling.call(run.callers(), X_Size="900000")
+        assert len(json.loads(told.body)["padding"]) == 900_000
+
+
+def test_chunked_body_passes_whole():
+    with _system() as run:
+        head = b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        head += b"Transfer-Encoding: chunked\r\n\r\n"
+        answer = _send_raw(run, head + b"5\r\nabcde\r\n3\r\nfgh\r\n0\r\n\r\n")
+        assert b"200 OK" in answer.splitlines()[0], answer
+        assert b'"body": "abcdefgh"' in answer, answer
+
+
+def test_body_over_the_limit_is_refused_and_does_not_run():
+    with _system() as run:
+        before = _total(run)
+        told = calling.call(run.callers(), body=b"x" * (_MAX_BODY_BYTES + 1))
+        assert (told.status, told.ran) == (413, "no"), told
+        assert _total(run) == before
+
+
+def test_answer_over_the_limit_ran():
+    with _system() as run:
+        told = calling.call(run.callers(), X_Size=str(_MAX_BODY_BYTES))
+        assert (told.code, told.ran) == ("ANSWER_TOO_LARGE", "yes"), told
+
+
+def test_malformed_requests_run_nothing_and_break_nothing():
+    with _system() as run:
+        before = _total(run)
+        for raw in _MALFORMED:
+            answer = _send_raw(run, raw)
+            status = answer[9:12]
+            is_refused = status.startswith(b"4") or status == _VERSION_UNKNOWN
+            assert not answer or is_refused, (raw, answer)
+        assert _total(run) == before
+        assert calling.call(run.callers()).status == 200
+
+
+def test_caller_gone_in_the_middle_breaks_nothing():
+    with _system() as run:
+        head = b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nX-Delay-S: 0.3\r\n"
+        host, _, port = run.callers().removeprefix("http://").rpartition(":")
+        before = _total(run)
+        for _ in range(20):
+            with socket.create_connection((host, int(port)), 5) as conn:
+                conn.sendall(head + b"Content-Length: 2\r\n\r\nab")
+        fixtures.wait_until(lambda: _total(run) == before + 20, 10, "the runs")
+        told = calling.call(run.callers(), body=b"mine")
+        assert json.loads(told.body)["body"] == "mine"
+
+
+load_tests = collecting.hook(__name__)
--- a/testing/request/test_claims.py
+++ b/testing/request/test_claims.py
@@ -10,8 +10,7 @@
 
 @contextlib.contextmanager
 def _system(entries=2, hosts=2, **changes):
-    entry_changes = {"claim_shards": 2} | changes
-    with system.system(entries, hosts, entry_changes=entry_changes) as run:
+    with system.system(entries, hosts, entry_changes=changes) as run:
         calling.wait_ready(run)
         yield run
 
