--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -42,6 +42,9 @@
 CLAIM: t.Final = Method("Claim", messages.ClaimCall, messages.ClaimAnswer)
 JOB: t.Final = Method("Job", messages.JobCall, messages.JobAnswer)
 
+CONFIG: t.Final = Method("Config", messages.ConfigAsk, messages.ConfigTold)
+INTRODUCE: t.Final = Method("Introduce", messages.Introduction, messages.Empty)
+
 
 class _Fault(t.NamedTuple):
     """An error on its way between two processes."""
