--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -2,9 +2,11 @@
 
 import collections.abc as abc
 import contextlib
+import fcntl
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,16 +20,33 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _POLL_S = 0.02
+_PORTS = (10_000, 32_000)
 _KILL_TIMEOUT_S = 10.0
 _WAIT_TIMEOUT_S = 15.0
 
+_port_locks = open(pathlib.Path(tempfile.gettempdir()) / "bilberrypass-ports", "ab")
+_reserving = threading.Lock()
+_reserved: set[int] = set()
+
 HTTP_ERRORS = (urllib3.exceptions.HTTPError,)
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that nobody else is given while this process lives.
+
+    It lies below the range of outgoing connections; a lock on one byte of a shared
+    file keeps other test processes on the machine from taking it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*_PORTS)
+        with _reserving, contextlib.suppress(OSError):
+            if port in _reserved:
+                continue
+            fcntl.lockf(_port_locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", port))
+            _reserved.add(port)
+            return port
 
 
 def wait_until(condition: abc.Callable[[], t.Any], timeout_s: float, what: str):
