Close the holes in starts, leases and losses of tasks

Cause: read from the code of the thin path, before any test of failures. A start delayed between agent and worker lengthened the lease, since only the time left was sent; a task that the worker had lost stayed in the ledger; a refused second start was taken for certain though the first may have run; a start sent to a dead host kept its lease from ever lapsing; evictions and lost hosts used up the attempts meant for failures; one host out of reach held up all writes of a shard. Ruled out: a second agent of the same host (the worker's generation fences it, now by incarnation, so that a replaced worker can be attached again). Conclusion: leases are given by expiry, reports count only while the worker was seen lately, two reports in a row must lack a task before it is lost, and an uncertain start is stopped first.

--- a/src/bilberrypass/connection/httpworker.py
+++ b/src/bilberrypass/connection/httpworker.py
@@ -27,11 +27,17 @@
     inventory: worker.Inventory
 
 
+class Attach(t.NamedTuple):
+    """The body of ``POST /attach``."""
+
+    incarnation: int
+
+
 class Start(t.NamedTuple):
-    """The body of ``POST /start``."""
+    """The body of ``POST /start``; the lease expires by the worker's clock."""
 
     spec: worker.Spec
-    lease_s: float
+    expiry: float
 
 
 class Throttle(t.NamedTuple):
@@ -57,27 +63,38 @@
         self._port = port
         self._lock = threading.Lock()
         self._generation = _NO_GENERATION
+        self._clock_ahead_s = 0.0
         self._pool = self._new_pool()
 
-    def attach(self, deadline: float) -> worker.Inventory:
+    def attach(self, deadline: float, incarnation: int = 0) -> worker.Inventory:
         """Become the newest agent and return all runs not yet forgotten."""
-        attached = self._call("POST", "/attach", None, Attached, deadline)
+        body = Attach(incarnation)
+        attached = self._call("POST", "/attach", body, Attached, deadline)
         with self._lock:
             self._generation = max(self._generation, attached.generation)
-        return attached.inventory
+        return self._read_clock(attached.inventory)
 
     def inventory(self, deadline: float) -> worker.Inventory:
         """Return the host's capacity and all runs not yet forgotten."""
-        return self._call("GET", "/inventory", None, worker.Inventory, deadline)
+        found = self._call("GET", "/inventory", None, worker.Inventory, deadline)
+        return self._read_clock(found)
+
+    def _read_clock(self, found: worker.Inventory) -> worker.Inventory:
+        # The answer took its time, so this is at most what the clocks differ by,
+        # and a lease never outlasts its expiry.
+        self._clock_ahead_s = found.clock_s - time.monotonic()
+        return found
 
-    def start(self, spec: worker.Spec, lease_s: float, deadline: float) -> worker.Run:
+    def start(self, spec: worker.Spec, expiry: float, deadline: float) -> worker.Run:
         """Start a task under a lease; the same task and attempt starts once."""
-        body = Start(spec, lease_s)
+        body = Start(spec, expiry + self._clock_ahead_s)
         return self._call("POST", "/start", body, worker.Run, deadline)
 
     def renew(self, leases: list[tuple[worker.TaskId, float]], deadline: float) -> None:
-        """Set the time left, in seconds, of the tasks' leases."""
-        self._call("POST", "/renew", leases, None, deadline)
+        """Set when the tasks' leases expire."""
+        ahead_s = self._clock_ahead_s
+        body = [(task, expiry + ahead_s) for task, expiry in leases]
+        self._call("POST", "/renew", body, None, deadline)
 
     def checkpoint(self, task: worker.TaskId, deadline: float) -> str:
         """Make the task write a checkpoint, and return its reference."""
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -61,7 +61,8 @@
 
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
     each report of this agent to this entry. ``revision`` is that of the
-    configuration in force at the agent.
+    configuration in force at the agent. ``is_current`` is False while the worker
+    has not been seen lately, so that ``tasks`` may be out of date.
     """
 
     host: str
@@ -78,6 +79,7 @@
     endpoints: list[EndpointState]
     tasks: list[TaskState]
     usage: worker.Usage | None = None
+    is_current: bool = True
 
 
 class Grant(t.NamedTuple):
@@ -95,7 +97,9 @@
     """An entry's answer to a report.
 
     ``recorded`` are ends that the store holds; ``stop`` are tasks that must not
-    run on this host; ``slice`` is the agent's part of a newer configuration.
+    run on this host; ``evict`` are those to checkpoint and then to stop;
+    ``slice`` is the agent's part of a newer configuration. ``throttles`` pairs
+    tasks with the share (0 to 1) of their processors that they may use.
     """
 
     entry: str
@@ -106,6 +110,8 @@
     recorded: list[worker.TaskId]
     stop: list[worker.TaskId]
     slice: bytes = b""
+    evict: list[worker.TaskId] = []
+    throttles: list[tuple[worker.TaskId, float]] = []
 
 
 class Start(t.NamedTuple):
--- a/src/bilberrypass/connection/worker.py
+++ b/src/bilberrypass/connection/worker.py
@@ -65,10 +65,14 @@
 
 
 class Inventory(t.NamedTuple):
-    """What the host holds and what runs on it."""
+    """What the host holds and what runs on it.
+
+    ``clock_s`` is the worker's own monotonic clock when it answered.
+    """
 
     capacity: resources.Demand
     runs: list[Run]
+    clock_s: float = 0.0
 
 
 class Worker(abc.ABC):
@@ -78,23 +82,29 @@
     refused with kind STALE. Every call ends by its deadline (monotonic seconds)
     and raises ``errors.Error``: ENDPOINT_UNREACHABLE where it certainly had no
     effect, ANSWER_LOST where it may have had one.
+
+    A lease is given by its expiry on the caller's monotonic clock. What reaches
+    the worker late, because the caller was paused, must not lengthen it.
     """
 
     @abc.abstractmethod
-    def attach(self, deadline: float) -> Inventory:
-        """Become the newest agent and return all runs not yet forgotten."""
+    def attach(self, deadline: float, incarnation: int = 0) -> Inventory:
+        """Become the newest agent and return all runs not yet forgotten.
+
+        Refused with STALE where an agent of a higher incarnation was attached.
+        """
 
     @abc.abstractmethod
     def inventory(self, deadline: float) -> Inventory:
         """Return the host's capacity and all runs not yet forgotten."""
 
     @abc.abstractmethod
-    def start(self, spec: Spec, lease_s: float, deadline: float) -> Run:
+    def start(self, spec: Spec, expiry: float, deadline: float) -> Run:
         """Start a task under a lease; the same task and attempt starts once."""
 
     @abc.abstractmethod
     def renew(self, leases: list[tuple[TaskId, float]], deadline: float) -> None:
-        """Set the time left, in seconds, of the tasks' leases."""
+        """Set when the tasks' leases expire."""
 
     @abc.abstractmethod
     def checkpoint(self, task: TaskId, deadline: float) -> str:
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -79,7 +79,7 @@
             driver = httpworker.HttpWorker(
                 *settings.split_address(self._cfg["worker"]["address"])
             )
-        return tasks.Tasks(self.host, driver)
+        return tasks.Tasks(self.host, driver, self._incarnation)
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -126,6 +126,10 @@
     def report(self, sequence: int) -> messages.Report:
         """Describe the host as it is now."""
         own = self.tasks
+        if own is not None and own.is_fenced:
+            raise errors.Refused(
+                errors.Kind.STALE, f"a newer agent has the worker of {self.host}"
+            )
         silence_s = self._cfg["silence_s"]
         return messages.Report(
             host=self.host,
@@ -142,6 +146,7 @@
             endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
+            is_current=own is None or own.is_current,
         )
 
     def hear(self, answer: messages.Reported, sent_at: float) -> None:
@@ -155,8 +160,11 @@
             return
         self.tasks.renew(answer.shards, answer.grants, sent_at)
         self.tasks.forget(answer.recorded)
-        if answer.stop:
-            self.tasks.stop(answer.stop, checkpoint=False)
+        self.tasks.throttle(answer.throttles)
+        self.tasks.stop(answer.stop, checkpoint=False)
+        self.tasks.stop(answer.evict, checkpoint=True)
+        if answer.stop or answer.evict:
+            self._hurry()
 
     def hear_endpoint(self, id: str, said: endpoint.Announcement) -> None:
         """Take in an endpoint's announcement."""
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -117,26 +117,24 @@
 
     def _hear_report(self, report: messages.Report) -> messages.Reported:
         self.fleet.hear(report)
-        grants, recorded, stop = [], [], []
+        heard = []
         for shard in self.shards:
             own = [
                 state
                 for state in report.tasks
                 if worker.shard_of(state.task.team, len(self.shards)) == shard.number
             ]
-            grant, ends, unwanted = shard.hear(report._replace(tasks=own))
-            grants += [grant] if grant else []
-            recorded += ends
-            stop += unwanted
+            heard.append(shard.hear(report._replace(tasks=own)))
         config = self.names.config()
         return messages.Reported(
             entry=self._cfg["id"],
             revision=config.revision if config else 0,
             entries=[member.peers for member in self.names.members()],
             shards=len(self.shards),
-            grants=grants,
-            recorded=recorded,
-            stop=stop,
+            grants=[part.grant for part in heard if part.grant],
+            recorded=[task for part in heard for task in part.recorded],
+            stop=[task for part in heard for task in part.stop],
+            evict=[task for part in heard for task in part.evict],
             slice=config.value if config and config.revision > report.revision else b"",
         )
 
--- a/src/bilberrypass/process/ledger.py
+++ b/src/bilberrypass/process/ledger.py
@@ -40,11 +40,28 @@
         self,
         capacity: resources.Demand,
         held: t.Mapping[worker.TaskId, resources.Demand],
+        unsettled: t.Collection[worker.TaskId] = (),
     ) -> None:
-        """Take over what the worker itself says that it runs."""
+        """Take over what the worker itself says that it runs.
+
+        Parameters
+        ----------
+        capacity : resources.Demand
+            What the host holds.
+        held : mapping of worker.TaskId to resources.Demand
+            The tasks that run.
+        unsettled : collection of worker.TaskId, optional
+            Tasks whose starts the worker may yet take; they keep their room.
+        """
         with self._lock:
+            kept = {task: self._held[task] for task in unsettled if task in self._held}
             self._capacity = capacity
-            self._held = dict(held)
+            self._held = kept | dict(held)
+
+    def hold(self, task: worker.TaskId, demand: resources.Demand) -> None:
+        """Count a task that the worker runs already, whether it fits or not."""
+        with self._lock:
+            self._held[task] = demand
 
     def admit(self, task: worker.TaskId, demand: resources.Demand) -> None:
         """Hold room for a task; once more for the same task changes nothing.
--- a/src/bilberrypass/process/sample.py
+++ b/src/bilberrypass/process/sample.py
@@ -87,7 +87,7 @@
         self._tasks: dict[worker.TaskId, _Task] = {}
         self._tombstones: set[worker.TaskId] = set()
 
-    def attach(self, deadline: float) -> worker.Inventory:
+    def attach(self, deadline: float, incarnation: int = 0) -> worker.Inventory:
         """Return all runs; there is one agent only."""
         return self.inventory(deadline)
 
@@ -96,7 +96,9 @@
         with self._lock:
             self._settle()
             return worker.Inventory(
-                _CAPACITY, [task.run for task in self._tasks.values()]
+                _CAPACITY,
+                [task.run for task in self._tasks.values()],
+                time.monotonic(),
             )
 
     def _settle(self) -> None:
@@ -110,7 +112,7 @@
                 run = task.run._replace(state="stopped", detail="the lease lapsed")
                 self._tasks[id] = task._replace(run=run)
 
-    def start(self, spec: worker.Spec, lease_s: float, deadline: float) -> worker.Run:
+    def start(self, spec: worker.Spec, expiry: float, deadline: float) -> worker.Run:
         """Start a task once."""
         now = time.monotonic()
         with self._lock:
@@ -119,16 +121,15 @@
             if spec.task not in self._tasks:
                 run = worker.Run(spec, "running", spec.checkpoint)
                 ends_at = now + _run_s(spec.payload)
-                self._tasks[spec.task] = _Task(run, ends_at, now + lease_s)
+                self._tasks[spec.task] = _Task(run, ends_at, expiry)
             return self._tasks[spec.task].run
 
     def renew(self, leases: list[tuple[worker.TaskId, float]], deadline: float) -> None:
-        """Set the leases' time left."""
-        now = time.monotonic()
+        """Set when the leases expire."""
         with self._lock:
-            for id, left_s in leases:
+            for id, expiry in leases:
                 if id in self._tasks:
-                    self._tasks[id] = self._tasks[id]._replace(expiry=now + left_s)
+                    self._tasks[id] = self._tasks[id]._replace(expiry=expiry)
 
     def checkpoint(self, task: worker.TaskId, deadline: float) -> str:
         """Refuse: a wait has nothing to keep."""
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -16,12 +16,13 @@
 WAITING: t.Final = "waiting"
 PLACED: t.Final = "placed"
 RUNNING: t.Final = "running"
+EVICTING: t.Final = "evicting"
 STOPPING: t.Final = "stopping"
 FINISHED: t.Final = "finished"
 FAILED: t.Final = "failed"
 CANCELLED: t.Final = "cancelled"
 
-ON_HOST: t.Final = frozenset({PLACED, RUNNING, STOPPING})
+ON_HOST: t.Final = frozenset({PLACED, RUNNING, EVICTING, STOPPING})
 ENDED: t.Final = frozenset({FINISHED, FAILED, CANCELLED})
 
 _MAX_TASKS: t.Final = 2_000
@@ -41,6 +42,18 @@
     accelerators: t.Annotated[int, pydantic.Field(ge=0, le=1_000)]
 
 
+class RulesBody(te.TypedDict, total=False):
+    """Where a job's tasks may run, as it comes in; left out: anywhere."""
+
+    __pydantic_config__ = pydantic.ConfigDict(  # type: ignore[misc]
+        extra="forbid", strict=True
+    )
+
+    failure_domains: list[settings.Name]
+    racks: list[settings.Name]
+    hosts: list[settings.Name]
+
+
 class JobBody(te.TypedDict, total=False):
     """A job as it comes in."""
 
@@ -55,19 +68,37 @@
     task_class: settings.Name
     urgent: bool
     max_attempts: t.Annotated[int, pydantic.Field(ge=1, le=_MAX_ATTEMPTS)]
+    rules: RulesBody
 
 
 _ADAPTER: t.Final = pydantic.TypeAdapter(JobBody)
 
 
+class Rules(t.NamedTuple):
+    """Where a job's tasks may run; an empty list allows all."""
+
+    failure_domains: list[str] = []
+    racks: list[str] = []
+    hosts: list[str] = []
+
+
 class TaskRecord(t.NamedTuple):
-    """One task: where it is, at which attempt, and its last checkpoint."""
+    """One task: where it is, at which attempt, and its last checkpoint.
+
+    ``attempt`` rises with each placement. ``failures`` counts only the runs that
+    failed by themselves, the last one on ``failed_on``. ``changed_at`` is when
+    the state was entered, in Unix seconds.
+    """
 
     state: str = WAITING
     attempt: int = 0
     host: str = ""
     checkpoint: str = ""
     detail: str = ""
+    failures: int = 0
+    evictions: int = 0
+    failed_on: str = ""
+    changed_at: float = 0.0
 
 
 class JobRecord(t.NamedTuple):
@@ -84,6 +115,7 @@
     submitted_at: float
     traceparent: str
     tasks: list[TaskRecord]
+    rules: Rules = Rules()
 
     @property
     def state(self) -> str:
@@ -94,7 +126,7 @@
                 if state in states:
                     return state
             return FINISHED
-        return RUNNING if states & {RUNNING, PLACED, FINISHED} else WAITING
+        return RUNNING if states & (ON_HOST | {FINISHED}) else WAITING
 
     def with_task(self, index: int, record: TaskRecord) -> "JobRecord":
         """Return the job with one task's record replaced."""
@@ -105,11 +137,15 @@
     def spec(self, index: int) -> worker.Spec:
         """Return what a worker needs for a task's present attempt."""
         record = self.tasks[index]
-        task = worker.TaskId(self.team, self.id, index, record.attempt)
+        task = self.task_id(index)
         return worker.Spec(
             task, self.demand, self.payload, self.task_class, record.checkpoint
         )
 
+    def task_id(self, index: int) -> worker.TaskId:
+        """Return the identity of a task's present attempt."""
+        return worker.TaskId(self.team, self.id, index, self.tasks[index].attempt)
+
 
 class Page(t.NamedTuple):
     """The jobs of a shard, written by one owner at a time.
@@ -160,7 +196,8 @@
         digest=_digest(checked),
         submitted_at=now,
         traceparent=traceparent,
-        tasks=[TaskRecord() for _ in range(checked.get("tasks", 1))],
+        tasks=[TaskRecord(changed_at=now)] * checked.get("tasks", 1),
+        rules=Rules(**checked.get("rules", {})),
     )
 
 
--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -75,7 +75,7 @@
 def test_task_starts_and_finishes():
     with _attached() as (standin, client):
         spec = _spec(run_s=0.1, steps=4)
-        run = client.start(spec, _LEASE_S, _deadline())
+        run = client.start(spec, _deadline(_LEASE_S), _deadline())
         assert (run.spec, run.state) == (spec, "running")
         assert _wait_for_end(client, spec).state == "finished"
         (record,) = _judge(standin)["runs"]
@@ -87,27 +87,27 @@
 def test_task_that_fails_is_reported_as_failed():
     with _attached() as (_, client):
         spec = _spec(run_s=0.05, fail=True)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         assert _wait_for_end(client, spec).state == "failed"
 
 
 def test_same_attempt_starts_once():
     with _attached() as (standin, client):
         spec = _spec(run_s=0.0)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         _wait_for_end(client, spec)
-        assert client.start(spec, _LEASE_S, _deadline()).state == "finished"
+        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "finished"
         assert len(_judge(standin)["runs"]) == 1
 
 
 def test_lapsed_lease_stops_the_task():
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, 0.1, _deadline())
+        client.start(spec, _deadline(0.1), _deadline())
         run = _wait_for_end(client, spec)
         assert run.state == "stopped"
         assert "lease" in run.detail
-        client.renew([(spec.task, _LEASE_S)], _deadline())
+        client.renew([(spec.task, _deadline(_LEASE_S))], _deadline())
         assert _run_of(client, spec).state == "stopped"
         (record,) = _judge(standin)["runs"]
         assert record["end"] is not None
@@ -116,15 +116,15 @@
 def test_renewal_sets_the_time_left():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _LEASE_S, _deadline())
-        client.renew([(spec.task, 0.0)], _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
+        client.renew([(spec.task, _deadline(0.0))], _deadline())
         assert "lease" in _wait_for_end(client, spec).detail
 
 
 def test_older_generation_is_refused():
     with _attached() as (standin, older):
         spec = _spec(run_s=_LONG_RUN_S)
-        older.start(spec, _LEASE_S, _deadline())
+        older.start(spec, _deadline(_LEASE_S), _deadline())
         newer = _client(standin.addresses["http"])
         inventory = newer.attach(_deadline())
         assert [run.spec for run in inventory.runs] == [spec]
@@ -138,8 +138,8 @@
 def _commands(client, spec):
     return [
         lambda: client.inventory(_deadline()),
-        lambda: client.start(_spec(index=1), _LEASE_S, _deadline()),
-        lambda: client.renew([(spec.task, 0.0)], _deadline()),
+        lambda: client.start(_spec(index=1), _deadline(_LEASE_S), _deadline()),
+        lambda: client.renew([(spec.task, _deadline(0.0))], _deadline()),
         lambda: client.checkpoint(spec.task, _deadline()),
         lambda: client.throttle(spec.task, 0.5, _deadline()),
         lambda: client.stop(spec.task, _deadline()),
@@ -152,7 +152,7 @@
     with _attached() as (standin, _):
         stranger = _client(standin.addresses["http"])
         with _raises(errors.Kind.STALE, errors.Ran.NO):
-            stranger.start(_spec(), _LEASE_S, _deadline())
+            stranger.start(_spec(), _deadline(_LEASE_S), _deadline())
         assert _judge(standin)["runs"] == []
 
 
@@ -164,7 +164,7 @@
         client.attach(_deadline())
         first.kill()
     with fixtures.process(args), _raises(errors.Kind.STALE, errors.Ran.NO):
-        client.start(_spec(), _LEASE_S, _deadline())
+        client.start(_spec(), _deadline(_LEASE_S), _deadline())
     client.close()
 
 
@@ -173,9 +173,9 @@
         spec = _spec(run_s=_LONG_RUN_S)
         _control(standin, lose_answers=1)
         with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.start(spec, _LEASE_S, _deadline())
+            client.start(spec, _deadline(_LEASE_S), _deadline())
         assert len(_judge(standin)["runs"]) == 1
-        assert client.start(spec, _LEASE_S, _deadline()).state == "running"
+        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "running"
         assert len(_judge(standin)["runs"]) == 1
 
 
@@ -260,7 +260,7 @@
 def test_passed_deadline_sends_nothing():
     with _attached() as (standin, client):
         with _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO):
-            client.start(_spec(), _LEASE_S, _deadline(-1.0))
+            client.start(_spec(), _deadline(_LEASE_S), _deadline(-1.0))
         assert _judge(standin)["runs"] == []
 
 
@@ -287,7 +287,7 @@
 def test_stop_of_a_running_task_ends_it():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         assert client.stop(spec.task, _deadline()).state == "stopped"
         assert client.stop(spec.task, _deadline()).state == "stopped"
 
@@ -296,28 +296,28 @@
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
         assert client.stop(spec.task, _deadline()) is None
-        assert client.start(spec, _LEASE_S, _deadline()).state == "stopped"
+        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "stopped"
         assert _judge(standin)["runs"] == []
         next_attempt = _spec(attempt=2, run_s=_LONG_RUN_S)
-        run = client.start(next_attempt, _LEASE_S, _deadline())
+        run = client.start(next_attempt, _deadline(_LEASE_S), _deadline())
         assert run.state == "running"
 
 
 def test_forgotten_run_does_not_start_again():
     with _attached() as (standin, client):
         spec = _spec(run_s=0.0)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         _wait_for_end(client, spec)
         client.forget([spec.task], _deadline())
         assert _run_of(client, spec) is None
-        assert client.start(spec, _LEASE_S, _deadline()).state == "stopped"
+        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "stopped"
         assert len(_judge(standin)["runs"]) == 1
 
 
 def test_running_task_is_not_forgotten():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         client.forget([spec.task], _deadline())
         assert _run_of(client, spec).state == "running"
 
@@ -325,7 +325,7 @@
 def test_next_attempt_resumes_from_the_checkpoint():
     with _attached() as (standin, client):
         first = _spec(run_s=_LONG_RUN_S, steps=12_000)
-        client.start(first, _LEASE_S, _deadline())
+        client.start(first, _deadline(_LEASE_S), _deadline())
 
         def has_progress():
             return client.checkpoint(first.task, _deadline()) != "step:0"
@@ -335,7 +335,7 @@
         step = int(end.checkpoint.removeprefix("step:"))
         assert 0 < step < 12_000
         second = _spec(attempt=2, checkpoint=end.checkpoint, run_s=0.5, steps=12_000)
-        client.start(second, _LEASE_S, _deadline())
+        client.start(second, _deadline(_LEASE_S), _deadline())
         _, record = _judge(standin)["runs"]
         assert record["resumed_from"] == end.checkpoint
         assert record["steps"] >= step
@@ -347,13 +347,13 @@
 def test_lease_lapses_while_the_worker_is_frozen():
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, 1.0, _deadline())
+        client.start(spec, _deadline(1.0), _deadline())
         standin.freeze()
         thaw_at = time.time() + 2.0
         fixtures.wait_until(lambda: time.time() > thaw_at, _DEADLINE_S, "the lapse")
         standin.thaw()
         with contextlib.suppress(errors.Error):
-            client.renew([(spec.task, _LEASE_S)], _deadline())
+            client.renew([(spec.task, _deadline(_LEASE_S))], _deadline())
         assert _run_of(client, spec).state == "stopped"
         (record,) = _judge(standin)["runs"]
         assert record["end"] < thaw_at
@@ -362,7 +362,7 @@
 def test_throttled_task_is_told_as_such():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         client.throttle(spec.task, 0.5, _deadline())
         assert _run_of(client, spec).throttle == 0.5
 
@@ -370,7 +370,7 @@
 def test_throttle_to_nothing_is_undone_by_the_next():
     with _attached() as (_, client):
         spec = _spec(run_s=0.5)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         client.throttle(spec.task, 0.0, _deadline())
         client.throttle(spec.task, 1.0, _deadline())
         assert _wait_for_end(client, spec).state == "finished"
@@ -379,7 +379,7 @@
 def test_checkpoint_of_a_task_that_has_none_is_refused():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S, checkpointable=False)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
         with _raises(errors.Kind.BAD_REQUEST, errors.Ran.NO):
             client.checkpoint(spec.task, _deadline())
         unknown = worker.TaskId("planners", "plan-1", 7, 1)
@@ -391,7 +391,7 @@
     with _attached() as (standin, client):
         _control(standin, down=True)
         with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.start(_spec(), _LEASE_S, _deadline())
+            client.start(_spec(), _deadline(_LEASE_S), _deadline())
         _control(standin, down=False)
         assert client.inventory(_deadline()).runs == []
 
@@ -400,7 +400,7 @@
     with _attached() as (standin, client):
         _control(standin, delay_s=0.5)
         with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.start(_spec(run_s=_LONG_RUN_S), _LEASE_S, _deadline(0.1))
+            client.start(_spec(run_s=_LONG_RUN_S), _deadline(_LEASE_S), _deadline(0.1))
         started = lambda: _judge(standin)["runs"]
         fixtures.wait_until(started, _DEADLINE_S, "the late start")
 
@@ -415,7 +415,7 @@
 def test_worker_that_fails_everything():
     with _attached() as (standin, client):
         _control(standin, fail_all=True)
-        run = client.start(_spec(run_s=_LONG_RUN_S), _LEASE_S, _deadline())
+        run = client.start(_spec(run_s=_LONG_RUN_S), _deadline(_LEASE_S), _deadline())
         assert run.state == "failed"
 
 
@@ -423,7 +423,7 @@
     with _attached() as (standin, client):
         _control(standin, slowdown={"echo": 1.5})
         spec = _spec(run_s=_LONG_RUN_S, cpu_milli=900, memory_bytes=7)
-        client.start(spec, _LEASE_S, _deadline())
+        client.start(spec, _deadline(_LEASE_S), _deadline())
 
         def used():
             usage = client.usage(_deadline())
@@ -440,9 +440,13 @@
 
 def test_judge_records_a_commitment_beyond_capacity():
     with _attached() as (standin, client):
-        client.start(_spec(0, cpu_milli=40_000, run_s=60), _LEASE_S, _deadline())
+        client.start(
+            _spec(0, cpu_milli=40_000, run_s=60), _deadline(_LEASE_S), _deadline()
+        )
         assert not _judge(standin)["exceeded"]
-        client.start(_spec(1, cpu_milli=40_000, run_s=60), _LEASE_S, _deadline())
+        client.start(
+            _spec(1, cpu_milli=40_000, run_s=60), _deadline(_LEASE_S), _deadline()
+        )
         client.stop(_spec(1).task, _deadline())
         judged = _judge(standin)
         assert judged["exceeded"]
@@ -456,7 +460,9 @@
         def start_some(first):
             try:
                 for index in range(first, first + 10):
-                    client.start(_spec(index, run_s=60), _LEASE_S, _deadline())
+                    client.start(
+                        _spec(index, run_s=60), _deadline(_LEASE_S), _deadline()
+                    )
             except errors.Error as exc:
                 faults.append(exc)
 
--- /dev/null
+++ b/testing/process/test_capacity.py
@@ -0,0 +1,111 @@
+"""No host is committed beyond what it holds, whoever places and whatever dies."""
+
+import contextlib
+
+from testing import collecting, fixtures, judge, system
+
+_TASKS = 24
+
+
+def _submit(run, id, entry=0, **changes):
+    url = f"{run.callers(entry)}/jobs/{id}"
+    body = system.job_body(**changes)
+    fixtures.wait_until(
+        lambda: fixtures.http("PUT", url, body=body).status in (200, 201),
+        10,
+        f"job {id} to be taken",
+    )
+    return url
+
+
+def _wait_finished(url, timeout_s=30):
+    fixtures.wait_until(
+        lambda: fixtures.http("GET", url).json()["state"] == "finished",
+        timeout_s,
+        f"the end of {url}",
+    )
+
+
+def _runs_some(run):
+    return lambda: [r for r in judge.runs(run.workers) if r["end"] is None]
+
+
+@contextlib.contextmanager
+def _second_agent(run, **changes):
+    """Another agent of host h0, beside the first."""
+    peers = [front.addresses["peers"] for front in run.entries]
+    cfg = system.agent_settings(0, peers, run.workers[0].addresses["http"], **changes)
+    with system.daemon("agent", cfg) as agent:
+        yield agent
+
+
+def test_two_entries_fill_one_host_at_once():
+    with system.system(entries=2) as run:
+        # The two teams belong to different shards.
+        urls = [
+            _submit(run, f"fill-{team}", entry, team=team, tasks=_TASKS)
+            for entry, team in enumerate(("plans", "audit"))
+        ]
+        for url in urls:
+            _wait_finished(url)
+        found = judge.runs(run.workers)
+        judge.check_capacity(run.workers)
+        judge.check_finished_once(found, 2 * _TASKS)
+        judge.check_never_twice_at_once(found)
+
+
+def test_agent_killed_between_admission_and_start():
+    with system.system() as run:
+        control = f"{run.workers[0].url()}/_control"
+        fixtures.http("PUT", control, body={"delay_s": 0.2})
+        url = _submit(run, "long", tasks=_TASKS, payload='{"run_s": 1.5}')
+        fixtures.wait_until(_runs_some(run), 10, "a start")
+        run.agents[0].kill()
+        fixtures.http("PUT", control, body={"delay_s": 0.0})
+        with _second_agent(run):
+            _wait_finished(url)
+            found = judge.runs(run.workers)
+            judge.check_capacity(run.workers)
+            judge.check_finished_once(found, _TASKS)
+            judge.check_never_twice_at_once(found)
+
+
+def test_two_agents_of_one_host_the_older_paused():
+    with system.system() as run:
+        url = _submit(run, "long", tasks=_TASKS, payload='{"run_s": 1.5}')
+        fixtures.wait_until(_runs_some(run), 10, "a start")
+        run.agents[0].freeze()
+        with _second_agent(run):
+            fixtures.wait_until(
+                lambda: any(
+                    r["generation"] > found[0]["generation"]
+                    for found in [judge.runs(run.workers)]
+                    for r in found
+                ),
+                15,
+                "a start by the newer agent",
+            )
+            run.agents[0].thaw()
+            _wait_finished(url)
+            found = judge.runs(run.workers)
+            judge.check_capacity(run.workers)
+            judge.check_finished_once(found, _TASKS)
+            judge.check_never_twice_at_once(found)
+
+
+def test_replaced_worker_loses_nothing():
+    with system.system() as run:
+        url = _submit(run, "long", tasks=4, payload='{"run_s": 2.0}')
+        fixtures.wait_until(_runs_some(run), 10, "a start")
+        old = run.workers[0]
+        address = old.addresses["http"]
+        old.kill()
+        port = address.rpartition(":")[2]
+        args = ["testing.standins.worker", "--port", port, "--cpu-milli", "8000"]
+        with fixtures.process(args) as new:
+            _wait_finished(url)
+            judge.check_finished_once(judge.runs([new]), 4)
+            judge.check_capacity([new])
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/process/test_leases.py
@@ -0,0 +1,141 @@
+"""No task runs in two places, and none is lost, whoever pauses, dies or is cut off."""
+
+from testing import collecting, fixtures, judge, system
+
+_LONG = '{"run_s": 4.0, "steps": 40}'
+
+
+def _submit(url, **changes):
+    body = system.job_body(**changes)
+    fixtures.wait_until(
+        lambda: fixtures.http("PUT", url, body=body).status in (200, 201),
+        15,
+        f"{url} to be taken",
+    )
+
+
+def _state(url):
+    answer = fixtures.http("GET", url)
+    return answer.json().get("state")
+
+
+def _wait_finished(url, timeout_s=40):
+    fixtures.wait_until(
+        lambda: _state(url) == "finished", timeout_s, f"the end of {url}"
+    )
+
+
+def _running(workers):
+    return [run for run in judge.runs(workers) if run["end"] is None]
+
+
+def _check(workers, tasks):
+    found = judge.runs(workers)
+    judge.check_capacity(workers)
+    judge.check_never_twice_at_once(found)
+    judge.check_finished_once(found, tasks)
+    return found
+
+
+def test_host_cut_off_while_its_tasks_run():
+    with system.system(hosts=1) as run:
+        url = f"{run.callers()}/jobs/cut"
+        _submit(url, tasks=6, payload=_LONG, max_attempts=1)
+        fixtures.wait_until(lambda: _running(run.workers), 15, "a start")
+        run.agents[0].freeze()
+        with system.worker() as other:
+            cfg = system.agent_settings(
+                1, [run.entries[0].addresses["peers"]], other.addresses["http"]
+            )
+            with system.daemon("agent", cfg):
+                workers = [*run.workers, other]
+                fixtures.wait_until(
+                    lambda: _running([other]), 15, "a start on the other host"
+                )
+                run.agents[0].thaw()
+                _wait_finished(url)
+                found = _check(workers, 6)
+                assert {r["worker"] for r in found} == {0, 1}, found
+
+
+def test_owner_frozen_past_its_lease_and_thawed():
+    with system.system(entries=2, hosts=2) as run:
+        url = f"{run.callers(1)}/jobs/frozen"
+        _submit(url, tasks=20, payload='{"run_s": 1.0}')
+        fixtures.wait_until(lambda: _running(run.workers), 15, "a start")
+        run.entries[0].freeze()
+        fixtures.wait_until(
+            lambda: all(s["owned"] for s in _shards(run, 1)), 20, "the take-over"
+        )
+        run.entries[0].thaw()
+        _wait_finished(url)
+        _check(run.workers, 20)
+
+
+def _shards(run, entry):
+    return fixtures.http("GET", f"{run.operators(entry)}/status").json()["shards"]
+
+
+def test_entry_killed_while_it_places():
+    with system.system(entries=2, hosts=2) as run:
+        url = f"{run.callers(1)}/jobs/killed"
+        _submit(url, tasks=30, payload='{"run_s": 0.5}')
+        run.entries[0].kill()
+        _wait_finished(url)
+        _check(run.workers, 30)
+
+
+def test_store_answers_lost_after_their_effect():
+    with system.system(entries=2, hosts=2) as run:
+        control = f"http://{run.store.addresses['store']}/_control"
+        urls = [f"{run.callers()}/jobs/lost-{n}" for n in range(6)]
+        for url in urls:
+            fixtures.http("PUT", control, body={"lose_answers": 1})
+            _submit(url, tasks=5, team=f"team-{url[-1]}")
+        for url in urls:
+            fixtures.http("PUT", control, body={"lose_answers": 1})
+            _wait_finished(url)
+        _check(run.workers, 30)
+
+
+def test_store_down_for_a_while():
+    # The leases outlast the outage, so what runs goes on.
+    with system.system(entry_changes={"task_lease_s": 60.0}) as run:
+        control = f"http://{run.store.addresses['store']}/_control"
+        url = f"{run.callers()}/jobs/outage"
+        _submit(url, tasks=4, payload=_LONG)
+        fixtures.wait_until(lambda: len(_running(run.workers)) == 4, 15, "the starts")
+        fixtures.http("PUT", control, body={"down": True})
+        fixtures.wait_until(
+            lambda: all(r["state"] == "finished" for r in judge.runs(run.workers)),
+            20,
+            "the ends during the outage",
+        )
+        answer = fixtures.http("PUT", f"{run.callers()}/jobs/late", system.job_body())
+        assert answer.status == 503, answer
+        fixtures.http("PUT", control, body={"down": False})
+        _wait_finished(url)
+        found = _check(run.workers, 4)
+        assert len(found) == 4, found
+
+
+def test_all_entries_replaced():
+    with system.system(entries=1, hosts=2) as run:
+        url = f"{run.callers()}/jobs/replaced"
+        _submit(url, tasks=10, payload=_LONG)
+        fixtures.wait_until(lambda: _running(run.workers), 15, "a start")
+        old = run.entries[0]
+        old.kill()
+        cfg = system.entry_settings(
+            7, run.store.addresses["store"], peers=old.addresses["peers"]
+        )
+        with system.daemon("entry", cfg) as new:
+            url = f"http://{new.addresses['callers']}/jobs/replaced"
+            fixtures.wait_until(
+                lambda: fixtures.http("GET", url).status == 200, 15, "the job"
+            )
+            _wait_finished(url)
+            _check(run.workers, 10)
+
+
+load_tests = collecting.hook(__name__)
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -45,6 +45,7 @@
         self._changed = threading.Condition()
         # A worker that restarts must not repeat a generation.
         self._generation = time.time_ns() // 1_000_000
+        self._incarnation = 0
         self._tasks: dict[worker.TaskId, tasks.Task] = {}
         self._all: list[tasks.Task] = []
         self._tombstones: set[worker.TaskId] = set()
@@ -130,13 +131,19 @@
             raise _Rejected(404, "NOT_FOUND", f"no task {ident}")
         return self._tasks[ident]
 
-    def attach(self) -> httpworker.Attached:
+    def attach(self, body: httpworker.Attach) -> httpworker.Attached:
+        if body.incarnation < self._incarnation:
+            detail = f"incarnation {body.incarnation} is older; a newer agent attached"
+            raise _Rejected(409, "STALE", detail)
+        self._incarnation = body.incarnation
         self._generation += 1
         return httpworker.Attached(self._generation, self.inventory())
 
     def inventory(self) -> worker.Inventory:
         return worker.Inventory(
-            self._capacity, [task.run() for task in self._tasks.values()]
+            self._capacity,
+            [task.run() for task in self._tasks.values()],
+            time.monotonic(),
         )
 
     def start(self, body: httpworker.Start) -> worker.Run:
@@ -148,7 +155,7 @@
             return worker.Run(body.spec, "stopped", body.spec.checkpoint, detail)
         now = time.monotonic()
         task = tasks.Task(body.spec, self._generation, now)
-        task.lease_deadline = now + body.lease_s
+        task.lease_deadline = body.expiry
         self._tasks[ident] = task
         self._all.append(task)
         running = [other.spec.demand for other in self._running()]
@@ -159,10 +166,9 @@
         return task.run()
 
     def renew(self, leases: list[tuple[worker.TaskId, float]]) -> None:
-        now = time.monotonic()
-        for ident, left_s in leases:
+        for ident, expiry in leases:
             if ident in self._tasks:
-                self._tasks[ident].lease_deadline = now + left_s
+                self._tasks[ident].lease_deadline = expiry
 
     def checkpoint(self, ident: worker.TaskId) -> str:
         task = self._known(ident)
@@ -219,7 +225,7 @@
 
 
 _COMMANDS = {
-    "POST /attach": (None, Standin.attach),
+    "POST /attach": (httpworker.Attach, Standin.attach),
     "GET /inventory": (None, Standin.inventory),
     "POST /start": (httpworker.Start, Standin.start),
     "POST /renew": (list[tuple[worker.TaskId, float]], Standin.renew),
