--- a/src/bilberrypass/process/dispatch.py
+++ b/src/bilberrypass/process/dispatch.py
@@ -55,10 +55,16 @@
         Told before each start, as the host's leases last on with it.
     outcomes : Outcomes
         Told what became of it.
+    pool : futures.Executor, optional
+        Runs the calls; a few threads if left out.
     """
 
     def __init__(
-        self, hosts: fleet.Fleet, seen: sightings.Sightings, outcomes: Outcomes
+        self,
+        hosts: fleet.Fleet,
+        seen: sightings.Sightings,
+        outcomes: Outcomes,
+        pool: futures.Executor | None = None,
     ) -> None:
         self._hosts = hosts
         self._seen = seen
@@ -67,7 +73,9 @@
         self._busy: set[str] = set()
         self._sent_at: dict[worker.TaskId, float] = {}
         self._sure: set[worker.TaskId] = set()
-        self._pool = futures.ThreadPoolExecutor(_THREADS, thread_name_prefix="send")
+        self._pool = pool or futures.ThreadPoolExecutor(
+            _THREADS, thread_name_prefix="send"
+        )
 
     def keep(self, tasks: t.Collection[worker.TaskId]) -> None:
         """Forget when other tasks' starts and stops were sent."""
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -1,5 +1,6 @@
 """The owner of one shard: its job pages, the placement of its tasks, their leases."""
 
+import concurrent.futures as futures
 import time
 import typing as t
 
@@ -53,6 +54,8 @@
         Life of a task's lease without renewal, in seconds.
     prefix : str
         First part of each key.
+    pool : futures.Executor, optional
+        Runs the calls to hosts.
     """
 
     def __init__(
@@ -63,11 +66,12 @@
         policy: placement.Policy,
         lease_s: float,
         prefix: str,
+        pool: futures.Executor | None = None,
     ) -> None:
         super().__init__(names, "jobs", number, prefix)
         self._lease_s = lease_s
         self._seen = sightings.Sightings(lease_s)
-        self._dispatch = dispatch.Dispatch(hosts, self._seen, self)
+        self._dispatch = dispatch.Dispatch(hosts, self._seen, self, pool)
         self._placing = placing.Placing(hosts, policy)
         self._calls = jobcalls.Calls(self)
         self._on_host: dict[str, list[worker.TaskId]] = {}
--- /dev/null
+++ b/testing/process/test_model.py
@@ -0,0 +1,363 @@
+"""Random operations, crashes and lost messages, held against the promises.
+
+Owner, agent and store are the real ones, called in turn on one thread; only the
+network and the worker are fakes.
+"""
+
+import collections
+import concurrent.futures as futures
+import contextlib
+import json
+import time
+import typing as t
+import unittest.mock
+
+import hypothesis
+import hypothesis.stateful as stateful
+from hypothesis import strategies as st
+
+from bilberrypass import errors, resources
+from bilberrypass.connection import channels, memory, messages, store, worker
+from bilberrypass.process import (
+    directory,
+    dispatch,
+    fleet,
+    owner,
+    placement,
+    records,
+    tasks,
+)
+from bilberrypass.version import page
+from testing import collecting
+
+_HOSTS = ("h0", "h1")
+_CAPACITY = resources.Demand(4, 4, 0)
+_LEASE_S = 600.0
+_FAULTS = ("", "lose", "late", "lose answer")
+_ROUNDS = 60
+
+
+class _Inline(futures.Executor):
+    def submit(self, fn, /, *args, **kwargs):
+        fn(*args, **kwargs)
+
+
+class _FakeWorker(worker.Worker):
+    """A worker that remembers all runs; ``handle`` gives each agent its own face."""
+
+    def __init__(self):
+        self.runs = {}
+        self.history = []
+        self.tombstones = set()
+        self.generation = 0
+        self.steps = 0
+
+    def handle(self):
+        return _Handle(self)
+
+    def live(self):
+        return [run for run in self.runs.values() if run.state == "running"]
+
+    def end(self, task, state, detail=""):
+        self.runs[task] = self.runs[task]._replace(state=state, detail=detail)
+        self.history.append(self.runs[task])
+
+    def attach(self, deadline, incarnation=0):
+        self.generation += 1
+        return self.inventory(deadline)
+
+    def inventory(self, deadline):
+        return worker.Inventory(_CAPACITY, list(self.runs.values()), time.monotonic())
+
+    def start(self, spec, expiry, deadline):
+        if spec.task in self.tombstones:
+            return worker.Run(spec, "stopped", spec.checkpoint)
+        self.runs.setdefault(spec.task, worker.Run(spec, "running", spec.checkpoint))
+        return self.runs[spec.task]
+
+    def renew(self, leases, deadline):
+        pass
+
+    def checkpoint(self, task, deadline):
+        if task not in self.runs or self.runs[task].state != "running":
+            raise errors.Refused(errors.Kind.NOT_FOUND, f"{task} does not run")
+        self.steps += 1
+        self.runs[task] = self.runs[task]._replace(checkpoint=f"step:{self.steps}")
+        return self.runs[task].checkpoint
+
+    def throttle(self, task, share, deadline):
+        pass
+
+    def stop(self, task, deadline):
+        self.tombstones.add(task)
+        if task in self.runs and self.runs[task].state == "running":
+            self.end(task, "stopped")
+        return self.runs.get(task)
+
+    def forget(self, tasks, deadline):
+        for task in tasks:
+            if task in self.runs and self.runs[task].state != "running":
+                del self.runs[task]
+                self.tombstones.add(task)
+
+    def usage(self, deadline):
+        return worker.Usage(0.0, 0.0, [], [])
+
+    def close(self):
+        pass
+
+
+class _Handle:
+    """The fake as one agent sees it: fenced once another has attached."""
+
+    def __init__(self, fake):
+        self._fake = fake
+        self._generation = 0
+
+    def __getattr__(self, name):
+        def call(*args):
+            if name == "attach":
+                found = self._fake.attach(*args)
+                self._generation = self._fake.generation
+                return found
+            if self._generation != self._fake.generation:
+                raise errors.Refused(errors.Kind.STALE, "a newer agent attached")
+            return getattr(self._fake, name)(*args)
+
+        return call
+
+
+class _Peer:
+    """The network between owner and one agent."""
+
+    def __init__(self, machine, host):
+        self._machine = machine
+        self._host = host
+
+    def call(self, method, req, deadline):
+        fault = self._machine.faults.popleft() if self._machine.faults else ""
+        lost = errors.Error(errors.Kind.ANSWER_LOST, f"{method.name} was lost")
+        if fault == "lose":
+            raise lost
+        if fault == "late":
+            self._machine.late.append((self._host, method, req))
+            raise lost
+        answer = self._machine.deliver(self._host, method, req)
+        if fault == "lose answer":
+            raise lost
+        return answer
+
+
+class _Names(t.NamedTuple):
+    kv: store.Store
+    me: directory.Member
+    lease: int
+
+    def owner_key(self, kind, shard):
+        return f"/owners/{kind}/{shard}"
+
+
+@hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=40
+)
+class _Machine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.kv = memory.MemoryStore()
+        self.faults = collections.deque()
+        self.late = []
+        self.workers = {host: _FakeWorker() for host in _HOSTS}
+        self.incarnations = dict.fromkeys(_HOSTS, 0)
+        self.sequences = dict.fromkeys(_HOSTS, 0)
+        self.agents = {}
+        self.submitted = 0
+        self.hosts = fleet.Fleet(_LEASE_S)
+        self.hosts.live = lambda: list(self.hosts._hosts.values())
+        for host in _HOSTS:
+            self._attach(host)
+        self._take_over()
+        for host in _HOSTS:
+            self.report(host, False)
+
+    def _attach(self, host):
+        self.incarnations[host] += 1
+        self.agents[host] = tasks.Tasks(
+            host, self.workers[host].handle(), self.incarnations[host]
+        )
+        self.agents[host].attach()
+
+    def _take_over(self):
+        deadline = time.monotonic() + 10
+        names = _Names(
+            self.kv, directory.Member("e", "a"), self.kv.grant(600, deadline)
+        )
+        self.shard = owner.Shard(
+            0, names, self.hosts, placement.FirstFit(), _LEASE_S, "/", _Inline()
+        )
+        assert self.shard.ownership.acquire()
+        self.shard._load()
+
+    def deliver(self, host, method, req):
+        agent = self.agents[host]
+        if method is channels.START:
+            if req.incarnation != self.incarnations[host]:
+                raise errors.Refused(errors.Kind.STALE, "quotes another agent's report")
+            return agent.start(req, time.monotonic())
+        return agent.stop(req.tasks, req.checkpoint)
+
+    @stateful.rule(
+        count=st.integers(1, 3), size=st.integers(1, 3), limit=st.integers(1, 2)
+    )
+    def submit(self, count, size, limit):
+        self.submitted += 1
+        demand = {"cpu_milli": size, "memory_bytes": 1}
+        body = {"team": "t", "tasks": count, "max_attempts": limit, "demand": demand}
+        job = page.parse_job(
+            f"j{self.submitted}", json.dumps(body).encode(), time.time(), ""
+        )
+        self.shard.submit(lambda jobs: records.put(jobs, job))
+
+    @stateful.rule(data=st.data())
+    def cancel(self, data):
+        if self.shard.state:
+            key = data.draw(st.sampled_from(sorted(self.shard.state)))
+            self.shard.submit(lambda jobs: records.cancel(jobs, key))
+
+    @stateful.rule(data=st.data())
+    def evict(self, data):
+        found = records.on_host(self.shard.state)
+        on_host = sorted(task for own in found.values() for task in own)
+        if on_host:
+            task = data.draw(st.sampled_from(on_host))
+            self.shard.submit(lambda jobs: records.evict(jobs, task, "for a test"))
+
+    @stateful.rule(faults=st.lists(st.sampled_from(_FAULTS), max_size=3))
+    def pass_once(self, faults):
+        self.faults.extend(faults)
+        self.shard._wake.set()
+        self.shard._pass()
+        self.faults.clear()
+
+    @stateful.rule()
+    def owner_dies_before_it_sends(self):
+        self.shard._wake.set()
+        with unittest.mock.patch.object(self.shard, "written"):
+            self.shard._pass()
+        self.owner_dies()
+
+    @stateful.rule()
+    def owner_dies(self):
+        deadline = time.monotonic() + 10
+        self.kv.revoke(self.shard.ownership._names.lease, deadline)
+        self._take_over()
+
+    @stateful.rule(host=st.sampled_from(_HOSTS))
+    def agent_is_replaced(self, host):
+        self._attach(host)
+        self.sequences[host] = 0
+
+    @stateful.rule(host=st.sampled_from(_HOSTS))
+    def worker_is_replaced(self, host):
+        """All runs die with the worker; its tombstones too."""
+        for run in self.workers[host].live():
+            self.workers[host].end(run.spec.task, "stopped", "worker died")
+        self.workers[host].runs.clear()
+        self.workers[host].tombstones.clear()
+        self.workers[host].generation += 1
+        self.agents[host]._attach_again()
+
+    @stateful.rule(host=st.sampled_from(_HOSTS), answer_lost=st.booleans())
+    def report(self, host, answer_lost):
+        agent = self.agents[host]
+        agent.poll()
+        self.sequences[host] += 1
+        report = messages.Report(
+            host=host,
+            incarnation=self.incarnations[host],
+            sequence=self.sequences[host],
+            address="127.0.0.1:1",
+            region="r",
+            failure_domain=host,
+            rack="r",
+            leaving=False,
+            revision=0,
+            capacity=agent.ledger.capacity,
+            committed=agent.ledger.committed,
+            endpoints=[],
+            tasks=agent.states(),
+        )
+        known = fleet.Host(report, time.monotonic(), _Peer(self, host))
+        self.hosts._hosts[host] = known
+        heard = self.shard.hear(report)
+        if not answer_lost:
+            agent.forget(heard.recorded)
+            agent.stop(heard.stop, checkpoint=False)
+            agent.stop(heard.evict, checkpoint=True)
+
+    @stateful.rule()
+    def late_message_arrives(self):
+        if self.late:
+            host, method, req = self.late.pop(0)
+            with contextlib.suppress(errors.Error):
+                self.deliver(host, method, req)
+
+    @stateful.rule(
+        host=st.sampled_from(_HOSTS), state=st.sampled_from(("finished", "failed"))
+    )
+    def run_ends(self, host, state):
+        for run in self.workers[host].live()[:1]:
+            self.workers[host].end(run.spec.task, state)
+
+    @stateful.invariant()
+    def no_host_is_beyond_its_capacity(self):
+        for host, fake in self.workers.items():
+            used = resources.total(run.spec.demand for run in fake.live())
+            assert used.fits(_CAPACITY), (host, fake.live())
+            assert used.fits(self.agents[host].ledger.committed), host
+
+    @stateful.invariant()
+    def no_task_runs_twice_at_once(self):
+        live = [
+            run.spec.task[:3] for fake in self.workers.values() for run in fake.live()
+        ]
+        assert len(live) == len(set(live)), live
+
+    @stateful.invariant()
+    def no_task_finishes_twice(self):
+        done = [
+            run.spec.task[:3]
+            for fake in self.workers.values()
+            for run in fake.history
+            if run.state == "finished"
+        ]
+        assert len(done) == len(set(done)), done
+
+    def teardown(self):
+        """Once all faults end, every task comes to its end."""
+        self.faults.clear()
+        for _ in range(_ROUNDS):
+            if all(job.state in page.ENDED for job in self.shard.state.values()):
+                break
+            self._settle()
+        for job in self.shard.state.values():
+            assert job.state in page.ENDED, job
+
+    def _settle(self):
+        while self.late:
+            self.late_message_arrives()
+        self.pass_once([])
+        for host in _HOSTS:
+            self.report(host, False)
+            self.run_ends(host, "finished")
+            self.report(host, False)
+        self.no_host_is_beyond_its_capacity()
+        self.no_task_runs_twice_at_once()
+        self.no_task_finishes_twice()
+
+
+def test_random_operations_keep_the_promises():
+    with unittest.mock.patch.object(dispatch, "_RESEND_S", 0.0):
+        stateful.run_state_machine_as_test(_Machine)
+
+
+load_tests = collecting.hook(__name__)
