--- a/testing/process/test_model.py
+++ b/testing/process/test_model.py
@@ -31,9 +31,11 @@
 from testing import collecting
 
 _HOSTS = ("h0", "h1")
+_TEAMS = ("t", "u")
 _CAPACITY = resources.Demand(4, 4, 0)
 _LEASE_S = 600.0
 _FAULTS = ("", "lose", "late", "lose answer")
+_JOBS = 6
 _ROUNDS = 60
 
 
@@ -51,6 +53,8 @@
         self.tombstones = set()
         self.generation = 0
         self.steps = 0
+        self.faults = collections.deque()
+        self.late = []
 
     def handle(self):
         return _Handle(self)
@@ -70,6 +74,24 @@
         return worker.Inventory(_CAPACITY, list(self.runs.values()), time.monotonic())
 
     def start(self, spec, expiry, deadline):
+        fault = self.faults.popleft() if self.faults else ""
+        lost = errors.Error(errors.Kind.ANSWER_LOST, "the start was lost")
+        if fault == "late":
+            self.late.append((self.generation, spec))
+        if fault in ("late", "lose"):
+            raise lost
+        run = self.take_start(spec)
+        if fault == "lose answer":
+            raise lost
+        return run
+
+    def late_start_arrives(self):
+        if self.late:
+            generation, spec = self.late.pop(0)
+            if generation == self.generation:
+                self.take_start(spec)
+
+    def take_start(self, spec):
         if spec.task in self.tombstones:
             return worker.Run(spec, "stopped", spec.checkpoint)
         self.runs.setdefault(spec.task, worker.Run(spec, "running", spec.checkpoint))
@@ -158,12 +180,18 @@
 
 
 @hypothesis.settings(
-    derandomize=True, deadline=None, max_examples=60, stateful_step_count=40
+    derandomize=True,
+    deadline=None,
+    max_examples=250,
+    stateful_step_count=40,
+    phases=(hypothesis.Phase.generate,),
 )
 class _Machine(stateful.RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
         self.kv = memory.MemoryStore()
+        self.shards = {}
+        self.cancelled = set()
         self.faults = collections.deque()
         self.late = []
         self.workers = {host: _FakeWorker() for host in _HOSTS}
@@ -175,7 +203,8 @@
         self.hosts.live = lambda: list(self.hosts._hosts.values())
         for host in _HOSTS:
             self._attach(host)
-        self._take_over()
+        for team in _TEAMS:
+            self._take_over(team)
         for host in _HOSTS:
             self.report(host, False)
 
@@ -186,16 +215,18 @@
         )
         self.agents[host].attach()
 
-    def _take_over(self):
+    def _take_over(self, team):
         deadline = time.monotonic() + 10
         names = _Names(
             self.kv, directory.Member("e", "a"), self.kv.grant(600, deadline)
         )
-        self.shard = owner.Shard(
-            0, names, self.hosts, placement.FirstFit(), _LEASE_S, "/", _Inline()
+        number = _TEAMS.index(team)
+        shard = owner.Shard(
+            number, names, self.hosts, placement.FirstFit(), _LEASE_S, "/", _Inline()
         )
-        assert self.shard.ownership.acquire()
-        self.shard._load()
+        assert shard.ownership.acquire()
+        shard._load()
+        self.shards[team] = shard
 
     def deliver(self, host, method, req):
         agent = self.agents[host]
@@ -205,51 +236,78 @@
             return agent.start(req, time.monotonic())
         return agent.stop(req.tasks, req.checkpoint)
 
+    @stateful.precondition(lambda self: self.submitted < _JOBS)
     @stateful.rule(
-        count=st.integers(1, 3), size=st.integers(1, 3), limit=st.integers(1, 2)
+        team=st.sampled_from(_TEAMS),
+        count=st.integers(1, 5),
+        size=st.integers(1, 3),
+        limit=st.integers(1, 2),
+        faults=st.lists(st.sampled_from(_FAULTS), max_size=3),
     )
-    def submit(self, count, size, limit):
+    def submit(self, team, count, size, limit, faults):
         self.submitted += 1
         demand = {"cpu_milli": size, "memory_bytes": 1}
-        body = {"team": "t", "tasks": count, "max_attempts": limit, "demand": demand}
+        body = {"team": team, "tasks": count, "max_attempts": limit, "demand": demand}
         job = page.parse_job(
             f"j{self.submitted}", json.dumps(body).encode(), time.time(), ""
         )
-        self.shard.submit(lambda jobs: records.put(jobs, job))
-
-    @stateful.rule(data=st.data())
-    def cancel(self, data):
-        if self.shard.state:
-            key = data.draw(st.sampled_from(sorted(self.shard.state)))
-            self.shard.submit(lambda jobs: records.cancel(jobs, key))
-
-    @stateful.rule(data=st.data())
-    def evict(self, data):
-        found = records.on_host(self.shard.state)
+        self.shards[team].submit(lambda jobs: records.put(jobs, job))
+        self.pass_once(team, faults)
+
+    @stateful.rule(team=st.sampled_from(_TEAMS), data=st.data())
+    def cancel(self, team, data):
+        shard = self.shards[team]
+        if shard.state:
+            key = data.draw(st.sampled_from(sorted(shard.state)))
+            shard.submit(lambda jobs: records.cancel(jobs, key))
+            self.pass_once(team, [])
+            self.cancelled.add(key)
+
+    @stateful.rule(team=st.sampled_from(_TEAMS), data=st.data())
+    def evict(self, team, data):
+        shard = self.shards[team]
+        found = records.on_host(shard.state)
         on_host = sorted(task for own in found.values() for task in own)
         if on_host:
             task = data.draw(st.sampled_from(on_host))
-            self.shard.submit(lambda jobs: records.evict(jobs, task, "for a test"))
+            shard.submit(lambda jobs: records.evict(jobs, task, "for a test"))
 
-    @stateful.rule(faults=st.lists(st.sampled_from(_FAULTS), max_size=3))
-    def pass_once(self, faults):
+    @stateful.rule(
+        team=st.sampled_from(_TEAMS),
+        faults=st.lists(st.sampled_from(_FAULTS), max_size=3),
+    )
+    def pass_once(self, team, faults):
         self.faults.extend(faults)
-        self.shard._wake.set()
-        self.shard._pass()
+        self.shards[team]._wake.set()
+        self.shards[team]._pass()
         self.faults.clear()
 
-    @stateful.rule()
-    def owner_dies_before_it_sends(self):
-        self.shard._wake.set()
-        with unittest.mock.patch.object(self.shard, "written"):
-            self.shard._pass()
-        self.owner_dies()
+    @stateful.rule(team=st.sampled_from(_TEAMS))
+    def owner_dies_before_it_sends(self, team):
+        shard = self.shards[team]
+        shard._wake.set()
+        with unittest.mock.patch.object(shard, "written"):
+            shard._pass()
+        self.kv.revoke(shard.ownership._names.lease, time.monotonic() + 10)
+        self._take_over(team)
 
-    @stateful.rule()
-    def owner_dies(self):
-        deadline = time.monotonic() + 10
-        self.kv.revoke(self.shard.ownership._names.lease, deadline)
-        self._take_over()
+    @stateful.rule(
+        host=st.sampled_from(_HOSTS),
+        faults=st.lists(st.sampled_from(_FAULTS), min_size=1, max_size=3),
+    )
+    def worker_becomes_slow(self, host, faults):
+        self.workers[host].faults.extend(faults)
+
+    @stateful.rule(host=st.sampled_from(_HOSTS))
+    def late_start_reaches_the_worker(self, host):
+        self.workers[host].late_start_arrives()
+
+    @stateful.rule(faults=st.lists(st.sampled_from(_FAULTS), max_size=2))
+    def all_report(self, faults):
+        for host in _HOSTS:
+            self.report(host, False)
+        for team in _TEAMS:
+            self.pass_once(team, faults)
 
     @stateful.rule(host=st.sampled_from(_HOSTS))
     def agent_is_replaced(self, host):
@@ -258,10 +316,10 @@
 
     @stateful.rule(host=st.sampled_from(_HOSTS))
     def worker_is_replaced(self, host):
-        """All runs die with the worker; its tombstones too."""
-        for run in self.workers[host].live():
-            self.workers[host].end(run.spec.task, "stopped", "worker died")
-        self.workers[host].runs.clear()
+        """All runs die with the worker, and ends that the store does not hold yet."""
+        fake = self.workers[host]
+        fake.history = [run for run in fake.history if run.spec.task not in fake.runs]
+        fake.runs.clear()
         self.workers[host].tombstones.clear()
         self.workers[host].generation += 1
         self.agents[host]._attach_again()
@@ -288,8 +346,11 @@
         )
         known = fleet.Host(report, time.monotonic(), _Peer(self, host))
         self.hosts._hosts[host] = known
-        heard = self.shard.hear(report)
-        if not answer_lost:
+        for team, shard in self.shards.items():
+            own = [state for state in report.tasks if state.task.team == team]
+            heard = shard.hear(report._replace(tasks=own))
+            if answer_lost:
+                continue
             agent.forget(heard.recorded)
             agent.stop(heard.stop, checkpoint=False)
             agent.stop(heard.evict, checkpoint=True)
@@ -322,6 +383,13 @@
         ]
         assert len(live) == len(set(live)), live
 
+    @stateful.invariant()
+    def no_cancelled_task_waits_again(self):
+        for job in self._jobs():
+            if (job.team, job.id) in self.cancelled:
+                states = {record.state for record in job.tasks}
+                assert states <= page.ENDED | {page.STOPPING}, job
+
     @stateful.invariant()
     def no_task_finishes_twice(self):
         done = [
@@ -336,16 +404,23 @@
         """Once all faults end, every task comes to its end."""
         self.faults.clear()
         for _ in range(_ROUNDS):
-            if all(job.state in page.ENDED for job in self.shard.state.values()):
+            if all(job.state in page.ENDED for job in self._jobs()):
                 break
             self._settle()
-        for job in self.shard.state.values():
+        for job in self._jobs():
             assert job.state in page.ENDED, job
 
+    def _jobs(self):
+        return [job for shard in self.shards.values() for job in shard.state.values()]
+
     def _settle(self):
         while self.late:
             self.late_message_arrives()
-        self.pass_once([])
+        for fake in self.workers.values():
+            fake.faults.clear()
+            fake.late_start_arrives()
+        for team in _TEAMS:
+            self.pass_once(team, [])
         for host in _HOSTS:
             self.report(host, False)
             self.run_ends(host, "finished")
