--- /dev/null
+++ b/testing/process/test_dispatch.py
@@ -0,0 +1,90 @@
+import time
+import typing as t
+
+from bilberrypass import errors, resources
+from bilberrypass.connection import messages, worker
+from bilberrypass.process import dispatch, fleet, sightings
+from testing import collecting, fakes
+
+_SENDER = dispatch.Sender("e", 0, 1, 60.0)
+_REPORT = messages.Report(
+    "h0",
+    1,
+    1,
+    "a",
+    "r",
+    "fd",
+    "r",
+    False,
+    0,
+    fakes.CAPACITY,
+    resources.Demand(),
+    [],
+    [],
+)
+
+
+class _Hosts(t.NamedTuple):
+    answers: list
+
+    def get(self, name):
+        return fleet.Host(_REPORT, time.monotonic(), self)
+
+    def call(self, method, req, deadline):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return messages.Started(
+            [messages.StartOutcome(s.task, answer) for s in req.specs]
+        )
+
+
+class _Outcomes:
+    def __init__(self):
+        self.seen = []
+
+    def started(self, task):
+        self.seen.append("started")
+
+    def refused(self, task, detail, is_certain):
+        self.seen.append(f"refused, certain: {is_certain}")
+
+
+def _spec():
+    return worker.Spec(worker.TaskId("t", "j", 0, 1), resources.Demand(1, 1), "")
+
+
+def _send(answers, is_fresh=True):
+    outcomes = _Outcomes()
+    sender = dispatch.Dispatch(
+        _Hosts(list(answers)), sightings.Sightings(60.0), outcomes, fakes.Inline()
+    )
+    if is_fresh:
+        sender.expect([_spec().task])
+    for _ in answers:
+        sender._sent_at.clear()
+        sender.start(_SENDER, "h0", [_spec()])
+    return outcomes.seen
+
+
+def test_first_refusal_is_certain():
+    assert _send([errors.Kind.NO_ROOM]) == ["refused, certain: True"]
+
+
+def test_refusal_after_a_lost_start_is_not_certain():
+    lost = errors.Error(errors.Kind.ANSWER_LOST, "lost")
+    leaving = errors.Refused(errors.Kind.LEAVING, "leaves")
+    assert _send([lost, leaving]) == ["refused, certain: False"]
+
+
+def test_refusal_of_what_another_owner_may_have_sent_is_not_certain():
+    seen = _send([errors.Kind.NO_ROOM], is_fresh=False)
+    assert seen == ["refused, certain: False"]
+
+
+def test_stale_quote_is_sent_again():
+    stale = errors.Refused(errors.Kind.STALE, "quote a newer one")
+    assert _send([stale, ""]) == ["started"]
+
+
+load_tests = collecting.hook(__name__)
