--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -54,6 +54,7 @@
     checkpoint: str = ""
     detail: str = ""
     epoch: int = 0
+    task_class: str = ""
 
 
 class Report(t.NamedTuple):
@@ -61,8 +62,9 @@
 
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
     each report of this agent to this entry. ``revision`` is that of the
-    configuration in force at the agent. ``is_current`` is False while the worker
-    has not been seen lately, so that ``tasks`` may be out of date.
+    configuration in force at the agent, ``revision_since`` its Unix time.
+    ``is_current`` is False while the worker has not been seen lately, so that
+    ``tasks`` may be out of date.
     """
 
     host: str
@@ -79,6 +81,7 @@
     endpoints: list[EndpointState]
     tasks: list[TaskState]
     usage: worker.Usage | None = None
+    revision_since: float = 0.0
     is_current: bool = True
 
 
@@ -173,3 +176,33 @@
 
     body: bytes
     created: bool = False
+
+
+class ConfigAsk(t.NamedTuple):
+    """A question for the configuration, with the revision known to the asker."""
+
+    revision: int
+    is_whole: bool = True
+
+
+class ConfigTold(t.NamedTuple):
+    """The revision in force at a process.
+
+    ``document`` is empty where the asker knows it; an agent's holds only what
+    concerns its host. ``age_s`` is the age of the newest confirmation that the
+    revision is the newest one. ``entries`` are the peer addresses that it knows.
+    """
+
+    revision: int
+    since: float
+    age_s: float
+    is_informed: bool
+    why_not_ready: str
+    document: bytes
+    entries: list[str]
+
+
+class Introduction(t.NamedTuple):
+    """The peer addresses of entries, for an agent that may know none of them."""
+
+    entries: list[str]
--- a/src/bilberrypass/process/jobcalls.py
+++ b/src/bilberrypass/process/jobcalls.py
@@ -7,15 +7,18 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
-from bilberrypass.process import records
+from bilberrypass.process import decisions, ownership, placing, records
 from bilberrypass.version import page
 
+_SETTLE_S: t.Final = 5.0
+
 
 class Owner(t.Protocol):
     """What calls need of the shard's owner."""
 
     number: int
     state: records.Jobs
+    ownership: ownership.Ownership
 
     @property
     def is_owned(self) -> bool:
@@ -35,10 +38,18 @@
     ----------
     shard : Owner
         Has the jobs.
+    fits : placing.Placing
+        Tells what no host could ever hold.
+    told : decisions.Decisions
+        Tells the reasons of what was decided.
     """
 
-    def __init__(self, shard: Owner) -> None:
+    def __init__(
+        self, shard: Owner, fits: placing.Placing, told: decisions.Decisions
+    ) -> None:
         self._shard = shard
+        self._placing = fits
+        self._decisions = told
         self._verbs: dict[
             str, t.Callable[[messages.JobCall, float], messages.JobAnswer]
         ] = {
@@ -46,6 +57,7 @@
             "cancel": self._cancel,
             "list": self._list,
             "get": self._get,
+            "explain": self._explain,
         }
 
     def answer(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
@@ -75,6 +87,15 @@
     def _get(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
         return _answer(page.describe(self._find(req)))
 
+    def _explain(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
+        job = self._find(req)
+        found = self._decisions.find(f"job {job.team}/{job.id}")
+        told = {
+            "never_fits": self._placing.why_never(job),
+            "decisions": [decision._asdict() for decision in found],
+        }
+        return _answer(page.describe(job) | told)
+
     def _list(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
         jobs = self._shard.state.values()
         return _answer(
@@ -83,9 +104,23 @@
 
     def _put(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
         job = page.parse_job(req.job, req.body, time.time(), req.traceparent)
+        if (job.team, job.id) not in self._shard.state:
+            self._check_fits(job)
         result, created = self._change(lambda jobs: records.put(jobs, job), deadline)
         return _answer(page.describe(result))._replace(created=created)
 
+    def _check_fits(self, job: page.JobRecord) -> None:
+        """Refuse what no host could hold, once the hosts have had time to report."""
+        if time.monotonic() < self._shard.ownership.owned_at + _SETTLE_S:
+            return
+        why = self._placing.why_never(job)
+        if why:
+            raise errors.Refused(
+                errors.Kind.NEVER_FITS,
+                f"no known host could ever hold a task of {job.id}: {why}; "
+                "ask for less or loosen the rules",
+            )
+
     def _cancel(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
         job = self._find(req)
         key = (job.team, job.id)
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -13,7 +13,7 @@
     fleet,
     grouped,
     jobcalls,
-    placement,
+    jobevents,
     placing,
     records,
     sightings,
@@ -48,8 +48,8 @@
         The shared keys, and the entry's lease.
     hosts : fleet.Fleet
         The hosts known by reports.
-    policy : placement.Policy
-        Chooses hosts.
+    tools : placing.Tools
+        Shared with the other shards of the entry.
     lease_s : float
         Life of a task's lease without renewal, in seconds.
     prefix : str
@@ -63,7 +63,7 @@
         number: int,
         names: directory.Directory,
         hosts: fleet.Fleet,
-        policy: placement.Policy,
+        tools: placing.Tools,
         lease_s: float,
         prefix: str,
         pool: futures.Executor | None = None,
@@ -72,8 +72,10 @@
         self._lease_s = lease_s
         self._seen = sightings.Sightings(lease_s)
         self._dispatch = dispatch.Dispatch(hosts, self._seen, self, pool)
-        self._placing = placing.Placing(hosts, policy)
-        self._calls = jobcalls.Calls(self)
+        self._placing = placing.Placing(hosts, tools)
+        self._tools = tools
+        self._hosts = hosts
+        self._calls = jobcalls.Calls(self, self._placing, tools.decisions)
         self._on_host: dict[str, list[worker.TaskId]] = {}
         self._placed: dict[str, list[worker.Spec]] = {}
 
@@ -105,8 +107,10 @@
         kept = [task for found in self._on_host.values() for task in found]
         self._seen.keep(kept)
         self._dispatch.keep(kept)
-        fresh = [spec.task for specs in self._placed.values() for spec in specs]
-        self._dispatch.expect(fresh)
+        for host, specs in self._placed.items():
+            jobevents.placed(host, specs)
+            self._dispatch.expect([spec.task for spec in specs])
+        self._placed = {}
         for host, found in self._on_host.items():
             self._send(host, found)
 
@@ -187,12 +191,20 @@
         record = records.find(self.state, state.task)
         if record is not None and not records.is_noted(record, state):
             self.submit(lambda jobs: records.note(jobs, state))
+            self._note_health(record, state)
         is_live = state.state in tasks.LIVE
         if is_live and not _belongs(record, host):
             heard.evict.append(state.task)
         if not is_live and (record is None or records.is_noted(record, state)):
             heard.recorded.append(state.task)
 
+    def _note_health(self, record: page.TaskRecord, state: messages.TaskState) -> None:
+        if state.state == "finished":
+            self._tools.health.finished(record.host)
+        elif state.state == "failed" and record.state in page.ON_HOST:
+            job = (state.task.team, state.task.job)
+            self._tools.health.failed(record.host, job)
+
     def _hear_missing(self, report: messages.Report, heard: Heard) -> None:
         expected = []
         listed = {s.task: s.state in tasks.LIVE for s in report.tasks}
--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/process/placing.py
@@ -1,13 +1,54 @@
 """One pass of placement: what waits, the rooms there are, and who goes where."""
 
+import itertools
+import time
 import typing as t
 
 from bilberrypass import resources
 from bilberrypass.connection import worker
-from bilberrypass.process import fleet, placement, records
-from bilberrypass.version import page
+from bilberrypass.process import (
+    budget,
+    decisions,
+    fleet,
+    health,
+    placement,
+    records,
+)
+from bilberrypass.version import configuration, page
+
+_LEAST_RUN_S: t.Final = 2.0
 
 Waiting = tuple[records.JobKey, int]
+ValuesOf = t.Callable[[configuration.Subject], configuration.Values]
+
+
+class Tools(t.NamedTuple):
+    """What the shards of an entry share for their decisions."""
+
+    policy: placement.Policy
+    health: health.Health
+    budget: budget.Budget
+    values: ValuesOf
+    decisions: decisions.Decisions
+
+
+def make_tools(policy: placement.Policy, values: ValuesOf | None = None) -> Tools:
+    """Return tools by the configuration, or by its built-in values."""
+
+    def built_in(subject: configuration.Subject) -> configuration.Values:
+        return configuration.resolve(
+            configuration.FIRST, subject, configuration.today()
+        )
+
+    read = values or built_in
+
+    def limit() -> int | None:
+        found = read(configuration.FLEET)
+        return found.evictions_per_hour if found.eviction_budget else None
+
+    return Tools(
+        policy, health.Health(), budget.Budget(limit), read, decisions.Decisions()
+    )
 
 
 @t.final
@@ -18,13 +59,13 @@
     ----------
     hosts : fleet.Fleet
         The hosts known by reports.
-    policy : placement.Policy
-        Chooses among them.
+    tools : Tools
+        Shared with the other shards of the entry.
     """
 
-    def __init__(self, hosts: fleet.Fleet, policy: placement.Policy) -> None:
+    def __init__(self, hosts: fleet.Fleet, tools: Tools) -> None:
         self._hosts = hosts
-        self._policy = policy
+        self._tools = tools
 
     def place(self, jobs: records.Jobs) -> dict[str, list[worker.Spec]]:
         """Give waiting tasks to hosts, and return what is placed by host."""
@@ -32,19 +73,107 @@
         waiting = _waiting(jobs)
         if not waiting:
             return placed
-        rooms = self._rooms(jobs)
-        for key, index in waiting:
-            job = jobs[key]
-            room = self._policy.choose(job.demand, list(rooms.values()))
-            if room is None:
-                continue
-            rooms[room.host] = room._replace(free=room.free.minus(job.demand))
-            spec = records.place(jobs, key, index, room.host)
-            placed.setdefault(room.host, []).append(spec)
+        on_host = records.on_host(jobs)
+        rooms = self._rooms(jobs, on_host)
+        used = _used_by_team(jobs, on_host)
+        for key, group in itertools.groupby(waiting, key=lambda w: w[0]):
+            indexes = [index for _, index in group]
+            for spec, host in self._place_job(jobs, key, indexes, rooms, used):
+                placed.setdefault(host, []).append(spec)
         return placed
 
-    def _rooms(self, jobs: records.Jobs) -> dict[str, placement.Room]:
+    def _place_job(
+        self,
+        jobs: records.Jobs,
+        key: records.JobKey,
+        indexes: list[int],
+        rooms: dict[str, placement.Room],
+        used: dict[str, resources.Demand],
+    ) -> t.Iterator[tuple[worker.Spec, str]]:
+        job = jobs[key]
+        quota = self._quota(job.team)
+        domains, racks = _spread(job, rooms)
+        ranking: placement.Ranking | None = None
+        for index in indexes:
+            after = used.get(job.team, resources.Demand()).plus(job.demand)
+            if quota is not None and not after.fits(quota):
+                over = after.shortage(quota)
+                self._note(job, f"waits: the quota of team {job.team} is used: {over}")
+                return
+            ask = _ask(job, index, domains, racks)
+            if ranking is None or ask.failed_on:
+                ranking = placement.Ranking(self._tools.policy, ask, rooms)
+            choice = ranking.choose(ask)
+            if choice.room is None:
+                self._note_no_room(job, choice)
+                if job.urgent:
+                    self._displace(jobs, key, rooms)
+                return
+            room = choice.room
+            rooms[room.host] = self._take(room, job.demand)
+            used[job.team] = after
+            domains[room.failure_domain] = domains.get(room.failure_domain, 0) + 1
+            racks[room.rack] = racks.get(room.rack, 0) + 1
+            self._note_placed(job, index, choice)
+            yield records.place(jobs, key, index, room.host), room.host
+
+    def _quota(self, team: str) -> resources.Demand | None:
+        return self._tools.values(configuration.Subject(team=team)).quotas.get(team)
+
+    def _take(self, room: placement.Room, demand: resources.Demand) -> placement.Room:
+        self._tools.health.placed(room.host)
+        return room._replace(
+            free=room.free.minus(demand),
+            resting=self._tools.health.why_resting(room.host),
+        )
+
+    # Displacement.
+
+    def _displace(
+        self, jobs: records.Jobs, key: records.JobKey, rooms: dict[str, placement.Room]
+    ) -> None:
+        """Evict batch tasks of this shard for an urgent one, within the budget."""
+        demand = jobs[key].demand
+        ask = placement.Ask(demand, rules=jobs[key].rules)
         on_host = records.on_host(jobs)
+        options = []
+        for room in rooms.values():
+            if room.resting or placement.why_never(ask, room):
+                continue
+            leaving, victims = _movable(jobs, on_host.get(room.host, []))
+            if demand.fits(room.free.plus(leaving)):
+                # Room comes free there already; it is taken for this task.
+                rooms[room.host] = room._replace(free=room.free.minus(demand))
+                return
+            chosen = _choose_victims(jobs, demand, room.free.plus(leaving), victims)
+            if chosen:
+                options.append((len(chosen), room.host, chosen))
+        if not options:
+            return
+        _, host, chosen = min(options)
+        self._evict(jobs, key, host, chosen)
+
+    def _evict(
+        self,
+        jobs: records.Jobs,
+        key: records.JobKey,
+        host: str,
+        chosen: list[worker.TaskId],
+    ) -> None:
+        if not self._tools.budget.spend(len(chosen)):
+            self._note(jobs[key], "waits: the budget of evictions is spent")
+            return
+        for task in chosen:
+            detail = f"made room on {host} for urgent job {key[1]}"
+            records.evict(jobs, task, detail)
+            self._note(jobs[task.team, task.job], f"task {task.index} {detail}")
+        self._note(jobs[key], f"{len(chosen)} batch tasks on {host} make room")
+
+    # Rooms.
+
+    def _rooms(
+        self, jobs: records.Jobs, on_host: dict[str, list[worker.TaskId]]
+    ) -> dict[str, placement.Room]:
         rooms = {}
         for host in self._hosts.live():
             report = host.report
@@ -63,9 +192,140 @@
                 report.rack,
                 report.capacity,
                 free.minus(resources.total(unseen)),
+                tuple({e.service for e in report.endpoints if not e.leaving}),
+                self._why_resting(report.host),
             )
         return rooms
 
+    def _why_resting(self, host: str) -> str:
+        values = self._tools.values(configuration.Subject(host=host))
+        if not values.set_aside_failing_workers:
+            return ""
+        return self._tools.health.why_resting(host)
+
+    def why_never(self, job: page.JobRecord) -> str:
+        """Tell why no known host could ever hold a job; empty if one could."""
+        known = self._hosts.all()
+        ask = placement.Ask(job.demand, rules=job.rules)
+        reasons = []
+        for host in known:
+            report = host.report
+            room = placement.Room(
+                report.host,
+                report.failure_domain,
+                report.rack,
+                report.capacity,
+                report.capacity,
+            )
+            reason = placement.why_never(ask, room)
+            if not reason:
+                return ""
+            reasons.append(f"{report.host} {reason}")
+        return "; ".join(reasons[:3])
+
+    # What is explained.
+
+    def _note(self, job: page.JobRecord, text: str) -> None:
+        self._tools.decisions.note(_subject(job), text)
+
+    def _note_no_room(self, job: page.JobRecord, choice: placement.Choice) -> None:
+        never = self.why_never(job)
+        text = f"waits: no known host could ever hold it: {never}"
+        if not never:
+            text = "waits: no host can take it now"
+        self._tools.decisions.note_choice(_subject(job), text, choice)
+
+    def _note_placed(
+        self, job: page.JobRecord, index: int, choice: placement.Choice
+    ) -> None:
+        assert choice.room is not None
+        text = f"task {index} placed on {choice.room.host}"
+        self._tools.decisions.note_choice(_subject(job), text, choice)
+        subject = f"host {choice.room.host}"
+        self._tools.decisions.note(subject, f"took {job.team}/{job.id} task {index}")
+
+
+def _subject(job: page.JobRecord) -> str:
+    return f"job {job.team}/{job.id}"
+
+
+def _ask(
+    job: page.JobRecord, index: int, domains: dict[str, int], racks: dict[str, int]
+) -> placement.Ask:
+    return placement.Ask(
+        job.demand,
+        job.task_class,
+        job.rules,
+        job.tasks[index].failed_on,
+        len(job.tasks),
+        domains,
+        racks,
+    )
+
+
+def _spread(
+    job: page.JobRecord, rooms: dict[str, placement.Room]
+) -> tuple[dict[str, int], dict[str, int]]:
+    """Count the job's tasks on hosts by failure domain and by rack."""
+    domains: dict[str, int] = {}
+    racks: dict[str, int] = {}
+    for record in job.tasks:
+        room = rooms.get(record.host)
+        if room is not None and record.state in page.ON_HOST:
+            domains[room.failure_domain] = domains.get(room.failure_domain, 0) + 1
+            racks[room.rack] = racks.get(room.rack, 0) + 1
+    return domains, racks
+
+
+def _used_by_team(
+    jobs: records.Jobs, on_host: dict[str, list[worker.TaskId]]
+) -> dict[str, resources.Demand]:
+    used: dict[str, resources.Demand] = {}
+    for found in on_host.values():
+        for task in found:
+            demand = jobs[task.team, task.job].demand
+            used[task.team] = used.get(task.team, resources.Demand()).plus(demand)
+    return used
+
+
+def _movable(
+    jobs: records.Jobs, found: list[worker.TaskId]
+) -> tuple[resources.Demand, list[worker.TaskId]]:
+    """Return what is on its way out of a host, and which batch tasks may follow."""
+    now = time.time()
+    leaving = resources.Demand()
+    victims = []
+    for task in found:
+        job = jobs[task.team, task.job]
+        record = job.tasks[task.index]
+        if record.state in (page.EVICTING, page.STOPPING):
+            leaving = leaving.plus(job.demand)
+        elif record.state == page.RUNNING and not job.urgent:
+            if now > record.changed_at + _LEAST_RUN_S:
+                victims.append(task)
+    return leaving, victims
+
+
+def _choose_victims(
+    jobs: records.Jobs,
+    demand: resources.Demand,
+    free: resources.Demand,
+    victims: list[worker.TaskId],
+) -> list[worker.TaskId]:
+    """Return the fewest tasks that make room, the latest started first, or none."""
+
+    def order(task: worker.TaskId) -> tuple[int, float]:
+        job = jobs[task.team, task.job]
+        return -job.demand.cpu_milli, -job.tasks[task.index].changed_at
+
+    chosen: list[worker.TaskId] = []
+    for task in sorted(victims, key=order):
+        if demand.fits(free):
+            break
+        free = free.plus(jobs[task.team, task.job].demand)
+        chosen.append(task)
+    return chosen if demand.fits(free) else []
+
 
 def _waiting(jobs: records.Jobs) -> list[Waiting]:
     """Return the waiting tasks, urgent and older jobs first."""
@@ -75,5 +335,5 @@
         for index, record in enumerate(job.tasks)
         if record.state == page.WAITING
     ]
-    waiting.sort(key=lambda w: (not jobs[w[0]].urgent, jobs[w[0]].submitted_at))
+    waiting.sort(key=lambda w: (not jobs[w[0]].urgent, jobs[w[0]].submitted_at, w[0]))
     return waiting
--- a/src/bilberrypass/process/records.py
+++ b/src/bilberrypass/process/records.py
@@ -5,6 +5,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages, worker
+from bilberrypass.process import jobevents
 from bilberrypass.version import page
 
 JobKey = tuple[str, str]
@@ -26,6 +27,8 @@
 
 def _set(jobs: Jobs, task: worker.TaskId, record: page.TaskRecord) -> None:
     key = (task.team, task.job)
+    if record.state in page.ENDED:
+        jobevents.ended(jobs[key], task, record.state)
     jobs[key] = jobs[key].with_task(task.index, record._replace(changed_at=time.time()))
 
 
--- a/src/bilberrypass/process/tasks.py
+++ b/src/bilberrypass/process/tasks.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import ledger
+from bilberrypass.process import jobevents, ledger
 
 _log = logbook.Logger("tasks")
 
@@ -112,6 +112,7 @@
         except errors.Error as exc:
             kind = exc.kind if exc.ran is errors.Ran.NO else errors.Kind.ANSWER_LOST
             return messages.StartOutcome(spec.task, kind, exc.detail)
+        jobevents.started(self._host, spec)
         return messages.StartOutcome(spec.task)
 
     def _begin_start(self, task: worker.TaskId, expiry: float) -> None:
@@ -358,5 +359,10 @@
 
 def _state(run: worker.Run) -> messages.TaskState:
     return messages.TaskState(
-        run.spec.task, run.state, run.spec.demand, run.checkpoint, run.detail
+        run.spec.task,
+        run.state,
+        run.spec.demand,
+        run.checkpoint,
+        run.detail,
+        task_class=run.spec.task_class,
     )
--- a/testing/process/test_model.py
+++ b/testing/process/test_model.py
@@ -23,6 +23,7 @@
     fleet,
     owner,
     placement,
+    placing,
     records,
     tasks,
 )
@@ -66,6 +67,15 @@
     def owner_key(self, kind, shard):
         return f"/owners/{kind}/{shard}"
 
+    def owner(self, kind, shard):
+        return None
+
+    def owner_epoch(self, kind, shard):
+        return store.ABSENT
+
+    def preferred(self, kind, shard):
+        return self.me.id
+
 
 @hypothesis.settings(
     derandomize=True,
@@ -113,7 +123,7 @@
             number,
             names,
             self.hosts,
-            placement.FirstFit(),
+            placing.make_tools(placement.FirstFit()),
             _LEASE_S,
             "/",
             fakes.Inline(),
