--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -78,6 +78,7 @@
     checkpoint: str = ""
     detail: str = ""
     epoch: int = 0
+    task_class: str = ""
 
 
 class Report(t.NamedTuple):
@@ -87,6 +88,8 @@
     each report of this agent to this entry. ``revision`` is that of the
     configuration in force at the agent, ``revision_since`` its Unix time.
     ``clock`` is the agent's monotonic clock.
+    ``is_current`` is False while the worker has not been seen lately, so that
+    ``tasks`` may be out of date.
     """
 
     host: str
@@ -105,6 +108,7 @@
     usage: worker.Usage | None = None
     clock: float = 0.0
     revision_since: float = 0.0
+    is_current: bool = True
 
 
 class Grant(t.NamedTuple):
@@ -122,7 +126,9 @@
     """An entry's answer to a report.
 
     ``recorded`` are ends that the store holds; ``stop`` are tasks that must not
-    run on this host; ``slice`` is the agent's part of a newer configuration.
+    run on this host; ``evict`` are those to checkpoint and then to stop;
+    ``slice`` is the agent's part of a newer configuration. ``throttles`` pairs
+    tasks with the share (0 to 1) of their processors that they may use.
     """
 
     entry: str
@@ -133,6 +139,8 @@
     recorded: list[worker.TaskId]
     stop: list[worker.TaskId]
     slice: bytes = b""
+    evict: list[worker.TaskId] = []
+    throttles: list[tuple[worker.TaskId, float]] = []
 
 
 class Start(t.NamedTuple):
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -91,7 +91,7 @@
             driver = httpworker.HttpWorker(
                 *settings.split_address(self._cfg["worker"]["address"])
             )
-        return tasks.Tasks(self.host, driver)
+        return tasks.Tasks(self.host, driver, self._incarnation)
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -138,6 +138,10 @@
     def report(self, sequence: int) -> messages.Report:
         """Describe the host as it is now."""
         own = self.tasks
+        if own is not None and own.is_fenced:
+            raise errors.Refused(
+                errors.Kind.STALE, f"a newer agent has the worker of {self.host}"
+            )
         silence_s = self._cfg["silence_s"]
         made = messages.Report(
             host=self.host,
@@ -156,6 +160,7 @@
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
             clock=time.monotonic(),
+            is_current=own is None or own.is_current,
         )
         if metrics.is_on():
             _measure(made)
@@ -170,8 +175,11 @@
             return
         self.tasks.renew(answer.shards, answer.grants, sent_at)
         self.tasks.forget(answer.recorded)
-        if answer.stop:
-            self.tasks.stop(answer.stop, checkpoint=False)
+        self.tasks.throttle(answer.throttles)
+        self.tasks.stop(answer.stop, checkpoint=False)
+        self.tasks.stop(answer.evict, checkpoint=True)
+        if answer.stop or answer.evict:
+            self._hurry()
 
     def _hear_entries(self, addresses: list[str]) -> None:
         """Report to all entries, and no more to those long gone."""
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -16,6 +16,7 @@
     configuring,
     directory,
     fleet,
+    interference,
     introductions,
     jobs,
     metered,
@@ -23,6 +24,7 @@
     operators,
     owner,
     placement,
+    placing,
     revisions,
     tokens,
     web,
@@ -88,6 +90,11 @@
         )
         self.keeper = tokens.Keeper(cfg["operator_tokens"])
         self._rereader = tokens.Rereader(path, self.keeper) if path else None
+        model = interference.Model()
+        self._observer = interference.Observer(model)
+        self._tools = placing.make_tools(
+            placement.Weighted(model, self._latency_weight), self.config.in_force.values
+        )
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
@@ -97,6 +104,9 @@
         self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
 
+    def _latency_weight(self) -> float:
+        return self.config.in_force.values().tail_latency
+
     def _make_claims(self) -> claiming.Router:
         prefix = self._cfg["store"]["prefix"]
         retention_s = self._cfg["claim_retention_s"]
@@ -111,7 +121,7 @@
             number,
             self.names,
             self.fleet,
-            placement.FirstFit(),
+            self._tools,
             self._cfg["task_lease_s"],
             self._cfg["store"]["prefix"],
         )
@@ -202,17 +212,15 @@
     def _hear_report(self, report: messages.Report) -> messages.Reported:
         self.config.hear(report.revision, report.address)
         self.fleet.hear(report)
-        grants, recorded, stop = [], [], []
+        self._observer.hear(report)
+        heard = []
         for shard in self.shards:
             own = [
                 state
                 for state in report.tasks
                 if worker.shard_of(state.task.team, len(self.shards)) == shard.number
             ]
-            grant, ends, unwanted = shard.hear(report._replace(tasks=own))
-            grants += [grant] if grant else []
-            recorded += ends
-            stop += unwanted
+            heard.append(shard.hear(report._replace(tasks=own)))
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
         metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
@@ -221,9 +229,10 @@
             revision=self.config.in_force.revision,
             entries=[member.peers for member in self.names.members()],
             shards=len(self.shards),
-            grants=grants,
-            recorded=recorded,
-            stop=stop,
+            grants=[part.grant for part in heard if part.grant],
+            recorded=[task for part in heard for task in part.recorded],
+            stop=[task for part in heard for task in part.stop],
+            evict=[task for part in heard for task in part.evict],
             slice=self._slice_for(report),
         )
 
--- a/src/bilberrypass/process/jobs.py
+++ b/src/bilberrypass/process/jobs.py
@@ -118,8 +118,10 @@
         if not id:
             return web.answer_json(self._router.list(team))
         web.check_id(id, "job")
-        _check_rest(rest)
-        return web.answer_raw(self._router.find("get", team, id).body)
+        verb = "explain" if rest == ("explain",) else "get"
+        if verb == "get":
+            _check_rest(rest)
+        return web.answer_raw(self._router.find(verb, team, id).body)
 
     def DELETE(self, id: str = "", *rest: str, team: str = "", **query: str) -> bytes:  # noqa: N802
         """Cancel a job."""
@@ -132,5 +134,5 @@
     if rest:
         raise errors.Error(
             errors.Kind.NOT_FOUND,
-            f"/jobs/<id>/{rest[0][:32]} is nothing; use /jobs/<id>",
+            f"/jobs/<id>/{rest[0][:32]} is nothing; use /jobs/<id> or its /explain",
         )
