Prove evictions: displaced work resumes once, whatever dies

Cause of the one fault found: right after an eviction the host's report still counted the evicted tasks as taken, so the owner evicted the other two as well (4 evictions where 2 make room; test_eviction, first run). Now what a report lists but the records no longer have there counts as leaving.

--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/process/placing.py
@@ -13,6 +13,7 @@
     health,
     placement,
     records,
+    tasks,
 )
 from bilberrypass.version import configuration, page
 
@@ -66,6 +67,7 @@
     def __init__(self, hosts: fleet.Fleet, tools: Tools) -> None:
         self._hosts = hosts
         self._tools = tools
+        self._full: set[t.Any] = set()
 
     def place(self, jobs: records.Jobs) -> dict[str, list[worker.Spec]]:
         """Give waiting tasks to hosts, and return what is placed by host."""
@@ -76,8 +78,11 @@
         on_host = records.on_host(jobs)
         rooms = self._rooms(jobs, on_host)
         used = _used_by_team(jobs, on_host)
+        self._full = set()
         for key, group in itertools.groupby(waiting, key=lambda w: w[0]):
             indexes = [index for _, index in group]
+            if not jobs[key].urgent and _signature(jobs[key]) in self._full:
+                continue
             for spec, host in self._place_job(jobs, key, indexes, rooms, used):
                 placed.setdefault(host, []).append(spec)
         return placed
@@ -94,7 +99,7 @@
         quota = self._quota(job.team)
         domains, racks = _spread(job, rooms)
         ranking: placement.Ranking | None = None
-        for index in indexes:
+        for count, index in enumerate(indexes):
             after = used.get(job.team, resources.Demand()).plus(job.demand)
             if quota is not None and not after.fits(quota):
                 over = after.shortage(quota)
@@ -106,7 +111,9 @@
             choice = ranking.choose(ask)
             if choice.room is None:
                 self._note_no_room(job, choice)
-                if job.urgent:
+                if not job.urgent:
+                    self._full.add(_signature(job))
+                for _ in indexes[count:] if job.urgent else ():
                     self._displace(jobs, key, rooms)
                 return
             room = choice.room
@@ -140,7 +147,8 @@
         for room in rooms.values():
             if room.resting or placement.why_never(ask, room):
                 continue
-            leaving, victims = _movable(jobs, on_host.get(room.host, []))
+            leaving = self._leaving(jobs, room.host, on_host)
+            victims = _movable(jobs, on_host.get(room.host, []))
             if demand.fits(room.free.plus(leaving)):
                 # Room comes free there already; it is taken for this task.
                 rooms[room.host] = room._replace(free=room.free.minus(demand))
@@ -151,7 +159,29 @@
         if not options:
             return
         _, host, chosen = min(options)
-        self._evict(jobs, key, host, chosen)
+        if self._evict(jobs, key, host, chosen):
+            room = rooms[host]
+            rooms[host] = room._replace(free=room.free.minus(demand))
+
+    def _leaving(
+        self,
+        jobs: records.Jobs,
+        name: str,
+        on_host: dict[str, list[worker.TaskId]],
+    ) -> resources.Demand:
+        """Return what counts as taken on a host but is on its way out."""
+        host = self._hosts.get(name)
+        listed = {s.task for s in host.report.tasks if s.state in tasks.LIVE}
+        leaving = set()
+        for task in listed | set(on_host.get(name, [])):
+            job = jobs.get((task.team, task.job))
+            if job is None:
+                continue
+            record = records.find(jobs, task)
+            stays = record is not None and record.state in (page.PLACED, page.RUNNING)
+            if not stays:
+                leaving.add(task)
+        return resources.total(jobs[task.team, task.job].demand for task in leaving)
 
     def _evict(
         self,
@@ -159,15 +189,16 @@
         key: records.JobKey,
         host: str,
         chosen: list[worker.TaskId],
-    ) -> None:
+    ) -> bool:
         if not self._tools.budget.spend(len(chosen)):
             self._note(jobs[key], "waits: the budget of evictions is spent")
-            return
+            return False
         for task in chosen:
             detail = f"made room on {host} for urgent job {key[1]}"
             records.evict(jobs, task, detail)
             self._note(jobs[task.team, task.job], f"task {task.index} {detail}")
         self._note(jobs[key], f"{len(chosen)} batch tasks on {host} make room")
+        return True
 
     # Rooms.
 
@@ -245,6 +276,11 @@
         self._tools.decisions.note(subject, f"took {job.team}/{job.id} task {index}")
 
 
+def _signature(job: page.JobRecord) -> t.Any:
+    """Return what two batch jobs have in common that find room, or none, alike."""
+    return job.demand, tuple(map(tuple, job.rules))
+
+
 def _subject(job: page.JobRecord) -> str:
     return f"job {job.team}/{job.id}"
 
@@ -288,22 +324,17 @@
     return used
 
 
-def _movable(
-    jobs: records.Jobs, found: list[worker.TaskId]
-) -> tuple[resources.Demand, list[worker.TaskId]]:
-    """Return what is on its way out of a host, and which batch tasks may follow."""
+def _movable(jobs: records.Jobs, found: list[worker.TaskId]) -> list[worker.TaskId]:
+    """Return the batch tasks that have run long enough to be moved."""
     now = time.time()
-    leaving = resources.Demand()
     victims = []
     for task in found:
         job = jobs[task.team, task.job]
         record = job.tasks[task.index]
-        if record.state in (page.EVICTING, page.STOPPING):
-            leaving = leaving.plus(job.demand)
-        elif record.state == page.RUNNING and not job.urgent:
-            if now > record.changed_at + _LEAST_RUN_S:
-                victims.append(task)
-    return leaving, victims
+        has_run = now > record.changed_at + _LEAST_RUN_S
+        if record.state == page.RUNNING and not job.urgent and has_run:
+            victims.append(task)
+    return victims
 
 
 def _choose_victims(
--- a/testing/process/test_capacity.py
+++ b/testing/process/test_capacity.py
@@ -1,10 +1,13 @@
 """No host is committed beyond what it holds, whoever places and whatever dies."""
 
+import concurrent.futures as futures
 import contextlib
 
+from bilberrypass.connection import worker
 from testing import collecting, fixtures, judge, system
 
 _TASKS = 24
+_TEAMS = ("plans", "grants")
 
 
 def _submit(run, id, entry=0, **changes):
@@ -18,6 +21,11 @@
     return url
 
 
+def _submit_fill(run, team):
+    payload = '{"run_s": 1.0}'
+    return _submit(run, f"fill-{team}", team=team, tasks=_TASKS, payload=payload)
+
+
 def _wait_finished(url, timeout_s=30):
     fixtures.wait_until(
         lambda: fixtures.http("GET", url).json()["state"] == "finished",
@@ -40,12 +48,17 @@
 
 
 def test_two_entries_fill_one_host_at_once():
-    with system.system(entries=2) as run:
-        # The two teams belong to different shards.
-        urls = [
-            _submit(run, f"fill-{team}", entry, team=team, tasks=_TASKS)
-            for entry, team in enumerate(("plans", "audit"))
-        ]
+    # Between two reports neither owner can know what the other has placed.
+    with system.system(entries=2, agent_changes={"report_interval_s": 1.0}) as run:
+        fixtures.wait_until(
+            lambda: fixtures.http("GET", f"{run.callers()}/jobs").status == 200,
+            15,
+            "owners of all shards",
+        )
+        shards = {worker.shard_of(team, 2) for team in _TEAMS}
+        assert len(shards) == 2, "the two teams must belong to different shards"
+        with futures.ThreadPoolExecutor() as pool:
+            urls = list(pool.map(lambda team: _submit_fill(run, team), _TEAMS))
         for url in urls:
             _wait_finished(url)
         found = judge.runs(run.workers)
--- /dev/null
+++ b/testing/process/test_eviction.py
@@ -0,0 +1,137 @@
+"""Evicted work goes on from its checkpoint exactly once, whatever dies meanwhile."""
+
+import time
+
+from testing import collecting, fixtures, judge, system
+
+_BATCH_TASKS = 4
+_BATCH = {
+    "tasks": _BATCH_TASKS,
+    "demand": {"cpu_milli": 2000, "memory_bytes": 1 << 20},
+    "payload": '{"run_s": 7.0, "steps": 700}',
+    "max_attempts": 1,
+}
+_URGENT = {
+    "urgent": True,
+    "demand": {"cpu_milli": 3000, "memory_bytes": 1 << 20},
+    "payload": '{"run_s": 0.5}',
+}
+_URGENT_START_S = 9.5
+
+
+def _put(url, **changes):
+    body = system.job_body(**changes)
+    fixtures.wait_until(
+        lambda: fixtures.http("PUT", url, body=body).status in (200, 201),
+        15,
+        f"{url} to be taken",
+    )
+
+
+def _job(url):
+    return fixtures.http("GET", url).json()
+
+
+def _states(url):
+    return [task["state"] for task in _job(url).get("tasks", [])]
+
+
+def _wait_state(url, state):
+    fixtures.wait_until(lambda: _job(url).get("state") == state, 40, f"{url} {state}")
+
+
+def _slow(run, delay_s):
+    fixtures.http("PUT", f"{run.workers[0].url()}/_control", {"delay_s": delay_s})
+
+
+def _fill_and_displace(run, entry):
+    """Fill the host with batch work, then submit urgent work; return both URLs."""
+    root = f"{run.callers(entry)}/jobs"
+    _put(f"{root}/batch", **_BATCH)
+    fixtures.wait_until(
+        lambda: _states(f"{root}/batch") == ["running"] * _BATCH_TASKS, 15, "the starts"
+    )
+    # Batch work that has just begun is not displaced yet.
+    fixtures.wait_until(
+        lambda: all(r["steps"] > 200 for r in judge.runs(run.workers)), 15, "progress"
+    )
+    _put(f"{root}/urgent", **_URGENT)
+    return f"{root}/batch", f"{root}/urgent"
+
+
+def _wait_evicting(url):
+    fixtures.wait_until(
+        lambda: any(task["evictions"] for task in _job(url)["tasks"]), 10, "an eviction"
+    )
+
+
+def _check(run):
+    found = judge.runs(run.workers)
+    judge.check_capacity(run.workers)
+    judge.check_never_twice_at_once(found)
+    judge.check_finished_once(found, _BATCH_TASKS + 1)
+    judge.check_resumed(found)
+    return found
+
+
+def test_urgent_work_displaces_batch_work_which_resumes_once():
+    with system.system() as run:
+        batch, urgent = _fill_and_displace(run, 0)
+        submitted_at = time.time()
+        _wait_state(urgent, "finished")
+        _wait_state(batch, "finished")
+        found = _check(run)
+        (first,) = [r for r in found if r["task"]["job"] == "urgent"]
+        assert first["begin"] - submitted_at < _URGENT_START_S, first
+        resumed = [r for r in found if r["resumed_from"]]
+        assert len(resumed) == 2, found
+        told = fixtures.http("GET", f"{batch}/explain").json()
+        texts = [decision["text"] for decision in told["decisions"]]
+        assert any("made room on h0 for urgent job urgent" in x for x in texts), texts
+
+
+def test_owner_killed_in_the_middle_of_an_eviction():
+    with system.system(entries=2) as run:
+        batch, urgent = _fill_and_displace(run, 1)
+        _slow(run, 0.4)
+        _wait_evicting(batch)
+        run.entries[0].kill()
+        _slow(run, 0.0)
+        _wait_state(urgent, "finished")
+        _wait_state(batch, "finished")
+        _check(run)
+
+
+def test_agent_killed_in_the_middle_of_an_eviction():
+    with system.system() as run:
+        batch, urgent = _fill_and_displace(run, 0)
+        _slow(run, 0.4)
+        _wait_evicting(batch)
+        run.agents[0].kill()
+        _slow(run, 0.0)
+        peers = [front.addresses["peers"] for front in run.entries]
+        cfg = system.agent_settings(0, peers, run.workers[0].addresses["http"])
+        with system.daemon("agent", cfg):
+            _wait_state(urgent, "finished")
+            _wait_state(batch, "finished")
+            _check(run)
+
+
+def test_eviction_and_cancellation_at_once():
+    with system.system() as run:
+        batch, urgent = _fill_and_displace(run, 0)
+        _slow(run, 0.2)
+        _wait_evicting(batch)
+        assert fixtures.http("DELETE", batch).status == 200
+        _slow(run, 0.0)
+        _wait_state(batch, "cancelled")
+        _wait_state(urgent, "finished")
+        found = judge.runs(run.workers)
+        judge.check_never_twice_at_once(found)
+        judge.check_capacity(run.workers)
+        own = [r for r in found if r["task"]["job"] == "batch"]
+        assert len(own) == _BATCH_TASKS, own
+        assert all(r["end"] is not None for r in own), own
+
+
+load_tests = collecting.hook(__name__)
--- a/testing/process/test_leases.py
+++ b/testing/process/test_leases.py
@@ -2,7 +2,7 @@
 
 from testing import collecting, fixtures, judge, system
 
-_LONG = '{"run_s": 4.0, "steps": 40}'
+_LONG = '{"run_s": 6.0, "steps": 60}'
 
 
 def _submit(url, **changes):
@@ -38,17 +38,19 @@
 
 
 def test_host_cut_off_while_its_tasks_run():
-    with system.system(hosts=1) as run:
+    with system.system(entry_changes={"silence_s": 0.6}) as run:
         url = f"{run.callers()}/jobs/cut"
         _submit(url, tasks=6, payload=_LONG, max_attempts=1)
-        fixtures.wait_until(lambda: _running(run.workers), 15, "a start")
-        run.agents[0].freeze()
+        fixtures.wait_until(
+            lambda: len(_running(run.workers)) == 6, 15, "the starts on the first host"
+        )
         with system.worker() as other:
             cfg = system.agent_settings(
                 1, [run.entries[0].addresses["peers"]], other.addresses["http"]
             )
             with system.daemon("agent", cfg):
                 workers = [*run.workers, other]
+                run.agents[0].freeze()
                 fixtures.wait_until(
                     lambda: _running([other]), 15, "a start on the other host"
                 )
@@ -73,7 +75,7 @@
 
 
 def _shards(run, entry):
-    return fixtures.http("GET", f"{run.operators(entry)}/status").json()["shards"]
+    return system.operate("GET", f"{run.operators(entry)}/status").json()["shards"]
 
 
 def test_entry_killed_while_it_places():
--- a/testing/process/test_tasks.py
+++ b/testing/process/test_tasks.py
@@ -35,6 +35,15 @@
         assert len(fake.live()) == 2
 
 
+def test_replaced_agent_counts_what_runs_before_it_admits():
+    with _agent() as (fake, own):
+        _start(own, _spec(0, cpu_milli=4))
+        newer = tasks.Tasks("h0", fake.handle(), 2)
+        newer.attach()
+        assert _start(newer, _spec(1)) == [errors.Kind.NO_ROOM]
+        assert len(fake.live()) == 1
+
+
 def test_start_after_its_lease_lapsed_is_refused():
     with _agent() as (fake, own):
         kinds = _start(own, _spec(), sent_at=time.monotonic() - 2, lease_s=1.0)
