--- a/src/bilberrypass/process/jobcalls.py
+++ b/src/bilberrypass/process/jobcalls.py
@@ -11,12 +11,14 @@
 from bilberrypass.version import page
 
 _SETTLE_S: t.Final = 5.0
+_PAGE_RETRY_S: t.Final = 30.0
 
 
 class Owner(t.Protocol):
     """What calls need of the shard's owner."""
 
     number: int
+    page_bytes: int
     state: records.Jobs
     ownership: ownership.Ownership
 
@@ -105,10 +107,20 @@
     def _put(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
         job = page.parse_job(req.job, req.body, time.time(), req.traceparent)
         if (job.team, job.id) not in self._shard.state:
+            self._check_page()
             self._check_fits(job)
         result, created = self._change(lambda jobs: records.put(jobs, job), deadline)
         return _answer(page.describe(result))._replace(created=created)
 
+    def _check_page(self) -> None:
+        if self._shard.page_bytes > page.MAX_BYTES:
+            raise errors.Refused(
+                errors.Kind.OVERLOADED,
+                f"the page of shard {self._shard.number} is full; come back when "
+                "jobs have ended, or give the fleet more shards",
+                retry_after_s=_PAGE_RETRY_S,
+            )
+
     def _check_fits(self, job: page.JobRecord) -> None:
         """Refuse what no host could hold, once the hosts have had time to report."""
         if time.monotonic() < self._shard.ownership.owned_at + _SETTLE_S:
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -24,6 +24,7 @@
 _log = logbook.Logger("owner")
 
 _LONGEST_PLACED_S: t.Final = 10.0
+_TIDY_INTERVAL_S: t.Final = 5.0
 _STOPS: t.Final = frozenset({page.STOPPING, page.EVICTING})
 
 
@@ -73,6 +74,8 @@
         self._seen = sightings.Sightings(lease_s)
         self._dispatch = dispatch.Dispatch(hosts, self._seen, self, pool)
         self._placing = placing.Placing(hosts, tools)
+        self.page_bytes = 0
+        self._tidied_at = 0.0
         self._tools = tools
         self._hosts = hosts
         self._calls = jobcalls.Calls(self, self._placing, tools.decisions)
@@ -90,7 +93,10 @@
     def encode(self, state: records.Jobs, write: str) -> bytes:
         """Write the jobs as a page."""
         found = list(state.values())
-        return page.encode(page.Page(self.number, self.ownership.epoch, write, found))
+        made = page.Page(self.number, self.ownership.epoch, write, found)
+        value = page.encode(made)
+        self.page_bytes = len(value)
+        return value
 
     def decode(self, value: bytes) -> records.Jobs:
         """Read the jobs from a page."""
@@ -99,6 +105,7 @@
     def step(self, state: records.Jobs) -> None:
         """Take back what has lapsed and place what can be placed."""
         self._take_back_lapsed(state)
+        self._drop_outlived(state)
         self._placed = self._placing.place(state)
 
     def written(self) -> None:
@@ -130,6 +137,14 @@
                 records.take_back(jobs, task, detail)
                 _log.info("owner: {} taken back: {}", task, detail)
 
+    def _drop_outlived(self, jobs: records.Jobs) -> None:
+        now = time.time()
+        if now < self._tidied_at + _TIDY_INTERVAL_S:
+            return
+        self._tidied_at = now
+        for job in page.outlived(jobs.values(), now):
+            del jobs[job.team, job.id]
+
     def _send(self, host: str, found: list[worker.TaskId]) -> None:
         starts: list[worker.Spec] = []
         stops: dict[str, list[worker.TaskId]] = {state: [] for state in _STOPS}
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -26,6 +26,11 @@
 ON_HOST: t.Final = frozenset({PLACED, RUNNING, EVICTING, STOPPING})
 ENDED: t.Final = frozenset({FINISHED, FAILED, CANCELLED})
 
+MAX_BYTES: t.Final = 900_000
+"""Size at which a page takes no new jobs; the store's limit is a megabyte."""
+
+_KEPT_ENDED_S: t.Final = 3_600.0
+_KEPT_ENDED_JOBS: t.Final = 1_000
 _MAX_TASKS: t.Final = 2_000
 _MAX_ATTEMPTS: t.Final = 20
 _COMPRESSION: t.Final = 1
@@ -155,6 +160,34 @@
         return worker.TaskId(self.team, self.id, index, self.tasks[index].attempt)
 
 
+def outlived(jobs: abc.Iterable[JobRecord], now: float) -> list[JobRecord]:
+    """Return the ended jobs that need not be kept any longer.
+
+    Parameters
+    ----------
+    jobs : iterable of JobRecord
+        All jobs of a page.
+    now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    list of JobRecord
+        Those that ended too long ago, and the oldest where there are too many.
+    """
+    ended = [job for job in jobs if job.state in ENDED]
+    ended.sort(key=_ended_at, reverse=True)
+    return [
+        job
+        for place, job in enumerate(ended)
+        if place >= _KEPT_ENDED_JOBS or now > _ended_at(job) + _KEPT_ENDED_S
+    ]
+
+
+def _ended_at(job: JobRecord) -> float:
+    return max(record.changed_at for record in job.tasks)
+
+
 class Page(t.NamedTuple):
     """The jobs of a shard, written by one owner at a time.
 
--- /dev/null
+++ b/testing/version/test_page.py
@@ -0,0 +1,79 @@
+import json
+import random
+
+from bilberrypass import errors
+from bilberrypass.version import page
+from testing import collecting
+
+_SEED = 7
+_STORE_LIMIT_BYTES = 1 << 20
+
+
+def _job(number, tasks=1, state=page.RUNNING, changed_at=100.0):
+    body = {
+        "team": f"team{number % 5}",
+        "tasks": tasks,
+        "demand": {"cpu_milli": 500, "memory_bytes": 1 << 30},
+        "payload": json.dumps({"plan": number}),
+    }
+    made = page.parse_job(f"plan-{number}", json.dumps(body).encode(), 1.0, "")
+    draw = random.Random(_SEED + number)
+    records = [
+        record._replace(
+            state=state,
+            attempt=draw.randrange(1, 5),
+            host=f"host-{draw.randrange(1_100)}",
+            checkpoint=f"step:{draw.randrange(10_000)}",
+            changed_at=changed_at + draw.random(),
+        )
+        for record in made.tasks
+    ]
+    return made._replace(tasks=records)
+
+
+def _size(jobs):
+    return len(page.encode(page.Page(0, 1, "w", jobs)))
+
+
+def test_page_comes_back_as_it_was():
+    made = page.Page(3, 9, "write", [_job(1, tasks=3), _job(2)])
+    assert page.decode(page.encode(made)) == made
+
+
+def test_share_of_the_largest_fleet_fits_a_page():
+    # 15,200 running tasks on 1,100 hosts, in the 8 shards of the default.
+    jobs = [_job(number, tasks=10) for number in range(190)]
+    size = _size(jobs)
+    assert size < page.MAX_BYTES / 5, size
+
+
+def test_full_page_and_its_largest_job_stay_below_the_stores_limit():
+    largest = _size([_job(0, tasks=2_000)]) + 4_096
+    assert page.MAX_BYTES + largest < _STORE_LIMIT_BYTES, largest
+
+
+def test_ended_jobs_are_kept_for_an_hour():
+    old, new = (_job(n, state=page.FINISHED, changed_at=c) for n, c in ((1, 0), (2, 9)))
+    live = _job(3, changed_at=0)
+    assert page.outlived([old, new, live], 3_605.0) == [old]
+
+
+def test_number_of_ended_jobs_is_bounded():
+    jobs = [
+        _job(n, state=page.FINISHED, changed_at=100.0 + 2 * n) for n in range(1_010)
+    ]
+    assert sorted(page.outlived(jobs, 200.0)) == sorted(jobs[:10])
+
+
+def test_every_fault_of_a_job_is_named():
+    body = b'{"team": "t", "demand": {"cpu_milli": 0}, "rules": {"rack": ["r1"]}}'
+    try:
+        page.parse_job("j", body, 1.0, "")
+    except errors.Faulty as exc:
+        paths = {fault.split(":")[0] for fault in exc.faults}
+        assert paths == {"demand.cpu_milli", "demand.memory_bytes", "rules.rack"}
+    else:
+        raise AssertionError("the body was taken")
+
+
+load_tests = collecting.hook(__name__)
