--- a/src/bilberrypass/process/placement.py
+++ b/src/bilberrypass/process/placement.py
@@ -148,16 +148,15 @@
 
 
 def _gap(ask: Ask, room: Room) -> float:
-    """Return the largest share that would be left of processors or memory.
+    """Return the mean share that would be left of processors and memory.
 
     The fullest host that still fits keeps the large gaps elsewhere whole.
     """
     left_cpu = room.free.cpu_milli - ask.demand.cpu_milli
     left_memory = room.free.memory_bytes - ask.demand.memory_bytes
-    return max(
-        left_cpu / max(1, room.capacity.cpu_milli),
-        left_memory / max(1, room.capacity.memory_bytes),
-    )
+    cpu_share = left_cpu / max(1, room.capacity.cpu_milli)
+    memory_share = left_memory / max(1, room.capacity.memory_bytes)
+    return (cpu_share + memory_share) / 2
 
 
 @t.final
--- /dev/null
+++ b/testing/process/test_placement.py
@@ -0,0 +1,235 @@
+import json
+import time
+import typing as t
+
+from bilberrypass import errors, resources
+from bilberrypass.connection import messages
+from bilberrypass.process import (
+    fleet,
+    health,
+    interference,
+    placement,
+    placing,
+    records,
+)
+from bilberrypass.version import configuration, page
+from testing import collecting
+
+_CAPACITY = resources.Demand(8_000, 16 << 30, 0)
+
+
+def _room(host, free=8_000, rack="r0", domain="fd0", accelerators=0, services=()):
+    capacity = _CAPACITY._replace(accelerators=accelerators)
+    return placement.Room(
+        host, domain, rack, capacity, capacity._replace(cpu_milli=free), services
+    )
+
+
+def _ask(cpu_milli=1_000, **changes):
+    return placement.Ask(resources.Demand(cpu_milli, 1 << 30), **changes)
+
+
+def _choose(ask, *rooms, model=None):
+    policy = placement.Weighted(model or interference.Model())
+    ranking = placement.Ranking(policy, ask, {room.host: room for room in rooms})
+    choice = ranking.choose(ask)
+    return choice.room.host if choice.room else choice.reasons
+
+
+def test_fullest_host_that_fits_keeps_large_gaps_whole():
+    assert _choose(_ask(), _room("empty"), _room("fuller", free=2_000)) == "fuller"
+
+
+def test_hosts_with_accelerators_are_kept_for_those_who_ask():
+    rooms = (_room("gpu", free=1_000, accelerators=2), _room("plain"))
+    assert _choose(_ask(), *rooms) == "plain"
+
+
+def test_tasks_of_a_job_spread_over_racks_and_failure_domains():
+    ask = _ask(tasks=4, domains={"fd0": 2}, racks={"r0": 2})
+    rooms = (_room("near"), _room("far", rack="r1", domain="fd1"))
+    assert _choose(ask, *rooms) == "far"
+
+
+def test_rules_leave_hosts_out():
+    ask = _ask(rules=page.Rules(racks=["r1"]))
+    assert _choose(ask, _room("h0"), _room("h1", rack="r1")) == "h1"
+    assert _choose(ask, _room("h0")) == {"the job's rules leave it out": 1}
+
+
+def test_learned_disturbance_keeps_a_class_away_from_a_service():
+    model = interference.Model()
+    for _ in range(50):
+        model.learn("front", 2.0, {"noisy": 0.25})
+        model.learn("front", 1.0, {"quiet": 0.25})
+    rooms = (_room("front", free=2_000, services=("front",)), _room("back"))
+    assert _choose(_ask(task_class="noisy"), *rooms, model=model) == "back"
+    assert _choose(_ask(task_class="quiet"), *rooms, model=model) == "front"
+
+
+def test_interference_is_learned_from_a_mix_of_classes():
+    model = interference.Model()
+    for turn in range(400):
+        noisy, quiet = (0.4, 0.1) if turn % 2 else (0.1, 0.5)
+        inflation = 1 + 5.0 * noisy + 0.2 * quiet
+        model.learn("front", inflation, {"noisy": noisy, "quiet": quiet})
+    assert abs(model.predict("front", "noisy") - 5.0) < 0.3
+    assert abs(model.predict("front", "quiet") - 0.2) < 0.3
+
+
+def test_worker_that_fails_everything_rests_and_is_probed():
+    own = health.Health()
+    for number in range(4):
+        own.failed("h0", ("t", f"j{number % 2}"))
+    assert own.why_resting("h0")
+    assert not own.why_resting("h1")
+    record = own._records["h0"]
+    own._records["h0"] = record._replace(rests_until=time.monotonic() - 1)
+    assert not own.why_resting("h0"), "the pause is over"
+    own.placed("h0")
+    assert "probe" in own.why_resting("h0"), "one probe at a time"
+    own.failed("h0", ("t", "j9"))
+    assert own._records["h0"].pause_s > record.pause_s
+    own.finished("h0")
+    assert not own.why_resting("h0")
+
+
+def test_one_job_that_fails_everywhere_sets_no_worker_aside():
+    own = health.Health()
+    for _ in range(20):
+        own.failed("h0", ("t", "j"))
+    assert not own.why_resting("h0")
+
+
+class _Hosts(t.NamedTuple):
+    reports: list
+
+    def live(self):
+        return [fleet.Host(report, 0.0, None) for report in self.reports]
+
+    all = live
+
+    def get(self, name):
+        return next(host for host in self.live() if host.report.host == name)
+
+
+def _report(number):
+    return messages.Report(
+        host=f"h{number}",
+        incarnation=1,
+        sequence=1,
+        address="",
+        region="",
+        failure_domain=f"fd{number}",
+        rack=f"r{number}",
+        leaving=False,
+        revision=0,
+        capacity=_CAPACITY,
+        committed=resources.Demand(),
+        endpoints=[],
+        tasks=[],
+    )
+
+
+def _hosts(count=2):
+    return _Hosts([_report(number) for number in range(count)])
+
+
+def _submit(jobs, id, cpu_milli=1_000, tasks=1, **more):
+    demand = {"cpu_milli": cpu_milli, "memory_bytes": 1 << 30}
+    body = {"team": "t", "tasks": tasks, "demand": demand} | more
+    job = page.parse_job(id, json.dumps(body).encode(), time.time(), "")
+    records.put(jobs, job)
+    return job
+
+
+def _placing(hosts, quota=None, budget=60):
+    found = configuration.resolve(
+        configuration.FIRST, configuration.FLEET, configuration.today()
+    )._replace(evictions_per_hour=budget)
+    if quota is not None:
+        found = found._replace(quotas={"t": resources.Demand(quota, 1 << 60, 1 << 20)})
+    tools = placing.make_tools(placement.FirstFit(), lambda subject: found)
+    return placing.Placing(hosts, tools), tools
+
+
+def test_quota_of_a_team_is_exact():
+    jobs: records.Jobs = {}
+    _submit(jobs, "a", tasks=3)
+    _submit(jobs, "b", tasks=3)
+    own, tools = _placing(_hosts(), quota=4_500)
+    placed = own.place(jobs)
+    assert sum(map(len, placed.values())) == 4, placed
+    assert not own.place(jobs)
+    told = [decision.text for decision in tools.decisions.find("job t/b")]
+    assert "the quota of team t is used" in told[-1], told
+
+
+def _fill(jobs, own):
+    _submit(jobs, "batch", cpu_milli=4_000, tasks=4)
+    for specs in own.place(jobs).values():
+        for spec in specs:
+            records.note(jobs, messages.TaskState(spec.task, "running", spec.demand))
+    job = jobs["t", "batch"]
+    aged = [record._replace(changed_at=0.0) for record in job.tasks]
+    jobs["t", "batch"] = job._replace(tasks=aged)
+
+
+def _evicting(jobs):
+    states = [record.state for record in jobs["t", "batch"].tasks]
+    return states.count(page.EVICTING)
+
+
+def test_urgent_work_displaces_only_as_much_as_it_needs():
+    jobs: records.Jobs = {}
+    own, _ = _placing(_hosts())
+    _fill(jobs, own)
+    _submit(jobs, "urgent", cpu_milli=3_000, urgent=True)
+    own.place(jobs)
+    assert _evicting(jobs) == 1
+    own.place(jobs)
+    assert _evicting(jobs) == 1, "the room on its way is counted"
+
+
+def test_displacement_stays_within_the_budget():
+    jobs: records.Jobs = {}
+    own, tools = _placing(_hosts(), budget=0)
+    _fill(jobs, own)
+    _submit(jobs, "urgent", cpu_milli=3_000, urgent=True)
+    own.place(jobs)
+    assert _evicting(jobs) == 0
+    told = [decision.text for decision in tools.decisions.find("job t/urgent")]
+    assert "budget" in told[-1], told
+
+
+def test_urgent_work_does_not_displace_urgent_work():
+    jobs: records.Jobs = {}
+    own, _ = _placing(_hosts(count=1))
+    _submit(jobs, "first", cpu_milli=8_000, urgent=True)
+    own.place(jobs)
+    _submit(jobs, "second", cpu_milli=8_000, urgent=True)
+    assert not own.place(jobs)
+    assert jobs["t", "first"].tasks[0].state == page.PLACED
+
+
+def test_what_no_host_could_hold_is_told_with_the_reason():
+    own, _ = _placing(_hosts())
+    job = _submit({}, "huge", cpu_milli=9_000)
+    assert "cpu_milli (needs 9000, has 8000)" in own.why_never(job)
+    assert own.why_never(_submit({}, "small")) == ""
+    elsewhere = _submit({}, "far", rules={"hosts": ["h9"]})
+    assert "rules" in own.why_never(elsewhere)
+
+
+def test_job_id_with_another_body_is_refused():
+    jobs: records.Jobs = {}
+    _submit(jobs, "a")
+    try:
+        _submit(jobs, "a", cpu_milli=2_000)
+    except errors.Refused as exc:
+        assert exc.kind is errors.Kind.KEY_REUSED
+    else:
+        raise AssertionError("the other body was taken")
+
+
+load_tests = collecting.hook(__name__)
