--- a/testing/process/test_configuring.py
+++ b/testing/process/test_configuring.py
@@ -3,6 +3,11 @@
 import contextlib
 import time
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bilberrypass.process import configuring
+from bilberrypass.version import configuration
 from testing import collecting, fixtures, system
 from testing.process import fleets
 
@@ -99,6 +104,28 @@
         assert (again.status, again.json()["revision"]) == (200, 2), again.body
 
 
+def test_frozen_entry_wakes_behind_and_sets_nobody_back():
+    with fleets.fleet() as run, fleets.Observer([run.url(0)]) as observer:
+        run.entries[1].freeze()
+        for number in range(10):
+            assert fleets.put(run.url(0), number, number + 1).status == 200
+        fleets.wait_in_force(run.url(0), 10)
+        run.entries[1].thaw()
+        fleets.wait_in_force(run.url(1), 10)
+        assert observer.falls == [], observer.falls
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.integers(0, 9), max_size=30))
+def test_revision_never_falls_in_any_order_of_arrival(arrivals):
+    in_force = configuring.InForce()
+    highest = 0
+    for revision in arrivals:
+        in_force.adopt(configuration.FIRST._replace(revision=revision))
+        highest = max(highest, revision)
+        assert in_force.revision == highest
+
+
 def test_going_back_is_a_new_revision():
     with fleets.fleet(entries=1, hosts=1) as run:
         url = run.url(0)
