--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -174,13 +174,17 @@
         document = self.config.in_force.document
         if document.revision <= report.revision:
             return b""
-        host = configuration.Subject(
-            report.host, report.rack, report.failure_domain, report.region
-        )
-        return configuration.encode(configuration.part_for(document, host))
+        part = configuration.part_for(document, _subject_of(report))
+        return configuration.encode(part)
+
+    def _apply_drain(self, report: messages.Report) -> messages.Report:
+        """Take a drained host as leaving, though its agent may not know it yet."""
+        drain = self.config.in_force.values(_subject_of(report)).drain
+        return report._replace(leaving=True) if drain else report
 
     def _hear_report(self, report: messages.Report) -> messages.Reported:
         self.config.hear(report.revision, report.address)
+        report = self._apply_drain(report)
         self.fleet.hear(report)
         grants, recorded, stop = [], [], []
         for shard in self.shards:
@@ -231,3 +235,9 @@
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
         self._kv.close()
+
+
+def _subject_of(report: messages.Report) -> configuration.Subject:
+    return configuration.Subject(
+        report.host, report.rack, report.failure_domain, report.region
+    )
--- a/testing/process/test_configuring.py
+++ b/testing/process/test_configuring.py
@@ -77,6 +77,14 @@
             lambda: fleets.put(run.url(1), 1, 3).status == 200, 10, "the change"
         )
         fleets.wait_in_force(run.url(0), 2)
+        fleets.wait_members(run.url(0), 2)
+        fixtures.wait_until(
+            lambda: all(
+                s["owner"] for s in fleets.get(run.url(0), "/status")["shards"]
+            ),
+            fleets.START_S,
+            "the shards' owners, whose leases lapsed",
+        )
 
 
 def _doubts(url):
--- a/testing/process/test_operators.py
+++ b/testing/process/test_operators.py
@@ -110,6 +110,22 @@
         )
 
 
+def test_drain_made_beforehand_holds_for_an_agent_that_comes():
+    with system.system(hosts=1) as run:
+        url = run.operators()
+        body = {"reason": "not yet"}
+        assert system.operate("POST", f"{url}/hosts/h9/drain", body).status == 200
+        entry = run.entries[0].addresses["peers"]
+        worker = run.workers[0].addresses["http"]
+        with system.daemon("agent", system.agent_settings(9, [entry], worker)):
+            hosts = fixtures.wait_until(
+                lambda: [h for h in _get(url, "/hosts") if h["id"] == "h9"],
+                _ANSWER_S,
+                "the agent's report",
+            )
+            assert hosts[0]["leaving"], hosts
+
+
 def test_status_names_entries_shards_and_hosts_behind():
     with system.system(entries=2, hosts=1) as run:
         url = run.operators(1)
