Number an agent's reports across its entries

Cause: reports were numbered per connection, and a start's quoted report was looked up by entry id and number. After an entry was replaced at another address under its id, the agent still held the former connection's numbers, so a start counted its lease from a report sent long before, and lapsed at once. Ruled out: the hand-over itself (the page's compare-and-swap held; the second attempt began after the first had ended).

--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -60,7 +60,7 @@
     """What an agent tells an entry, again and again.
 
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
-    each report of this agent to this entry. ``revision`` is that of the
+    each report of this agent to any entry. ``revision`` is that of the
     configuration in force at the agent, ``revision_since`` its Unix time.
     """
 
--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -1,6 +1,7 @@
 """An agent's connection to one entry: reports out, grants and configuration in."""
 
 import collections
+import collections.abc as abc
 import threading
 import time
 import typing as t
@@ -39,14 +40,24 @@
         The agent.
     interval_s : float
         Time between two reports; a hurried one comes at once.
+    sequences : iterator of int
+        Shared by all reporters of the agent: a number names one report only, also
+        where an entry of the same id comes back at another address.
     """
 
-    def __init__(self, address: str, source: Source, interval_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        source: Source,
+        interval_s: float,
+        sequences: abc.Iterator[int],
+    ) -> None:
         self.address = address
         self.entry = ""
         self.answered_at = time.monotonic()
         self._source = source
         self._interval_s = interval_s
+        self._sequences = sequences
         self._peer = channels.Peer(address)
         self._hurry = threading.Event()
         self._stopping = False
@@ -78,12 +89,10 @@
         return self._sent_at.get(sequence)
 
     def _run(self) -> None:
-        sequence = 0
         while not self._stopping:
-            sequence += 1
             self._hurry.clear()
             began = time.monotonic()
-            self._report_once(sequence, began)
+            self._report_once(next(self._sequences), began)
             time.sleep(_LEAST_GAP_S)
             self._hurry.wait(max(0.0, began + self._interval_s - time.monotonic()))
         self._peer.close()
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -1,5 +1,6 @@
 """The agent: the authority on its own host."""
 
+import itertools
 import math
 import threading
 import time
@@ -49,6 +50,7 @@
         self._cfg = cfg
         self.host = cfg["id"]
         self._incarnation = time.time_ns()
+        self._sequences = itertools.count(1)
         self._leaving = threading.Event()
         self._lock = threading.Lock()
         self._in_progress = 0
@@ -123,7 +125,9 @@
         with self._lock:
             if address in self._reporters:
                 return
-            reporter = reporting.Reporter(address, self, self._cfg["report_interval_s"])
+            reporter = reporting.Reporter(
+                address, self, self._cfg["report_interval_s"], self._sequences
+            )
             self._reporters[address] = reporter
         reporter.start()
 
--- a/src/bilberrypass/process/configuring.py
+++ b/src/bilberrypass/process/configuring.py
@@ -74,6 +74,16 @@
         """Return the values that hold for a subject today."""
         return self._resolve(subject, configuration.today())
 
+    def slice_for(self, host: configuration.Subject, revision: int) -> bytes:
+        """Return what concerns a host that has a revision, if there is a newer one.
+
+        A part may lack what concerns that host, so nothing is cut from a part.
+        """
+        document = self.document
+        if document.revision <= revision or not document.is_whole:
+            return b""
+        return configuration.encode(configuration.part_for(document, host))
+
 
 class _Heard(t.NamedTuple):
     """A revision that some process has in force, until the deadline (monotonic)."""
--- a/src/bilberrypass/process/directory.py
+++ b/src/bilberrypass/process/directory.py
@@ -143,6 +143,8 @@
                 self.refresh()
             except errors.Error as exc:
                 _log.warning("directory: store not read: {}", exc.detail)
+            except Exception:
+                _log.exception("directory: store not understood")
             self._stopping.wait(_POLL_INTERVAL_S)
 
     def refresh(self) -> int:
@@ -164,6 +166,9 @@
             except errors.Error as exc:
                 _log.warning("directory: watch ended: {}", exc.detail)
                 self._stopping.wait(_RETRY_S)
+            except Exception:
+                _log.exception("directory: event not understood")
+                self._stopping.wait(_RETRY_S)
 
     def _watch(self, after: int) -> None:
         for events in self.kv.watch(self._root, after, time.monotonic() + _WATCH_S):
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -169,14 +169,6 @@
         told = self.config.tell(ask)
         return told._replace(why_not_ready=self.why_not_ready())
 
-    def _slice_for(self, report: messages.Report) -> bytes:
-        """Return what concerns the host of a newer configuration, if there is one."""
-        document = self.config.in_force.document
-        if document.revision <= report.revision:
-            return b""
-        part = configuration.part_for(document, _subject_of(report))
-        return configuration.encode(part)
-
     def _apply_drain(self, report: messages.Report) -> messages.Report:
         """Take a drained host as leaving, though its agent may not know it yet."""
         drain = self.config.in_force.values(_subject_of(report)).drain
@@ -205,7 +197,7 @@
             grants=grants,
             recorded=recorded,
             stop=stop,
-            slice=self._slice_for(report),
+            slice=self.config.in_force.slice_for(_subject_of(report), report.revision),
         )
 
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
--- a/testing/process/test_configuring.py
+++ b/testing/process/test_configuring.py
@@ -134,6 +134,19 @@
         assert in_force.revision == highest
 
 
+def test_slices_are_cut_from_whole_documents_only():
+    drain = {"match": {"host": "h1"}, "set": {"drain": True}, "reason": "a"}
+    whole = configuration.FIRST._replace(revision=1, exceptions=[drain])
+    other, drained = configuration.Subject("h0"), configuration.Subject("h1")
+    in_force = configuring.InForce()
+    in_force.adopt(configuration.part_for(whole, other))
+    assert in_force.slice_for(drained, 0) == b""
+    in_force.adopt(whole)
+    part = configuration.decode(in_force.slice_for(drained, 0))
+    assert part.exceptions == [drain]
+    assert in_force.slice_for(drained, 1) == b""
+
+
 def test_going_back_is_a_new_revision():
     with fleets.fleet(entries=1, hosts=1) as run:
         url = run.url(0)
