--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -12,6 +12,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
+from bilberrypass.process import metrics
 
 _log = logbook.Logger("channels")
 
@@ -159,6 +160,7 @@
         try:
             return serve(req)
         except errors.Error as exc:
+            metrics.count(metrics.Name.REFUSALS, exc.kind)
             fault = _Fault(exc.kind, exc.detail, exc.ran, exc.retry_after_s)
         except Exception:
             _log.exception("channels: {} failed", method.name)
@@ -191,6 +193,11 @@
         Calls served at once.
     queued : int
         Calls that may wait for a thread; more are refused at once.
+
+    Raises
+    ------
+    errors.Error
+        INVALID_SETTINGS if the address cannot be listened on.
     """
 
     def __init__(
@@ -208,7 +215,14 @@
         generic = grpc.method_handlers_generic_handler(_SERVICE, handlers)
         self._server.add_generic_rpc_handlers((generic,))
         host = address.rpartition(":")[0]
-        self.address = f"{host}:{self._server.add_insecure_port(address)}"
+        try:
+            port = self._server.add_insecure_port(address)
+        except RuntimeError:
+            raise errors.Error(
+                errors.Kind.INVALID_SETTINGS,
+                f"cannot listen on {address}; free it or name another",
+            ) from None
+        self.address = f"{host}:{port}"
 
     def start(self) -> None:
         """Begin to serve."""
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -16,11 +16,14 @@
     fleet,
     introductions,
     jobs,
+    metered,
+    metrics,
     operators,
     owner,
     placement,
     revisions,
     tokens,
+    web,
 )
 from bilberrypass.request import callers, routing
 from bilberrypass.version import configuration, settings
@@ -30,7 +33,6 @@
 _SPARE_THREADS: t.Final = 16
 _OPERATOR_THREADS: t.Final = 16
 _PEER_THREADS: t.Final = 16
-_DEFAULT_PREFIX: t.Final = "/bilberrypass/"
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _PEER_GRACE_S: t.Final = 5.0
@@ -56,10 +58,10 @@
         kv: store.Store | None = None,
         path: pathlib.Path | None = None,
     ) -> None:
-        serving.quiet_cherrypy()
+        web.quiet_cherrypy()
         self._cfg = cfg
         self._leaving = threading.Event()
-        self._kv = kv or etcd.EtcdStore(cfg["store"]["addresses"])
+        self._kv = metered.metered(kv or etcd.EtcdStore(cfg["store"]["addresses"]))
         self.fleet = fleet.Fleet(cfg["silence_s"])
         self._server = channels.Server(
             cfg["peers"],
@@ -72,12 +74,12 @@
         )
         self.names = directory.Directory(
             self._kv,
-            cfg["store"].get("prefix", _DEFAULT_PREFIX),
+            cfg["store"]["prefix"],
             directory.Member(cfg["id"], self._server.address),
             cfg["member_ttl_s"],
         )
         self.config = configuring.Configuring(self.names)
-        prefix = cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        prefix = cfg["store"]["prefix"]
         self._introductions = introductions.Introductions(
             self.names, self.fleet, prefix
         )
@@ -95,7 +97,7 @@
             self.fleet,
             placement.FirstFit(),
             self._cfg["task_lease_s"],
-            self._cfg["store"].get("prefix", _DEFAULT_PREFIX),
+            self._cfg["store"]["prefix"],
         )
 
     def _listen_callers(self) -> serving.Listener:
@@ -111,6 +113,7 @@
 
     def _listen_operators(self) -> serving.Listener:
         tree = cherrypy._cptree.Tree()
+        tree.graft(web.refuse_path, "")
         operators.mount(tree, "/healthz", operators.Health(lambda: ""))
         ready = operators.Health(self.why_not_ready, self.config.why_not_current)
         operators.mount(tree, "/readyz", ready)
@@ -126,7 +129,7 @@
     def _operator_apps(self) -> dict[str, object]:
         """Return the applications that ask for a token, by path."""
         in_force = self.config.in_force
-        prefix = self._cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        prefix = self._cfg["store"]["prefix"]
         changes = revisions.Revisions(self.names, in_force, prefix)
         return {
             "/config": operators.Config(in_force, changes),
@@ -189,6 +192,9 @@
             grants += [grant] if grant else []
             recorded += ends
             stop += unwanted
+        metrics.count(metrics.Name.REPORTS)
+        metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
+        metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
--- a/src/bilberrypass/process/revisions.py
+++ b/src/bilberrypass/process/revisions.py
@@ -12,9 +12,9 @@
 from bilberrypass import errors
 from bilberrypass.connection import store
 from bilberrypass.process import configuring, directory
-from bilberrypass.version import configuration
+from bilberrypass.version import configuration, schema
 
-_log = logbook.Logger("config")
+_log = logbook.Logger("revisions")
 
 _CALL_S: t.Final = 5.0
 _WRITE_S: t.Final = 3.5
@@ -36,7 +36,7 @@
     """A host's drain as the configuration has it; None where it is not drained."""
 
     host: str
-    drain: configuration.Exemption | None
+    drain: schema.Exemption | None
     revision: int
 
 
@@ -76,7 +76,7 @@
         Parameters
         ----------
         value : object
-            The decoded JSON of a ``configuration.Proposal``.
+            The decoded JSON of a ``schema.Proposal``.
         revision : int
             The revision that the change was made from.
         author : str
@@ -137,11 +137,11 @@
         if not swap.done:
             self._check_superseded(made, swap.current)
         self._in_force.adopt(made)
-        _log.info("config: revision {} accepted from {}", made.revision, made.author)
+        _log.info("revisions: {} accepted from {}", made.revision, made.author)
         try:
             self._archive.put_nowait(made)
         except queue.Full:
-            _log.warning("config: revision {} not kept whole", made.revision)
+            _log.warning("revisions: {} not kept whole", made.revision)
 
     def _write(self, value: bytes, expected: int) -> store.Swap:
         """Write once, giving a slow store time; then find out what became of it."""
@@ -193,7 +193,7 @@
                 self._keep(made)
             except errors.Error as exc:
                 _log.warning(
-                    "config: revision {} not kept whole: {}", made.revision, exc.detail
+                    "revisions: {} not kept whole: {}", made.revision, exc.detail
                 )
 
     def _keep(self, made: configuration.Document) -> None:
@@ -256,9 +256,7 @@
         )
 
 
-def find_drain(
-    document: configuration.Document, host: str
-) -> configuration.Exemption | None:
+def find_drain(document: configuration.Document, host: str) -> schema.Exemption | None:
     """Return the exception that drains a host."""
     for exemption in document.exceptions:
         if _is_drain(exemption, host) and exemption["set"]["drain"]:
@@ -266,7 +264,7 @@
     return None
 
 
-def _is_drain(exemption: configuration.Exemption, host: str) -> bool:
+def _is_drain(exemption: schema.Exemption, host: str) -> bool:
     return exemption["match"].get("host") == host and "drain" in exemption["set"]
 
 
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -6,11 +6,12 @@
 import time
 import typing as t
 
+import cheroot.errors
 import logbook
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, endpoint, messages
-from bilberrypass.process import fleet
+from bilberrypass.process import fleet, metrics, traces
 from bilberrypass.request import headers as steering_headers
 from bilberrypass.request import problems, routing
 from bilberrypass.version import settings
@@ -48,17 +49,21 @@
 
     def __call__(self, environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
         """Answer one request."""
+        began = time.monotonic()
         with self._lock:
             self.in_progress += 1
+        metrics.gauge(metrics.Name.IN_PROGRESS, self.in_progress)
         try:
             status, headers, body = self._answer(environ)
         finally:
             with self._lock:
                 self.in_progress -= 1
+            metrics.count(metrics.Name.REQUESTS)
+            metrics.timing(metrics.Name.REQUEST_MS, began)
         if self.leaving:
             headers.append(("Connection", "close"))
         start(f"{status} {_HTTP_REASONS.get(status, 'Status')}", headers)
-        return [body]
+        return [b"" if environ["REQUEST_METHOD"] == "HEAD" else body]
 
     def _answer(
         self, environ: dict[str, t.Any]
@@ -98,9 +103,11 @@
             body=body,
             time_left_s=steering.deadline - time.monotonic(),
             idempotent=steering.idempotent,
-            traceparent=environ.get("HTTP_TRACEPARENT", ""),
+            traceparent=traces.clean(environ.get("HTTP_TRACEPARENT", "")),
         )
-        return self._forward(req, steering.deadline)
+        with traces.span("entry", req.traceparent, service=service) as traceparent:
+            req = req._replace(traceparent=traceparent)
+            return self._forward(req, steering.deadline)
 
     def _forward(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
         hosts = self._hosts.serving(req.service)
@@ -138,7 +145,7 @@
             errors.Kind.NOT_FOUND, "use /services/<service>/<path> or /jobs/<id>"
         )
     service, _, rest = path.removeprefix(_PREFIX).partition("/")
-    if not _SERVICE.match(service):
+    if not _SERVICE.fullmatch(service):
         raise errors.Error(
             errors.Kind.BAD_REQUEST,
             f"{service[:64]!r} is no service name; use letters, digits, . _ -",
@@ -165,7 +172,14 @@
     chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
     if not chunked and not length:
         return b""
-    body = environ["wsgi.input"].read(limit + 1 if chunked else length)
+    try:
+        body = environ["wsgi.input"].read(limit + 1 if chunked else length)
+    except (cheroot.errors.MaxSizeExceeded, OSError):
+        raise _too_large(limit) from None
+    except ValueError as exc:
+        raise errors.Error(
+            errors.Kind.BAD_BODY, f"the body cannot be read ({exc}); send it whole"
+        ) from None
     if len(body) > limit:
         raise _too_large(limit)
     if not chunked and len(body) != length:
--- /dev/null
+++ b/src/bilberrypass/version/schema.py
@@ -0,0 +1,141 @@
+"""The shape of a configuration as operators send it."""
+
+import datetime
+import typing as t
+
+import pydantic
+import typing_extensions as te
+
+from bilberrypass.version import settings
+
+_STRICT: t.Final = pydantic.ConfigDict(extra="forbid", strict=True)
+
+Share = t.Annotated[float, pydantic.Field(ge=0, le=1)]
+Weight = t.Annotated[float, pydantic.Field(ge=0, le=1_000)]
+
+
+def _check_text(value: str) -> str:
+    if not value.strip():
+        raise ValueError("is empty; say why this differs from the fleet")
+    return value
+
+
+def _check_date(value: str) -> str:
+    try:
+        datetime.date.fromisoformat(value)
+    except ValueError:
+        raise ValueError(f"{value!r} is no date; write it like 2027-01-31") from None
+    return value
+
+
+Reason = t.Annotated[
+    str, pydantic.Field(max_length=500), pydantic.AfterValidator(_check_text)
+]
+Date = t.Annotated[str, pydantic.AfterValidator(_check_date)]
+
+
+class Guards(te.TypedDict, total=False):
+    """The agents' own protections; each can be switched off alone."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    admission_limit: t.Annotated[bool, "refuse what a host does not hold"]
+    throttle_on_disturbance: t.Annotated[bool, "throttle batch work that disturbs"]
+    set_aside_failing_workers: t.Annotated[bool, "rest a worker that fails everything"]
+    eviction_budget: t.Annotated[bool, "bound the number of evictions"]
+
+
+class Weights(te.TypedDict, total=False):
+    """What placement weighs against each other."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    tail_latency: t.Annotated[Weight, "weight of the services' tail latency"]
+    throughput: t.Annotated[Weight, "weight of the batch throughput"]
+    evictions: t.Annotated[Weight, "weight of each eviction"]
+
+
+class Limits(te.TypedDict, total=False):
+    """The numbers that bound what the system does."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    requests_in_progress: t.Annotated[settings.Count, "requests at once, per service"]
+    retry_budget_share: t.Annotated[Share, "retries, as a share of first attempts"]
+    claim_retention_s: t.Annotated[
+        float, pydantic.Field(ge=60, le=2_678_400), "life of a key's claim"
+    ]
+    evictions_per_hour: t.Annotated[
+        int, pydantic.Field(ge=0, le=100_000), "budget of evictions of an entry"
+    ]
+    max_exceptions: t.Annotated[
+        int, pydantic.Field(ge=0, le=1_000), "longest list of exceptions"
+    ]
+
+
+class Quota(te.TypedDict, total=False):
+    """What a team's tasks may hold at once; a part left out is not limited."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    cpu_milli: t.Annotated[int, pydantic.Field(ge=0, le=1 << 40)]
+    memory_bytes: t.Annotated[int, pydantic.Field(ge=0, le=1 << 60)]
+    accelerators: t.Annotated[int, pydantic.Field(ge=0, le=1 << 20)]
+
+
+class Defaults(te.TypedDict, total=False):
+    """What holds for the whole fleet."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    guards: Guards
+    weights: Weights
+    limits: Limits
+    quotas: t.Annotated[dict[settings.Name, Quota], "by team"]
+
+
+class Overrides(te.TypedDict, total=False):
+    """What an exception sets in place of the defaults."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    guards: Guards
+    weights: Weights
+    limits: Limits
+    quotas: t.Annotated[dict[settings.Name, Quota], "by team"]
+    drain: t.Annotated[bool, "place nothing new on the host"]
+
+
+class Match(te.TypedDict, total=False):
+    """Where an exception holds; each key that is given must agree."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    host: settings.Name
+    rack: settings.Name
+    failure_domain: settings.Name
+    region: settings.Name
+    service: settings.Name
+    team: settings.Name
+
+
+class Exemption(te.TypedDict, total=False):
+    """One of the list of exceptions: where, what, why, by whom and how long."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    match: te.Required[Match]
+    set: te.Required[Overrides]
+    reason: te.Required[Reason]
+    author: t.Annotated[settings.Name, "left out: the holder of the token"]
+    expires: t.Annotated[Date, "last day on which it holds, in UTC"]
+
+
+class Proposal(te.TypedDict, total=False):
+    """What an operator sends."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+
+    defaults: te.Required[Defaults]
+    exceptions: te.Required[list[Exemption]]
+    note: t.Annotated[str, pydantic.Field(max_length=500)]
