--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -195,6 +195,9 @@
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
         metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
+        metrics.gauge(metrics.Name.CONFIG_AGE, self.config.age_s())
+        owned = sum(shard.is_owned for shard in self.shards)
+        metrics.gauge(metrics.Name.SHARDS_OWNED, owned)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
--- a/src/bilberrypass/process/metrics.py
+++ b/src/bilberrypass/process/metrics.py
@@ -20,6 +20,8 @@
     REPORT_FAILURES = "report_failures"
     HOSTS = "hosts"
     REVISION = "revision"
+    CONFIG_AGE = "config_age_s"
+    SHARDS_OWNED = "shards_owned"
     SLOTS = "slots"
     SLOTS_IN_USE = "slots_in_use"
     QUEUED = "queued"
