--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -199,18 +199,14 @@
         told = self.config.tell(ask)
         return told._replace(why_not_ready=self.why_not_ready())
 
-    def _slice_for(self, report: messages.Report) -> bytes:
-        """Return what concerns the host of a newer configuration, if there is one."""
-        document = self.config.in_force.document
-        if document.revision <= report.revision:
-            return b""
-        host = configuration.Subject(
-            report.host, report.rack, report.failure_domain, report.region
-        )
-        return configuration.encode(configuration.part_for(document, host))
+    def _apply_drain(self, report: messages.Report) -> messages.Report:
+        """Take a drained host as leaving, though its agent may not know it yet."""
+        drain = self.config.in_force.values(_subject_of(report)).drain
+        return report._replace(leaving=True) if drain else report
 
     def _hear_report(self, report: messages.Report) -> messages.Reported:
         self.config.hear(report.revision, report.address)
+        report = self._apply_drain(report)
         self.fleet.hear(report)
         self._observer.hear(report)
         heard = []
@@ -224,6 +220,9 @@
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
         metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
+        metrics.gauge(metrics.Name.CONFIG_AGE, self.config.age_s())
+        owned = sum(shard.is_owned for shard in self.shards)
+        metrics.gauge(metrics.Name.SHARDS_OWNED, owned)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
@@ -233,7 +232,7 @@
             recorded=[task for part in heard for task in part.recorded],
             stop=[task for part in heard for task in part.stop],
             evict=[task for part in heard for task in part.evict],
-            slice=self._slice_for(report),
+            slice=self.config.in_force.slice_for(_subject_of(report), report.revision),
         )
 
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
@@ -267,3 +266,9 @@
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
         self._kv.close()
+
+
+def _subject_of(report: messages.Report) -> configuration.Subject:
+    return configuration.Subject(
+        report.host, report.rack, report.failure_domain, report.region
+    )
