--- /dev/null
+++ b/benchmarks/reports.py
@@ -0,0 +1,173 @@
+"""Reports: what they cost one entry by hosts, and one agent by entries and tasks.
+
+    python -m benchmarks.reports entry
+    python -m benchmarks.reports agent
+
+The entry is a real process at the store's stand-in; the hosts are simulated, each
+with the agent's own report client on a connection of its own. Of the shards, the
+entry owns 2; 22 belong to others, as where 12 entries share 24. The agent is a real
+process with a stand-in worker, whose tasks run for the whole time.
+"""
+
+import argparse
+import contextlib
+import json
+import time
+
+from benchmarks import measuring
+from bilberrypass.connection import etcd, store, worker
+from testing import fixtures, system
+
+_HOSTS = (50, 200, 600, 1_100)
+_HOSTS_PER_PROCESS = 275
+_ENTRIES = (1, 4, 8, 12)
+_TASKS = (0, 14, 50)
+_SHARDS = 24
+_OWN_SHARDS = 2
+_SETTLE_S = 6.0
+_MEASURED_S = 10.0
+_CALL_S = 5.0
+
+
+def _foreign_teams() -> list[str]:
+    names = [f"team-{n}" for n in range(200)]
+    own = range(_OWN_SHARDS)
+    return [n for n in names if worker.shard_of(n, _SHARDS) not in own][:33]
+
+
+def _give_away_shards(address: str) -> None:
+    """Let another entry own all shards but the first ones."""
+    kv = etcd.EtcdStore([address])
+    for shard in range(_OWN_SHARDS, _SHARDS):
+        owner = ["jobs", shard, "elsewhere", "127.0.0.1:1", 1]
+        key = f"/bilberrypass/fleet/owners/jobs/{shard:04d}"
+        value = json.dumps(owner).encode()
+        kv.swap(key, value, store.ABSENT, time.monotonic() + _CALL_S)
+    kv.close()
+
+
+@contextlib.contextmanager
+def _entry(kv: str, number: int = 0, **changes):
+    cfg = system.entry_settings(number, kv, shards=_SHARDS, member_ttl_s=10)
+    cfg |= {"task_lease_s": 300.0, "logs": {"level": "warning"}} | changes
+    with system.daemon("entry", cfg) as entry:
+        yield entry
+
+
+def _hosts(entries: list[str], count: int, tasks: int = 14):
+    found = []
+    for first in range(0, count, _HOSTS_PER_PROCESS):
+        size = min(_HOSTS_PER_PROCESS, count - first)
+        args = ["benchmarks.hosts", "--entries", *entries, "--first", str(first)]
+        args += ["--hosts", str(size), "--tasks", str(tasks)]
+        args += ["--teams", *_foreign_teams()]
+        found.append(fixtures.process(args, ready_timeout_s=60.0))
+    return found
+
+
+def _measure_entry(count: int) -> measuring.Rate:
+    with system.store() as kv:
+        address = kv.addresses["store"]
+        _give_away_shards(address)
+        with _entry(address) as entry:
+            peers = entry.addresses["peers"]
+            with measuring.processes(*_hosts([peers], count)):
+                time.sleep(_SETTLE_S)
+                return measuring.watch(entry.pid, _MEASURED_S)
+
+
+def measure_entry(counts: list[int]) -> None:
+    """Print what one entry costs by its hosts."""
+    measuring.print_conditions("one entry by hosts, a report each second from each")
+    rates = {count: _measure_entry(count) for count in counts}
+    heads = ["hosts", "cpu ms/s", "MiB", "bytes/s", "bytes/s a host", "threads"]
+    measuring.print_table(
+        heads,
+        [
+            (n, r.cpu_ms_per_s, r.rss_mib, r.tcp_bytes_per_s)
+            + (r.tcp_bytes_per_s / n, r.threads)
+            for n, r in rates.items()
+        ],
+    )
+    if len(counts) > 1:
+        _print_fits({float(n): r for n, r in rates.items()}, "hosts")
+
+
+def _print_fits(rates: dict[float, measuring.Rate], of: str) -> None:
+    for name in ("cpu_ms_per_s", "rss_mib", "tcp_bytes_per_s"):
+        points = [(x, getattr(rate, name)) for x, rate in rates.items()]
+        measuring.print_fit(f"{name} by {of}", points)
+
+
+def _put_tasks(entry, count: int) -> None:
+    if not count:
+        return
+    demand = {"cpu_milli": 100, "memory_bytes": 1 << 20}
+    payload = json.dumps({"run_s": 3600})
+    body = system.job_body(demand=demand, payload=payload, tasks=count)
+    url = f"http://{entry.addresses['callers']}/jobs/standing"
+    fixtures.wait_until(
+        lambda: fixtures.http("PUT", url, body=body).status in (200, 201), 15, "job"
+    )
+
+    def is_running():
+        tasks = fixtures.http("GET", url).json()["tasks"]
+        return all(task["state"] == "running" for task in tasks)
+
+    fixtures.wait_until(is_running, 20, "the tasks to run")
+
+
+def _measure_agent(entries: int, tasks: int, endpoints: int) -> measuring.Rate:
+    with contextlib.ExitStack() as stack:
+        enter = stack.enter_context
+        kv = enter(system.store()).addresses["store"]
+        fronts = [enter(_entry(kv, n)) for n in range(entries)]
+        peers = [front.addresses["peers"] for front in fronts]
+        host = enter(system.worker(64_000, 250))
+        cfg = system.agent_settings(0, peers, host.addresses["http"])
+        cfg |= {"report_interval_s": 1.0, "logs": {"level": "warning"}}
+        agent = enter(system.daemon("agent", cfg))
+        for n in range(endpoints):
+            enter(system.endpoint(agent.addresses["announcements"], id=f"ep{n}"))
+        _put_tasks(fronts[0], tasks)
+        time.sleep(_SETTLE_S)
+        return measuring.watch(agent.pid, _MEASURED_S, peers)
+
+
+def measure_agent(pairs: list[tuple[int, int]], endpoints: int) -> None:
+    """Print what one agent costs by entries and tasks."""
+    measuring.print_conditions(
+        f"one agent by entries and tasks, {endpoints} endpoints, a report a second"
+    )
+    rates = {pair: _measure_agent(*pair, endpoints) for pair in pairs}
+    heads = ["entries", "tasks", "cpu ms/s", "MiB", "bytes/s", "threads"]
+    rows = [
+        (*pair, r.cpu_ms_per_s, r.rss_mib, r.tcp_bytes_per_s, r.threads)
+        for pair, r in rates.items()
+    ]
+    measuring.print_table(heads, rows)
+    by_entries = {float(e): r for (e, n), r in rates.items() if n == 14}
+    by_tasks = {float(n): r for (e, n), r in rates.items() if e == 4}
+    for rates_of, of in ((by_entries, "entries"), (by_tasks, "tasks")):
+        if len(rates_of) > 1:
+            _print_fits(rates_of, of)
+
+
+def main() -> None:
+    """Measure one role."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("role", choices=("entry", "agent"))
+    parser.add_argument("--hosts", type=int, nargs="+", default=list(_HOSTS))
+    parser.add_argument("--entries", type=int, nargs="+", default=list(_ENTRIES))
+    parser.add_argument("--endpoints", type=int, default=7)
+    args = parser.parse_args()
+    if args.role == "entry":
+        measure_entry(args.hosts)
+        return
+    pairs = [(entries, 14) for entries in args.entries]
+    pairs += [(4, tasks) for tasks in _TASKS if tasks != 14]
+    measure_agent(pairs, args.endpoints)
+
+
+if __name__ == "__main__":
+    main()
