--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -9,6 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
+from bilberrypass.process import metrics
 
 _log = logbook.Logger("reporting")
 
@@ -44,6 +45,7 @@
     def __init__(self, address: str, source: Source, interval_s: float) -> None:
         self.address = address
         self.entry = ""
+        self.answered_at = time.monotonic()
         self._source = source
         self._interval_s = interval_s
         self._peer = channels.Peer(address)
@@ -64,10 +66,13 @@
 
     def stop(self) -> None:
         """End reporting after the report in progress."""
+        self.end()
+        self._thread.join(_CALL_S)
+
+    def end(self) -> None:
+        """End reporting without waiting for it."""
         self._stopping = True
         self._hurry.set()
-        self._thread.join(_CALL_S)
-        self._peer.close()
 
     def sent_at(self, sequence: int) -> float | None:
         """Return when a recent report was sent (monotonic seconds)."""
@@ -82,6 +87,7 @@
             self._report_once(sequence, began)
             time.sleep(_LEAST_GAP_S)
             self._hurry.wait(max(0.0, began + self._interval_s - time.monotonic()))
+        self._peer.close()
 
     def _report_once(self, sequence: int, began: float) -> None:
         self._sent_at[sequence] = began
@@ -91,8 +97,11 @@
             report = self._source.report(sequence)
             answer = self._peer.call(channels.REPORT, report, began + _CALL_S)
             self.entry = answer.entry
+            self.answered_at = time.monotonic()
             self._source.hear(answer, began)
+            metrics.count(metrics.Name.REPORTS)
         except errors.Error as exc:
+            metrics.count(metrics.Name.REPORT_FAILURES)
             _log.debug("reporting: {} did not answer: {}", self.address, exc.detail)
         except Exception:
             _log.exception("reporting: report to {} failed", self.address)
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -1,7 +1,7 @@
 """The settings of a process: read from JSON, checked whole."""
 
 import collections.abc as abc
-import difflib
+import functools
 import ipaddress
 import json
 import pathlib
@@ -11,25 +11,48 @@
 import typing_extensions as te
 
 from bilberrypass import errors
+from bilberrypass.version import checking
 
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
 
-def _check_address(value: str) -> str:
+def check_address(value: str) -> str:
+    """Return an IP number and port, or raise ValueError with the remedy."""
     host, _, port = value.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        number = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
         raise ValueError(
             f"{value!r} is no IP number and port; write it like 127.0.0.1:8080"
         ) from None
-    if not port.isdigit() or int(port) > 65535:
+    if (number.version == 6) != host.startswith("["):
+        raise ValueError(f"{value!r} is ambiguous; write IPv6 like [::1]:8080")
+    if not (port.isascii() and port.isdigit()) or int(port) > 65535:
         raise ValueError(f"{value!r} has no port from 0 to 65535; add one")
     return value
 
 
-Address = t.Annotated[str, pydantic.AfterValidator(_check_address)]
+def _check_remote(value: str) -> str:
+    check_address(value)
+    if split_address(value)[1] == 0:
+        raise ValueError(f"{value!r} has port 0; name the port that is listened on")
+    return value
+
+
+def _check_announced(value: str) -> str:
+    check_address(value)
+    if ipaddress.ip_address(split_address(value)[0]).is_unspecified:
+        raise ValueError(
+            f"{value!r} is told to other processes; write this host's own IP number"
+        )
+    return value
+
+
+Address = t.Annotated[str, pydantic.AfterValidator(check_address)]
+RemoteAddress = t.Annotated[str, pydantic.AfterValidator(_check_remote)]
+AnnouncedAddress = t.Annotated[str, pydantic.AfterValidator(_check_announced)]
 Name = t.Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Hex = t.Annotated[str, pydantic.Field(pattern=r"^([0-9a-f]{2}){8,64}$")]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Count = t.Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
 Bytes = t.Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
@@ -51,7 +74,9 @@
 
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
-    statsd: t.Annotated[Address, "address of a statsd server; left out: no metrics"]
+    statsd: t.Annotated[
+        RemoteAddress, "address of a statsd server; left out: no metrics"
+    ]
     prefix: t.Annotated[Name, "first part of each metric's name"]
 
 
@@ -73,7 +98,7 @@
     kind: te.Required[
         t.Annotated[t.Literal["etcd", "memory"], "the adapter; memory is for local"]
     ]
-    addresses: t.Annotated[list[Address], "addresses of the store's HTTP gateway"]
+    addresses: t.Annotated[list[RemoteAddress], "addresses of the store's HTTP gateway"]
     prefix: t.Annotated[str, "first part of each key"]
 
 
@@ -83,7 +108,7 @@
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
     kind: te.Required[t.Annotated[t.Literal["http"], "the adapter"]]
-    address: te.Required[t.Annotated[Address, "address of the worker"]]
+    address: te.Required[t.Annotated[RemoteAddress, "address of the worker"]]
 
 
 class OperatorToken(te.TypedDict):
@@ -93,8 +118,8 @@
 
     name: t.Annotated[Name, "who holds the token"]
     role: t.Annotated[t.Literal["read", "write"], "what it may do"]
-    salt: t.Annotated[str, "random salt, hexadecimal"]
-    hash: t.Annotated[str, "scrypt hash of the token, hexadecimal"]
+    salt: t.Annotated[Hex, "random salt, hexadecimal"]
+    hash: t.Annotated[Hex, "scrypt hash of the token, hexadecimal"]
 
 
 class Entry(te.TypedDict, total=False):
@@ -107,7 +132,9 @@
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     callers: te.Required[t.Annotated[Address, "address for callers, HTTP"]]
     operators: te.Required[t.Annotated[Address, "address for operators, HTTP"]]
-    peers: te.Required[t.Annotated[Address, "address for agents and entries, gRPC"]]
+    peers: te.Required[
+        t.Annotated[AnnouncedAddress, "address for agents and entries, gRPC"]
+    ]
     store: te.Required[Store]
     operator_tokens: t.Annotated[list[OperatorToken], "tokens of the operators"]
     max_body_bytes: t.Annotated[Bytes, "largest body of a request or an answer"]
@@ -132,11 +159,11 @@
     region: t.Annotated[Name, "region that it stands in"]
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     rack: t.Annotated[Name, "rack that it stands in"]
-    peers: te.Required[t.Annotated[Address, "address for entries, gRPC"]]
+    peers: te.Required[t.Annotated[AnnouncedAddress, "address for entries, gRPC"]]
     announcements: te.Required[t.Annotated[Address, "address for endpoints, HTTP"]]
     entries: te.Required[
         t.Annotated[
-            list[Address],
+            list[RemoteAddress],
             pydantic.Field(min_length=1),
             "peer addresses of entries to begin with",
         ]
@@ -156,6 +183,7 @@
     Entry,
     {
         "region": "default",
+        "store": {"prefix": "/bilberrypass/"},
         "operator_tokens": [],
         "max_body_bytes": 4 << 20,
         "max_requests": 128,
@@ -187,75 +215,108 @@
     },
 )
 
-_ENTRY: t.Final = pydantic.TypeAdapter(Entry)
-_AGENT: t.Final = pydantic.TypeAdapter(Agent)
+check = checking.check
 
 
-def format_path(loc: abc.Sequence[int | str]) -> str:
-    """Write the place of a fault as a JSON path such as ``exceptions[2].reason``."""
-    path = ""
-    for part in loc:
-        path += f"[{part}]" if isinstance(part, int) else f".{part}"
-    return path.lstrip(".") or "(whole)"
+@functools.cache
+def _adapter(role: type) -> pydantic.TypeAdapter[t.Any]:
+    """Make an adapter when it is needed; each takes about a megabyte."""
+    return pydantic.TypeAdapter(role)
 
 
-def describe_fault(fault: abc.Mapping[str, t.Any], known: abc.Iterable[str]) -> str:
-    """Write one fault of a pydantic check with its path and a remedy."""
-    path = format_path(fault["loc"])
-    if fault["type"] != "extra_forbidden":
-        return f"{path}: {fault['msg'].removeprefix('Value error, ')}"
-    near = difflib.get_close_matches(str(fault["loc"][-1]), list(known), 1, 0.6)
-    hint = f"did you mean {near[0]!r}?" if near else "remove it"
-    return f"{path}: unknown key; {hint}"
+def _with_defaults(value: t.Any, defaults: abc.Mapping[str, t.Any]) -> t.Any:
+    merged = dict(defaults) | dict(value)
+    for part, default in defaults.items():
+        if isinstance(default, dict):
+            merged[part] = default | value.get(part, {})
+    return merged
 
 
-def check(
-    adapter: pydantic.TypeAdapter[t.Any], value: object, kind: errors.Kind
-) -> t.Any:
-    """Check a value whole.
+def check_entry(value: object, *, is_local: bool = False) -> Entry:
+    """Check an entry's settings and fill in the defaults.
+
+    Parameters
+    ----------
+    value : object
+        Settings as read from JSON.
+    is_local : bool, optional
+        Whether the store may be the one in memory.
 
     Raises
     ------
     errors.Faulty
-        Of the given kind, with every fault by its JSON path.
+        INVALID_SETTINGS, with every fault by its JSON path.
     """
-    try:
-        return adapter.validate_python(value)
-    except pydantic.ValidationError as exc:
-        known = _known_keys(adapter)
-        faults = [describe_fault(fault, known) for fault in exc.errors()]
-        raise errors.Faulty(kind, faults) from None
+    faults = _clashes(value) + _store_faults(value, is_local)
+    return _with_defaults(_check_whole(Entry, value, faults), ENTRY_DEFAULTS)
 
 
-def _known_keys(adapter: pydantic.TypeAdapter[t.Any]) -> set[str]:
-    schema = adapter.json_schema()
-    parts = [schema, *schema.get("$defs", {}).values()]
-    return {key for part in parts for key in part.get("properties", {})}
-
+def check_agent(value: object) -> Agent:
+    """Check an agent's settings and fill in the defaults."""
+    faults = _clashes(value)
+    return _with_defaults(_check_whole(Agent, value, faults), AGENT_DEFAULTS)
 
-def _with_defaults(value: t.Any, defaults: abc.Mapping[str, t.Any]) -> t.Any:
-    merged = dict(defaults) | dict(value)
-    for part in ("logs", "metrics", "traces"):
-        merged[part] = defaults[part] | value.get(part, {})
-    return merged
 
+def _check_whole(role: type, value: object, more: list[str]) -> t.Any:
+    """Check a value, and report faults between its keys along with those in them."""
+    kind = errors.Kind.INVALID_SETTINGS
+    try:
+        checked = checking.check(_adapter(role), value, kind)
+    except errors.Faulty as exc:
+        raise errors.Faulty(kind, exc.faults + more) from None
+    if more:
+        raise errors.Faulty(kind, more)
+    return checked
+
+
+def _clashes(value: object) -> list[str]:
+    if not isinstance(value, dict):
+        return []
+    faults = []
+    taken: dict[object, str] = {}
+    for key in ("callers", "operators", "peers", "announcements"):
+        address = value.get(key)
+        if not isinstance(address, str) or address.endswith(":0"):
+            continue
+        if address in taken:
+            faults.append(f"{key}: is the same as {taken[address]}; use another port")
+        taken.setdefault(address, key)
+    return faults
+
+
+def _store_faults(value: object, is_local: bool) -> list[str]:
+    store = value.get("store") if isinstance(value, dict) else None
+    if not isinstance(store, dict):
+        return []
+    if store.get("kind") == "etcd" and store.get("addresses", []) == []:
+        return ["store.addresses: is empty; name the addresses of the store's gateway"]
+    if store.get("kind") == "memory" and not is_local:
+        return ["store.kind: 'memory' is for `bilberrypassd local`; write 'etcd'"]
+    return []
+
+
+def find_role(value: object) -> t.Literal["entry", "agent"]:
+    """Tell whose settings these are, by the keys that only one role has.
 
-def check_entry(value: object) -> Entry:
-    """Check an entry's settings and fill in the defaults."""
-    checked = check(_ENTRY, value, errors.Kind.INVALID_SETTINGS)
-    if checked["store"]["kind"] == "etcd" and not checked["store"].get("addresses"):
+    Raises
+    ------
+    errors.Faulty
+        INVALID_SETTINGS if the value is no object, or has keys of neither or of both.
+    """
+    if not isinstance(value, dict):
         raise errors.Faulty(
             errors.Kind.INVALID_SETTINGS,
-            ["store.addresses: is empty; name the addresses of the store's gateway"],
+            ["(whole): is no JSON object; write the settings as {...}"],
         )
-    return _with_defaults(checked, ENTRY_DEFAULTS)
-
-
-def check_agent(value: object) -> Agent:
-    """Check an agent's settings and fill in the defaults."""
-    return _with_defaults(
-        check(_AGENT, value, errors.Kind.INVALID_SETTINGS), AGENT_DEFAULTS
-    )
+    entry_keys, agent_keys = set(Entry.__annotations__), set(Agent.__annotations__)
+    as_entry = len(value.keys() & (entry_keys - agent_keys))
+    as_agent = len(value.keys() & (agent_keys - entry_keys))
+    if as_entry == as_agent:
+        raise errors.Faulty(
+            errors.Kind.INVALID_SETTINGS,
+            ["(whole): neither an entry's nor an agent's; tell which with --role"],
+        )
+    return "entry" if as_entry > as_agent else "agent"
 
 
 def read(path: pathlib.Path) -> object:
@@ -267,14 +328,31 @@
         INVALID_SETTINGS if the file is missing or is not JSON.
     """
     try:
-        return json.loads(path.read_text())
+        return json.loads(
+            path.read_text(),
+            object_pairs_hook=_unique,
+            parse_constant=_refuse_constant,
+        )
     except OSError as exc:
         fault = f"{path}: cannot be read ({exc.strerror}); name an existing file"
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         fault = f"{path}: is not JSON ({exc}); correct it there"
     raise errors.Faulty(errors.Kind.INVALID_SETTINGS, [fault])
 
 
+def _unique(pairs: list[tuple[str, t.Any]]) -> dict[str, t.Any]:
+    found: dict[str, t.Any] = {}
+    for key, value in pairs:
+        if key in found:
+            raise ValueError(f"key {key!r} stands twice")
+        found[key] = value
+    return found
+
+
+def _refuse_constant(text: str) -> t.NoReturn:
+    raise ValueError(f"{text} is no number of JSON")
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``ip:port`` into its parts."""
     host, _, port = address.rpartition(":")
