--- a/benchmarks/measuring.py
+++ b/benchmarks/measuring.py
@@ -10,6 +10,8 @@
 import time
 import typing as t
 
+from testing import fixtures
+
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _MIB = 1 << 20
@@ -95,6 +97,12 @@
     return between(before, read(pid, peers))
 
 
+def store_calls(kv) -> dict[str, int]:
+    """Return how many calls the store's stand-in has had, by kind."""
+    found = fixtures.http("GET", f"{kv.url('store')}/_calls").json()
+    return {kind: int(count) for kind, count in found.items()}
+
+
 def fit(points: abc.Iterable[tuple[float, float]]) -> Line:
     """Return the straight line of least squares and its error."""
     xs, ys = zip(*points, strict=True)
