Let hosts send two reports a second to all entries together

Cause: each host reported to each entry every second, and every end of a task made it report to all entries at once. An entry heard 1,100 reports a second, each 0.68 ms, and stood still at one core; at 12 entries an agent took 26.9 ms/s. Now the interval grows with the number of entries beyond two, reports are spread over it by a phase of their own, starts and ends hurry only the entry that owns them, and the report tells its interval, so that silence is judged by it. The price: with 12 entries a host that vanishes counts as silent after 9 s in place of 3 s; a planned leaving is still told at once, and a dead agent refuses.

--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -61,7 +61,8 @@
 
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
     each report of this agent to this entry. ``revision`` is that of the
-    configuration in force at the agent, ``revision_since`` its Unix time.
+    configuration in force at the agent, ``revision_since`` its Unix time. The
+    next report follows within ``interval_s`` seconds.
     """
 
     host: str
@@ -79,6 +80,7 @@
     tasks: list[TaskState]
     usage: worker.Usage | None = None
     revision_since: float = 0.0
+    interval_s: float = 0.0
 
 
 class Grant(t.NamedTuple):
--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -1,6 +1,8 @@
 """An agent's connection to one entry: reports out, grants and configuration in."""
 
 import collections
+import math
+import random
 import threading
 import time
 import typing as t
@@ -40,6 +42,13 @@
         The agent.
     interval_s : float
         Time between two reports; a hurried one comes at once.
+
+    Attributes
+    ----------
+    interval_s : float
+        The present time between two reports; longer where entries are many.
+    shards : frozenset of int
+        Shards that the entry owned at its newest answer.
     """
 
     def __init__(self, address: str, source: Source, interval_s: float) -> None:
@@ -47,7 +56,11 @@
         self.entry = ""
         self.answered_at = time.monotonic()
         self._source = source
-        self._interval_s = interval_s
+        self.interval_s = interval_s
+        self.shards: frozenset[int] = frozenset()
+        self._retry_s = interval_s
+        # Reports to different entries are spread over the interval.
+        self._phase = random.random()
         self._peer = channels.Peer(address)
         self._hurry = threading.Event()
         self._stopping = False
@@ -84,12 +97,24 @@
             sequence += 1
             self._hurry.clear()
             began = time.monotonic()
-            self._report_once(sequence, began)
+            is_answered = self._report_once(sequence, began)
             time.sleep(_LEAST_GAP_S)
-            self._hurry.wait(max(0.0, began + self._interval_s - time.monotonic()))
+            due = self._next_due(began, is_answered)
+            self._hurry.wait(max(0.0, due - time.monotonic()))
         self._peer.close()
 
-    def _report_once(self, sequence: int, began: float) -> None:
+    def _next_due(self, began: float, is_answered: bool) -> float:
+        """Return when the next report is due (monotonic seconds).
+
+        It does not depend on when hurried reports went out, so that these do not
+        draw the reports to all entries together.
+        """
+        turn = math.floor(began / self.interval_s - self._phase) + 1
+        due = (turn + self._phase) * self.interval_s
+        return due if is_answered else min(due, began + self._retry_s)
+
+    def _report_once(self, sequence: int, began: float) -> bool:
+        """Report, and tell whether the entry answered."""
         self._sent_at[sequence] = began
         while len(self._sent_at) > _KEPT_REPORTS:
             self._sent_at.popitem(last=False)
@@ -98,10 +123,13 @@
             answer = self._peer.call(channels.REPORT, report, began + _CALL_S)
             self.entry = answer.entry
             self.answered_at = time.monotonic()
+            self.shards = frozenset(grant.shard for grant in answer.grants)
             self._source.hear(answer, began)
             metrics.count(metrics.Name.REPORTS)
+            return True
         except errors.Error as exc:
             metrics.count(metrics.Name.REPORT_FAILURES)
             _log.debug("reporting: {} did not answer: {}", self.address, exc.detail)
         except Exception:
             _log.exception("reporting: report to {} failed", self.address)
+        return False
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -29,6 +29,7 @@
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _FORGET_ENTRY_S: t.Final = 30.0
+_FULL_RATE_ENTRIES: t.Final = 2
 
 
 @t.final
@@ -56,6 +57,7 @@
         self._reporters: dict[str, reporting.Reporter] = {}
         self._own_reporters = frozenset(cfg["entries"])
         self._vouched_deadlines: dict[str, float] = {}
+        self._shards = 1
         self.in_force = configuring.InForce()
         self.subject = configuration.Subject(
             cfg["id"], cfg["rack"], cfg["failure_domain"], cfg["region"]
@@ -116,7 +118,7 @@
                 _log.warning("agent: worker not reached yet: {}", exc.detail)
                 self._leaving.wait(_ATTACH_RETRY_S)
         threading.Thread(
-            target=own.run, args=(self._leaving, self._hurry), daemon=True
+            target=own.run, args=(self._leaving, self._hurry_owners), daemon=True
         ).start()
 
     def _report_to(self, address: str) -> None:
@@ -125,12 +127,39 @@
                 return
             reporter = reporting.Reporter(address, self, self._cfg["report_interval_s"])
             self._reporters[address] = reporter
+            self._pace()
         reporter.start()
 
+    def _pace(self) -> None:
+        """Bound the reports that the host sends, however many the entries are."""
+        times = max(1.0, len(self._reporters) / _FULL_RATE_ENTRIES)
+        for reporter in self._reporters.values():
+            reporter.interval_s = times * self._cfg["report_interval_s"]
+
+    def _interval_s(self) -> float:
+        return max((r.interval_s for r in list(self._reporters.values())), default=0.0)
+
     def _hurry(self) -> None:
         for reporter in list(self._reporters.values()):
             reporter.hurry()
 
+    def _hurry_owners(self) -> None:
+        """Have the owners of ended tasks hear of them now."""
+        states = self.tasks.states() if self.tasks else []
+        shards = {
+            worker.shard_of(state.task.team, self._shards)
+            for state in states
+            if state.state not in ("running", "checkpointed")
+        }
+        for reporter in list(self._reporters.values()):
+            if reporter.shards & shards:
+                reporter.hurry()
+
+    def _hurry_entry(self, entry: str) -> None:
+        for reporter in list(self._reporters.values()):
+            if reporter.entry == entry:
+                reporter.hurry()
+
     def report(self, sequence: int) -> messages.Report:
         """Describe the host as it is now."""
         own = self.tasks
@@ -151,6 +180,7 @@
             endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
+            interval_s=self._interval_s(),
         )
         if metrics.is_on():
             _measure(made)
@@ -163,6 +193,7 @@
             self._adopt(answer.slice)
         if self.tasks is None:
             return
+        self._shards = answer.shards
         self.tasks.renew(answer.shards, answer.grants, sent_at)
         self.tasks.forget(answer.recorded)
         if answer.stop:
@@ -190,6 +221,7 @@
                 return
             del self._reporters[address]
             del self._vouched_deadlines[address]
+            self._pace()
         reporter.end()
         _log.info("agent: entry at {} is gone", address)
 
@@ -278,7 +310,9 @@
             raise errors.Refused(
                 errors.Kind.LEAVING, f"{self.host} takes no tasks; place them elsewhere"
             )
-        return self.tasks.start(req, self._quoted_report(req))
+        started = self.tasks.start(req, self._quoted_report(req))
+        self._hurry_entry(req.entry)
+        return started
 
     def _quoted_report(self, req: messages.Start) -> float:
         if req.incarnation == self._incarnation:
--- a/src/bilberrypass/process/fleet.py
+++ b/src/bilberrypass/process/fleet.py
@@ -11,6 +11,9 @@
 
 _log = logbook.Logger("fleet")
 
+# One report may fail and be sent again in this time.
+_MISSED_INTERVALS: t.Final = 1.5
+
 
 class Host(t.NamedTuple):
     """A host by its newest report; ``heard_at`` is monotonic."""
@@ -57,7 +60,7 @@
         before = (known.report.incarnation, known.report.sequence)
         if (report.incarnation, report.sequence) >= before:
             return
-        if now <= known.heard_at + self._silence_s:
+        if now <= self._silence_deadline(known):
             raise errors.Refused(
                 errors.Kind.STALE,
                 f"a newer report of {report.host} was heard; leave this one",
@@ -83,7 +86,12 @@
 
     def is_silent(self, host: Host) -> bool:
         """Tell whether a host has been silent for too long."""
-        return time.monotonic() > host.heard_at + self._silence_s
+        return time.monotonic() > self._silence_deadline(host)
+
+    def _silence_deadline(self, host: Host) -> float:
+        """Return when a host counts as silent; some report more rarely by plan."""
+        allowed_s = max(self._silence_s, _MISSED_INTERVALS * host.report.interval_s)
+        return host.heard_at + allowed_s
 
     def live(self) -> list[Host]:
         """Return the hosts that take new work."""
--- /dev/null
+++ b/testing/process/test_pacing.py
@@ -0,0 +1,65 @@
+"""How often a host reports, by the number of its entries."""
+
+import contextlib
+import time
+
+from bilberrypass import resources
+from bilberrypass.connection import messages
+from bilberrypass.process import agent, fleet
+from bilberrypass.version import settings
+from testing import collecting, fixtures, system
+
+
+@contextlib.contextmanager
+def _agent(entries: int):
+    """Run an agent in this process, whose entries are not there."""
+    cfg = system.agent_settings(0, [system.address() for _ in range(entries)], "")
+    del cfg["worker"]
+    made = agent.Agent(settings.check_agent(cfg | {"report_interval_s": 1.0}))
+    made.start()
+    try:
+        yield made
+    finally:
+        made.stop()
+
+
+def _report(interval_s: float) -> messages.Report:
+    return messages.Report(
+        host="h0",
+        incarnation=1,
+        sequence=1,
+        address=system.address(),
+        region="default",
+        failure_domain="fd0",
+        rack="r0",
+        leaving=False,
+        revision=0,
+        capacity=resources.Demand(),
+        committed=resources.Demand(),
+        endpoints=[],
+        tasks=[],
+        interval_s=interval_s,
+    )
+
+
+def test_host_reports_to_each_of_many_entries_more_rarely():
+    with _agent(entries=1) as made:
+        assert made.report(1).interval_s == 1.0
+    with _agent(entries=12) as made:
+        assert made.report(1).interval_s == 6.0
+
+
+def test_host_that_reports_rarely_by_plan_is_not_silent():
+    hosts = fleet.Fleet(silence_s=0.05)
+    hosts.hear(_report(interval_s=60.0))
+    time.sleep(0.1)
+    assert [host.report.host for host in hosts.live()] == ["h0"]
+
+
+def test_host_that_misses_its_own_interval_is_silent():
+    hosts = fleet.Fleet(silence_s=0.05)
+    hosts.hear(_report(interval_s=0.1))
+    fixtures.wait_until(lambda: not hosts.live(), 5, "the silence")
+
+
+load_tests = collecting.hook(__name__)
