--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -1,5 +1,6 @@
 """The agent: the authority on its own host."""
 
+import functools
 import math
 import threading
 import time
@@ -18,6 +19,7 @@
     worker,
 )
 from bilberrypass.process import announcements, configuring, metrics, tasks, traces
+from bilberrypass.request import attempts
 from bilberrypass.version import configuration, settings
 
 _log = logbook.Logger("agent")
@@ -53,6 +55,7 @@
         self._leaving = threading.Event()
         self._lock = threading.Lock()
         self._in_progress = 0
+        self._attempts = attempts.Attempts()
         self._endpoints: dict[str, endpoint.Endpoint] = {}
         self._reporters: dict[str, reporting.Reporter] = {}
         self._own_reporters = frozenset(cfg["entries"])
@@ -68,6 +71,7 @@
             cfg["peers"],
             {
                 channels.FORWARD: self._forward,
+                channels.REVOKE: self._revoke,
                 channels.START: self._start_tasks,
                 channels.STOP: self._stop_tasks,
                 channels.CONFIG: self._tell_config,
@@ -168,7 +172,7 @@
             host=self.host,
             incarnation=self._incarnation,
             sequence=sequence,
-            address=self._server.address,
+            address=self._cfg.get("advertised", self._server.address),
             region=self._cfg["region"],
             failure_domain=self._cfg["failure_domain"],
             rack=self._cfg["rack"],
@@ -181,6 +185,7 @@
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
             interval_s=self._interval_s(),
+            clock=time.monotonic(),
         )
         if metrics.is_on():
             _measure(made)
@@ -273,18 +278,37 @@
     def _forward(self, req: messages.Forward) -> messages.Forwarded:
         began = time.monotonic()
         deadline = began + req.time_left_s
+        self._check_incarnation(req.incarnation)
         with self._lock:
             self._in_progress += 1
         try:
             with traces.span("agent", req.traceparent, host=self.host) as traceparent:
-                req = req._replace(traceparent=traceparent)
-                return self._choose(req.service).serve(req, deadline)
+                return self._attempt(req._replace(traceparent=traceparent), deadline)
         finally:
             with self._lock:
                 self._in_progress -= 1
             metrics.count(metrics.Name.REQUESTS)
             metrics.timing(metrics.Name.REQUEST_MS, began)
 
+    def _attempt(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
+        self._attempts.enter(req.request, req.clock)
+        try:
+            begin = functools.partial(self._attempts.begin, req.request)
+            return self._choose(req.service).serve(req, deadline, begin)
+        finally:
+            self._attempts.end(req.request)
+
+    def _check_incarnation(self, quoted: int) -> None:
+        if quoted != self._incarnation:
+            raise errors.Refused(
+                errors.Kind.STALE, f"the agent of {self.host} was replaced; ask again"
+            )
+
+    def _revoke(self, req: messages.Revoke) -> messages.Revoked:
+        is_same = req.incarnation == self._incarnation
+        never_runs = is_same and self._attempts.revoke(req.request, req.clock)
+        return messages.Revoked(never_runs)
+
     def _choose(self, service: str) -> endpoint.Endpoint:
         if self.is_leaving:
             raise errors.Refused(
