--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -2,6 +2,7 @@
 
 import collections.abc as abc
 import concurrent.futures as futures
+import functools
 import threading
 import time
 import typing as t
@@ -201,6 +202,7 @@
     )
 
 
+@functools.cache
 def _decoder(kind: type) -> abc.Callable[[bytes], t.Any]:
     return msgspec.msgpack.Decoder(kind).decode
 
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -87,9 +87,9 @@
     ``incarnation`` rises with each agent started for the host, ``sequence`` with
     each report of this agent to any entry. ``revision`` is that of the
     configuration in force at the agent, ``revision_since`` its Unix time.
-    ``clock`` is the agent's monotonic clock.
-    ``is_current`` is False while the worker has not been seen lately, so that
-    ``tasks`` may be out of date.
+    ``clock`` is the agent's monotonic clock. The next report follows within
+    ``interval_s`` seconds. ``is_current`` is False while the worker has not been
+    seen lately, so that ``tasks`` may be out of date.
     """
 
     host: str
@@ -109,6 +109,7 @@
     clock: float = 0.0
     revision_since: float = 0.0
     is_current: bool = True
+    interval_s: float = 0.0
 
 
 class Grant(t.NamedTuple):
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -32,6 +32,7 @@
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _FORGET_ENTRY_S: t.Final = 30.0
+_FULL_RATE_ENTRIES: t.Final = 2
 
 
 @t.final
@@ -61,6 +62,7 @@
         self._reporters: dict[str, reporting.Reporter] = {}
         self._own_reporters = frozenset(cfg["entries"])
         self._vouched_deadlines: dict[str, float] = {}
+        self._shards = 1
         self.in_force = configuring.InForce()
         self.subject = configuration.Subject(
             cfg["id"], cfg["rack"], cfg["failure_domain"], cfg["region"]
@@ -122,7 +124,7 @@
                 _log.warning("agent: worker not reached yet: {}", exc.detail)
                 self._leaving.wait(_ATTACH_RETRY_S)
         threading.Thread(
-            target=own.run, args=(self._leaving, self._hurry), daemon=True
+            target=own.run, args=(self._leaving, self._hurry_owners), daemon=True
         ).start()
 
     def _report_to(self, address: str) -> None:
@@ -133,12 +135,39 @@
                 address, self, self._cfg["report_interval_s"], self._sequences
             )
             self._reporters[address] = reporter
+            self._pace()
         reporter.start()
 
+    def _pace(self) -> None:
+        """Bound the reports that the host sends, however many the entries are."""
+        times = max(1.0, len(self._reporters) / _FULL_RATE_ENTRIES)
+        for reporter in self._reporters.values():
+            reporter.interval_s = times * self._cfg["report_interval_s"]
+
+    def _interval_s(self) -> float:
+        return max((r.interval_s for r in list(self._reporters.values())), default=0.0)
+
     def _hurry(self) -> None:
         for reporter in list(self._reporters.values()):
             reporter.hurry()
 
+    def _hurry_owners(self) -> None:
+        """Have the owners of ended tasks hear of them now."""
+        states = self.tasks.states() if self.tasks else []
+        shards = {
+            worker.shard_of(state.task.team, self._shards)
+            for state in states
+            if state.state not in ("running", "checkpointed")
+        }
+        for reporter in list(self._reporters.values()):
+            if reporter.shards & shards:
+                reporter.hurry()
+
+    def _hurry_entry(self, entry: str) -> None:
+        for reporter in list(self._reporters.values()):
+            if reporter.entry == entry:
+                reporter.hurry()
+
     def report(self, sequence: int) -> messages.Report:
         """Describe the host as it is now."""
         own = self.tasks
@@ -163,6 +192,7 @@
             endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
+            interval_s=self._interval_s(),
             clock=time.monotonic(),
             is_current=own is None or own.is_current,
         )
@@ -177,6 +207,7 @@
             self._adopt(answer.slice)
         if self.tasks is None:
             return
+        self._shards = answer.shards
         self.tasks.renew(answer.shards, answer.grants, sent_at)
         self.tasks.forget(answer.recorded)
         self.tasks.throttle(answer.throttles)
@@ -207,6 +238,7 @@
                 return
             del self._reporters[address]
             del self._vouched_deadlines[address]
+            self._pace()
         reporter.end()
         _log.info("agent: entry at {} is gone", address)
 
@@ -314,7 +346,9 @@
             raise errors.Refused(
                 errors.Kind.LEAVING, f"{self.host} takes no tasks; place them elsewhere"
             )
-        return self.tasks.start(req, self._quoted_report(req))
+        started = self.tasks.start(req, self._quoted_report(req))
+        self._hurry_entry(req.entry)
+        return started
 
     def _quoted_report(self, req: messages.Start) -> float:
         if req.incarnation == self._incarnation:
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -209,14 +209,15 @@
         report = self._apply_drain(report)
         self.fleet.hear(report)
         self._observer.hear(report)
-        heard = []
-        for shard in self.shards:
-            own = [
-                state
-                for state in report.tasks
-                if worker.shard_of(state.task.team, len(self.shards)) == shard.number
-            ]
-            heard.append(shard.hear(report._replace(tasks=own)))
+        by_shard: dict[int, list[messages.TaskState]] = {}
+        for state in report.tasks:
+            number = worker.shard_of(state.task.team, len(self.shards))
+            by_shard.setdefault(number, []).append(state)
+        heard = [
+            shard.hear(report._replace(tasks=by_shard.get(shard.number, [])))
+            for shard in self.shards
+            if shard.is_owned
+        ]
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
         metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
