--- a/src/bilberrypass/commands/config.py
+++ b/src/bilberrypass/commands/config.py
@@ -108,7 +108,9 @@
 def set_config(
     changes: t.Annotated[
         list[str] | None,
-        typer.Argument(help="PATH=JSON, such as defaults.guards.throttle=false"),
+        typer.Argument(
+            help="PATH=JSON, such as defaults.guards.throttle_on_disturbance=false"
+        ),
     ] = None,
     file: t.Annotated[
         pathlib.Path | None,
--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -8,6 +8,7 @@
 import logbook
 
 from bilberrypass import errors
+from bilberrypass.connection import heads
 from bilberrypass.request import problems
 from bilberrypass.version import settings
 
@@ -26,7 +27,6 @@
 }
 
 
-@t.final
 class _Request(cheroot.server.HTTPRequest):
     """A request; what the server itself refuses is problem+json too."""
 
@@ -37,6 +37,12 @@
                 self.close_connection = True
         super().send_headers()
 
+    def respond(self) -> None:
+        """Close the connection after a body that was not read to its end."""
+        super().respond()
+        if self.chunked_read and not self.rfile.closed:
+            self.close_connection = True
+
     def simple_response(self, status: str | int, msg: str | bytes = "") -> None:
         """Refuse the request and close the connection."""
         number, _, reason = str(status).partition(" ")
@@ -62,7 +68,6 @@
     _log.debug("serving: {}", msg, exc_info=traceback)
 
 
-@t.final
 class _Connection(cheroot.server.HTTPConnection):
     """A connection of one caller."""
 
@@ -105,6 +110,8 @@
         self._server.max_request_body_size = max_body_bytes + _CHUNK_OVERHEAD_BYTES
         self._server.error_log = _log_error
         self._server.max_request_header_size = _MAX_HEADER_BYTES
+        self._heads = heads.HeadLimit()
+        self._heads.install(self._server)
         try:
             self._server.prepare()
         except OSError as exc:
@@ -118,9 +125,11 @@
 
     def start(self) -> None:
         """Begin to serve."""
+        self._heads.start()
         self._thread.start()
 
     def stop(self) -> None:
         """Take no new connections and end those that are idle."""
         self._server.stop()
         self._thread.join(_SHUTDOWN_S)
+        self._heads.stop()
--- a/src/bilberrypass/daemon.py
+++ b/src/bilberrypass/daemon.py
@@ -73,6 +73,8 @@
         try:
             self._program.start()
             ready = self._ready | {"addresses": self._program.addresses}
+            token = getattr(self._program, "operator_token", "")
+            ready |= {"operator_token": token} if token else {}
             print(msgspec.json.encode(ready).decode(), flush=True)
         except BaseException as exc:
             self.exc = exc
@@ -119,15 +121,15 @@
     traces.install(cfg["traces"], role, cfg["id"])
 
 
-def _run_entry(value: object) -> int:
+def _run_entry(value: object, path: pathlib.Path) -> int:
     from bilberrypass.process import entry
 
     cfg = settings.check_entry(value)
     _observe(cfg, "entry")
-    return _run("entry", cfg["id"], lambda: entry.Entry(cfg))
+    return _run("entry", cfg["id"], lambda: entry.Entry(cfg, path=path))
 
 
-def _run_agent(value: object) -> int:
+def _run_agent(value: object, path: pathlib.Path) -> int:
     from bilberrypass.process import agent
 
     cfg = settings.check_agent(value)
@@ -135,7 +137,7 @@
     return _run("agent", cfg["id"], lambda: agent.Agent(cfg))
 
 
-def _run_local(value: object) -> int:
+def _run_local(value: object, path: pathlib.Path) -> int:
     from bilberrypass.process import local
 
     given = local.DEFAULTS | value if isinstance(value, dict) else value
@@ -162,7 +164,7 @@
         value = settings.read(args.settings) if args.settings else {}
         if args.role == "check":
             return _check(value, args.of)
-        return _ROLES[args.role](value)
+        return _ROLES[args.role](value, args.settings)
     except errors.Faulty as exc:
         for fault in exc.faults:
             print(f"bilberrypassd: {exc.kind}: {fault}", file=sys.stderr)
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -1,5 +1,6 @@
 """The entry: between callers and agents."""
 
+import pathlib
 import threading
 import time
 import typing as t
@@ -10,23 +11,27 @@
 from bilberrypass import errors
 from bilberrypass.connection import channels, etcd, messages, serving, store, worker
 from bilberrypass.process import (
+    configuring,
     directory,
     fleet,
+    introductions,
     jobs,
     metered,
     metrics,
     operators,
     owner,
     placement,
+    revisions,
+    tokens,
     web,
 )
 from bilberrypass.request import callers, routing
-from bilberrypass.version import settings
+from bilberrypass.version import configuration, settings
 
 _log = logbook.Logger("entry")
 
 _SPARE_THREADS: t.Final = 16
-_OPERATOR_THREADS: t.Final = 4
+_OPERATOR_THREADS: t.Final = 16
 _PEER_THREADS: t.Final = 16
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
@@ -43,9 +48,16 @@
         Checked settings.
     kv : store.Store, optional
         The store, where it is in the same process; otherwise as the settings say.
+    path : pathlib.Path, optional
+        The settings file, from which the operators' tokens are read anew.
     """
 
-    def __init__(self, cfg: settings.Entry, kv: store.Store | None = None) -> None:
+    def __init__(
+        self,
+        cfg: settings.Entry,
+        kv: store.Store | None = None,
+        path: pathlib.Path | None = None,
+    ) -> None:
         web.quiet_cherrypy()
         self._cfg = cfg
         self._leaving = threading.Event()
@@ -53,7 +65,11 @@
         self.fleet = fleet.Fleet(cfg["silence_s"])
         self._server = channels.Server(
             cfg["peers"],
-            {channels.REPORT: self._hear_report, channels.JOB: self._serve_job},
+            {
+                channels.REPORT: self._hear_report,
+                channels.JOB: self._serve_job,
+                channels.CONFIG: self._tell_config,
+            },
             _PEER_THREADS,
         )
         self.names = directory.Directory(
@@ -62,6 +78,13 @@
             directory.Member(cfg["id"], self._server.address),
             cfg["member_ttl_s"],
         )
+        self.config = configuring.Configuring(self.names)
+        prefix = cfg["store"]["prefix"]
+        self._introductions = introductions.Introductions(
+            self.names, self.fleet, prefix
+        )
+        self.keeper = tokens.Keeper(cfg["operator_tokens"])
+        self._rereader = tokens.Rereader(path, self.keeper) if path else None
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
         self._callers = callers.Callers(cfg, self.fleet, routing.LeastOutstanding())
@@ -92,16 +115,30 @@
         tree = cherrypy._cptree.Tree()
         tree.graft(web.refuse_path, "")
         operators.mount(tree, "/healthz", operators.Health(lambda: ""))
-        operators.mount(tree, "/readyz", operators.Health(self.why_not_ready))
-        operators.mount(tree, "/hosts", operators.Hosts(self.fleet))
-        operators.mount(tree, "/status", operators.Status(self.names, self.shards))
+        ready = operators.Health(self.why_not_ready, self.config.why_not_current)
+        operators.mount(tree, "/readyz", ready)
+        for path, app in self._operator_apps().items():
+            operators.mount(tree, path, app, self.keeper)
         return serving.Listener(
             self._cfg["operators"],
             tree,
             _OPERATOR_THREADS,
-            self._cfg["max_body_bytes"],
+            operators.MAX_BODY_BYTES,
         )
 
+    def _operator_apps(self) -> dict[str, object]:
+        """Return the applications that ask for a token, by path."""
+        in_force = self.config.in_force
+        prefix = self._cfg["store"]["prefix"]
+        changes = revisions.Revisions(self.names, in_force, prefix)
+        return {
+            "/config": operators.Config(in_force, changes),
+            "/hosts": operators.Hosts(self.fleet, in_force, changes),
+            "/status": operators.Status(
+                self.names, self.config, self.fleet, self.shards, self.why_not_ready
+            ),
+        }
+
     @property
     def addresses(self) -> dict[str, str]:
         """The addresses that the entry listens on."""
@@ -113,19 +150,40 @@
 
     def why_not_ready(self) -> str:
         """Tell why the entry takes no new work; empty if it does."""
-        return "the entry leaves; use another" if self._leaving.is_set() else ""
+        if self._leaving.is_set():
+            return "the entry leaves; use another"
+        return self.config.why_not_ready()
 
     def start(self) -> None:
         """Serve agents, share the store, then serve callers."""
         self._server.start()
         self.names.start()
+        self.config.start()
+        self._introductions.start()
+        if self._rereader:
+            self._rereader.start()
         for shard in self.shards:
             shard.start()
         for listener in self._listeners:
             listener.start()
         _log.info("entry: {} serves at {}", self._cfg["id"], self.addresses["callers"])
 
+    def _tell_config(self, ask: messages.ConfigAsk) -> messages.ConfigTold:
+        told = self.config.tell(ask)
+        return told._replace(why_not_ready=self.why_not_ready())
+
+    def _slice_for(self, report: messages.Report) -> bytes:
+        """Return what concerns the host of a newer configuration, if there is one."""
+        document = self.config.in_force.document
+        if document.revision <= report.revision:
+            return b""
+        host = configuration.Subject(
+            report.host, report.rack, report.failure_domain, report.region
+        )
+        return configuration.encode(configuration.part_for(document, host))
+
     def _hear_report(self, report: messages.Report) -> messages.Reported:
+        self.config.hear(report.revision, report.address)
         self.fleet.hear(report)
         grants, recorded, stop = [], [], []
         for shard in self.shards:
@@ -138,19 +196,18 @@
             grants += [grant] if grant else []
             recorded += ends
             stop += unwanted
-        config = self.names.config()
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
-        metrics.gauge(metrics.Name.REVISION, config.revision if config else 0)
+        metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
         return messages.Reported(
             entry=self._cfg["id"],
-            revision=config.revision if config else 0,
+            revision=self.config.in_force.revision,
             entries=[member.peers for member in self.names.members()],
             shards=len(self.shards),
             grants=grants,
             recorded=recorded,
             stop=stop,
-            slice=config.value if config and config.revision > report.revision else b"",
+            slice=self._slice_for(report),
         )
 
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
@@ -164,6 +221,7 @@
         """Leave: readiness first, then new connections, then what is in progress."""
         self._leaving.set()
         self._callers.leaving = True
+        self.names.withdraw()
         time.sleep(self._cfg["leave_wait_s"])
         deadline = time.monotonic() + _LONGEST_LEAVE_S
         while self._callers.in_progress and time.monotonic() < deadline:
@@ -172,6 +230,10 @@
             shard.stop()
         for listener in self._listeners:
             listener.stop()
+        if self._rereader:
+            self._rereader.stop()
+        self._introductions.stop()
+        self.config.stop()
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
         self._kv.close()
--- a/testing/test_daemon.py
+++ b/testing/test_daemon.py
@@ -63,7 +63,7 @@
 
 
 def _in_use(run):
-    hosts = fixtures.http("GET", run.operators() + "/hosts").json()
+    hosts = system.operate("GET", run.operators() + "/hosts").json()
     return sum(e["in_use"] for host in hosts for e in host["endpoints"])
 
 
