--- a/src/bilberrypass/commands/jobs.py
+++ b/src/bilberrypass/commands/jobs.py
@@ -9,9 +9,11 @@
 
 import typer
 
+from bilberrypass import errors
 from bilberrypass.commands import client, options, output
 
-_POLL_S: t.Final = 0.25
+_FIRST_POLL_S: t.Final = 0.25
+_LONGEST_POLL_S: t.Final = 2.0
 _RETRY_S: t.Final = 15.0
 _ENDED: t.Final = frozenset({"finished", "failed", "cancelled"})
 
@@ -57,7 +59,7 @@
     entry: options.Entry = options.DEFAULT_ENTRY,
 ) -> None:
     """Submit a job; doing so again with the same body changes nothing."""
-    body = client.read_json(file, "--file") if file else {}
+    body = _read_body(file) if file else {}
     flags = {"team": team, "tasks": tasks, "payload": payload, "urgent": urgent}
     body |= {
         key: value for key, value in flags.items() if value not in (None, "", False)
@@ -73,6 +75,16 @@
         _exit_by(job)
 
 
+def _read_body(file: pathlib.Path) -> dict[str, t.Any]:
+    body = client.read_json(file, "--file")
+    if isinstance(body, dict) and isinstance(body.get("demand", {}), dict):
+        return body
+    raise errors.Faulty(
+        errors.Kind.INVALID_SETTINGS,
+        ['--file: is no job; write {"team": ..., "demand": {...}}'],
+    )
+
+
 def _demand(
     body: dict[str, t.Any],
     cpu_milli: int | None,
@@ -93,6 +105,7 @@
 ) -> dict[str, t.Any]:
     path = _path(job["id"], job["team"])
     shown = ""
+    pause_s = _FIRST_POLL_S
     while True:
         line = _progress(job)
         if line != shown:
@@ -101,7 +114,8 @@
         if job["state"] in _ENDED or time.monotonic() >= deadline:
             output.end_progress()
             return job
-        time.sleep(_POLL_S)
+        time.sleep(pause_s)
+        pause_s = min(_LONGEST_POLL_S, 1.5 * pause_s)
         job = calls.call_until("GET", path, None, deadline).value
 
 
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -55,7 +55,10 @@
 Hex = t.Annotated[str, pydantic.Field(pattern=r"^([0-9a-f]{2}){8,64}$")]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Count = t.Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
-Bytes = t.Annotated[int, pydantic.Field(ge=1, le=1 << 30)]
+Threads = t.Annotated[int, pydantic.Field(ge=1, le=2_000)]
+Shards = t.Annotated[int, pydantic.Field(ge=1, le=1_000)]
+# A message between processes holds 64 MB, of which a body is a part.
+Bytes = t.Annotated[int, pydantic.Field(ge=1, le=32 << 20)]
 
 
 class Logs(te.TypedDict, total=False):
@@ -138,10 +141,10 @@
     store: te.Required[Store]
     operator_tokens: t.Annotated[list[OperatorToken], "tokens of the operators"]
     max_body_bytes: t.Annotated[Bytes, "largest body of a request or an answer"]
-    max_requests: t.Annotated[Count, "requests in progress at once"]
+    max_requests: t.Annotated[Threads, "requests in progress at once"]
     request_timeout_s: t.Annotated[Seconds, "deadline of a request that names none"]
     silence_s: t.Annotated[Seconds, "silence after which an agent is left out"]
-    shards: t.Annotated[Count, "job page shards; the same at all entries"]
+    shards: t.Annotated[Shards, "job page shards; the same at all entries"]
     member_ttl_s: t.Annotated[Count, "life of the entry's lease in the store"]
     task_lease_s: t.Annotated[Seconds, "life of a task's lease without renewal"]
     leave_wait_s: t.Annotated[Seconds, "wait before a leaving entry stops listening"]
--- a/testing/commands/test_tool.py
+++ b/testing/commands/test_tool.py
@@ -105,8 +105,13 @@
         path = pathlib.Path(directory) / "job.json"
         path.write_text("{")
         done = _run(None, "submit", "j", "--file", str(path))
-    assert done.code == 2
-    assert "is no JSON" in done.err
+        assert done.code == 2
+        assert "is no JSON" in done.err
+        for text in ("[]", '{"demand": 3}', "null"):
+            path.write_text(text)
+            done = _run(None, "submit", "j", "--file", str(path))
+            assert done.code == 2, done
+            assert "--file: is no job" in done.err
 
 
 def test_hosts_and_status_speak_to_people_and_programs():
--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -1,3 +1,5 @@
+"""The HTTP adapter to the worker, against its stand-in."""
+
 import concurrent.futures as futures
 import contextlib
 import json
--- a/testing/pages.py
+++ b/testing/pages.py
@@ -44,6 +44,7 @@
 """
 
 _UNITS = {"_s": "s", "_bytes": "bytes", "_ms": "ms"}
+_SIGNS = {"ge": "from", "gt": "over", "le": "to"}
 _SCALARS = {str: "text", bool: "true or false", int: "integer", float: "number"}
 
 
@@ -83,7 +84,8 @@
         required = name in part.__required_keys__
         shown = "required" if required else _default(default)
         unit = next((u for end, u in _UNITS.items() if name.endswith(end)), "")
-        found.append(Key(path, _kind(kind), unit, shown, notes[-1] if notes else ""))
+        said = _described(hint, _kind(kind))
+        found.append(Key(path, said, unit, shown, notes[-1] if notes else ""))
     return found
 
 
@@ -96,6 +98,42 @@
     return hint, []
 
 
+def _described(hint, kind):
+    """Name a shape or a range that the hint's checks give."""
+    while te.get_origin(hint) in (te.Required, te.NotRequired):
+        (hint,) = te.get_args(hint)
+    if te.get_origin(hint) is not te.Annotated:
+        return kind
+    args = te.get_args(hint)
+    if te.get_origin(args[0]) is list:
+        return f"list of {_described(te.get_args(args[0])[0], kind[8:])}"
+    for note in args[1:]:
+        kind = _shapes().get(repr(note), kind)
+        for bound in getattr(note, "metadata", ()):
+            for word, sign in _SIGNS.items():
+                if hasattr(bound, word):
+                    kind += f", {sign} {getattr(bound, word)}"
+    return kind
+
+
+def _shapes():
+    """Return the names of the shapes of text, by their check."""
+    named = {
+        "address": (
+            settings.Address,
+            settings.RemoteAddress,
+            settings.AnnouncedAddress,
+        ),
+        "name": (settings.Name,),
+        "hexadecimal": (settings.Hex,),
+    }
+    return {
+        repr(te.get_args(shape)[1]): name
+        for name, shapes in named.items()
+        for shape in shapes
+    }
+
+
 def _inner(kind):
     if te.get_origin(kind) is list:
         return _strip(te.get_args(kind)[0])[0], True
--- a/testing/standins/test_standins.py
+++ b/testing/standins/test_standins.py
@@ -1,3 +1,5 @@
+"""The stand-ins themselves, with their switches to fail."""
+
 import concurrent.futures
 import contextlib
 import json
