--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -27,7 +27,6 @@
 }
 
 
-@t.final
 class _Request(cheroot.server.HTTPRequest):
     """A request; what the server itself refuses is problem+json too."""
 
@@ -43,6 +42,12 @@
                 self.close_connection = True
         super().send_headers()
 
+    def respond(self) -> None:
+        """Close the connection after a body that was not read to its end."""
+        super().respond()
+        if self.chunked_read and not self.rfile.closed:
+            self.close_connection = True
+
     def simple_response(self, status: str | int, msg: str | bytes = "") -> None:
         """Refuse the request and close the connection."""
         number, _, reason = str(status).partition(" ")
@@ -68,7 +73,6 @@
     _log.debug("serving: {}", msg, exc_info=traceback)
 
 
-@t.final
 class _Connection(cheroot.server.HTTPConnection):
     """A connection of one caller."""
 
--- a/src/bilberrypass/process/operators.py
+++ b/src/bilberrypass/process/operators.py
@@ -291,7 +291,7 @@
             errors.Kind.PRECONDITION_REQUIRED,
             "send If-Match with the ETag of the revision that you changed",
         )
-    found = _ETAG.match(text)
+    found = _ETAG.fullmatch(text)
     if found is None:
         raise errors.Error(
             errors.Kind.BAD_HEADER, 'If-Match is no revision; write it like "7"'
@@ -301,7 +301,7 @@
 
 def _read_write_key() -> str:
     key = cherrypy.request.headers.get("Idempotency-Key", "")
-    if key and not _WRITE_KEY.match(key):
+    if key and not _WRITE_KEY.fullmatch(key):
         raise errors.Error(
             errors.Kind.BAD_HEADER,
             "Idempotency-Key: use 8 to 64 letters, digits, . _ -",
