Bound the requests that wait for claims, reserve ports by blocks

Cause: with a slow store all of an entry's places were held by keyed requests, so requests without a key were refused too. Tests: two modules at once drew overlapping ports; each process now reserves a block of 200 by its first port. The benchmark of requests is not run yet.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the real processes; each prints its figures."""
--- /dev/null
+++ b/benchmarks/requests.py
@@ -0,0 +1,257 @@
+"""Tail latency, refusals and goodput of requests, by routing policy.
+
+    python -m benchmarks.requests [--policies least_wait random round_robin]
+        [--scenarios 50 80 100 150 slow failing storm] [--record]
+
+Separate processes on loopback: a store, two entries, ten agents, ten endpoints of
+eight slots. All policies replay ``testing/traces/requests.jsonl``.
+"""
+
+import argparse
+import collections
+import concurrent.futures as futures
+import contextlib
+import json
+import pathlib
+import random
+import statistics
+import sys
+import threading
+import time
+import typing as t
+
+import urllib3
+
+from testing import fixtures, system
+
+_TRACE = pathlib.Path(__file__).parent.parent / "testing" / "traces" / "requests.jsonl"
+_SEED = 4
+_HOSTS = 10
+_SLOTS = 8
+_MEAN_SERVICE_S = 0.4
+_SIGMA = 0.6
+_CAPACITY = _HOSTS * _SLOTS / _MEAN_SERVICE_S
+_TRACE_S = 12.0
+_RUN_S = 10.0
+_DEADLINE_S = 3.0
+_THREADS = 1_000
+_STORM_S = 6.0
+_STORM_RETRIES = 4
+_AFTER_S = 15.0
+_POLICIES = ("least_wait", "random", "round_robin")
+_LOADS = {"50": 0.5, "80": 0.8, "100": 1.0, "150": 1.5, "slow": 0.6, "failing": 0.6}
+
+
+class Arrival(t.NamedTuple):
+    """A request of the trace: seconds from the start, seconds of service."""
+
+    at_s: float
+    service_s: float
+
+
+class Told(t.NamedTuple):
+    """What a caller was told, and after how many seconds."""
+
+    at_s: float
+    status: int
+    took_s: float
+
+
+def record() -> None:
+    """Write the trace: Poisson arrivals at capacity, lognormal service times."""
+    rng = random.Random(_SEED)
+    mean_log = -(_SIGMA**2) / 2
+    at_s, lines = 0.0, []
+    while at_s < _TRACE_S:
+        at_s += rng.expovariate(_CAPACITY)
+        service_s = _MEAN_SERVICE_S * rng.lognormvariate(mean_log, _SIGMA)
+        lines.append(json.dumps([round(at_s, 4), round(service_s, 4)]))
+    _TRACE.parent.mkdir(exist_ok=True)
+    _TRACE.write_text("\n".join(lines) + "\n")
+
+
+def read_trace(load: float, length_s: float) -> list[Arrival]:
+    """Return the trace at a share of the capacity, repeated as often as needed."""
+    base = [Arrival(*json.loads(line)) for line in _TRACE.read_text().splitlines()]
+    found: list[Arrival] = []
+    turn_s = base[-1].at_s
+    for turn in range(int(length_s * load / turn_s) + 1):
+        for one in base:
+            at_s = (one.at_s + turn * turn_s) / load
+            if at_s < length_s:
+                found.append(Arrival(at_s, one.service_s))
+    return found
+
+
+class Callers:
+    """Replays arrivals against the entries in turn."""
+
+    def __init__(self, fronts: list[str]) -> None:
+        self._fronts = fronts
+        self._http = urllib3.PoolManager(
+            num_pools=8, maxsize=_THREADS, retries=False, block=False
+        )
+        self._lock = threading.Lock()
+        self.told: list[Told] = []
+
+    def replay(self, arrivals: list[Arrival], began: float, retries: int = 0) -> None:
+        """Send each request at its time; return when all are answered."""
+        with futures.ThreadPoolExecutor(_THREADS) as pool:
+            for number, one in enumerate(arrivals):
+                time.sleep(max(0.0, began + one.at_s - time.monotonic()))
+                pool.submit(self._call, number, one, began, retries)
+
+    def _call(self, number: int, one: Arrival, began: float, retries: int) -> None:
+        for attempt in range(retries + 1):
+            front = self._fronts[(number + attempt) % len(self._fronts)]
+            told = self._call_once(front, one, began)
+            with self._lock:
+                self.told.append(told)
+            if told.status == 200:
+                return
+
+    def _call_once(self, front: str, one: Arrival, began: float) -> Told:
+        sent = time.monotonic()
+        fields = {
+            "Bilberrypass-Deadline": str(time.time() + _DEADLINE_S),
+            "X-Delay-S": str(one.service_s),
+        }
+        try:
+            resp = self._http.request(
+                "GET", f"{front}/services/echo/check", headers=fields, timeout=10.0
+            )
+            status = resp.status
+        except urllib3.exceptions.HTTPError:
+            status = 0
+        return Told(sent - began, status, time.monotonic() - sent)
+
+
+def _percentile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarise(told: list[Told], length_s: float) -> dict[str, t.Any]:
+    """Return the figures of one run."""
+    good = [one.took_s for one in told if one.status == 200]
+    refused = [one.took_s for one in told if one.status not in (200, 500)]
+    statuses = collections.Counter(one.status for one in told)
+    figures: dict[str, t.Any] = {
+        "sent": len(told),
+        "goodput": round(len(good) / length_s, 1),
+        "refused": round(len(refused) / len(told), 4),
+        "failed": round(statuses[500] / len(told), 4),
+        "statuses": dict(sorted(statuses.items())),
+    }
+    for name, share in (("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)):
+        figures[name] = round(_percentile(good, share), 3) if good else None
+    if refused:
+        figures["refusal_p50"] = round(statistics.median(refused), 3)
+    return figures
+
+
+def _control(endpoint: t.Any, **switches: t.Any) -> None:
+    fixtures.http("PUT", f"{endpoint.url()}/_control", switches)
+
+
+def run_load(run: system.System, scenario: str) -> dict[str, t.Any]:
+    """Replay the trace at one load."""
+    if scenario == "slow":
+        _control(run.endpoints[0], run_s_scale=10.0)
+    if scenario == "failing":
+        _control(run.endpoints[0], fail=True, run_s_scale=0.0)
+    callers = Callers([run.callers(0), run.callers(1)])
+    arrivals = read_trace(_LOADS[scenario], _RUN_S)
+    callers.replay(arrivals, time.monotonic())
+    _control(run.endpoints[0], run_s_scale=1.0, fail=False)
+    return summarise(callers.told, _RUN_S)
+
+
+def run_storm(run: system.System) -> dict[str, t.Any]:
+    """Let callers that retry at once come and go above a steady load."""
+    steady = Callers([run.callers(0), run.callers(1)])
+    storm = Callers([run.callers(0), run.callers(1)])
+    length_s = 2 * _STORM_S + _AFTER_S
+    began = time.monotonic()
+    wave = [one._replace(at_s=one.at_s + _STORM_S) for one in read_trace(1.5, _STORM_S)]
+    threads = [
+        threading.Thread(target=steady.replay, args=(read_trace(0.6, length_s), began)),
+        threading.Thread(target=storm.replay, args=(wave, began, _STORM_RETRIES)),
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+    def goodput(first_s: float, last_s: float) -> float:
+        good = [
+            one
+            for one in steady.told
+            if one.status == 200 and first_s <= one.at_s < last_s
+        ]
+        return round(len(good) / (last_s - first_s), 1)
+
+    return {
+        "before": goodput(1.0, _STORM_S),
+        "during": goodput(_STORM_S, 2 * _STORM_S),
+        "after_by_second": [
+            goodput(2 * _STORM_S + n, 2 * _STORM_S + n + 1) for n in range(6)
+        ],
+        "last_5_s": goodput(length_s - 5.0, length_s),
+        "storm": summarise(storm.told, _STORM_S),
+    }
+
+
+@contextlib.contextmanager
+def _system(policy: str):
+    with system.system(
+        entries=2,
+        hosts=_HOSTS,
+        entry_changes={
+            "routing": policy,
+            "max_requests": 256,
+            "logs": {"level": "warning"},
+        },
+        agent_changes={"logs": {"level": "warning"}},
+    ) as run:
+        for number in range(2):
+            fixtures.wait_until(
+                lambda number=number: _serving(run, number) == _HOSTS, 30, "all hosts"
+            )
+        yield run
+
+
+def _serving(run: system.System, number: int) -> int:
+    """Return how many endpoints answer through an entry when all are needed."""
+    url = f"{run.callers(number)}/services/echo/a"
+    fields = {"X-Delay-S": "0.3"}
+    with futures.ThreadPoolExecutor(_HOSTS * _SLOTS) as pool:
+        answers = pool.map(
+            lambda _: fixtures.http("GET", url, headers=fields),
+            range(_HOSTS * _SLOTS),
+        )
+        found = [one.json()["endpoint"] for one in answers if one.status == 200]
+    return len(set(found))
+
+
+def main() -> int:
+    """Run the scenarios under each policy and print one JSON line for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--policies", nargs="+", default=_POLICIES)
+    parser.add_argument("--scenarios", nargs="+", default=[*_LOADS, "storm"])
+    parser.add_argument("--record", action="store_true")
+    args = parser.parse_args()
+    if args.record:
+        record()
+    for policy in args.policies:
+        with _system(policy) as run:
+            for scenario in args.scenarios:
+                is_storm = scenario == "storm"
+                found = run_storm(run) if is_storm else run_load(run, scenario)
+                print(json.dumps({"policy": policy, "scenario": scenario} | found))
+                sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/bilberrypass/process/claiming.py
+++ b/src/bilberrypass/process/claiming.py
@@ -19,6 +19,8 @@
 _NOTE_LIFE_S: t.Final = 60.0
 _NOTE_PAUSE_S: t.Final = 0.2
 _MAX_NOTES: t.Final = 1_000
+_MAX_SERVED: t.Final = 16
+_SERVED_WAIT_S: t.Final = 0.1
 _RETRY_S: t.Final = 1.0
 _ABOUT_THE_KEY: t.Final = (
     errors.Kind.KEY_IN_USE,
@@ -51,10 +53,20 @@
         Knows the owners.
     shards : list of claims.Shard
         This entry's part of them.
+    max_waiting : int
+        Requests that may wait for the store at once.
     """
 
-    def __init__(self, names: directory.Directory, shards: list[claims.Shard]) -> None:
+    def __init__(
+        self,
+        names: directory.Directory,
+        shards: list[claims.Shard],
+        max_waiting: int,
+    ) -> None:
         self.shards = shards
+        # A slow store must hold up neither reports nor requests without a key.
+        self._waiting = threading.BoundedSemaphore(max_waiting)
+        self._served = threading.BoundedSemaphore(_MAX_SERVED)
         self._names = names
         self._peers: dict[str, channels.Peer] = {}
         self._notes: queue.Queue[_Note] = queue.Queue(_MAX_NOTES)
@@ -82,7 +94,12 @@
                 f"there is no claims shard {req.shard}; run the same version at all "
                 "entries",
             )
-        return self.shards[req.shard].call(req, time.monotonic() + _CALL_S)
+        if not self._served.acquire(timeout=_SERVED_WAIT_S):
+            raise _store_is_slow()
+        try:
+            return self.shards[req.shard].call(req, time.monotonic() + _CALL_S)
+        finally:
+            self._served.release()
 
     def take(
         self, claim: messages.ClaimCall, deadline: float
@@ -101,10 +118,14 @@
             The attempt must not dispatch. ``ran`` is "no" where nothing is known of
             the key: it speaks of this attempt alone.
         """
+        if not self._waiting.acquire(blocking=False):
+            raise _store_is_slow()
         try:
             answer = self._call(claim, min(deadline, time.monotonic() + _CALL_S))
         except errors.Error as exc:
             raise self._not_claimed(claim, exc) from None
+        finally:
+            self._waiting.release()
         if answer.is_mine:
             return None
         if answer.answer is None:
@@ -201,3 +222,11 @@
         if peer is None:
             peer = self._peers.setdefault(found.peers, channels.Peer(found.peers))
         return peer.call(channels.CLAIM, req, deadline)
+
+
+def _store_is_slow() -> errors.Refused:
+    return errors.Refused(
+        errors.Kind.OVERLOADED,
+        "too many keys wait for the store; come back later",
+        retry_after_s=_RETRY_S,
+    )
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -31,7 +31,8 @@
 
 _SPARE_THREADS: t.Final = 16
 _OPERATOR_THREADS: t.Final = 16
-_PEER_THREADS: t.Final = 16
+_PEER_THREADS: t.Final = 32
+_CLAIMING_PART: t.Final = 4
 _DEFAULT_PREFIX: t.Final = "/bilberrypass/"
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
@@ -90,7 +91,7 @@
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
         dispatcher = dispatch.Dispatcher(
-            self.fleet, routing.LeastWait(), cfg["failure_domain"]
+            self.fleet, routing.POLICIES[cfg["routing"]](), cfg["failure_domain"]
         )
         self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
@@ -102,7 +103,9 @@
             claims.Shard(number, self.names, prefix, retention_s)
             for number in range(claims.SHARDS)
         ]
-        return claiming.Router(self.names, shards)
+        return claiming.Router(
+            self.names, shards, max(1, self._cfg["max_requests"] // _CLAIMING_PART)
+        )
 
     def _make_shard(self, number: int) -> owner.Shard:
         return owner.Shard(
--- a/src/bilberrypass/request/routing.py
+++ b/src/bilberrypass/request/routing.py
@@ -76,6 +76,13 @@
         return ordered[next(self._turn) % len(ordered)]
 
 
+POLICIES: t.Final[dict[str, type[Policy]]] = {
+    "least_wait": LeastWait,
+    "random": Random,
+    "round_robin": RoundRobin,
+}
+
+
 def _draw(candidates: list[Candidate]) -> Candidate:
     drawn = random.sample(candidates, min(_CANDIDATES, len(candidates)))
     return min(drawn, key=_wait)
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -116,6 +116,10 @@
     request_timeout_s: t.Annotated[Seconds, "deadline of a request that names none"]
     silence_s: t.Annotated[Seconds, "silence after which an agent is left out"]
     shards: t.Annotated[Count, "job page shards; the same at all entries"]
+    routing: t.Annotated[
+        t.Literal["least_wait", "random", "round_robin"],
+        "how endpoints are chosen; the others are baselines for measuring",
+    ]
     claim_retention_s: t.Annotated[
         float,
         pydantic.Field(ge=7_200, le=604_800),
@@ -169,6 +173,7 @@
         "request_timeout_s": 30.0,
         "silence_s": 3.0,
         "shards": 8,
+        "routing": "least_wait",
         "claim_retention_s": 86_400.0,
         "member_ttl_s": 10,
         "task_lease_s": 300.0,
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -2,6 +2,8 @@
 
 import collections.abc as abc
 import contextlib
+import functools
+import itertools
 import json
 import os
 import pathlib
@@ -19,17 +21,34 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _POLL_S = 0.02
-_PORTS = (10_000, 32_000)
+# Below the range of outgoing connections.
+_LEAST_PORT = 10_000
+_BLOCK = 200
+_BLOCK_COUNT = 110
 _KILL_TIMEOUT_S = 10.0
 _WAIT_TIMEOUT_S = 15.0
 
 HTTP_ERRORS = (urllib3.exceptions.HTTPError,)
 
 
+@functools.cache
+def _port_block() -> tuple[socket.socket, abc.Iterator[int]]:
+    """Reserve a block of ports, by its first one, for the life of this process."""
+    while True:
+        first = _LEAST_PORT + _BLOCK * random.SystemRandom().randrange(_BLOCK_COUNT)
+        lock = socket.socket()
+        try:
+            lock.bind(("127.0.0.1", first))
+        except OSError:
+            lock.close()
+        else:
+            return lock, itertools.cycle(range(first + 1, first + _BLOCK))
+
+
 def free_port() -> int:
-    """Return a port that no outgoing connection will be given meanwhile."""
+    """Return a port that neither a connection nor another fixture is given soon."""
     while True:
-        port = random.SystemRandom().randrange(*_PORTS)
+        port = next(_port_block()[1])
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
             return port
--- a/testing/request/test_claims.py
+++ b/testing/request/test_claims.py
@@ -1,6 +1,8 @@
 """Keyed non-idempotent requests run at most once, whatever dies."""
 
+import concurrent.futures as futures
 import contextlib
+import secrets
 import threading
 import time
 
@@ -90,6 +92,27 @@
             assert calling.runs(run, f"k5-{number}") == 1
 
 
+def test_slow_store_holds_up_no_request_without_a_key():
+    with _system(max_requests=64) as run:
+        calling.control_store(run, delay_s=0.8)
+        stopping = threading.Event()
+
+        def call_keyed(number):
+            while not stopping.is_set():
+                calling.call(run.callers(number % 2), secrets.token_hex(8))
+
+        with futures.ThreadPoolExecutor(100) as pool:
+            for number in range(100):
+                pool.submit(call_keyed, number)
+            begun = time.monotonic()
+            told = []
+            while time.monotonic() < begun + 5.0:
+                told.append(calling.call(run.callers(len(told) % 2), method="GET"))
+            stopping.set()
+        calling.control_store(run, delay_s=0.0)
+        assert {one.status for one in told} == {200}, told
+
+
 def test_lost_answer_of_the_store_does_not_run_a_key_twice():
     with _system() as run:
         calling.control_store(run, lose_answers=3)
