--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -14,6 +14,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages, pool
+from bilberrypass.process import traces
 
 _log = logbook.Logger("endpoint")
 
@@ -203,7 +204,9 @@
         self.slots.take(deadline)
         began = time.monotonic()
         try:
-            return self._exchange(req, deadline, begin)
+            with traces.span("endpoint", req.traceparent, endpoint=self.id) as parent:
+                traced = req._replace(traceparent=parent)
+                return self._exchange(traced, deadline, begin)
         finally:
             self.slots.release(time.monotonic() - began)
 
@@ -292,7 +295,7 @@
                 req.method,
                 req.target,
                 body=req.body or None,
-                headers=urllib3.HTTPHeaderDict(req.headers),
+                headers=_traced(req),
                 preload_content=False,
                 decode_content=False,
             )
@@ -343,3 +346,10 @@
     def close(self) -> None:
         """Close idle connections."""
         self._pool.clear()
+
+
+def _traced(req: messages.Forward) -> urllib3.HTTPHeaderDict:
+    headers = urllib3.HTTPHeaderDict(req.headers)
+    if req.traceparent:
+        headers["traceparent"] = req.traceparent
+    return headers
--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -9,6 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
+from bilberrypass.process import metrics
 
 _log = logbook.Logger("reporting")
 
@@ -98,7 +99,9 @@
             self.entry = answer.entry
             self.answered_at = time.monotonic()
             self._source.hear(answer, began)
+            metrics.count(metrics.Name.REPORTS)
         except errors.Error as exc:
+            metrics.count(metrics.Name.REPORT_FAILURES)
             _log.debug("reporting: {} did not answer: {}", self.address, exc.detail)
         except Exception:
             _log.exception("reporting: report to {} failed", self.address)
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -18,7 +18,7 @@
     serving,
     worker,
 )
-from bilberrypass.process import announcements, configuring, tasks
+from bilberrypass.process import announcements, configuring, metrics, tasks, traces
 from bilberrypass.request import attempts
 from bilberrypass.version import configuration, settings
 
@@ -139,7 +139,7 @@
         """Describe the host as it is now."""
         own = self.tasks
         silence_s = self._cfg["silence_s"]
-        return messages.Report(
+        made = messages.Report(
             host=self.host,
             incarnation=self._incarnation,
             sequence=sequence,
@@ -157,6 +157,9 @@
             usage=own.usage if own else None,
             clock=time.monotonic(),
         )
+        if metrics.is_on():
+            _measure(made)
+        return made
 
     def hear(self, answer: messages.Reported, sent_at: float) -> None:
         """Take in an entry's answer to a report sent at a time."""
@@ -241,20 +244,28 @@
             self._hurry()
 
     def _forward(self, req: messages.Forward) -> messages.Forwarded:
-        deadline = time.monotonic() + req.time_left_s
+        began = time.monotonic()
+        deadline = began + req.time_left_s
         self._check_incarnation(req.incarnation)
         with self._lock:
             self._in_progress += 1
         try:
             self._attempts.enter(req.request, req.clock)
             try:
-                begin = functools.partial(self._attempts.begin, req.request)
-                return self._choose(req.service).serve(req, deadline, begin)
+                return self._serve(req, deadline)
             finally:
                 self._attempts.end(req.request)
         finally:
             with self._lock:
                 self._in_progress -= 1
+            metrics.count(metrics.Name.REQUESTS)
+            metrics.timing(metrics.Name.REQUEST_MS, began)
+
+    def _serve(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
+        begin = functools.partial(self._attempts.begin, req.request)
+        with traces.span("agent", req.traceparent, host=self.host) as traceparent:
+            req = req._replace(traceparent=traceparent)
+            return self._choose(req.service).serve(req, deadline, begin)
 
     def _check_incarnation(self, quoted: int) -> None:
         if quoted != self._incarnation:
@@ -325,3 +336,13 @@
             reporter.stop()
         self._server.stop(_CONTROL_THREADS)
         self._listener.stop()
+
+
+def _measure(report: messages.Report) -> None:
+    metrics.gauge(metrics.Name.REVISION, report.revision)
+    metrics.gauge(metrics.Name.SLOTS, sum(e.slots for e in report.endpoints))
+    metrics.gauge(metrics.Name.SLOTS_IN_USE, sum(e.in_use for e in report.endpoints))
+    metrics.gauge(metrics.Name.QUEUED, sum(e.queued for e in report.endpoints))
+    metrics.gauge(metrics.Name.TASKS, len(report.tasks))
+    metrics.gauge(metrics.Name.CPU_COMMITTED, report.committed.cpu_milli)
+    metrics.gauge(metrics.Name.MEMORY_COMMITTED, report.committed.memory_bytes)
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -18,11 +18,14 @@
     fleet,
     introductions,
     jobs,
+    metered,
+    metrics,
     operators,
     owner,
     placement,
     revisions,
     tokens,
+    web,
 )
 from bilberrypass.request import callers, dispatch, routing
 from bilberrypass.version import configuration, settings
@@ -33,7 +36,6 @@
 _OPERATOR_THREADS: t.Final = 16
 _PEER_THREADS: t.Final = 32
 _CLAIMING_PART: t.Final = 4
-_DEFAULT_PREFIX: t.Final = "/bilberrypass/"
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _PEER_GRACE_S: t.Final = 5.0
@@ -59,10 +61,10 @@
         kv: store.Store | None = None,
         path: pathlib.Path | None = None,
     ) -> None:
-        serving.quiet_cherrypy()
+        web.quiet_cherrypy()
         self._cfg = cfg
         self._leaving = threading.Event()
-        self._kv = kv or etcd.EtcdStore(cfg["store"]["addresses"])
+        self._kv = metered.metered(kv or etcd.EtcdStore(cfg["store"]["addresses"]))
         self.fleet = fleet.Fleet(cfg["silence_s"])
         self._server = channels.Server(
             cfg["peers"],
@@ -76,12 +78,12 @@
         )
         self.names = directory.Directory(
             self._kv,
-            cfg["store"].get("prefix", _DEFAULT_PREFIX),
+            cfg["store"]["prefix"],
             directory.Member(cfg["id"], self._server.address),
             cfg["member_ttl_s"],
         )
         self.config = configuring.Configuring(self.names)
-        prefix = cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        prefix = cfg["store"]["prefix"]
         self._introductions = introductions.Introductions(
             self.names, self.fleet, prefix
         )
@@ -97,7 +99,7 @@
         self._listeners = [self._listen_callers(), self._listen_operators()]
 
     def _make_claims(self) -> claiming.Router:
-        prefix = self._cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        prefix = self._cfg["store"]["prefix"]
         retention_s = self._cfg["claim_retention_s"]
         shards = [
             claims.Shard(number, self.names, prefix, retention_s)
@@ -114,7 +116,7 @@
             self.fleet,
             placement.FirstFit(),
             self._cfg["task_lease_s"],
-            self._cfg["store"].get("prefix", _DEFAULT_PREFIX),
+            self._cfg["store"]["prefix"],
         )
 
     def _listen_callers(self) -> serving.Listener:
@@ -130,6 +132,7 @@
 
     def _listen_operators(self) -> serving.Listener:
         tree = cherrypy._cptree.Tree()
+        tree.graft(web.refuse_path, "")
         operators.mount(tree, "/healthz", operators.Health(lambda: ""))
         ready = operators.Health(self.why_not_ready, self.config.why_not_current)
         operators.mount(tree, "/readyz", ready)
@@ -145,7 +148,7 @@
     def _operator_apps(self) -> dict[str, object]:
         """Return the applications that ask for a token, by path."""
         in_force = self.config.in_force
-        prefix = self._cfg["store"].get("prefix", _DEFAULT_PREFIX)
+        prefix = self._cfg["store"]["prefix"]
         changes = revisions.Revisions(self.names, in_force, prefix)
         return {
             "/config": operators.Config(in_force, changes),
@@ -213,6 +216,9 @@
             grants += [grant] if grant else []
             recorded += ends
             stop += unwanted
+        metrics.count(metrics.Name.REPORTS)
+        metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
+        metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
--- a/src/bilberrypass/process/web.py
+++ b/src/bilberrypass/process/web.py
@@ -21,9 +21,20 @@
 }
 
 
+def quiet_cherrypy() -> None:
+    """Leave logs and signals to the process."""
+    cherrypy.config.update(
+        {
+            "log.screen": False,
+            "engine.autoreload.on": False,
+            "checker.on": False,
+        }
+    )
+
+
 def check_id(id: str, what: str) -> str:
     """Return the id, or refuse it with BAD_REQUEST."""
-    if not _ID.match(id):
+    if not _ID.fullmatch(id):
         raise errors.Error(
             errors.Kind.BAD_REQUEST,
             f"{id[:64]!r} is no {what} id; use 1 to 128 letters, digits, . _ -",
@@ -60,6 +71,16 @@
     return body
 
 
+def refuse_path(environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
+    """Answer a request whose path no application has, as a WSGI application."""
+    path = environ["PATH_INFO"][:64]
+    found = problems.problem(
+        errors.Error(errors.Kind.NOT_FOUND, f"{path!r} is nothing; see the docs")
+    )
+    start(f"{found.status} Not Found", found.headers)
+    return [found.body]
+
+
 def _answer_error() -> None:
     exc = sys.exc_info()[1]
     if not isinstance(exc, errors.Error):
--- a/testing/version/test_configuration.py
+++ b/testing/version/test_configuration.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from hypothesis import given, settings
+import hypothesis
 from hypothesis import strategies as st
 
 from bilberrypass import errors, resources
@@ -155,8 +155,8 @@
 _sets = st.builds(lambda n: {"weights": {"evictions": n}}, st.integers(0, 9))
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
-@given(st.lists(st.builds(_exemption, _matches, _sets), max_size=8))
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(st.lists(st.builds(_exemption, _matches, _sets), max_size=8))
 def test_part_says_of_its_host_what_the_whole_says(exceptions):
     whole = configuration.FIRST._replace(revision=1, exceptions=exceptions)
     parts = []
