--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -205,8 +205,8 @@
         began = time.monotonic()
         try:
             with traces.span("endpoint", req.traceparent, endpoint=self.id) as parent:
-                traced = req._replace(traceparent=parent)
-                return self._exchange(traced, deadline, begin)
+                req = req._replace(traceparent=parent)
+                return self._exchange(req, deadline, begin)
         finally:
             self.slots.release(time.monotonic() - began)
 
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -250,22 +250,21 @@
         with self._lock:
             self._in_progress += 1
         try:
-            self._attempts.enter(req.request, req.clock)
-            try:
-                return self._serve(req, deadline)
-            finally:
-                self._attempts.end(req.request)
+            with traces.span("agent", req.traceparent, host=self.host) as traceparent:
+                return self._attempt(req._replace(traceparent=traceparent), deadline)
         finally:
             with self._lock:
                 self._in_progress -= 1
             metrics.count(metrics.Name.REQUESTS)
             metrics.timing(metrics.Name.REQUEST_MS, began)
 
-    def _serve(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
-        begin = functools.partial(self._attempts.begin, req.request)
-        with traces.span("agent", req.traceparent, host=self.host) as traceparent:
-            req = req._replace(traceparent=traceparent)
+    def _attempt(self, req: messages.Forward, deadline: float) -> messages.Forwarded:
+        self._attempts.enter(req.request, req.clock)
+        try:
+            begin = functools.partial(self._attempts.begin, req.request)
             return self._choose(req.service).serve(req, deadline, begin)
+        finally:
+            self._attempts.end(req.request)
 
     def _check_incarnation(self, quoted: int) -> None:
         if quoted != self._incarnation:
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -104,11 +104,13 @@
             idempotent=steering.idempotent,
             traceparent=traces.clean(environ.get("HTTP_TRACEPARENT", "")),
         )
-        with (
-            self._shares.hold(service),
-            traces.span("entry", req.traceparent, service=service) as traceparent,
-        ):
-            req = req._replace(traceparent=traceparent)
+        with traces.span("entry", req.traceparent, service=service) as traceparent:
+            return self._run(req._replace(traceparent=traceparent), steering)
+
+    def _run(
+        self, req: messages.Forward, steering: steering_headers.Steering
+    ) -> messages.Forwarded:
+        with self._shares.hold(req.service):
             if steering.key and not steering.idempotent:
                 return self._run_claimed(req, steering)
             return self._dispatcher.run(req, steering.deadline)
@@ -178,12 +180,12 @@
         return b""
     try:
         body = environ["wsgi.input"].read(limit + 1 if chunked else length)
-    except (cheroot.errors.MaxSizeExceeded, OSError):
-        raise _too_large(limit) from None
-    except ValueError as exc:
+    except (ConnectionError, TimeoutError, ValueError) as exc:
         raise errors.Error(
             errors.Kind.BAD_BODY, f"the body cannot be read ({exc}); send it whole"
         ) from None
+    except (cheroot.errors.MaxSizeExceeded, OSError):
+        raise _too_large(limit) from None
     if len(body) > limit:
         raise _too_large(limit)
     if not chunked and len(body) != length:
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -170,7 +170,7 @@
     rack: t.Annotated[Name, "rack that it stands in"]
     peers: te.Required[t.Annotated[AnnouncedAddress, "address for entries, gRPC"]]
     advertised: t.Annotated[
-        AnnouncedAddress, "address that entries use, if not that of peers"
+        RemoteAddress, "address that entries use, if not that of peers"
     ]
     announcements: te.Required[t.Annotated[Address, "address for endpoints, HTTP"]]
     entries: te.Required[
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -2,8 +2,7 @@
 
 import collections.abc as abc
 import contextlib
-import functools
-import itertools
+import fcntl
 import json
 import os
 import pathlib
@@ -21,36 +20,32 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _POLL_S = 0.02
-# Below the range of outgoing connections.
-_LEAST_PORT = 10_000
-_BLOCK = 200
-_BLOCK_COUNT = 110
+_PORTS = (10_000, 32_000)
 _KILL_TIMEOUT_S = 10.0
 _WAIT_TIMEOUT_S = 15.0
 
-HTTP_ERRORS = (urllib3.exceptions.HTTPError,)
-
+_port_locks = open(pathlib.Path(tempfile.gettempdir()) / "bilberrypass-ports", "ab")
+_reserving = threading.Lock()
+_reserved: set[int] = set()
 
-@functools.cache
-def _port_block() -> tuple[socket.socket, abc.Iterator[int]]:
-    """Reserve a block of ports, by its first one, for the life of this process."""
-    while True:
-        first = _LEAST_PORT + _BLOCK * random.SystemRandom().randrange(_BLOCK_COUNT)
-        lock = socket.socket()
-        try:
-            lock.bind(("127.0.0.1", first))
-        except OSError:
-            lock.close()
-        else:
-            return lock, itertools.cycle(range(first + 1, first + _BLOCK))
+HTTP_ERRORS = (urllib3.exceptions.HTTPError,)
 
 
 def free_port() -> int:
-    """Return a port that neither a connection nor another fixture is given soon."""
+    """Return a port that nobody else is given while this process lives.
+
+    It lies below the range of outgoing connections; a lock on one byte of a shared
+    file keeps other test processes on the machine from taking it.
+    """
     while True:
-        port = next(_port_block()[1])
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
+        port = random.SystemRandom().randrange(*_PORTS)
+        with _reserving, contextlib.suppress(OSError):
+            if port in _reserved:
+                continue
+            fcntl.lockf(_port_locks, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", port))
+            _reserved.add(port)
             return port
 
 
