Look hosts up by service, follow a changed number of slots

Cause: each request walked all hosts three times, and hosts and records that are gone for good stayed for ever; an endpoint that announced another number of slots kept the first one. Conclusion: a set of hosts for each service; silent ones are forgotten after an hour. test_fewer_slots_run_out_and_more_are_handed_over fails without resize (AttributeError).

--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -130,10 +130,19 @@
         with self._lock:
             gain = service_s - self.service_s
             self.service_s += gain * (_SMOOTHING if self.service_s else 1.0)
-            if self._waiting:
-                heapq.heappop(self._waiting)[2].set()
-            else:
-                self.in_use -= 1
+            self.in_use -= 1
+            self._hand_over()
+
+    def resize(self, count: int) -> None:
+        """Change the number of slots; those in use beyond it run out."""
+        with self._lock:
+            self.count = count
+            self._hand_over()
+
+    def _hand_over(self) -> None:
+        while self._waiting and self.in_use < self.count:
+            heapq.heappop(self._waiting)[2].set()
+            self.in_use += 1
 
 
 @t.final
@@ -167,6 +176,8 @@
         """Note that the endpoint announced itself again."""
         self.said = said
         self.heard_at = time.monotonic()
+        if said["slots"] != self.slots.count:
+            self.slots.resize(said["slots"])
 
     def state(self, silence_s: float) -> messages.EndpointState:
         """Describe the endpoint; one that has gone silent counts as leaving."""
--- a/src/bilberrypass/process/fleet.py
+++ b/src/bilberrypass/process/fleet.py
@@ -11,6 +11,8 @@
 
 _log = logbook.Logger("fleet")
 
+_FORGOTTEN_S: t.Final = 3_600.0
+
 # One report may fail and be sent again in this time.
 _MISSED_INTERVALS: t.Final = 1.5
 
@@ -37,6 +39,7 @@
         self._silence_s = silence_s
         self._lock = threading.Lock()
         self._hosts: dict[str, Host] = {}
+        self._by_service: dict[str, set[str]] = {}
 
     def hear(self, report: messages.Report) -> None:
         """Take in a report.
@@ -53,6 +56,9 @@
                 self._check_order(known, report, now)
             peer = self._peer_for(known, report)
             self._hosts[report.host] = Host(report, now, peer)
+            self._index(report)
+            if known is None:
+                self._forget(now)
         if known is None:
             _log.info("fleet: host {} heard at {}", report.host, report.address)
 
@@ -103,16 +109,34 @@
 
     def serving(self, service: str) -> list[Host]:
         """Return live hosts with an endpoint of the service that stays."""
+        with self._lock:
+            names = self._by_service.get(service, set())
+            hosts = [self._hosts[name] for name in names]
         return [
             host
-            for host in self.live()
-            if any(
+            for host in hosts
+            if not self.is_silent(host)
+            and not host.report.leaving
+            and any(
                 e.service == service and not e.leaving for e in host.report.endpoints
             )
         ]
 
     def knows(self, service: str) -> bool:
-        """Tell whether any host ever had an endpoint of the service."""
-        return any(
-            e.service == service for host in self.all() for e in host.report.endpoints
-        )
+        """Tell whether a host that is remembered had an endpoint of the service."""
+        return service in self._by_service
+
+    def _index(self, report: messages.Report) -> None:
+        for state in report.endpoints:
+            self._by_service.setdefault(state.service, set()).add(report.host)
+
+    def _forget(self, now: float) -> None:
+        """Drop the hosts that were silent for long; the fleet is replaced at times."""
+        gone = [h for h in self._hosts.values() if now > h.heard_at + _FORGOTTEN_S]
+        for host in gone:
+            del self._hosts[host.report.host]
+            host.peer.close()
+            for names in self._by_service.values():
+                names.discard(host.report.host)
+        for service in [s for s, names in self._by_service.items() if not names]:
+            del self._by_service[service]
--- a/src/bilberrypass/request/health.py
+++ b/src/bilberrypass/request/health.py
@@ -20,6 +20,7 @@
 _MAX_EJECTED_SHARE: t.Final = 0.5
 _SMOOTHING: t.Final = 0.1
 _PROBE_LIFE_S: t.Final = 10.0
+_FORGOTTEN_S: t.Final = 7_200.0
 
 
 class _Record:
@@ -33,6 +34,7 @@
         self.ejected_until = 0.0
         self.probe_until = 0.0
         self.back_since = 0.0
+        self.used_at = 0.0
 
     @property
     def is_ejected(self) -> bool:
@@ -81,7 +83,20 @@
             ]
 
     def _record(self, service: str, host: fleet.Host) -> _Record:
-        return self._records.setdefault((service, host.report.host), _Record())
+        key = (service, host.report.host)
+        record = self._records.get(key)
+        now = time.monotonic()
+        if record is None:
+            self._forget(now)
+            record = self._records[key] = _Record()
+        record.used_at = now
+        return record
+
+    def _forget(self, now: float) -> None:
+        """Drop the records of hosts that have been gone for long."""
+        old = [k for k, r in self._records.items() if now > r.used_at + _FORGOTTEN_S]
+        for key in old:
+            del self._records[key]
 
     def _describe(
         self, service: str, host: fleet.Host, record: _Record, now: float
--- a/testing/connection/test_endpoint.py
+++ b/testing/connection/test_endpoint.py
@@ -157,6 +157,21 @@
     assert slots.in_use == 0
 
 
+def test_fewer_slots_run_out_and_more_are_handed_over():
+    slots = endpoint.Slots(2, 8)
+    for _ in range(2):
+        slots.take(time.monotonic() + 1)
+    slots.resize(1)
+    thread = threading.Thread(target=slots.take, args=(time.monotonic() + 30,))
+    thread.start()
+    fixtures.wait_until(lambda: slots.queued == 1, 5, "the queue")
+    slots.release(0.0)
+    assert (slots.in_use, slots.queued) == (1, 1)
+    slots.resize(2)
+    thread.join()
+    assert (slots.in_use, slots.queued) == (2, 0)
+
+
 def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
     slots = endpoint.Slots(1, 8)
     slots.take(time.monotonic() + 1)
