Tell of all attempts together, also where no host is left for a retry

Cause: after an uncertain attempt at an idempotent request, a retry that found only hosts set aside was told NO_ENDPOINT with ran 'no'.

--- a/src/bilberrypass/request/dispatch.py
+++ b/src/bilberrypass/request/dispatch.py
@@ -84,20 +84,34 @@
         self._budget.earn()
         tried: set[str] = set()
         may_have_run = False
-        while True:
-            host = self._choose(req.service, tried)
+        host: fleet.Host | None = self._choose(req.service, tried)
+        while host is not None:
             tried.add(host.report.host)
             try:
                 return self._attempt(host, req, deadline)
             except errors.Error as exc:
                 failure = exc
             may_have_run |= failure.ran is not errors.Ran.NO
-            if not self._may_retry(req, failure, tried, deadline):
-                break
+            host = self._choose_again(req, failure, tried, deadline)
         if may_have_run and failure.ran is errors.Ran.NO:
             failure.ran = errors.Ran.UNKNOWN
         raise failure
 
+    def _choose_again(
+        self,
+        req: messages.Forward,
+        failure: errors.Error,
+        tried: set[str],
+        deadline: float,
+    ) -> fleet.Host | None:
+        """Return the host for a retry, or None if the failure is final."""
+        if not self._may_retry(req, failure, tried, deadline):
+            return None
+        try:
+            return self._choose(req.service, tried)
+        except errors.Error:
+            return None
+
     def _may_retry(
         self,
         req: messages.Forward,
--- a/testing/request/test_limits.py
+++ b/testing/request/test_limits.py
@@ -10,7 +10,7 @@
 from testing import collecting, fixtures
 
 
-def _host(name: str, domain: str = "fd1", in_use: int = 0) -> fleet.Host:
+def make_host(name: str, domain: str = "fd1", in_use: int = 0) -> fleet.Host:
     state = messages.EndpointState("ep", "echo", 8, in_use, 0, False)
     report = messages.Report(
         host=name,
@@ -74,7 +74,7 @@
 
 def test_host_that_fails_everything_is_set_aside_then_probed_once():
     known = health.Health("fd1")
-    hosts = [_host("h1"), _host("h2"), _host("h3")]
+    hosts = [make_host("h1"), make_host("h2"), make_host("h3")]
     _note(known, hosts[0], is_failure=True, count=5)
     assert _names(known, hosts) == {"h2", "h3"}
     fixtures.wait_until(lambda: _names(known, hosts) == {"h1"}, 5, "the probe")
@@ -87,7 +87,7 @@
 
 def test_most_hosts_failing_are_not_set_aside():
     known = health.Health("fd1")
-    hosts = [_host("h1"), _host("h2"), _host("h3")]
+    hosts = [make_host("h1"), make_host("h2"), make_host("h3")]
     for host in hosts:
         _note(known, host, is_failure=True, count=5)
     assert _names(known, hosts) == {"h1", "h2", "h3"}
@@ -95,7 +95,7 @@
 
 def test_own_requests_count_before_the_next_report():
     known = health.Health("fd1")
-    hosts = [_host("h1"), _host("h2")]
+    hosts = [make_host("h1"), make_host("h2")]
     for _ in range(8):
         known.begin("echo", hosts[0])
     policy = routing.LeastWait()
@@ -108,7 +108,7 @@
     known = health.Health("fd1")
     policy = routing.LeastWait()
     for in_use, expected in ((7, "near"), (8, "far")):
-        hosts = [_host("near", "fd1", in_use), _host("far", "fd2")]
+        hosts = [make_host("near", "fd1", in_use), make_host("far", "fd2")]
         chosen = policy.choose(known.candidates("echo", hosts))
         assert chosen.host.report.host == expected, (in_use, chosen)
 
