--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -11,7 +11,11 @@
 
 
 class Forward(t.NamedTuple):
-    """A caller's request, from entry to agent; time left in seconds."""
+    """A caller's request, from entry to agent; time left in seconds.
+
+    ``incarnation`` and ``clock`` quote the newest report of the agent, so that it
+    can refuse what was delayed on the way.
+    """
 
     request: str
     service: str
@@ -22,6 +26,25 @@
     time_left_s: float
     idempotent: bool
     traceparent: str = ""
+    incarnation: int = 0
+    clock: float = 0.0
+
+
+class Revoke(t.NamedTuple):
+    """Asks an agent that a request, if it has not begun, shall never begin.
+
+    ``incarnation`` and ``clock`` are those that the request quoted.
+    """
+
+    request: str
+    incarnation: int
+    clock: float
+
+
+class Revoked(t.NamedTuple):
+    """The agent's answer; ``never_runs`` is certain, its opposite is not."""
+
+    never_runs: bool
 
 
 class Forwarded(t.NamedTuple):
@@ -35,7 +58,7 @@
 
 
 class EndpointState(t.NamedTuple):
-    """An endpoint as its agent sees it."""
+    """An endpoint as its agent sees it; ``service_s`` is a smoothed mean."""
 
     id: str
     service: str
@@ -43,6 +66,7 @@
     in_use: int
     queued: int
     leaving: bool
+    service_s: float = 0.0
 
 
 class TaskState(t.NamedTuple):
@@ -65,6 +89,7 @@
     configuration in force at the agent, ``revision_since`` its Unix time.
     ``is_current`` is False while the worker has not been seen lately, so that
     ``tasks`` may be out of date.
+    ``clock`` is the agent's monotonic clock.
     """
 
     host: str
@@ -81,6 +106,7 @@
     endpoints: list[EndpointState]
     tasks: list[TaskState]
     usage: worker.Usage | None = None
+    clock: float = 0.0
     revision_since: float = 0.0
     is_current: bool = True
 
@@ -101,8 +127,7 @@
 
     ``recorded`` are ends that the store holds; ``stop`` are tasks that must not
     run on this host; ``evict`` are those to checkpoint and then to stop;
-    ``slice`` is the agent's part of a newer configuration. ``throttles`` pairs
-    tasks with the share (0 to 1) of their processors that they may use.
+    ``slice`` is the agent's part of a newer configuration.
     """
 
     entry: str
@@ -114,7 +139,6 @@
     stop: list[worker.TaskId]
     slice: bytes = b""
     evict: list[worker.TaskId] = []
-    throttles: list[tuple[worker.TaskId, float]] = []
 
 
 class Start(t.NamedTuple):
@@ -178,6 +202,27 @@
     created: bool = False
 
 
+class ClaimCall(t.NamedTuple):
+    """A call on a key's claim, from one entry to the owner of its shard.
+
+    ``claim`` names the attempt that claims; ``answer`` comes with a finished one.
+    """
+
+    shard: int
+    verb: str
+    key: bytes
+    digest: bytes
+    claim: bytes
+    answer: Forwarded | None = None
+
+
+class ClaimAnswer(t.NamedTuple):
+    """The owner's answer: whether the attempt may dispatch, or the first answer."""
+
+    is_mine: bool
+    answer: Forwarded | None = None
+
+
 class ConfigAsk(t.NamedTuple):
     """A question for the configuration, with the revision known to the asker."""
 
--- a/src/bilberrypass/process/tasks.py
+++ b/src/bilberrypass/process/tasks.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import jobevents, ledger
+from bilberrypass.process import jobevents, ledger, throttle
 
 _log = logbook.Logger("tasks")
 
@@ -42,9 +42,17 @@
         The host's worker.
     incarnation : int, optional
         Rises with each agent of the host; the worker obeys the highest.
+    may_throttle : callable, optional
+        Tells whether batch work that disturbs services is throttled.
     """
 
-    def __init__(self, host: str, driver: worker.Worker, incarnation: int = 0) -> None:
+    def __init__(
+        self,
+        host: str,
+        driver: worker.Worker,
+        incarnation: int = 0,
+        may_throttle: t.Callable[[], bool] = lambda: True,
+    ) -> None:
         self._host = host
         self._driver = driver
         self._incarnation = incarnation
@@ -59,6 +67,8 @@
             collections.OrderedDict()
         )
         self._usage: worker.Usage | None = None
+        self._may_throttle = may_throttle
+        self._throttle = throttle.Throttle()
         self._seen_at = 0.0
         self.is_fenced = False
         self.ledger = ledger.Ledger(host, resources.Demand())
@@ -303,8 +313,14 @@
         self._settle_uncertain(found, seen)
         self._end_lapsing()
         self._usage = self._driver.usage(deadline)
+        self._react(self._usage)
         return ended
 
+    def _react(self, usage: worker.Usage) -> None:
+        """Throttle the tasks where they disturb services."""
+        share = self._throttle.hear(usage) if self._may_throttle() else 1.0
+        self.throttle([(task, share) for task in list(self._runs)])
+
     def _note(self, found: worker.Inventory, seen: _Seen) -> bool:
         ended = False
         listed = {run.spec.task: run for run in found.runs}
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -142,6 +142,11 @@
     request_timeout_s: t.Annotated[Seconds, "deadline of a request that names none"]
     silence_s: t.Annotated[Seconds, "silence after which an agent is left out"]
     shards: t.Annotated[Count, "job page shards; the same at all entries"]
+    claim_retention_s: t.Annotated[
+        float,
+        pydantic.Field(ge=7_200, le=604_800),
+        "how long an idempotency key is remembered",
+    ]
     member_ttl_s: t.Annotated[Count, "life of the entry's lease in the store"]
     task_lease_s: t.Annotated[Seconds, "life of a task's lease without renewal"]
     leave_wait_s: t.Annotated[Seconds, "wait before a leaving entry stops listening"]
@@ -160,6 +165,9 @@
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     rack: t.Annotated[Name, "rack that it stands in"]
     peers: te.Required[t.Annotated[AnnouncedAddress, "address for entries, gRPC"]]
+    advertised: t.Annotated[
+        RemoteAddress, "address that entries use, if not that of peers"
+    ]
     announcements: te.Required[t.Annotated[Address, "address for endpoints, HTTP"]]
     entries: te.Required[
         t.Annotated[
@@ -190,6 +198,7 @@
         "request_timeout_s": 30.0,
         "silence_s": 3.0,
         "shards": 8,
+        "claim_retention_s": 86_400.0,
         "member_ttl_s": 10,
         "task_lease_s": 300.0,
         "leave_wait_s": 2.0,
--- /dev/null
+++ b/testing/process/test_disturbance.py
@@ -0,0 +1,118 @@
+import json
+import unittest.mock
+
+from bilberrypass import resources
+from bilberrypass.connection import messages, worker
+from bilberrypass.process import (
+    disturbance,
+    interference,
+    placement,
+    placing,
+    records,
+    throttle,
+)
+from bilberrypass.version import page
+from testing import collecting
+
+_START_S = 1_000.0
+
+
+class _Clock:
+    def __init__(self):
+        self.now = _START_S
+
+    def __call__(self):
+        return self.now
+
+
+def _usage(inflation, lag_s=0.0):
+    return worker.Usage(lag_s + 0.5, lag_s, [], [("front", inflation)])
+
+
+def _hear(own, clock, inflation, seconds, lag_s=0.0):
+    for _ in range(seconds):
+        clock.now += 1.0
+        own.hear(_usage(inflation, lag_s))
+    return own.share
+
+
+def _throttle():
+    clock = _Clock()
+    return throttle.Throttle(), clock, unittest.mock.patch("time.monotonic", clock)
+
+
+def test_disturbance_throttles_step_by_step():
+    own, clock, patched = _throttle()
+    with patched:
+        assert _hear(own, clock, 2.0, 1) == 0.5
+        assert _hear(own, clock, 2.0, 1) == 0.25
+        assert _hear(own, clock, 2.0, 9) == 0.25
+
+
+def test_measurement_from_before_the_step_is_left_aside():
+    own, clock, patched = _throttle()
+    with patched:
+        _hear(own, clock, 2.0, 1)
+        assert _hear(own, clock, 2.0, 5, lag_s=10.0) == 0.5
+
+
+def test_throttle_is_lifted_only_after_a_calm_time():
+    own, clock, patched = _throttle()
+    with patched:
+        _hear(own, clock, 2.0, 1)
+        assert _hear(own, clock, 1.3, 60) == 0.5, "between the marks nothing changes"
+        assert _hear(own, clock, 1.1, 15) == 0.5
+        assert _hear(own, clock, 1.1, 10) == 1.0
+
+
+def _report(inflation):
+    return messages.Report(
+        host="h0",
+        incarnation=1,
+        sequence=1,
+        address="",
+        region="",
+        failure_domain="",
+        rack="",
+        leaving=False,
+        revision=0,
+        capacity=resources.Demand(8_000, 8, 0),
+        committed=resources.Demand(),
+        endpoints=[],
+        tasks=[],
+        usage=_usage(inflation),
+    )
+
+
+def _running(jobs, id, task_class):
+    demand = {"cpu_milli": 1_000, "memory_bytes": 1}
+    body = {"team": "t", "demand": demand, "task_class": task_class}
+    records.put(jobs, page.parse_job(id, json.dumps(body).encode(), 1.0, ""))
+    spec = records.place(jobs, ("t", id), 0, "h0")
+    records.note(jobs, messages.TaskState(spec.task, "running", spec.demand))
+
+
+def test_most_disturbing_task_moves_once_throttling_did_not_help():
+    model = interference.Model()
+    for _ in range(50):
+        model.learn("front", 3.0, {"noisy": 0.5})
+        model.learn("front", 1.0, {"quiet": 0.5})
+    mover = disturbance.Mover(placing.make_tools(placement.FirstFit()), model)
+    clock = _Clock()
+    jobs: records.Jobs = {}
+    with unittest.mock.patch("time.monotonic", clock):
+        with unittest.mock.patch("time.time", clock):
+            _running(jobs, "quiet", "quiet")
+            _running(jobs, "noisy", "noisy")
+            mover.hear(_report(2.0))
+            mover.move(jobs, records.on_host(jobs))
+            assert jobs["t", "noisy"].tasks[0].state == page.RUNNING
+            clock.now += 40.0
+            mover.hear(_report(2.0))
+            mover.move(jobs, records.on_host(jobs))
+            mover.move(jobs, records.on_host(jobs))
+    assert jobs["t", "noisy"].tasks[0].state == page.EVICTING
+    assert jobs["t", "quiet"].tasks[0].state == page.RUNNING
+
+
+load_tests = collecting.hook(__name__)
