--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -37,7 +37,8 @@
 
 _SPARE_THREADS: t.Final = 16
 _OPERATOR_THREADS: t.Final = 16
-_PEER_THREADS: t.Final = 16
+_PEER_THREADS: t.Final = 32
+_CLAIMING_PART: t.Final = 4
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _PEER_GRACE_S: t.Final = 5.0
@@ -101,7 +102,7 @@
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
         dispatcher = dispatch.Dispatcher(
-            self.fleet, routing.LeastWait(), cfg["failure_domain"]
+            self.fleet, routing.POLICIES[cfg["routing"]](), cfg["failure_domain"]
         )
         self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
@@ -116,7 +117,9 @@
             claims.Shard(number, self.names, prefix, retention_s)
             for number in range(claims.SHARDS)
         ]
-        return claiming.Router(self.names, shards)
+        return claiming.Router(
+            self.names, shards, max(1, self._cfg["max_requests"] // _CLAIMING_PART)
+        )
 
     def _make_shard(self, number: int) -> owner.Shard:
         return owner.Shard(
@@ -201,32 +204,32 @@
         told = self.config.tell(ask)
         return told._replace(why_not_ready=self.why_not_ready())
 
-    def _slice_for(self, report: messages.Report) -> bytes:
-        """Return what concerns the host of a newer configuration, if there is one."""
-        document = self.config.in_force.document
-        if document.revision <= report.revision:
-            return b""
-        host = configuration.Subject(
-            report.host, report.rack, report.failure_domain, report.region
-        )
-        return configuration.encode(configuration.part_for(document, host))
+    def _apply_drain(self, report: messages.Report) -> messages.Report:
+        """Take a drained host as leaving, though its agent may not know it yet."""
+        drain = self.config.in_force.values(_subject_of(report)).drain
+        return report._replace(leaving=True) if drain else report
 
     def _hear_report(self, report: messages.Report) -> messages.Reported:
         self.config.hear(report.revision, report.address)
+        report = self._apply_drain(report)
         self.fleet.hear(report)
         self._observer.hear(report)
         self._mover.hear(report)
-        heard = []
-        for shard in self.shards:
-            own = [
-                state
-                for state in report.tasks
-                if worker.shard_of(state.task.team, len(self.shards)) == shard.number
-            ]
-            heard.append(shard.hear(report._replace(tasks=own)))
+        by_shard: dict[int, list[messages.TaskState]] = {}
+        for state in report.tasks:
+            number = worker.shard_of(state.task.team, len(self.shards))
+            by_shard.setdefault(number, []).append(state)
+        heard = [
+            shard.hear(report._replace(tasks=by_shard.get(shard.number, [])))
+            for shard in self.shards
+            if shard.is_owned
+        ]
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
         metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
+        metrics.gauge(metrics.Name.CONFIG_AGE, self.config.age_s())
+        owned = sum(shard.is_owned for shard in self.shards)
+        metrics.gauge(metrics.Name.SHARDS_OWNED, owned)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
@@ -236,7 +239,7 @@
             recorded=[task for part in heard for task in part.recorded],
             stop=[task for part in heard for task in part.stop],
             evict=[task for part in heard for task in part.evict],
-            slice=self._slice_for(report),
+            slice=self.config.in_force.slice_for(_subject_of(report), report.revision),
         )
 
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
@@ -270,3 +273,9 @@
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
         self._kv.close()
+
+
+def _subject_of(report: messages.Report) -> configuration.Subject:
+    return configuration.Subject(
+        report.host, report.rack, report.failure_domain, report.region
+    )
--- a/src/bilberrypass/process/health.py
+++ b/src/bilberrypass/process/health.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-_log = logbook.Logger("health")
+_log = logbook.Logger("workers")
 
 _FAILURES: t.Final = 4
 _LEAST_JOBS: t.Final = 2
@@ -51,7 +51,7 @@
                     probe_until=0.0,
                 )
                 _log.warning(
-                    "health: {} set aside for {} s: everything fails there",
+                    "workers: {} set aside for {} s: everything fails there",
                     host,
                     known.pause_s,
                 )
--- a/testing/commands/test_tool.py
+++ b/testing/commands/test_tool.py
@@ -105,8 +105,13 @@
         path = pathlib.Path(directory) / "job.json"
         path.write_text("{")
         done = _run(None, "submit", "j", "--file", str(path))
-    assert done.code == 2
-    assert "is no JSON" in done.err
+        assert done.code == 2
+        assert "is no JSON" in done.err
+        for text in ("[]", '{"demand": 3}', "null"):
+            path.write_text(text)
+            done = _run(None, "submit", "j", "--file", str(path))
+            assert done.code == 2, done
+            assert "--file: is no job" in done.err
 
 
 def test_hosts_and_status_speak_to_people_and_programs():
@@ -121,6 +126,77 @@
         assert json.loads(status.out)["entry"] == "local", status
 
 
+def test_operators_need_a_token():
+    with _local() as proc:
+        without = _run(proc, "hosts", BILBERRYPASS_TOKEN="")
+        assert without.code == 1
+        assert without.err.startswith("bilberrypass: UNAUTHORIZED: "), without
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "token"
+            path.write_text(system.OPERATOR.token + "\n")
+            args = ("hosts", "--token-file", str(path))
+            assert _run(proc, *args, BILBERRYPASS_TOKEN="").code == 0
+            path.unlink()
+            missing = _run(proc, *args)
+            assert missing.code == 2, missing
+
+
+def _revision(proc):
+    return json.loads(_run(proc, "config", "show", "--json").out)["revision"]
+
+
+def test_configuration_is_changed_from_the_revision_that_was_seen():
+    with _local() as proc:
+        shown = json.loads(_run(proc, "config", "show", "--json").out)
+        changed = shown | {
+            "exceptions": [
+                {
+                    "match": {"host": "h7"},
+                    "set": {"drain": True},
+                    "reason": "a fan is noisy",
+                }
+            ]
+        }
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "config.json"
+            path.write_text(json.dumps(changed))
+            args = ("config", "set", "--file", str(path), "--note", "fan")
+            asked = _run(proc, *args)
+            assert asked.code == 2, asked
+            assert "--yes" in asked.err
+            assert _revision(proc) == shown["revision"]
+            done = _run(proc, *args, "--yes")
+            assert done.code == 0, done
+            assert "+ exceptions[0].reason" in done.err, done
+            again = _run(proc, *args, "--yes", "--revision", str(shown["revision"]))
+            assert again.code in (0, 5), again
+            path.write_text(json.dumps(changed | {"exceptions": []}))
+            stale = _run(proc, *args, "--yes")
+            assert stale.code == 5, stale
+            assert stale.err.splitlines()[-1].startswith("bilberrypass: CONFLICT: ")
+        listed = _run(proc, "exceptions")
+        assert "a fan is noisy" in listed.out, listed
+        assert "operator" in listed.out, listed
+        history = _run(proc, "config", "history")
+        assert "fan" in history.out, history
+        faulty = _run(proc, "config", "set", "exceptions[0].reason=", "--yes")
+        assert faulty.code == 1, faulty
+        assert "INVALID_CONFIG: exceptions[0].reason" in faulty.err, faulty
+
+
+def test_host_is_drained_and_takes_work_again():
+    with _local() as proc:
+        fixtures.wait_until(
+            lambda: "echo" in _run(proc, "hosts", "--json").out, 10, "host with echo"
+        )
+        without = _run(proc, "drain", "local-host")
+        assert without.code == 1, without
+        assert _run(proc, "drain", "local-host", "--reason", "disk").code == 0
+        assert " drained " in _run(proc, "hosts").out
+        assert _run(proc, "drain", "local-host", "--undo").code == 0
+        assert " live " in _run(proc, "hosts").out
+
+
 def test_token_is_made_with_its_settings_line():
     made = json.loads(_run(None, "token", "ann", "--role", "write", "--json").out)
     assert made["settings"]["name"] == "ann"
--- a/testing/request/test_bad_input.py
+++ b/testing/request/test_bad_input.py
@@ -72,6 +72,12 @@
     return rawhttp.check_refusal(answer)
 
 
+def _as_operator(method, target, headers=(), body=b""):
+    length = str(len(body)).encode()
+    fields = [_TOKEN, (b"Content-Length", length)]
+    return rawhttp.request(method, target, [*fields, *headers], body)
+
+
 def test_garbage_gets_a_refusal_or_a_close():
     with _local() as proc:
 
@@ -192,6 +198,33 @@
         send()
 
 
+def test_any_configuration_gets_an_answer():
+    with _local() as proc:
+
+        @_fixed
+        @hypothesis.given(
+            _json
+            | strategies.fixed_dictionaries(
+                {
+                    "defaults": _json,
+                    "exceptions": strategies.lists(
+                        strategies.fixed_dictionaries(
+                            {"match": _json, "set": _json, "reason": _json}
+                        ),
+                        max_size=2,
+                    ),
+                }
+            ),
+            strategies.sampled_from([b'"0"', b'"1"', b"", b"*", b'W/"1"', b'"-1"']),
+        )
+        def send(value, revision):
+            body = json.dumps(value).encode()
+            raw = _as_operator(b"PUT", b"/config", [(b"If-Match", revision)], body)
+            _send(proc, "operators", raw)
+
+        send()
+
+
 def test_each_fault_has_its_code():
     now = str(time.time() - 10).encode()
     big = b"x" * (_MAX_BODY_BYTES + 1)
@@ -254,8 +287,23 @@
             assert _send(proc, "callers", raw) == code, raw[:80]
         for code, raw in (
             ("NOT_FOUND", rawhttp.request(b"GET", b"/nothing")),
-            ("UNAUTHORIZED", rawhttp.request(b"POST", b"/status")),
-            ("METHOD_NOT_ALLOWED", rawhttp.request(b"POST", b"/status", [_TOKEN])),
+            ("UNAUTHORIZED", rawhttp.request(b"GET", b"/status")),
+            ("METHOD_NOT_ALLOWED", _as_operator(b"POST", b"/status")),
+            ("NOT_FOUND", _as_operator(b"GET", b"/config/x")),
+            ("PRECONDITION_REQUIRED", _as_operator(b"PUT", b"/config")),
+            (
+                "BAD_HEADER",
+                _as_operator(b"PUT", b"/config", [(b"If-Match", b"newest")]),
+            ),
+            (
+                "BAD_BODY",
+                _as_operator(b"PUT", b"/config", [(b"If-Match", b'"0"')], b"{"),
+            ),
+            (
+                "INVALID_CONFIG",
+                _as_operator(b"PUT", b"/config", [(b"If-Match", b'"0"')], b"[]"),
+            ),
+            ("BAD_BODY", _as_operator(b"POST", b"/hosts/h1/drain", (), b"{}")),
         ):
             assert _send(proc, "operators", raw) == code, raw[:80]
 
