--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -95,7 +95,12 @@
             driver = httpworker.HttpWorker(
                 *settings.split_address(self._cfg["worker"]["address"])
             )
-        return tasks.Tasks(self.host, driver, self._incarnation)
+        return tasks.Tasks(
+            self.host,
+            driver,
+            self._incarnation,
+            lambda: self.values.throttle_on_disturbance,
+        )
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -210,7 +215,6 @@
         self._shards = answer.shards
         self.tasks.renew(answer.shards, answer.grants, sent_at)
         self.tasks.forget(answer.recorded)
-        self.tasks.throttle(answer.throttles)
         self.tasks.stop(answer.stop, checkpoint=False)
         self.tasks.stop(answer.evict, checkpoint=True)
         if answer.stop or answer.evict:
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -15,6 +15,7 @@
     claims,
     configuring,
     directory,
+    disturbance,
     fleet,
     interference,
     introductions,
@@ -96,6 +97,7 @@
         self._tools = placing.make_tools(
             placement.Weighted(model, self._latency_weight), self.config.in_force.values
         )
+        self._mover = disturbance.Mover(self._tools, model)
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
@@ -212,6 +214,7 @@
         report = self._apply_drain(report)
         self.fleet.hear(report)
         self._observer.hear(report)
+        self._mover.hear(report)
         by_shard: dict[int, list[messages.TaskState]] = {}
         for state in report.tasks:
             number = worker.shard_of(state.task.team, len(self.shards))
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -10,6 +10,7 @@
 from bilberrypass.process import (
     directory,
     dispatch,
+    disturbance,
     fleet,
     grouped,
     jobcalls,
@@ -57,6 +58,8 @@
         First part of each key.
     pool : futures.Executor, optional
         Runs the calls to hosts.
+    mover : disturbance.Mover, optional
+        Moves tasks that disturb services.
     """
 
     def __init__(
@@ -68,12 +71,14 @@
         lease_s: float,
         prefix: str,
         pool: futures.Executor | None = None,
+        mover: disturbance.Mover | None = None,
     ) -> None:
         super().__init__(names, "jobs", number, prefix)
         self._lease_s = lease_s
         self._seen = sightings.Sightings(lease_s)
         self._dispatch = dispatch.Dispatch(hosts, self._seen, self, pool)
         self._placing = placing.Placing(hosts, tools)
+        self._mover = mover
         self.page_bytes = 0
         self._tidied_at = 0.0
         self._tools = tools
@@ -106,6 +111,8 @@
         """Take back what has lapsed and place what can be placed."""
         self._take_back_lapsed(state)
         self._drop_outlived(state)
+        if self._mover is not None:
+            self._mover.move(state, records.on_host(state))
         self._placed = self._placing.place(state)
 
     def written(self) -> None:
