Let the configuration hold the retry share and the keys' retention

Cause: both stood twice, as settings or constants of an entry and as keys of the configuration that nothing read; requests_in_progress was read by nothing and doubled max_requests, so it is gone.

--- a/src/bilberrypass/process/claims.py
+++ b/src/bilberrypass/process/claims.py
@@ -1,6 +1,7 @@
 """Claims on idempotency keys: a keyed non-idempotent request runs at most once."""
 
 import collections
+import collections.abc as abc
 import hashlib
 import secrets
 import threading
@@ -92,8 +93,8 @@
         The shared keys, and the entry's lease.
     prefix : str
         First part of each key.
-    retention_s : float
-        Life of a claim, in seconds.
+    retention_s : callable
+        Returns the life of a new claim, in seconds.
     """
 
     def __init__(
@@ -101,7 +102,7 @@
         number: int,
         names: directory.Directory,
         prefix: str,
-        retention_s: float,
+        retention_s: abc.Callable[[], float],
     ) -> None:
         super().__init__(names, "claims", number, prefix)
         self._retention_s = retention_s
@@ -171,10 +172,10 @@
             raise errors.Refused(
                 errors.Kind.OVERLOADED,
                 f"claims shard {self.number} holds {_MAX_CLAIMS} keys; "
-                "shorten claim_retention_s or come back later",
+                "shorten limits.claim_retention_s or come back later",
                 retry_after_s=_FULL_RETRY_S,
             )
-        expires_at = int(time.time() + self._retention_s) + 1
+        expires_at = int(time.time() + self._retention_s()) + 1
         state[req.key] = Claim(req.digest, req.claim, expires_at)
         return messages.ClaimAnswer(is_mine=True)
 
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -100,7 +100,10 @@
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
         dispatcher = dispatch.Dispatcher(
-            self.fleet, routing.POLICIES[cfg["routing"]](), cfg["failure_domain"]
+            self.fleet,
+            routing.POLICIES[cfg["routing"]](),
+            cfg["failure_domain"],
+            self._retry_share,
         )
         self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
@@ -108,11 +111,16 @@
     def _latency_weight(self) -> float:
         return self.config.in_force.values().tail_latency
 
+    def _retry_share(self) -> float:
+        return self.config.in_force.values().retry_budget_share
+
+    def _retention_s(self) -> float:
+        return self.config.in_force.values().claim_retention_s
+
     def _make_claims(self) -> claiming.Router:
         prefix = self._cfg["store"]["prefix"]
-        retention_s = self._cfg["claim_retention_s"]
         shards = [
-            claims.Shard(number, self.names, prefix, retention_s)
+            claims.Shard(number, self.names, prefix, self._retention_s)
             for number in range(claims.SHARDS)
         ]
         return claiming.Router(
--- a/src/bilberrypass/request/dispatch.py
+++ b/src/bilberrypass/request/dispatch.py
@@ -1,5 +1,6 @@
 """The attempts at one request, up to its answer or a truthful refusal."""
 
+import collections.abc as abc
 import time
 import typing as t
 
@@ -39,15 +40,21 @@
         Chooses hosts.
     failure_domain : str
         Where the entry stands.
+    retry_share : callable
+        Returns how many retries each first attempt earns.
     """
 
     def __init__(
-        self, hosts: fleet.Fleet, policy: routing.Policy, failure_domain: str
+        self,
+        hosts: fleet.Fleet,
+        policy: routing.Policy,
+        failure_domain: str,
+        retry_share: abc.Callable[[], float],
     ) -> None:
         self._hosts = hosts
         self._policy = policy
         self._health = health.Health(failure_domain)
-        self._budget = limits.RetryBudget()
+        self._budget = limits.RetryBudget(retry_share)
 
     def check(self, service: str) -> None:
         """Refuse a request that no host could take now.
--- a/src/bilberrypass/request/limits.py
+++ b/src/bilberrypass/request/limits.py
@@ -9,7 +9,6 @@
 from bilberrypass import errors
 
 _OPEN_SHARE: t.Final = 0.75
-_RETRY_SHARE: t.Final = 0.2
 _LARGEST_BUDGET: t.Final = 10.0
 
 
@@ -76,16 +75,23 @@
 
 @t.final
 class RetryBudget:
-    """Retries, as a share of first attempts."""
+    """Retries, as a share of first attempts.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    share : callable
+        Returns how many retries each first attempt earns.
+    """
+
+    def __init__(self, share: abc.Callable[[], float]) -> None:
+        self._share = share
         self._lock = threading.Lock()
         self._left = _LARGEST_BUDGET
 
     def earn(self) -> None:
         """Note a first attempt."""
         with self._lock:
-            self._left = min(_LARGEST_BUDGET, self._left + _RETRY_SHARE)
+            self._left = min(_LARGEST_BUDGET, self._left + self._share())
 
     def spend(self) -> bool:
         """Take one retry; False if none is left."""
--- a/src/bilberrypass/version/configuration.py
+++ b/src/bilberrypass/version/configuration.py
@@ -82,7 +82,6 @@
     tail_latency: float
     throughput: float
     evictions: float
-    requests_in_progress: int
     retry_budget_share: float
     claim_retention_s: float
     evictions_per_hour: int
@@ -100,8 +99,7 @@
     },
     "weights": {"tail_latency": 1.0, "throughput": 0.3, "evictions": 0.3},
     "limits": {
-        "requests_in_progress": 1_000,
-        "retry_budget_share": 0.1,
+        "retry_budget_share": 0.2,
         "claim_retention_s": 86_400.0,
         "evictions_per_hour": 60,
         "max_exceptions": 100,
--- a/src/bilberrypass/version/schema.py
+++ b/src/bilberrypass/version/schema.py
@@ -60,10 +60,11 @@
 
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
-    requests_in_progress: t.Annotated[settings.Count, "requests at once, per service"]
     retry_budget_share: t.Annotated[Share, "retries, as a share of first attempts"]
     claim_retention_s: t.Annotated[
-        float, pydantic.Field(ge=60, le=2_678_400), "life of a key's claim"
+        float,
+        pydantic.Field(ge=7_200, le=604_800),
+        "how long an idempotency key is remembered",
     ]
     evictions_per_hour: t.Annotated[
         int, pydantic.Field(ge=0, le=100_000), "budget of evictions of an entry"
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -149,11 +149,6 @@
         t.Literal["least_wait", "random", "round_robin"],
         "how endpoints are chosen; the others are baselines for measuring",
     ]
-    claim_retention_s: t.Annotated[
-        float,
-        pydantic.Field(ge=7_200, le=604_800),
-        "how long an idempotency key is remembered",
-    ]
     member_ttl_s: t.Annotated[Count, "life of the entry's lease in the store"]
     task_lease_s: t.Annotated[Seconds, "life of a task's lease without renewal"]
     leave_wait_s: t.Annotated[Seconds, "wait before a leaving entry stops listening"]
@@ -206,7 +201,6 @@
         "silence_s": 3.0,
         "shards": 8,
         "routing": "least_wait",
-        "claim_retention_s": 86_400.0,
         "member_ttl_s": 10,
         "task_lease_s": 300.0,
         "leave_wait_s": 2.0,
--- a/testing/request/test_limits.py
+++ b/testing/request/test_limits.py
@@ -61,7 +61,7 @@
 
 
 def test_retries_are_a_share_of_first_attempts():
-    budget = limits.RetryBudget()
+    budget = limits.RetryBudget(lambda: 0.2)
     while budget.spend():
         pass
     for _ in range(100):
@@ -72,6 +72,20 @@
     assert retries <= 10, retries
 
 
+def test_retry_share_follows_the_configuration():
+    shares = [0.0]
+    budget = limits.RetryBudget(lambda: shares[0])
+    while budget.spend():
+        pass
+    budget.earn()
+    budget.earn()
+    assert not budget.spend()
+    shares[0] = 0.5
+    budget.earn()
+    budget.earn()
+    assert budget.spend() and not budget.spend()
+
+
 def test_host_that_fails_everything_is_set_aside_then_probed_once():
     known = health.Health("fd1")
     hosts = [_host("h1"), _host("h2"), _host("h3")]
