--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -11,6 +11,8 @@
 from bilberrypass import errors
 from bilberrypass.connection import channels, etcd, messages, serving, store, worker
 from bilberrypass.process import (
+    claiming,
+    claims,
     configuring,
     directory,
     fleet,
@@ -25,7 +27,7 @@
     tokens,
     web,
 )
-from bilberrypass.request import callers, routing
+from bilberrypass.request import callers, dispatch, routing
 from bilberrypass.version import configuration, settings
 
 _log = logbook.Logger("entry")
@@ -68,6 +70,7 @@
             {
                 channels.REPORT: self._hear_report,
                 channels.JOB: self._serve_job,
+                channels.CLAIM: self._serve_claim,
                 channels.CONFIG: self._tell_config,
             },
             _PEER_THREADS,
@@ -87,9 +90,22 @@
         self._rereader = tokens.Rereader(path, self.keeper) if path else None
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
-        self._callers = callers.Callers(cfg, self.fleet, routing.LeastOutstanding())
+        self._claims = self._make_claims()
+        dispatcher = dispatch.Dispatcher(
+            self.fleet, routing.LeastWait(), cfg["failure_domain"]
+        )
+        self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
 
+    def _make_claims(self) -> claiming.Router:
+        prefix = self._cfg["store"]["prefix"]
+        retention_s = self._cfg["claim_retention_s"]
+        shards = [
+            claims.Shard(number, self.names, prefix, retention_s)
+            for number in range(claims.SHARDS)
+        ]
+        return claiming.Router(self.names, shards)
+
     def _make_shard(self, number: int) -> owner.Shard:
         return owner.Shard(
             number,
@@ -164,6 +180,7 @@
             self._rereader.start()
         for shard in self.shards:
             shard.start()
+        self._claims.start()
         for listener in self._listeners:
             listener.start()
         _log.info("entry: {} serves at {}", self._cfg["id"], self.addresses["callers"])
@@ -217,6 +234,9 @@
             )
         return self._router.serve(req)
 
+    def _serve_claim(self, req: messages.ClaimCall) -> messages.ClaimAnswer:
+        return self._claims.serve(req)
+
     def stop(self) -> None:
         """Leave: readiness first, then new connections, then what is in progress."""
         self._leaving.set()
@@ -228,6 +248,7 @@
             time.sleep(_IN_PROGRESS_POLL_S)
         for shard in self.shards:
             shard.stop()
+        self._claims.stop()
         for listener in self._listeners:
             listener.stop()
         if self._rereader:
