--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -16,6 +16,7 @@
     configuring,
     directory,
     fleet,
+    interference,
     introductions,
     jobs,
     metered,
@@ -23,6 +24,7 @@
     operators,
     owner,
     placement,
+    placing,
     revisions,
     tokens,
     web,
@@ -34,7 +36,8 @@
 
 _SPARE_THREADS: t.Final = 16
 _OPERATOR_THREADS: t.Final = 16
-_PEER_THREADS: t.Final = 16
+_PEER_THREADS: t.Final = 32
+_CLAIMING_PART: t.Final = 4
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _PEER_GRACE_S: t.Final = 5.0
@@ -88,15 +91,23 @@
         )
         self.keeper = tokens.Keeper(cfg["operator_tokens"])
         self._rereader = tokens.Rereader(path, self.keeper) if path else None
+        model = interference.Model()
+        self._observer = interference.Observer(model)
+        self._tools = placing.make_tools(
+            placement.Weighted(model, self._latency_weight), self.config.in_force.values
+        )
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
         dispatcher = dispatch.Dispatcher(
-            self.fleet, routing.LeastWait(), cfg["failure_domain"]
+            self.fleet, routing.POLICIES[cfg["routing"]](), cfg["failure_domain"]
         )
         self._callers = callers.Callers(cfg, dispatcher, self._claims)
         self._listeners = [self._listen_callers(), self._listen_operators()]
 
+    def _latency_weight(self) -> float:
+        return self.config.in_force.values().tail_latency
+
     def _make_claims(self) -> claiming.Router:
         prefix = self._cfg["store"]["prefix"]
         retention_s = self._cfg["claim_retention_s"]
@@ -104,14 +115,16 @@
             claims.Shard(number, self.names, prefix, retention_s)
             for number in range(claims.SHARDS)
         ]
-        return claiming.Router(self.names, shards)
+        return claiming.Router(
+            self.names, shards, max(1, self._cfg["max_requests"] // _CLAIMING_PART)
+        )
 
     def _make_shard(self, number: int) -> owner.Shard:
         return owner.Shard(
             number,
             self.names,
             self.fleet,
-            placement.FirstFit(),
+            self._tools,
             self._cfg["task_lease_s"],
             self._cfg["store"]["prefix"],
         )
@@ -189,42 +202,41 @@
         told = self.config.tell(ask)
         return told._replace(why_not_ready=self.why_not_ready())
 
-    def _slice_for(self, report: messages.Report) -> bytes:
-        """Return what concerns the host of a newer configuration, if there is one."""
-        document = self.config.in_force.document
-        if document.revision <= report.revision:
-            return b""
-        host = configuration.Subject(
-            report.host, report.rack, report.failure_domain, report.region
-        )
-        return configuration.encode(configuration.part_for(document, host))
+    def _apply_drain(self, report: messages.Report) -> messages.Report:
+        """Take a drained host as leaving, though its agent may not know it yet."""
+        drain = self.config.in_force.values(_subject_of(report)).drain
+        return report._replace(leaving=True) if drain else report
 
     def _hear_report(self, report: messages.Report) -> messages.Reported:
         self.config.hear(report.revision, report.address)
+        report = self._apply_drain(report)
         self.fleet.hear(report)
-        grants, recorded, stop = [], [], []
-        for shard in self.shards:
-            own = [
-                state
-                for state in report.tasks
-                if worker.shard_of(state.task.team, len(self.shards)) == shard.number
-            ]
-            grant, ends, unwanted = shard.hear(report._replace(tasks=own))
-            grants += [grant] if grant else []
-            recorded += ends
-            stop += unwanted
+        self._observer.hear(report)
+        by_shard: dict[int, list[messages.TaskState]] = {}
+        for state in report.tasks:
+            number = worker.shard_of(state.task.team, len(self.shards))
+            by_shard.setdefault(number, []).append(state)
+        heard = [
+            shard.hear(report._replace(tasks=by_shard.get(shard.number, [])))
+            for shard in self.shards
+            if shard.is_owned
+        ]
         metrics.count(metrics.Name.REPORTS)
         metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
         metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
+        metrics.gauge(metrics.Name.CONFIG_AGE, self.config.age_s())
+        owned = sum(shard.is_owned for shard in self.shards)
+        metrics.gauge(metrics.Name.SHARDS_OWNED, owned)
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
             entries=[member.peers for member in self.names.members()],
             shards=len(self.shards),
-            grants=grants,
-            recorded=recorded,
-            stop=stop,
-            slice=self._slice_for(report),
+            grants=[part.grant for part in heard if part.grant],
+            recorded=[task for part in heard for task in part.recorded],
+            stop=[task for part in heard for task in part.stop],
+            evict=[task for part in heard for task in part.evict],
+            slice=self.config.in_force.slice_for(_subject_of(report), report.revision),
         )
 
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
@@ -258,3 +270,9 @@
         self.names.stop()
         self._server.stop(_PEER_GRACE_S)
         self._kv.close()
+
+
+def _subject_of(report: messages.Report) -> configuration.Subject:
+    return configuration.Subject(
+        report.host, report.rack, report.failure_domain, report.region
+    )
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -17,14 +17,20 @@
 WAITING: t.Final = "waiting"
 PLACED: t.Final = "placed"
 RUNNING: t.Final = "running"
+EVICTING: t.Final = "evicting"
 STOPPING: t.Final = "stopping"
 FINISHED: t.Final = "finished"
 FAILED: t.Final = "failed"
 CANCELLED: t.Final = "cancelled"
 
-ON_HOST: t.Final = frozenset({PLACED, RUNNING, STOPPING})
+ON_HOST: t.Final = frozenset({PLACED, RUNNING, EVICTING, STOPPING})
 ENDED: t.Final = frozenset({FINISHED, FAILED, CANCELLED})
 
+MAX_BYTES: t.Final = 900_000
+"""Size at which a page takes no new jobs; the store's limit is a megabyte."""
+
+_KEPT_ENDED_S: t.Final = 3_600.0
+_KEPT_ENDED_JOBS: t.Final = 1_000
 _MAX_TASKS: t.Final = 2_000
 _MAX_ATTEMPTS: t.Final = 20
 _COMPRESSION: t.Final = 1
@@ -42,6 +48,18 @@
     accelerators: t.Annotated[int, pydantic.Field(ge=0, le=1_000)]
 
 
+class RulesBody(te.TypedDict, total=False):
+    """Where a job's tasks may run, as it comes in; left out: anywhere."""
+
+    __pydantic_config__ = pydantic.ConfigDict(  # type: ignore[misc]
+        extra="forbid", strict=True
+    )
+
+    failure_domains: list[settings.Name]
+    racks: list[settings.Name]
+    hosts: list[settings.Name]
+
+
 class JobBody(te.TypedDict, total=False):
     """A job as it comes in."""
 
@@ -56,6 +74,7 @@
     task_class: settings.Name
     urgent: bool
     max_attempts: t.Annotated[int, pydantic.Field(ge=1, le=_MAX_ATTEMPTS)]
+    rules: RulesBody
 
 
 @functools.cache
@@ -63,14 +82,31 @@
     return pydantic.TypeAdapter(JobBody)
 
 
+class Rules(t.NamedTuple):
+    """Where a job's tasks may run; an empty list allows all."""
+
+    failure_domains: list[str] = []
+    racks: list[str] = []
+    hosts: list[str] = []
+
+
 class TaskRecord(t.NamedTuple):
-    """One task: where it is, at which attempt, and its last checkpoint."""
+    """One task: where it is, at which attempt, and its last checkpoint.
+
+    ``attempt`` rises with each placement. ``failures`` counts only the runs that
+    failed by themselves, the last one on ``failed_on``. ``changed_at`` is when
+    the state was entered, in Unix seconds.
+    """
 
     state: str = WAITING
     attempt: int = 0
     host: str = ""
     checkpoint: str = ""
     detail: str = ""
+    failures: int = 0
+    evictions: int = 0
+    failed_on: str = ""
+    changed_at: float = 0.0
 
 
 class JobRecord(t.NamedTuple):
@@ -87,6 +123,7 @@
     submitted_at: float
     traceparent: str
     tasks: list[TaskRecord]
+    rules: Rules = Rules()
 
     @property
     def state(self) -> str:
@@ -97,7 +134,7 @@
                 if state in states:
                     return state
             return FINISHED
-        return RUNNING if states & {RUNNING, PLACED, FINISHED} else WAITING
+        return RUNNING if states & (ON_HOST | {FINISHED}) else WAITING
 
     def with_task(self, index: int, record: TaskRecord) -> "JobRecord":
         """Return the job with one task's record replaced."""
@@ -108,7 +145,7 @@
     def spec(self, index: int) -> worker.Spec:
         """Return what a worker needs for a task's present attempt."""
         record = self.tasks[index]
-        task = worker.TaskId(self.team, self.id, index, record.attempt)
+        task = self.task_id(index)
         return worker.Spec(
             task,
             self.demand,
@@ -118,6 +155,38 @@
             self.traceparent,
         )
 
+    def task_id(self, index: int) -> worker.TaskId:
+        """Return the identity of a task's present attempt."""
+        return worker.TaskId(self.team, self.id, index, self.tasks[index].attempt)
+
+
+def outlived(jobs: abc.Iterable[JobRecord], now: float) -> list[JobRecord]:
+    """Return the ended jobs that need not be kept any longer.
+
+    Parameters
+    ----------
+    jobs : iterable of JobRecord
+        All jobs of a page.
+    now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    list of JobRecord
+        Those that ended too long ago, and the oldest where there are too many.
+    """
+    ended = [job for job in jobs if job.state in ENDED]
+    ended.sort(key=_ended_at, reverse=True)
+    return [
+        job
+        for place, job in enumerate(ended)
+        if place >= _KEPT_ENDED_JOBS or now > _ended_at(job) + _KEPT_ENDED_S
+    ]
+
+
+def _ended_at(job: JobRecord) -> float:
+    return max(record.changed_at for record in job.tasks)
+
 
 class Page(t.NamedTuple):
     """The jobs of a shard, written by one owner at a time.
@@ -168,7 +237,8 @@
         digest=_digest(checked),
         submitted_at=now,
         traceparent=traceparent,
-        tasks=[TaskRecord() for _ in range(checked.get("tasks", 1))],
+        tasks=[TaskRecord(changed_at=now)] * checked.get("tasks", 1),
+        rules=Rules(**checked.get("rules", {})),
     )
 
 
--- a/testing/process/test_configuring.py
+++ b/testing/process/test_configuring.py
@@ -3,6 +3,11 @@
 import contextlib
 import time
 
+import hypothesis
+import hypothesis.strategies as st
+
+from bilberrypass.process import configuring
+from bilberrypass.version import configuration
 from testing import collecting, fixtures, system
 from testing.process import fleets
 
@@ -72,6 +77,14 @@
             lambda: fleets.put(run.url(1), 1, 3).status == 200, 10, "the change"
         )
         fleets.wait_in_force(run.url(0), 2)
+        fleets.wait_members(run.url(0), 2)
+        fixtures.wait_until(
+            lambda: all(
+                s["owner"] for s in fleets.get(run.url(0), "/status")["shards"]
+            ),
+            fleets.START_S,
+            "the shards' owners, whose leases lapsed",
+        )
 
 
 def _doubts(url):
@@ -99,6 +112,41 @@
         assert (again.status, again.json()["revision"]) == (200, 2), again.body
 
 
+def test_frozen_entry_wakes_behind_and_sets_nobody_back():
+    with fleets.fleet() as run, fleets.Observer([run.url(0)]) as observer:
+        run.entries[1].freeze()
+        for number in range(10):
+            assert fleets.put(run.url(0), number, number + 1).status == 200
+        fleets.wait_in_force(run.url(0), 10)
+        run.entries[1].thaw()
+        fleets.wait_in_force(run.url(1), 10)
+        assert observer.falls == [], observer.falls
+
+
+@hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+@hypothesis.given(st.lists(st.integers(0, 9), max_size=30))
+def test_revision_never_falls_in_any_order_of_arrival(arrivals):
+    in_force = configuring.InForce()
+    highest = 0
+    for revision in arrivals:
+        in_force.adopt(configuration.FIRST._replace(revision=revision))
+        highest = max(highest, revision)
+        assert in_force.revision == highest
+
+
+def test_slices_are_cut_from_whole_documents_only():
+    drain = {"match": {"host": "h1"}, "set": {"drain": True}, "reason": "a"}
+    whole = configuration.FIRST._replace(revision=1, exceptions=[drain])
+    other, drained = configuration.Subject("h0"), configuration.Subject("h1")
+    in_force = configuring.InForce()
+    in_force.adopt(configuration.part_for(whole, other))
+    assert in_force.slice_for(drained, 0) == b""
+    in_force.adopt(whole)
+    part = configuration.decode(in_force.slice_for(drained, 0))
+    assert part.exceptions == [drain]
+    assert in_force.slice_for(drained, 1) == b""
+
+
 def test_going_back_is_a_new_revision():
     with fleets.fleet(entries=1, hosts=1) as run:
         url = run.url(0)
