--- a/src/bilberrypass/commands/config.py
+++ b/src/bilberrypass/commands/config.py
@@ -4,7 +4,9 @@
 import json
 import pathlib
 import re
+import secrets
 import sys
+import time
 import typing as t
 
 import typer
@@ -12,6 +14,7 @@
 from bilberrypass import errors
 from bilberrypass.commands import client, options, output
 
+_RETRY_S: t.Final = 15.0
 _PARTS: t.Final = ("defaults", "exceptions")
 _STEP: t.Final = re.compile(r"([^.\[\]]+)|\[(\d+)\]")
 
@@ -142,7 +145,10 @@
         typer.echo(line, err=True)
     _confirm(yes)
     body = wanted | ({"note": note} if note else {})
-    answer = entries.call("PUT", "/config", body, {"If-Match": f'"{base}"'})
+    # The key lets a repetition after a lost answer be accepted once.
+    headers = {"If-Match": f'"{base}"', "Idempotency-Key": secrets.token_hex(16)}
+    deadline = time.monotonic() + _RETRY_S
+    answer = entries.call_until("PUT", "/config", body, deadline, headers)
     if as_json:
         output.write_json(answer.value)
         return
