Bound the time between two reports

Cause: an agent refuses forwards that quote a report older than 10 s, so with 20 entries an interval of 10 s would have had requests refused in vain. Conclusion: the interval ends at 6 s, which 12 entries reach.

--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -33,6 +33,8 @@
 _LONGEST_LEAVE_S: t.Final = 60.0
 _FORGET_ENTRY_S: t.Final = 30.0
 _FULL_RATE_ENTRIES: t.Final = 2
+# Entries quote the clock of a report, which must not grow too old on the way.
+_LONGEST_INTERVAL_S: t.Final = 6.0
 
 
 @t.final
@@ -140,9 +142,10 @@
 
     def _pace(self) -> None:
         """Bound the reports that the host sends, however many the entries are."""
-        times = max(1.0, len(self._reporters) / _FULL_RATE_ENTRIES)
+        least_s = self._cfg["report_interval_s"]
+        wanted_s = least_s * len(self._reporters) / _FULL_RATE_ENTRIES
         for reporter in self._reporters.values():
-            reporter.interval_s = times * self._cfg["report_interval_s"]
+            reporter.interval_s = max(least_s, min(wanted_s, _LONGEST_INTERVAL_S))
 
     def _interval_s(self) -> float:
         return max((r.interval_s for r in list(self._reporters.values())), default=0.0)
--- a/testing/process/test_pacing.py
+++ b/testing/process/test_pacing.py
@@ -45,7 +45,12 @@
 def test_host_reports_to_each_of_many_entries_more_rarely():
     with _agent(entries=1) as made:
         assert made.report(1).interval_s == 1.0
-    with _agent(entries=12) as made:
+    with _agent(entries=8) as made:
+        assert made.report(1).interval_s == 4.0
+
+
+def test_time_between_reports_stays_bounded():
+    with _agent(entries=20) as made:
         assert made.report(1).interval_s == 6.0
 
 
