Do not ask a caller to send again what may have run

Cause: ANSWER_LOST carried Retry-After also for a non-idempotent request without a key, which a retrying program would have run twice.

--- a/src/bilberrypass/errors.py
+++ b/src/bilberrypass/errors.py
@@ -130,6 +130,7 @@
         self.detail = detail
         self.ran = ANSWERS[kind].ran if ran is None else ran
         self.retry_after_s = retry_after_s
+        self.retry_helps = ANSWERS[kind].retry_helps
 
     def __str__(self) -> str:
         return f"{self.kind}: {self.detail}"
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -113,7 +113,20 @@
         with self._shares.hold(req.service):
             if steering.key and not steering.idempotent:
                 return self._run_claimed(req, steering)
-            return self._dispatcher.run(req, steering.deadline)
+            return self._run_unclaimed(req, steering.deadline)
+
+    def _run_unclaimed(
+        self, req: messages.Forward, deadline: float
+    ) -> messages.Forwarded:
+        """Run a request that no key keeps from running again."""
+        try:
+            return self._dispatcher.run(req, deadline)
+        except errors.Error as exc:
+            if not req.idempotent and exc.ran is not errors.Ran.NO:
+                # Retry-After would ask the caller to run it twice.
+                exc.retry_helps = False
+                exc.detail += "; look up its effect before sending it again"
+            raise
 
     def _run_claimed(
         self, req: messages.Forward, steering: steering_headers.Steering
--- a/src/bilberrypass/request/problems.py
+++ b/src/bilberrypass/request/problems.py
@@ -43,7 +43,7 @@
     if isinstance(exc, errors.Conflict):
         content["changed"] = exc.changed
     headers = [("Content-Type", CONTENT_TYPE)]
-    if answer.retry_helps:
+    if exc.retry_helps:
         headers.append(("Retry-After", _retry_after(exc.retry_after_s)))
     if exc.kind in _BODY_UNREAD:
         # What is left of the body would be taken for the next request.
--- a/testing/request/faults.py
+++ b/testing/request/faults.py
@@ -191,6 +191,8 @@
     if one.told.ran == "no":
         assert count == 0, ("told that it did not run, and it ran", one)
         assert one.told.status >= 400, one
+    elif not one.key:
+        assert one.told.retry_after is None, ("asked to run it twice", one)
     if one.told.status == 200:
         ran = by_key.get(one.key, 0) if one.key else count
         assert ran == 1, ("answered, but did not run", one)
