Bound what claims take in memory, and wait for no note of an end

Cause: an entry that owned all shards could have held 32 MB of answers and 36 MB of claims, where a node has 64 MB; a note of an end waited for the store's write, so that one thread sent a note for each write only.

--- a/src/bilberrypass/process/claims.py
+++ b/src/bilberrypass/process/claims.py
@@ -17,12 +17,12 @@
 _KEY_BYTES: t.Final = 12
 _DIGEST_BYTES: t.Final = 8
 _CLAIM_BYTES: t.Final = 8
-# A claim takes at most 48 bytes of a page, and a page stays below 0.8 MB.
-_MAX_CLAIMS: t.Final = 16_000
+# Bounds the page and the memory of an entry that owns all shards.
+_MAX_CLAIMS: t.Final = 8_000
 _SWEEP_INTERVAL_S: t.Final = 10.0
 _FULL_RETRY_S: t.Final = 30.0
 _RETRY_S: t.Final = 1.0
-_MAX_ANSWERS_BYTES: t.Final = 4 << 20
+_MAX_ANSWERS_BYTES: t.Final = 512 << 10
 
 MAX_ANSWER_BYTES: t.Final = 64 << 10
 SHARDS: t.Final = 8
@@ -151,12 +151,18 @@
             )
         if req.verb == CLAIM:
             return self._claim(req, deadline)
-        if req.verb == FINISH and req.answer is not None:
-            self._answers.keep(req.claim, req.answer)
-        change = self._finish if req.verb == FINISH else self._release
-        self.change(lambda state: change(state, req), deadline)
+        if req.verb == RELEASE:
+            self.change(lambda state: self._release(state, req), deadline)
+        else:
+            self._note_finish(req)
         return messages.ClaimAnswer(is_mine=False)
 
+    def _note_finish(self, req: messages.ClaimCall) -> None:
+        """Keep the answer; the next write notes the end, and nobody waits for it."""
+        if req.answer is not None:
+            self._answers.keep(req.claim, req.answer)
+        self.submit(lambda state: self._finish(state, req))
+
     def _claim(self, req: messages.ClaimCall, deadline: float) -> messages.ClaimAnswer:
         known = self.state.get(req.key)
         if known is not None and known.claim != req.claim:
