--- a/testing/request/test_dispatch.py
+++ b/testing/request/test_dispatch.py
@@ -51,7 +51,7 @@
 def _run(*peers: _Peer, idempotent: bool = False):
     req = messages.Forward("r1", "echo", "POST", "/", [], b"", 0.0, idempotent)
     hosts = t.cast(fleet.Fleet, _Hosts(*peers))
-    dispatcher = dispatch.Dispatcher(hosts, routing.RoundRobin(), "fd1")
+    dispatcher = dispatch.Dispatcher(hosts, routing.RoundRobin(), "fd1", lambda: 0.1)
     try:
         return dispatcher.run(req, time.monotonic() + 5.0)
     except errors.Error as exc:
