--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import itertools
 import json
 import signal
 import sys
@@ -42,8 +43,10 @@
         self._ends_at: dict[worker.TaskId, float] = {}
         self.started = 0
         self.revision = 0
+        sequences = itertools.count(1)
         self.reporters = [
-            reporting.Reporter(entry, self, args.interval) for entry in args.entries
+            reporting.Reporter(entry, self, args.interval, sequences)
+            for entry in args.entries
         ]
 
     def _endpoint(self, number: int) -> messages.EndpointState:
