Let the guard admission_limit switch the refusals before a queue

The key was in the configuration and nothing read it. The host's own capacity stays a limit in any case: no host may be committed beyond it.

--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -66,10 +66,18 @@
         Requests served at once.
     max_queued : int
         Requests that may wait; one more is refused at once.
+    is_limited : callable
+        Tells whether requests are refused before they wait.
     """
 
-    def __init__(self, count: int, max_queued: int) -> None:
+    def __init__(
+        self,
+        count: int,
+        max_queued: int,
+        is_limited: abc.Callable[[], bool] = lambda: True,
+    ) -> None:
         self.count = count
+        self._is_limited = is_limited
         self._max_queued = max_queued
         self._lock = threading.Lock()
         self._order = itertools.count()
@@ -110,6 +118,8 @@
         raise self._refusal("no slot came free in time")
 
     def _check_room(self, deadline: float) -> None:
+        if not self._is_limited():
+            return
         if len(self._waiting) >= self._max_queued:
             raise self._refusal("its queue is full")
         ahead = sum(1 for place in self._waiting if place[0] <= deadline)
@@ -150,15 +160,22 @@
         Requests that may wait for a slot.
     max_body_bytes : int
         Largest answer that is passed on.
+    is_limited : callable
+        Tells whether requests are refused before they wait.
     """
 
     def __init__(
-        self, id: str, said: Announcement, max_queued: int, max_body_bytes: int
+        self,
+        id: str,
+        said: Announcement,
+        max_queued: int,
+        max_body_bytes: int,
+        is_limited: abc.Callable[[], bool] = lambda: True,
     ) -> None:
         self.id = id
         self.said = said
         self.heard_at = time.monotonic()
-        self.slots = Slots(said["slots"], max_queued)
+        self.slots = Slots(said["slots"], max_queued, is_limited)
         self._max_body_bytes = max_body_bytes
         host, _, port = said["address"].rpartition(":")
         self._pool = pool.Connections(host.strip("[]"), int(port), said["slots"])
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -277,7 +277,11 @@
         known = self._endpoints.get(id)
         if known is None or known.said["address"] != said["address"]:
             self._endpoints[id] = endpoint.Endpoint(
-                id, said, self._cfg["max_queued"], self._cfg["max_body_bytes"]
+                id,
+                said,
+                self._cfg["max_queued"],
+                self._cfg["max_body_bytes"],
+                lambda: self.values.admission_limit,
             )
             _log.info("agent: endpoint {} of {} announced", id, said["service"])
             self._hurry()
--- a/src/bilberrypass/version/schema.py
+++ b/src/bilberrypass/version/schema.py
@@ -39,7 +39,9 @@
 
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
-    admission_limit: t.Annotated[bool, "refuse what a host does not hold"]
+    admission_limit: t.Annotated[
+        bool, "refuse requests that a full queue cannot serve in time"
+    ]
     throttle_on_disturbance: t.Annotated[bool, "throttle batch work that disturbs"]
     set_aside_failing_workers: t.Annotated[bool, "rest a worker that fails everything"]
     eviction_budget: t.Annotated[bool, "bound the number of evictions"]
--- a/testing/connection/test_endpoint.py
+++ b/testing/connection/test_endpoint.py
@@ -171,6 +171,23 @@
         raise AssertionError("took a slot")
 
 
+def test_guard_that_is_off_lets_requests_wait_in_a_full_queue():
+    guard = [True]
+    slots = endpoint.Slots(1, 0, lambda: guard[0])
+    slots.take(time.monotonic() + 1.0)
+    try:
+        slots.take(time.monotonic() + 0.1)
+        raise AssertionError("a full queue took a request")
+    except errors.Refused as exc:
+        assert "its queue is full" in exc.detail, exc.detail
+    guard[0] = False
+    try:
+        slots.take(time.monotonic() + 0.1)
+        raise AssertionError("a slot was given twice")
+    except errors.Refused as exc:
+        assert "no slot came free in time" in exc.detail, exc.detail
+
+
 def test_endpoint_that_leaves_takes_nothing_from_the_queue():
     ran = standin.Endpoint("echo", "ep1", 1)
     with serving.listening(ran.handle) as address:
