--- a/src/bilberrypass/commands/client.py
+++ b/src/bilberrypass/commands/client.py
@@ -105,20 +105,25 @@
         return Answer(_parse(resp), resp.headers)
 
     def call_until(
-        self, method: str, path: str, body: object, deadline: float
+        self,
+        method: str,
+        path: str,
+        body: object,
+        deadline: float,
+        headers: abc.Mapping[str, str] | None = None,
     ) -> Answer:
         """Send an idempotent request again until it is answered or time is up.
 
         Parameters
         ----------
-        method, path, body
+        method, path, body, headers
             As in ``call``.
         deadline : float
             Monotonic seconds after which no further try is made.
         """
         while True:
             try:
-                return self.call(method, path, body)
+                return self.call(method, path, body, headers)
             except errors.Error as exc:
                 pause_s = min(_MAX_PAUSE_S, exc.retry_after_s or 1.0)
                 helps = errors.ANSWERS[exc.kind].retry_helps
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -128,8 +128,7 @@
 
     ``recorded`` are ends that the store holds; ``stop`` are tasks that must not
     run on this host; ``evict`` are those to checkpoint and then to stop;
-    ``slice`` is the agent's part of a newer configuration. ``throttles`` pairs
-    tasks with the share (0 to 1) of their processors that they may use.
+    ``slice`` is the agent's part of a newer configuration.
     """
 
     entry: str
@@ -141,7 +140,6 @@
     stop: list[worker.TaskId]
     slice: bytes = b""
     evict: list[worker.TaskId] = []
-    throttles: list[tuple[worker.TaskId, float]] = []
 
 
 class Start(t.NamedTuple):
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -39,9 +39,13 @@
     return value
 
 
+def _is_unspecified(address: str) -> bool:
+    return ipaddress.ip_address(split_address(address)[0]).is_unspecified
+
+
 def _check_announced(value: str) -> str:
     check_address(value)
-    if ipaddress.ip_address(split_address(value)[0]).is_unspecified:
+    if _is_unspecified(value):
         raise ValueError(
             f"{value!r} is told to other processes; write this host's own IP number"
         )
@@ -166,7 +170,7 @@
     region: t.Annotated[Name, "region that it stands in"]
     failure_domain: te.Required[t.Annotated[Name, "failure domain that it stands in"]]
     rack: t.Annotated[Name, "rack that it stands in"]
-    peers: te.Required[t.Annotated[AnnouncedAddress, "address for entries, gRPC"]]
+    peers: te.Required[t.Annotated[Address, "address for entries, gRPC"]]
     advertised: t.Annotated[
         RemoteAddress, "address that entries use, if not that of peers"
     ]
@@ -264,7 +268,7 @@
 
 def check_agent(value: object) -> Agent:
     """Check an agent's settings and fill in the defaults."""
-    faults = _clashes(value)
+    faults = _clashes(value) + _agent_address_faults(value)
     return _with_defaults(_check_whole(Agent, value, faults), AGENT_DEFAULTS)
 
 
@@ -295,6 +299,23 @@
     return faults
 
 
+def _agent_address_faults(value: object) -> list[str]:
+    """Find an address told to the entries that they cannot use."""
+    if not isinstance(value, dict):
+        return []
+    key = "advertised" if "advertised" in value else "peers"
+    try:
+        is_usable = not _is_unspecified(check_address(value[key]))
+    except (ValueError, KeyError, AttributeError):
+        # Its own check tells the fault.
+        return []
+    if is_usable:
+        return []
+    return [
+        f"{key}: {value[key]!r} is told to the entries; set advertised to their way"
+    ]
+
+
 def _store_faults(value: object, is_local: bool) -> list[str]:
     store = value.get("store") if isinstance(value, dict) else None
     if not isinstance(store, dict):
