--- a/src/bilberrypass/commands/config.py
+++ b/src/bilberrypass/commands/config.py
@@ -50,7 +50,10 @@
     when = value.get("time")
     moment = output.format_time(when) if isinstance(when, int | float) else when
     author = value.get("author") or "nobody"
-    typer.echo(f"revision {value['revision']}, by {author}, {moment or 'never set'}")
+    if not when:
+        typer.echo(f"revision {value['revision']}: nothing was set yet")
+        return
+    typer.echo(f"revision {value['revision']}, by {author}, {moment}")
 
 
 def _write_exceptions(exceptions: list[dict[str, t.Any]]) -> None:
--- a/src/bilberrypass/commands/fleet.py
+++ b/src/bilberrypass/commands/fleet.py
@@ -1,6 +1,5 @@
 """The commands about entries and hosts."""
 
-import json
 import typing as t
 import urllib.parse
 
@@ -19,8 +18,30 @@
     if as_json:
         output.write_json(value)
         return
-    rows = [(path, json.dumps(v)) for path, v in output.flatten(value).items()]
-    output.write_table(("WHAT", "VALUE"), rows)
+    typer.echo(f"as entry {value['entry']} sees it")
+    output.write_table(
+        ("ENTRY", "PEERS", "STATE", "REVISION", "CURRENT"),
+        [_entry_row(entry) for entry in value["entries"]],
+    )
+    typer.echo("")
+    output.write_table(
+        ("SHARDS", "NUMBER", "OWNER", "EPOCH"),
+        [(s["kind"], s["shard"], s["owner"], s["epoch"]) for s in value["shards"]],
+    )
+    known = value["hosts"]
+    behind = ", ".join(known["behind"]) or "none"
+    typer.echo(f"\n{known['count']} hosts, {known['silent']} silent, behind: {behind}")
+
+
+def _entry_row(entry: dict[str, t.Any]) -> tuple[object, ...]:
+    state = "ready" if entry["ready"] else entry.get("why_not_ready", "out of reach")
+    return (
+        entry["id"],
+        entry["peers"],
+        state,
+        entry.get("revision"),
+        entry.get("current"),
+    )
 
 
 def hosts(
--- a/src/bilberrypass/commands/jobs.py
+++ b/src/bilberrypass/commands/jobs.py
@@ -1,7 +1,6 @@
 """The commands about jobs: ``submit`` and ``job``."""
 
 import collections
-import json
 import pathlib
 import time
 import typing as t
@@ -202,9 +201,19 @@
     entry: options.Entry = options.DEFAULT_ENTRY,
 ) -> None:
     """Tell why a job is where it is, or why it waits."""
-    answer = options.callers(entry).call("GET", _path(id, team, "/explain"))
+    job = options.callers(entry).call("GET", _path(id, team, "/explain")).value
+    _write_job(job, as_json)
     if as_json:
-        output.write_json(answer.value)
         return
-    rows = [(path, json.dumps(v)) for path, v in output.flatten(answer.value).items()]
-    output.write_table(("WHAT", "VALUE"), rows)
+    if job.get("never_fits"):
+        typer.echo(f"no host could ever hold it: {job['never_fits']}")
+    rows = [
+        (output.format_time(d["at"]), d["times"], d["text"], _describe_left_out(d))
+        for d in job.get("decisions", [])
+    ]
+    output.write_table(("NEWEST", "TIMES", "DECISION", "HOSTS LEFT OUT"), rows)
+
+
+def _describe_left_out(decision: dict[str, t.Any]) -> str:
+    left_out = decision.get("left_out", {})
+    return ", ".join(f"{count} {why}" for why, count in left_out.items())
--- a/testing/commands/test_tool.py
+++ b/testing/commands/test_tool.py
@@ -184,6 +184,35 @@
         assert "INVALID_CONFIG: exceptions[0].reason" in faulty.err, faulty
 
 
+def test_explain_tells_why_a_job_waits():
+    with _local() as proc:
+        big = ("submit", "big", "--team", "plans", "--cpu-milli", "6000")
+        body = ("--memory-mb", "1", "--tasks", "2", "--payload", '{"run_s": 60}')
+        assert _run(proc, *big, *body).code == 0
+        told = fixtures.wait_until(
+            lambda: _find(_run(proc, "job", "explain", "big"), "waits: "), 15, "waits"
+        )
+        assert "placed on local-host" in told
+        assert "no room" in told
+        as_json = _run(proc, "job", "explain", "big", "--json")
+        assert json.loads(as_json.out)["decisions"], as_json
+
+
+def _find(done, text):
+    assert done.code == 0, done
+    return done.out if text in done.out else ""
+
+
+def test_status_shows_entries_shards_and_hosts():
+    with _local() as proc:
+        shown = _run(proc, "status").out
+        assert "as entry local sees it" in shown
+        assert any(
+            line.split()[::2][:2] == ["local", "ready"] for line in shown.splitlines()
+        ), shown
+        assert "behind: none" in shown
+
+
 def test_host_is_drained_and_takes_work_again():
     with _local() as proc:
         fixtures.wait_until(
