--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -151,6 +151,9 @@
         self._tidied_at = now
         for job in page.outlived(jobs.values(), now):
             del jobs[job.team, job.id]
+        for key, job in jobs.items():
+            if job.payload and job.state in page.ENDED:
+                jobs[key] = job._replace(payload="")
 
     def _send(self, host: str, found: list[worker.TaskId]) -> None:
         starts: list[worker.Spec] = []
@@ -193,7 +196,19 @@
 
     def ended(self, state: messages.TaskState) -> None:
         """Note the end of a stopped task."""
-        self.submit(lambda jobs: records.note(jobs, state))
+        self.submit(lambda jobs: self._note(jobs, state))
+
+    def _note(self, jobs: records.Jobs, state: messages.TaskState) -> None:
+        """Take in what a host reports of a task, once."""
+        record = records.find(jobs, state.task)
+        if record is None or records.is_noted(record, state):
+            return
+        records.note(jobs, state)
+        if state.state == "finished":
+            self._tools.health.finished(record.host)
+        elif state.state == "failed" and record.state in page.ON_HOST:
+            job = (state.task.team, state.task.job)
+            self._tools.health.failed(record.host, job)
 
     # What hosts report.
 
@@ -212,21 +227,13 @@
     def _hear_task(self, host: str, state: messages.TaskState, heard: Heard) -> None:
         record = records.find(self.state, state.task)
         if record is not None and not records.is_noted(record, state):
-            self.submit(lambda jobs: records.note(jobs, state))
-            self._note_health(record, state)
+            self.submit(lambda jobs: self._note(jobs, state))
         is_live = state.state in tasks.LIVE
         if is_live and not _belongs(record, host):
             heard.evict.append(state.task)
         if not is_live and (record is None or records.is_noted(record, state)):
             heard.recorded.append(state.task)
 
-    def _note_health(self, record: page.TaskRecord, state: messages.TaskState) -> None:
-        if state.state == "finished":
-            self._tools.health.finished(record.host)
-        elif state.state == "failed" and record.state in page.ON_HOST:
-            job = (state.task.team, state.task.job)
-            self._tools.health.failed(record.host, job)
-
     def _hear_missing(self, report: messages.Report, heard: Heard) -> None:
         expected = []
         listed = {s.task: s.state in tasks.LIVE for s in report.tasks}
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -30,7 +30,7 @@
 """Size at which a page takes no new jobs; the store's limit is a megabyte."""
 
 _KEPT_ENDED_S: t.Final = 3_600.0
-_KEPT_ENDED_JOBS: t.Final = 1_000
+_KEPT_ENDED_TASKS: t.Final = 8_000
 _MAX_TASKS: t.Final = 2_000
 _MAX_ATTEMPTS: t.Final = 20
 _COMPRESSION: t.Final = 1
@@ -177,11 +177,13 @@
     """
     ended = [job for job in jobs if job.state in ENDED]
     ended.sort(key=_ended_at, reverse=True)
-    return [
-        job
-        for place, job in enumerate(ended)
-        if place >= _KEPT_ENDED_JOBS or now > _ended_at(job) + _KEPT_ENDED_S
-    ]
+    dropped = []
+    tasks = 0
+    for job in ended:
+        tasks += len(job.tasks)
+        if tasks > _KEPT_ENDED_TASKS or now > _ended_at(job) + _KEPT_ENDED_S:
+            dropped.append(job)
+    return dropped
 
 
 def _ended_at(job: JobRecord) -> float:
