--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -33,6 +33,7 @@
 _CAPACITY = _HOSTS * _SLOTS / _MEAN_SERVICE_S
 _TRACE_S = 12.0
 _RUN_S = 10.0
+_WARM_UP_S = 2.0
 _DEADLINE_S = 3.0
 _THREADS = 1_000
 _STORM_S = 6.0
@@ -131,16 +132,20 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def summarise(told: list[Told], length_s: float) -> dict[str, t.Any]:
-    """Return the figures of one run."""
+def summarise(told: list[Told]) -> dict[str, t.Any]:
+    """Return the figures of one run; goodput leaves out the first and last seconds."""
     good = [one.took_s for one in told if one.status == 200]
-    refused = [one.took_s for one in told if one.status not in (200, 500)]
+    refused = [one.took_s for one in told if one.status == 503]
     statuses = collections.Counter(one.status for one in told)
+    last_s = max(one.at_s for one in told)
+    done_s = [one.at_s + one.took_s for one in told if one.status == 200]
+    steady = [at_s for at_s in done_s if _WARM_UP_S <= at_s < last_s]
     figures: dict[str, t.Any] = {
         "sent": len(told),
-        "goodput": round(len(good) / length_s, 1),
+        "goodput": round(len(steady) / (last_s - _WARM_UP_S), 1),
         "refused": round(len(refused) / len(told), 4),
         "failed": round(statuses[500] / len(told), 4),
+        "lost": round((statuses[0] + statuses[502]) / len(told), 4),
         "statuses": dict(sorted(statuses.items())),
     }
     for name, share in (("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)):
@@ -164,7 +169,7 @@
     arrivals = read_trace(_LOADS[scenario], _RUN_S)
     callers.replay(arrivals, time.monotonic())
     _control(run.endpoints[0], run_s_scale=1.0, fail=False)
-    return summarise(callers.told, _RUN_S)
+    return summarise(callers.told)
 
 
 def run_storm(run: system.System) -> dict[str, t.Any]:
@@ -198,7 +203,7 @@
             goodput(2 * _STORM_S + n, 2 * _STORM_S + n + 1) for n in range(6)
         ],
         "last_5_s": goodput(length_s - 5.0, length_s),
-        "storm": summarise(storm.told, _STORM_S),
+        "storm": summarise(storm.told),
     }
 
 
--- a/src/bilberrypass/commands/config.py
+++ b/src/bilberrypass/commands/config.py
@@ -4,7 +4,9 @@
 import json
 import pathlib
 import re
+import secrets
 import sys
+import time
 import typing as t
 
 import typer
@@ -12,6 +14,7 @@
 from bilberrypass import errors
 from bilberrypass.commands import client, options, output
 
+_RETRY_S: t.Final = 15.0
 _PARTS: t.Final = ("defaults", "exceptions")
 _STEP: t.Final = re.compile(r"([^.\[\]]+)|\[(\d+)\]")
 
@@ -47,7 +50,10 @@
     when = value.get("time")
     moment = output.format_time(when) if isinstance(when, int | float) else when
     author = value.get("author") or "nobody"
-    typer.echo(f"revision {value['revision']}, by {author}, {moment or 'never set'}")
+    if not when:
+        typer.echo(f"revision {value['revision']}: nothing was set yet")
+        return
+    typer.echo(f"revision {value['revision']}, by {author}, {moment}")
 
 
 def _write_exceptions(exceptions: list[dict[str, t.Any]]) -> None:
@@ -142,7 +148,10 @@
         typer.echo(line, err=True)
     _confirm(yes)
     body = wanted | ({"note": note} if note else {})
-    answer = entries.call("PUT", "/config", body, {"If-Match": f'"{base}"'})
+    # The key lets a repetition after a lost answer be accepted once.
+    headers = {"If-Match": f'"{base}"', "Idempotency-Key": secrets.token_hex(16)}
+    deadline = time.monotonic() + _RETRY_S
+    answer = entries.call_until("PUT", "/config", body, deadline, headers)
     if as_json:
         output.write_json(answer.value)
         return
--- a/src/bilberrypass/version/schema.py
+++ b/src/bilberrypass/version/schema.py
@@ -39,7 +39,9 @@
 
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
-    admission_limit: t.Annotated[bool, "refuse what a host does not hold"]
+    admission_limit: t.Annotated[
+        bool, "refuse requests that a full queue cannot serve in time"
+    ]
     throttle_on_disturbance: t.Annotated[bool, "throttle batch work that disturbs"]
     set_aside_failing_workers: t.Annotated[bool, "rest a worker that fails everything"]
     eviction_budget: t.Annotated[bool, "bound the number of evictions"]
@@ -60,10 +62,11 @@
 
     __pydantic_config__ = _STRICT  # type: ignore[misc]
 
-    requests_in_progress: t.Annotated[settings.Count, "requests at once, per service"]
     retry_budget_share: t.Annotated[Share, "retries, as a share of first attempts"]
     claim_retention_s: t.Annotated[
-        float, pydantic.Field(ge=60, le=2_678_400), "life of a key's claim"
+        float,
+        pydantic.Field(ge=7_200, le=604_800),
+        "how long an idempotency key is remembered",
     ]
     evictions_per_hour: t.Annotated[
         int, pydantic.Field(ge=0, le=100_000), "budget of evictions of an entry"
--- a/testing/connection/test_endpoint.py
+++ b/testing/connection/test_endpoint.py
@@ -157,6 +157,21 @@
     assert slots.in_use == 0
 
 
+def test_fewer_slots_run_out_and_more_are_handed_over():
+    slots = endpoint.Slots(2, 8)
+    for _ in range(2):
+        slots.take(time.monotonic() + 1)
+    slots.resize(1)
+    thread = threading.Thread(target=slots.take, args=(time.monotonic() + 30,))
+    thread.start()
+    fixtures.wait_until(lambda: slots.queued == 1, 5, "the queue")
+    slots.release(0.0)
+    assert (slots.in_use, slots.queued) == (1, 1)
+    slots.resize(2)
+    thread.join()
+    assert (slots.in_use, slots.queued) == (2, 0)
+
+
 def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
     slots = endpoint.Slots(1, 8)
     slots.take(time.monotonic() + 1)
@@ -171,6 +186,23 @@
         raise AssertionError("took a slot")
 
 
+def test_guard_that_is_off_lets_requests_wait_in_a_full_queue():
+    guard = [True]
+    slots = endpoint.Slots(1, 0, lambda: guard[0])
+    slots.take(time.monotonic() + 1.0)
+    try:
+        slots.take(time.monotonic() + 0.1)
+        raise AssertionError("a full queue took a request")
+    except errors.Refused as exc:
+        assert "its queue is full" in exc.detail, exc.detail
+    guard[0] = False
+    try:
+        slots.take(time.monotonic() + 0.1)
+        raise AssertionError("a slot was given twice")
+    except errors.Refused as exc:
+        assert "no slot came free in time" in exc.detail, exc.detail
+
+
 def test_endpoint_that_leaves_takes_nothing_from_the_queue():
     ran = standin.Endpoint("echo", "ep1", 1)
     with serving.listening(ran.handle) as address:
--- a/testing/version/test_settings.py
+++ b/testing/version/test_settings.py
@@ -105,6 +105,13 @@
 def test_addresses_told_to_others_and_reached_are_usable():
     (fault,) = _faults(settings.check_entry, _with(_ENTRY, peers="0.0.0.0:8082"))
     assert fault.startswith("peers: ") and "own IP number" in fault
+    wildcard = _with(_AGENT, peers="0.0.0.0:8083")
+    (fault,) = _faults(settings.check_agent, wildcard)
+    assert fault.startswith("peers: ") and "advertised" in fault
+    assert not _faults(settings.check_agent, wildcard | {"advertised": "10.0.0.7:83"})
+    for address in ("0.0.0.0:83", "10.0.0.7:0"):
+        (fault,) = _faults(settings.check_agent, wildcard | {"advertised": address})
+        assert fault.startswith("advertised: "), fault
     (fault,) = _faults(settings.check_agent, _with(_AGENT, entries=["127.0.0.1:0"]))
     assert fault.startswith("entries[0]: ")
     (fault,) = _faults(settings.check_agent, _with(_AGENT, entries=[]))
