--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -172,7 +172,9 @@
         changes = revisions.Revisions(self.names, in_force, prefix)
         return {
             "/config": operators.Config(in_force, changes),
-            "/hosts": operators.Hosts(self.fleet, in_force, changes),
+            "/hosts": operators.Hosts(
+                self.fleet, in_force, changes, self._tools.decisions
+            ),
             "/status": operators.Status(
                 self.names, self.config, self.fleet, self.shards, self.why_not_ready
             ),
--- a/src/bilberrypass/process/operators.py
+++ b/src/bilberrypass/process/operators.py
@@ -11,6 +11,7 @@
 from bilberrypass.connection import messages
 from bilberrypass.process import (
     configuring,
+    decisions,
     directory,
     fleet,
     grouped,
@@ -112,6 +113,8 @@
         What is in force at this entry.
     changes : revisions.Revisions
         Accepts changes.
+    told : decisions.Decisions
+        Tells what this entry decided on a host.
     """
 
     exposed = True
@@ -121,13 +124,18 @@
         hosts: fleet.Fleet,
         in_force: configuring.InForce,
         changes: revisions.Revisions,
+        told: decisions.Decisions,
     ) -> None:
         self._hosts = hosts
+        self._decisions = told
         self._in_force = in_force
         self._changes = changes
 
     def GET(self, *rest: str, **query: str) -> bytes:  # noqa: N802
-        """List the hosts."""
+        """List the hosts, or explain one of them."""
+        if len(rest) == 2 and rest[1] == "explain":
+            found = self._decisions.find(f"host {rest[0]}")
+            return web.answer_json([decision._asdict() for decision in found])
         _check_rest(rest)
         return web.answer_json([self._describe(host) for host in self._hosts.all()])
 
--- a/testing/process/test_jobs.py
+++ b/testing/process/test_jobs.py
@@ -2,6 +2,9 @@
 
 import itertools
 
+import msgspec
+
+from bilberrypass.connection import worker
 from testing import collecting, fixtures, judge, system
 
 
@@ -65,6 +68,24 @@
         judge.check_never_twice_at_once(judge.runs(run.workers))
 
 
+def test_disturbing_tasks_are_throttled_and_the_host_is_explained():
+    with system.system() as run:
+        url = f"{run.callers()}/jobs/noisy"
+        _put_taken(url, payload='{"run_s": 60.0}')
+        fixtures.wait_until(lambda: judge.runs(run.workers), 15, "a start")
+        control = f"{run.workers[0].url()}/_control"
+        fixtures.http("PUT", control, {"slowdown": {"echo": 2.0}})
+
+        def throttles():
+            answer = fixtures.http("GET", f"{run.workers[0].url()}/inventory")
+            found = msgspec.json.decode(answer.body, type=worker.Inventory)
+            return [each.throttle for each in found.runs]
+
+        fixtures.wait_until(lambda: throttles() == [0.25], 15, "the throttle")
+        told = system.operate("GET", f"{run.operators()}/hosts/h0/explain").json()
+        assert told[-1]["text"] == "took plans/noisy task 0", told
+
+
 def test_cancelled_job_stops_and_stays_so():
     with system.system() as run:
         url = f"{run.callers()}/jobs/long"
