Spread a host's reports evenly over the interval

Ruled out: a shorter interval, which costs each entry as many reports again. Conclusion: the reporters of a host share a phase of the host's own and stand at equal distances; python -m testing process.test_pacing.

--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -3,7 +3,6 @@
 import collections
 import collections.abc as abc
 import math
-import random
 import threading
 import time
 import typing as t
@@ -19,6 +18,9 @@
 _CALL_S: t.Final = 2.0
 _LEAST_GAP_S: t.Final = 0.02
 _KEPT_REPORTS: t.Final = 16
+_FULL_RATE_ENTRIES: t.Final = 2
+# Entries quote the clock of a report, which must not grow too old on the way.
+_LONGEST_INTERVAL_S: t.Final = 6.0
 
 
 class Source(t.Protocol):
@@ -70,8 +72,7 @@
         self.interval_s = interval_s
         self.shards: frozenset[int] = frozenset()
         self._retry_s = interval_s
-        # Reports to different entries are spread over the interval.
-        self._phase = random.random()
+        self._phase = 0.0
         self._peer = channels.Peer(address)
         self._hurry = threading.Event()
         self._stopping = False
@@ -80,6 +81,11 @@
             target=self._run, name=f"report-{address}", daemon=True
         )
 
+    def pace(self, interval_s: float, phase: float) -> None:
+        """Report from now on at this interval, at a share of it (0 to 1)."""
+        self.interval_s = interval_s
+        self._phase = phase
+
     def start(self) -> None:
         """Begin to report."""
         self._thread.start()
@@ -108,12 +114,12 @@
             began = time.monotonic()
             is_answered = self._report_once(next(self._sequences), began)
             time.sleep(_LEAST_GAP_S)
-            due = self._next_due(began, is_answered)
+            due = self.next_due(began, is_answered)
             self._hurry.wait(max(0.0, due - time.monotonic()))
         self._peer.close()
 
-    def _next_due(self, began: float, is_answered: bool) -> float:
-        """Return when the next report is due (monotonic seconds).
+    def next_due(self, began: float, is_answered: bool) -> float:
+        """Return when the report after one sent at a time is due (monotonic).
 
         It does not depend on when hurried reports went out, so that these do not
         draw the reports to all entries together.
@@ -142,3 +148,21 @@
         except Exception:
             _log.exception("reporting: report to {} failed", self.address)
         return False
+
+
+def spread(reporters: list[Reporter], least_s: float, phase: float) -> None:
+    """Bound the reports of a host, and spread them evenly over the interval.
+
+    Parameters
+    ----------
+    reporters : list of Reporter
+        The host's reporters to all entries.
+    least_s : float
+        The interval towards few entries.
+    phase : float
+        The host's own share of the interval, unlike those of other hosts.
+    """
+    wanted_s = least_s * len(reporters) / _FULL_RATE_ENTRIES
+    interval_s = max(least_s, min(wanted_s, _LONGEST_INTERVAL_S))
+    for place, reporter in enumerate(reporters):
+        reporter.pace(interval_s, phase + place / len(reporters))
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -3,6 +3,7 @@
 import functools
 import itertools
 import math
+import random
 import threading
 import time
 import typing as t
@@ -32,9 +33,6 @@
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
 _FORGET_ENTRY_S: t.Final = 30.0
-_FULL_RATE_ENTRIES: t.Final = 2
-# Entries quote the clock of a report, which must not grow too old on the way.
-_LONGEST_INTERVAL_S: t.Final = 6.0
 
 
 @t.final
@@ -62,6 +60,7 @@
         self._attempts = attempts.Attempts()
         self._endpoints: dict[str, endpoint.Endpoint] = {}
         self._reporters: dict[str, reporting.Reporter] = {}
+        self._phase = random.random()
         self._own_reporters = frozenset(cfg["entries"])
         self._vouched_deadlines: dict[str, float] = {}
         self._shards = 1
@@ -146,11 +145,8 @@
         reporter.start()
 
     def _pace(self) -> None:
-        """Bound the reports that the host sends, however many the entries are."""
         least_s = self._cfg["report_interval_s"]
-        wanted_s = least_s * len(self._reporters) / _FULL_RATE_ENTRIES
-        for reporter in self._reporters.values():
-            reporter.interval_s = max(least_s, min(wanted_s, _LONGEST_INTERVAL_S))
+        reporting.spread(list(self._reporters.values()), least_s, self._phase)
 
     def _interval_s(self) -> float:
         return max((r.interval_s for r in list(self._reporters.values())), default=0.0)
--- a/testing/process/test_pacing.py
+++ b/testing/process/test_pacing.py
@@ -1,10 +1,11 @@
 """How often a host reports, by the number of its entries."""
 
 import contextlib
+import itertools
 import time
 
 from bilberrypass import resources
-from bilberrypass.connection import messages
+from bilberrypass.connection import messages, reporting
 from bilberrypass.process import agent, fleet
 from bilberrypass.version import settings
 from testing import collecting, fixtures, system
@@ -54,6 +55,30 @@
         assert made.report(1).interval_s == 6.0
 
 
+def test_hurried_report_does_not_shift_the_next():
+    reporter = reporting.Reporter(system.address(), None, 1.0, itertools.count(1))
+    reporter.pace(6.0, phase=0.5)
+    assert reporter.next_due(3.0, is_answered=True) == 9.0
+    assert reporter.next_due(8.0, is_answered=True) == 9.0
+    reporter.pace(6.0, phase=1.25)
+    assert reporter.next_due(3.0, is_answered=True) == 7.5
+
+
+def test_reports_to_all_entries_are_spread_evenly():
+    count = itertools.count(1)
+    made = [reporting.Reporter(system.address(), None, 1.0, count) for _ in range(12)]
+    reporting.spread(made, 1.0, phase=0.25)
+    dues = sorted(reporter.next_due(1_000.0, is_answered=True) for reporter in made)
+    gaps = [later - sooner for sooner, later in itertools.pairwise(dues)]
+    assert all(abs(gap - 0.5) < 1e-6 for gap in gaps), dues
+
+
+def test_unanswered_report_is_repeated_soon():
+    reporter = reporting.Reporter(system.address(), None, 1.0, itertools.count(1))
+    reporter.pace(6.0, phase=0.5)
+    assert reporter.next_due(3.0, is_answered=False) == 4.0
+
+
 def test_host_that_reports_rarely_by_plan_is_not_silent():
     hosts = fleet.Fleet(silence_s=0.05)
     hosts.hear(_report(interval_s=60.0))
