--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -1,9 +1,7 @@
 """The agent: the authority on its own host."""
 
 import functools
-import itertools
 import math
-import random
 import threading
 import time
 import typing as t
@@ -16,11 +14,17 @@
     endpoint,
     httpworker,
     messages,
-    reporting,
     serving,
     worker,
 )
-from bilberrypass.process import announcements, configuring, metrics, tasks, traces
+from bilberrypass.process import (
+    announcements,
+    configuring,
+    metrics,
+    reporters,
+    tasks,
+    traces,
+)
 from bilberrypass.request import attempts
 from bilberrypass.version import configuration, settings
 
@@ -32,7 +36,6 @@
 _ATTACH_RETRY_S: t.Final = 0.5
 _IN_PROGRESS_POLL_S: t.Final = 0.02
 _LONGEST_LEAVE_S: t.Final = 60.0
-_FORGET_ENTRY_S: t.Final = 30.0
 
 
 @t.final
@@ -53,16 +56,14 @@
         self._cfg = cfg
         self.host = cfg["id"]
         self._incarnation = time.time_ns()
-        self._sequences = itertools.count(1)
         self._leaving = threading.Event()
         self._lock = threading.Lock()
         self._in_progress = 0
         self._attempts = attempts.Attempts()
         self._endpoints: dict[str, endpoint.Endpoint] = {}
-        self._reporters: dict[str, reporting.Reporter] = {}
-        self._phase = random.random()
-        self._own_reporters = frozenset(cfg["entries"])
-        self._vouched_deadlines: dict[str, float] = {}
+        self._reporters = reporters.Reporters(
+            self, cfg["entries"], cfg["report_interval_s"]
+        )
         self._shards = 1
         self.in_force = configuring.InForce()
         self.subject = configuration.Subject(
@@ -117,8 +118,7 @@
             self._attach(self.tasks)
         self._server.start()
         self._listener.start()
-        for address in self._cfg["entries"]:
-            self._report_to(address)
+        self._reporters.start()
         _log.info("agent: {} serves at {}", self.host, self._server.address)
 
     def _attach(self, own: tasks.Tasks) -> None:
@@ -133,28 +133,6 @@
             target=own.run, args=(self._leaving, self._hurry_owners), daemon=True
         ).start()
 
-    def _report_to(self, address: str) -> None:
-        with self._lock:
-            if address in self._reporters:
-                return
-            reporter = reporting.Reporter(
-                address, self, self._cfg["report_interval_s"], self._sequences
-            )
-            self._reporters[address] = reporter
-            self._pace()
-        reporter.start()
-
-    def _pace(self) -> None:
-        least_s = self._cfg["report_interval_s"]
-        reporting.spread(list(self._reporters.values()), least_s, self._phase)
-
-    def _interval_s(self) -> float:
-        return max((r.interval_s for r in list(self._reporters.values())), default=0.0)
-
-    def _hurry(self) -> None:
-        for reporter in list(self._reporters.values()):
-            reporter.hurry()
-
     def _hurry_owners(self) -> None:
         """Have the owners of ended tasks hear of them now."""
         states = self.tasks.states() if self.tasks else []
@@ -163,14 +141,7 @@
             for state in states
             if state.state not in ("running", "checkpointed")
         }
-        for reporter in list(self._reporters.values()):
-            if reporter.shards & shards:
-                reporter.hurry()
-
-    def _hurry_entry(self, entry: str) -> None:
-        for reporter in list(self._reporters.values()):
-            if reporter.entry == entry:
-                reporter.hurry()
+        self._reporters.hurry_owners(shards)
 
     def report(self, sequence: int) -> messages.Report:
         """Describe the host as it is now."""
@@ -196,7 +167,7 @@
             endpoints=[e.state(silence_s) for e in list(self._endpoints.values())],
             tasks=own.states() if own else [],
             usage=own.usage if own else None,
-            interval_s=self._interval_s(),
+            interval_s=self._reporters.interval_s,
             clock=time.monotonic(),
             is_current=own is None or own.is_current,
         )
@@ -206,7 +177,7 @@
 
     def hear(self, answer: messages.Reported, sent_at: float) -> None:
         """Take in an entry's answer to a report sent at a time."""
-        self._hear_entries(answer.entries)
+        self._reporters.hear(answer.entries)
         if answer.slice and answer.revision > self.in_force.revision:
             self._adopt(answer.slice)
         if self.tasks is None:
@@ -217,40 +188,18 @@
         self.tasks.stop(answer.stop, checkpoint=False)
         self.tasks.stop(answer.evict, checkpoint=True)
         if answer.stop or answer.evict:
-            self._hurry()
-
-    def _hear_entries(self, addresses: list[str]) -> None:
-        """Report to all entries, and no more to those long gone."""
-        now = time.monotonic()
-        for address in addresses:
-            self._vouched_deadlines[address] = now + _FORGET_ENTRY_S
-            self._report_to(address)
-        for address, deadline in list(self._vouched_deadlines.items()):
-            if now > deadline and address not in self._own_reporters:
-                self._forget_entry(address, now)
+            self._reporters.hurry()
 
     def _hear_introduction(self, said: messages.Introduction) -> messages.Empty:
-        self._hear_entries(said.entries)
+        self._reporters.hear(said.entries)
         return messages.Empty()
 
-    def _forget_entry(self, address: str, now: float) -> None:
-        """Stop reporting to an entry that no other names and that is silent."""
-        with self._lock:
-            reporter = self._reporters.get(address)
-            if reporter is None or now < reporter.answered_at + _FORGET_ENTRY_S:
-                return
-            del self._reporters[address]
-            del self._vouched_deadlines[address]
-            self._pace()
-        reporter.end()
-        _log.info("agent: entry at {} is gone", address)
-
     def _adopt(self, slice: bytes) -> None:
         was_leaving = self.is_leaving
         self.in_force.adopt(configuration.decode(slice))
         if self.is_leaving != was_leaving:
             _log.info("agent: drain of {}: {}", self.host, self.values.drain or "over")
-        self._hurry()
+        self._reporters.hurry()
 
     def _tell_config(self, ask: messages.ConfigAsk) -> messages.ConfigTold:
         document = self.in_force.document
@@ -262,7 +211,7 @@
             is_informed=document.revision > 0,
             why_not_ready="",
             document=configuration.encode(document) if asks_more else b"",
-            entries=list(self._reporters),
+            entries=self._reporters.addresses,
         )
 
     @property
@@ -287,12 +236,12 @@
                 lambda: self.values.admission_limit,
             )
             _log.info("agent: endpoint {} of {} announced", id, said["service"])
-            self._hurry()
+            self._reporters.hurry()
             return
         changed = known.said["leaving"] != said["leaving"]
         known.hear(said)
         if changed:
-            self._hurry()
+            self._reporters.hurry()
 
     def _forward(self, req: messages.Forward) -> messages.Forwarded:
         began = time.monotonic()
@@ -354,15 +303,14 @@
                 errors.Kind.LEAVING, f"{self.host} takes no tasks; place them elsewhere"
             )
         started = self.tasks.start(req, self._quoted_report(req))
-        self._hurry_entry(req.entry)
+        self._reporters.hurry_entry(req.entry)
         return started
 
     def _quoted_report(self, req: messages.Start) -> float:
         if req.incarnation == self._incarnation:
-            for reporter in list(self._reporters.values()):
-                sent_at = reporter.sent_at(req.sequence)
-                if reporter.entry == req.entry and sent_at is not None:
-                    return sent_at
+            sent_at = self._reporters.find_sent_at(req.entry, req.sequence)
+            if sent_at is not None:
+                return sent_at
         raise errors.Refused(
             errors.Kind.STALE,
             f"report {req.sequence} is none of the newest of {self.host}; "
@@ -373,19 +321,18 @@
         if self.tasks is None:
             raise errors.Refused(errors.Kind.NOT_FOUND, f"{self.host} runs no tasks")
         stopped = self.tasks.stop(req.tasks, req.checkpoint)
-        self._hurry()
+        self._reporters.hurry()
         return stopped
 
     def stop(self) -> None:
         """Leave: refuse new work, finish what is in progress, then stop listening."""
         self._leaving.set()
-        self._hurry()
+        self._reporters.hurry()
         deadline = time.monotonic() + _LONGEST_LEAVE_S
         time.sleep(self._cfg["leave_wait_s"])
         while self._in_progress and time.monotonic() < deadline:
             time.sleep(_IN_PROGRESS_POLL_S)
-        for reporter in list(self._reporters.values()):
-            reporter.stop()
+        self._reporters.stop()
         self._server.stop(_CONTROL_THREADS)
         self._listener.stop()
 
