--- a/testing/test_readme.py
+++ b/testing/test_readme.py
@@ -36,7 +36,7 @@
 
 
 def _pages():
-    return sorted((_ROOT / "docs").glob("*.md"))
+    return sorted((_ROOT / "docs").rglob("*.md"))
 
 
 def test_tool_page_lists_the_exit_codes():
