--- a/testing/process/test_dispatch.py
+++ b/testing/process/test_dispatch.py
@@ -1,3 +1,5 @@
+"""The starts that an owner sends, again where their fate is unknown."""
+
 import time
 import typing as t
 
--- a/testing/process/test_disturbance.py
+++ b/testing/process/test_disturbance.py
@@ -1,3 +1,5 @@
+"""What is learned of disturbance, and from which reports."""
+
 import json
 import unittest.mock
 
--- a/testing/process/test_placement.py
+++ b/testing/process/test_placement.py
@@ -1,3 +1,5 @@
+"""The choice of a host for a task."""
+
 import json
 import time
 import typing as t
--- a/testing/process/test_tasks.py
+++ b/testing/process/test_tasks.py
@@ -1,3 +1,5 @@
+"""The tasks of one host, against the worker's stand-in."""
+
 import contextlib
 import time
 
--- a/testing/test_imports.py
+++ b/testing/test_imports.py
@@ -46,8 +46,9 @@
 
 
 def test_every_module_has_a_docstring():
-    for path, text in _modules("src", "benchmarks"):
-        assert ast.get_docstring(ast.parse(text)), path
+    for path, text in _modules("src", "testing", "benchmarks"):
+        is_marker = path.is_relative_to(_ROOT / "testing") and not text
+        assert is_marker or ast.get_docstring(ast.parse(text)), path
 
 
 def test_modules_stay_small():
--- a/testing/version/test_page.py
+++ b/testing/version/test_page.py
@@ -1,3 +1,5 @@
+"""Job pages and the bodies of jobs."""
+
 import json
 import random
 
