--- a/src/bilberrypass/process/claims.py
+++ b/src/bilberrypass/process/claims.py
@@ -164,7 +164,7 @@
         """Keep the answer; the next write notes the end, and nobody waits for it."""
         if req.answer is not None:
             self._answers.keep(req.claim, req.answer)
-        self.submit(lambda state: self._finish(state, req))
+        self.submit(lambda state: self._finish(state, req), hurry=False)
 
     def _claim(self, req: messages.ClaimCall, deadline: float) -> messages.ClaimAnswer:
         known = self.state.get(req.key)
--- a/src/bilberrypass/process/grouped.py
+++ b/src/bilberrypass/process/grouped.py
@@ -195,11 +195,14 @@
                 return
             pending.fut.set_exception(_not_applied())
 
-    def submit(self, change: t.Callable[[State], t.Any]) -> "futures.Future[t.Any]":
+    def submit(
+        self, change: t.Callable[[State], t.Any], *, hurry: bool = True
+    ) -> "futures.Future[t.Any]":
         """Apply a change with the next grouped write."""
         fut: futures.Future[t.Any] = futures.Future()
         self._pending.put(_Pending(change, fut))
-        self._wake.set()
+        if hurry:
+            self._wake.set()
         return fut
 
     def change(self, change: t.Callable[[State], t.Any], deadline: float) -> t.Any:
