Name the owner's outbox and the workers' quarantine after what they are

Cause: process/dispatch.py and process/health.py stood beside modules of the same names in request/, and logged under other names than their own. Ruled out: starts.py, since the owner has local variables of that name.

--- a/src/bilberrypass/process/dispatch.py
+++ b/src/bilberrypass/process/outbox.py
@@ -11,7 +11,7 @@
 from bilberrypass.connection import channels, messages, worker
 from bilberrypass.process import fleet, sightings
 
-_log = logbook.Logger("starts")
+_log = logbook.Logger("outbox")
 
 _CALL_S: t.Final = 2.0
 _RESEND_S: t.Final = 1.0
@@ -44,7 +44,7 @@
 
 
 @t.final
-class Dispatch:
+class Calls:
     """Sends to each host one call at a time; what got no answer is sent again.
 
     Parameters
@@ -118,9 +118,9 @@
         try:
             send()
         except errors.Error as exc:
-            _log.warning("starts: call to {} uncertain: {}", name, exc.detail)
+            _log.warning("outbox: call to {} uncertain: {}", name, exc.detail)
         except Exception:
-            _log.exception("starts: call to {} failed", name)
+            _log.exception("outbox: call to {} failed", name)
         finally:
             with self._lock:
                 self._busy.discard(name)
@@ -165,7 +165,7 @@
         elif errors.ANSWERS[errors.Kind(outcome.kind)].ran is errors.Ran.NO:
             self._outcomes.refused(task, outcome.detail, task in self._sure)
         else:
-            _log.warning("starts: start of {} uncertain: {}", task, outcome.detail)
+            _log.warning("outbox: start of {} uncertain: {}", task, outcome.detail)
             with self._lock:
                 self._sure.discard(task)
 
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -9,12 +9,12 @@
 from bilberrypass.connection import messages, worker
 from bilberrypass.process import (
     directory,
-    dispatch,
     disturbance,
     fleet,
     grouped,
     jobcalls,
     jobevents,
+    outbox,
     placing,
     records,
     sightings,
@@ -76,7 +76,7 @@
         super().__init__(names, "jobs", number, prefix)
         self._lease_s = lease_s
         self._seen = sightings.Sightings(lease_s)
-        self._dispatch = dispatch.Dispatch(hosts, self._seen, self, pool)
+        self._outbox = outbox.Outbox(hosts, self._seen, self, pool)
         self._placing = placing.Placing(hosts, tools)
         self._mover = mover
         self.page_bytes = 0
@@ -120,10 +120,10 @@
         self._on_host = records.on_host(self.state)
         kept = [task for found in self._on_host.values() for task in found]
         self._seen.keep(kept)
-        self._dispatch.keep(kept)
+        self._outbox.keep(kept)
         for host, specs in self._placed.items():
             jobevents.placed(host, specs)
-            self._dispatch.expect([spec.task for spec in specs])
+            self._outbox.expect([spec.task for spec in specs])
         self._placed = {}
         for host, found in self._on_host.items():
             self._send(host, found)
@@ -131,7 +131,7 @@
     def stop(self) -> None:
         """Stop after the write in progress."""
         super().stop()
-        self._dispatch.close()
+        self._outbox.close()
 
     def _take_back_lapsed(self, jobs: records.Jobs) -> None:
         """Take back tasks whose leases have lapsed for certain."""
@@ -167,14 +167,14 @@
                 starts.append(job.spec(task.index))
                 self._recall_overdue(task, record)
         if stops[page.STOPPING]:
-            self._dispatch.stop(host, stops[page.STOPPING], checkpoint=False)
+            self._outbox.stop(host, stops[page.STOPPING], checkpoint=False)
         if stops[page.EVICTING]:
-            self._dispatch.stop(host, stops[page.EVICTING], checkpoint=True)
+            self._outbox.stop(host, stops[page.EVICTING], checkpoint=True)
         if starts:
-            sender = dispatch.Sender(
+            sender = outbox.Sender(
                 self._names.me.id, self.number, self.ownership.epoch, self._lease_s
             )
-            self._dispatch.start(sender, host, starts)
+            self._outbox.start(sender, host, starts)
 
     def _recall_overdue(self, task: worker.TaskId, record: page.TaskRecord) -> None:
         """Give up a host that reports but does not answer a start."""
@@ -205,10 +205,10 @@
             return
         records.note(jobs, state)
         if state.state == "finished":
-            self._tools.health.finished(record.host)
+            self._tools.quarantine.finished(record.host)
         elif state.state == "failed" and record.state in page.ON_HOST:
             job = (state.task.team, state.task.job)
-            self._tools.health.failed(record.host, job)
+            self._tools.quarantine.failed(record.host, job)
 
     # What hosts report.
 
--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/process/placing.py
@@ -10,8 +10,8 @@
     budget,
     decisions,
     fleet,
-    health,
     placement,
+    quarantine,
     records,
     tasks,
 )
@@ -28,7 +28,7 @@
     """What the shards of an entry share for their decisions."""
 
     policy: placement.Policy
-    health: health.Health
+    quarantine: quarantine.Quarantine
     budget: budget.Budget
     values: ValuesOf
     decisions: decisions.Decisions
@@ -49,7 +49,11 @@
         return found.evictions_per_hour if found.eviction_budget else None
 
     return Tools(
-        policy, health.Health(), budget.Budget(limit), read, decisions.Decisions()
+        policy,
+        quarantine.Quarantine(),
+        budget.Budget(limit),
+        read,
+        decisions.Decisions(),
     )
 
 
@@ -129,13 +133,13 @@
         return self._tools.values(configuration.Subject(team=team)).quotas.get(team)
 
     def _take(self, room: placement.Room, job: page.JobRecord) -> placement.Room:
-        self._tools.health.placed(room.host)
+        self._tools.quarantine.placed(room.host)
         share = job.demand.cpu_milli / max(1, room.capacity.cpu_milli)
         load = room.loads.get(job.task_class, 0.0) + share
         return room._replace(
             free=room.free.minus(job.demand),
             loads={**room.loads, job.task_class: load},
-            resting=self._tools.health.why_resting(room.host),
+            resting=self._tools.quarantine.why_resting(room.host),
         )
 
     # Displacement.
@@ -237,7 +241,7 @@
         values = self._tools.values(configuration.Subject(host=host))
         if not values.set_aside_failing_workers:
             return ""
-        return self._tools.health.why_resting(host)
+        return self._tools.quarantine.why_resting(host)
 
     def why_never(self, job: page.JobRecord) -> str:
         """Tell why no known host could ever hold a job; empty if one could."""
--- a/src/bilberrypass/process/health.py
+++ b/src/bilberrypass/process/quarantine.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-_log = logbook.Logger("workers")
+_log = logbook.Logger("quarantine")
 
 _FAILURES: t.Final = 4
 _LEAST_JOBS: t.Final = 2
@@ -25,7 +25,7 @@
 
 
 @t.final
-class Health:
+class Quarantine:
     """Sets a host aside when tasks of several jobs fail there in a row.
 
     The pause grows with each probe that fails; one task at a time probes a host
@@ -51,7 +51,7 @@
                     probe_until=0.0,
                 )
                 _log.warning(
-                    "workers: {} set aside for {} s: everything fails there",
+                    "quarantine: {} set aside for {} s: everything fails there",
                     host,
                     known.pause_s,
                 )
--- a/testing/process/test_model.py
+++ b/testing/process/test_model.py
@@ -19,8 +19,8 @@
 from bilberrypass.connection import channels, memory, messages, store
 from bilberrypass.process import (
     directory,
-    dispatch,
     fleet,
+    outbox,
     owner,
     placement,
     placing,
@@ -335,7 +335,7 @@
 
 
 def test_random_operations_keep_the_promises():
-    with unittest.mock.patch.object(dispatch, "_RESEND_S", 0.0):
+    with unittest.mock.patch.object(outbox, "_RESEND_S", 0.0):
         stateful.run_state_machine_as_test(_Machine)
 
 
--- a/testing/process/test_dispatch.py
+++ b/testing/process/test_outbox.py
@@ -5,10 +5,10 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import dispatch, fleet, sightings
+from bilberrypass.process import fleet, outbox, sightings
 from testing import collecting, fakes
 
-_SENDER = dispatch.Sender("e", 0, 1, 60.0)
+_SENDER = outbox.Sender("e", 0, 1, 60.0)
 _REPORT = messages.Report(
     "h0",
     1,
@@ -58,7 +58,7 @@
 
 def _send(answers, is_fresh=True):
     outcomes = _Outcomes()
-    sender = dispatch.Dispatch(
+    sender = outbox.Outbox(
         _Hosts(list(answers)), sightings.Sightings(60.0), outcomes, fakes.Inline()
     )
     if is_fresh:
--- a/testing/process/test_placement.py
+++ b/testing/process/test_placement.py
@@ -8,10 +8,10 @@
 from bilberrypass.connection import messages
 from bilberrypass.process import (
     fleet,
-    health,
     interference,
     placement,
     placing,
+    quarantine,
     records,
 )
 from bilberrypass.version import configuration, page
@@ -99,7 +99,7 @@
 
 
 def test_worker_that_fails_everything_rests_and_is_probed():
-    own = health.Health()
+    own = quarantine.Quarantine()
     for number in range(4):
         own.failed("h0", ("t", f"j{number % 2}"))
     assert own.why_resting("h0")
@@ -116,7 +116,7 @@
 
 
 def test_one_job_that_fails_everywhere_sets_no_worker_aside():
-    own = health.Health()
+    own = quarantine.Quarantine()
     for _ in range(20):
         own.failed("h0", ("t", "j"))
     assert not own.why_resting("h0")
