--- a/src/bilberrypass/process/outbox.py
+++ b/src/bilberrypass/process/outbox.py
@@ -44,7 +44,7 @@
 
 
 @t.final
-class Calls:
+class Outbox:
     """Sends to each host one call at a time; what got no answer is sent again.
 
     Parameters
