Let one test be named on the command line

Cause: python -m testing request.test_limits.test_shares_come_back ended in a TypeError, since unittest called the function as a factory of tests, though the docstring promised it. Ruled out: unittest's own names, which need classes. Before: TypeError; after: 1 passed, a name that is not there 0 passed and exit code 1; an entry of KNOWN-RED.txt is passed over and printed (trial, 7 passed, 1 skipped).

--- a/testing/running.py
+++ b/testing/running.py
@@ -6,7 +6,8 @@
 import typing as t
 import unittest
 
-_KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+_ROOT = pathlib.Path(__file__).parent.parent
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
 _COUNTS = re.compile(r"^counts: (\d+) passed, (\d+) failed, (\d+) skipped$", re.M)
 
 
@@ -43,10 +44,18 @@
             yield item
 
 
+def _load(name: str) -> list[unittest.TestCase]:
+    """Return a module's tests, or the one test that a name below a module means."""
+    path = _ROOT / "testing" / (name.replace(".", "/") + ".py")
+    module = name if path.exists() else name.rpartition(".")[0]
+    suite = unittest.defaultTestLoader.loadTestsFromName(f"testing.{module}")
+    wanted = f"testing.{name}"
+    return [test for test in _flatten(suite) if module == name or test.id() == wanted]
+
+
 def main() -> int:
-    suite = unittest.defaultTestLoader.loadTestsFromName(f"testing.{sys.argv[1]}")
     red = {line.split()[0].rstrip(":") for line in known_red()}
-    tests = list(_flatten(suite))
+    tests = _load(sys.argv[1])
     chosen = [test for test in tests if test.id() not in red]
     result = unittest.TextTestRunner(verbosity=2).run(unittest.TestSuite(chosen))
     failed = len(result.failures) + len(result.errors)
