Bound how often a page is written

Cause: each change woke its page's owner, which wrote at once when the write before had ended; under load the writes of a shard rose with the store's speed and the changes, while docs/CAPACITY.md counts on 5 a second for a job page. Ruled out: a fixed delay before each write, which would slow a lone change. Conclusion: the gap is 0.2 s for jobs and 0.05 s for claims; the model-based test switches it off as it does with the resend time.

--- a/src/bilberrypass/process/claims.py
+++ b/src/bilberrypass/process/claims.py
@@ -99,6 +99,7 @@
 
     # Time brings a claim nothing but its end, and each pass compares all claims.
     pass_interval_s = 1.0
+    least_gap_s = 0.05
 
     def __init__(
         self,
--- a/src/bilberrypass/process/grouped.py
+++ b/src/bilberrypass/process/grouped.py
@@ -37,7 +37,8 @@
 class Grouped(abc.ABC, t.Generic[State]):
     """A value that one entry at a time owns and writes.
 
-    Changes that arrive while a write is in progress go into the next one. The
+    The first change is written at once; those that arrive until the next write is
+    due go into it together. The
     former owner's late writes fail, since the new owner stamps the value first.
 
     Parameters
@@ -55,6 +56,9 @@
     pass_interval_s: t.ClassVar[float] = 0.2
     """Time between two passes while nothing is submitted."""
 
+    least_gap_s: t.ClassVar[float] = 0.2
+    """Least time between two writes; the store counts each call."""
+
     def __init__(
         self, names: directory.Directory, kind: str, number: int, prefix: str
     ) -> None:
@@ -64,6 +68,7 @@
         self._names = names
         self._key = f"{prefix}{kind}/{number:04d}"
         self._revision = store.ABSENT
+        self._next_write = 0.0
         self._pending: queue.SimpleQueue[_Pending] = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._wake = threading.Event()
@@ -147,7 +152,9 @@
         if not self.ownership.is_held:
             raise _Lost
         value = self.encode(state, secrets.token_hex(8))
-        deadline = time.monotonic() + _CALL_S
+        now = time.monotonic()
+        deadline = now + _CALL_S
+        self._next_write = now + self.least_gap_s
         swap = store.settle_swap(self._names.kv, self._key, value, expected, deadline)
         if not swap.done:
             self.ownership.lose()
@@ -158,6 +165,7 @@
     def _pass(self) -> None:
         """Take what waits, write once, then act."""
         self._wake.wait(self.pass_interval_s)
+        self._stopping.wait(max(0.0, self._next_write - time.monotonic()))
         self._wake.clear()
         if not self.ownership.is_held:
             raise _Lost
--- a/testing/process/test_model.py
+++ b/testing/process/test_model.py
@@ -20,6 +20,7 @@
 from bilberrypass.process import (
     directory,
     fleet,
+    grouped,
     outbox,
     owner,
     placement,
@@ -335,7 +336,10 @@
 
 
 def test_random_operations_keep_the_promises():
-    with unittest.mock.patch.object(outbox, "_RESEND_S", 0.0):
+    with (
+        unittest.mock.patch.object(outbox, "_RESEND_S", 0.0),
+        unittest.mock.patch.object(grouped.Grouped, "least_gap_s", 0.0),
+    ):
         stateful.run_state_machine_as_test(_Machine)
 
 
