Write the store's checks more compactly

Cause: the stand-in's start, the calls that write and the pair of a failed read and an uncertain write were each spelled out several times. Ruled out: one table for the tests of settle_swap, since each name there is a behaviour and the count would fall; fewer cases or shorter deadlines. Conclusion: the same checks; a refused call in a table is now named.

--- a/testing/connection/test_store.py
+++ b/testing/connection/test_store.py
@@ -1,21 +1,15 @@
 """What both stores promise, and how the one over HTTP fails."""
 
+import concurrent.futures as futures
 import contextlib
-import json
-import pathlib
 import socket
-import subprocess
-import sys
 import threading
 import time
 
-import urllib3
-
 from bilberrypass import errors
 from bilberrypass.connection import etcd, memory, store
-from testing import collecting
+from testing import collecting, fixtures
 
-_ROOT = pathlib.Path(__file__).parent.parent.parent
 _CALL_S = 10.0
 _WATCH_S = 30.0
 _SHORT_S = 0.5
@@ -28,44 +22,34 @@
 
 
 class _Standin:
-    """A stand-in's process and its switches."""
+    """A stand-in's address and its switches."""
 
     def __init__(self, address):
         self.address = address
-        self._http = urllib3.PoolManager(retries=False)
 
     def control(self, **switches):
         url = f"http://{self.address}/_control"
-        answer = self._http.request("PUT", url, json=switches, timeout=_CALL_S)
-        assert answer.status == 200, answer.data
+        answer = fixtures.http("PUT", url, switches, timeout_s=_CALL_S)
+        assert answer.status == 200, answer
 
     def calls(self):
         url = f"http://{self.address}/_calls"
-        answer = self._http.request("GET", url, timeout=_CALL_S)
+        answer = fixtures.http("GET", url, timeout_s=_CALL_S)
         return {kind: int(count) for kind, count in answer.json().items()}
 
 
 @contextlib.contextmanager
 def _standin():
-    cmd = [sys.executable, "-m", "testing.standins.platform", "--port", "0"]
-    cmd += ["--history", str(_HISTORY_EVENTS)]
-    process = subprocess.Popen(cmd, cwd=_ROOT, stdout=subprocess.PIPE, text=True)
-    try:
-        ready = json.loads(process.stdout.readline())
-        assert ready["ready"] and ready["role"] == ready["id"] == "store", ready
-        yield _Standin(ready["addresses"]["store"])
-        process.terminate()
-        assert process.wait(_STOP_S) == 0
-    finally:
-        process.kill()
-        process.wait()
-        process.stdout.close()
+    args = ["testing.standins.platform", "--port", "0"]
+    with fixtures.process([*args, "--history", str(_HISTORY_EVENTS)]) as proc:
+        assert proc.ready["role"] == proc.ready["id"] == "store", proc.ready
+        yield _Standin(proc.addresses["store"])
+        proc.terminate()
+        assert proc.wait(_STOP_S) == 0, proc.stderr_text()
 
 
-@contextlib.contextmanager
 def _memory_store():
-    with contextlib.closing(memory.MemoryStore(_HISTORY_EVENTS)) as opened:
-        yield opened
+    return contextlib.closing(memory.MemoryStore(_HISTORY_EVENTS))
 
 
 @contextlib.contextmanager
@@ -93,13 +77,13 @@
 
 
 @contextlib.contextmanager
-def _raises(kind):
+def _raises(kind, call="the call"):
     try:
         yield
     except errors.Error as exc:
-        assert exc.kind is kind, exc
+        assert exc.kind is kind, f"{call}: {exc!r}, not {kind}"
     else:
-        raise AssertionError(f"{kind} was not raised")
+        raise AssertionError(f"{call}: {kind} was not raised")
 
 
 def _write(opened, key, value, expected=store.ABSENT, lease=store.NO_LEASE):
@@ -118,10 +102,29 @@
     raise AssertionError(f"the watch ended after {events}")
 
 
-def _wait_for(condition, deadline):
-    while not condition():
-        assert time.monotonic() < deadline, "not so before the deadline"
-        time.sleep(0.02)
+def _writes(opened):
+    """Return a call of each kind that writes, by its name."""
+    return {
+        "swap": lambda: opened.swap("a", b"1", store.ABSENT, _soon()),
+        "delete": lambda: opened.delete("a", 1, _soon()),
+        "grant": lambda: opened.grant(1, _soon()),
+        "renew": lambda: opened.renew(1, _soon()),
+        "revoke": lambda: opened.revoke(1, _soon()),
+    }
+
+
+def _check_each_raises(kind, calls):
+    for name, call in calls.items():
+        with _raises(kind, name):
+            call()
+
+
+def _check_unanswered(opened, seconds=_CALL_S):
+    """Check that a read is told to have failed, and a write to be uncertain."""
+    with _raises(errors.Kind.STORE_DOWN):
+        opened.get("a", _soon(seconds))
+    with _raises(errors.Kind.STORE_UNCERTAIN):
+        opened.swap("a", b"1", store.ABSENT, _soon(seconds))
 
 
 @_on_both
@@ -183,19 +186,14 @@
 
 @_on_both
 def test_one_of_many_swaps_at_once_wins(opened):
-    outcomes = []
     start = threading.Barrier(8)
 
     def race(index):
         start.wait()
-        value = str(index).encode()
-        outcomes.append(opened.swap("a", value, store.ABSENT, _soon()))
+        return opened.swap("a", str(index).encode(), store.ABSENT, _soon())
 
-    threads = [threading.Thread(target=race, args=(index,)) for index in range(8)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    with futures.ThreadPoolExecutor(8) as pool:
+        outcomes = list(pool.map(race, range(8)))
     assert len(outcomes) == 8
     assert sum(swap.done for swap in outcomes) == 1
 
@@ -322,24 +320,16 @@
 
 
 def _unused_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return f"127.0.0.1:{fixtures.free_port()}"
 
 
 def test_refused_connection_had_no_effect():
     with contextlib.closing(etcd.EtcdStore([_unused_address()])) as opened:
-        for call in (
-            lambda: opened.get("a", _soon()),
-            lambda: opened.swap("a", b"1", store.ABSENT, _soon()),
-            lambda: opened.delete("a", 1, _soon()),
-            lambda: opened.grant(1, _soon()),
-            lambda: opened.renew(1, _soon()),
-            lambda: opened.revoke(1, _soon()),
-            lambda: list(opened.watch("", 1, _soon())),
-        ):
-            with _raises(errors.Kind.STORE_DOWN):
-                call()
+        reads = {
+            "get": lambda: opened.get("a", _soon()),
+            "watch": lambda: list(opened.watch("", 1, _soon())),
+        }
+        _check_each_raises(errors.Kind.STORE_DOWN, reads | _writes(opened))
 
 
 @contextlib.contextmanager
@@ -364,10 +354,11 @@
         thread.join()
 
 
-def _check_answer(*pieces, read_kind, write_kind):
-    with _answering(*pieces) as opened, _raises(read_kind):
+def _check_answer(*pieces, write_kind=errors.Kind.STORE_UNCERTAIN):
+    """Check that a read is told to have failed, and a write as the kind says."""
+    with _answering(*pieces) as opened, _raises(errors.Kind.STORE_DOWN, pieces):
         opened.get("a", _soon(_SHORT_S))
-    with _answering(*pieces) as opened, _raises(write_kind):
+    with _answering(*pieces) as opened, _raises(write_kind, pieces):
         opened.swap("a", b"1", store.ABSENT, _soon(_SHORT_S))
 
 
@@ -386,29 +377,17 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{}",
         b"nonsense\r\n\r\n",
     ):
-        _check_answer(
-            answer,
-            read_kind=errors.Kind.STORE_DOWN,
-            write_kind=errors.Kind.STORE_UNCERTAIN,
-        )
+        _check_answer(answer)
 
 
 def test_refused_request_had_no_effect():
-    _check_answer(
-        _format_answer(400, '{"code": 3}'),
-        read_kind=errors.Kind.STORE_DOWN,
-        write_kind=errors.Kind.STORE_DOWN,
-    )
+    refusal = _format_answer(400, '{"code": 3}')
+    _check_answer(refusal, write_kind=errors.Kind.STORE_DOWN)
 
 
 def test_trickling_answer_is_given_up_at_the_deadline():
     whole = _format_answer(200, "{" + " " * 40 + "}")
-    pieces = [whole[:-40]] + [bytes([byte]) for byte in whole[-40:]]
-    _check_answer(
-        *pieces,
-        read_kind=errors.Kind.STORE_DOWN,
-        write_kind=errors.Kind.STORE_UNCERTAIN,
-    )
+    _check_answer(whole[:-40], *(bytes([byte]) for byte in whole[-40:]))
 
 
 def test_next_address_serves_when_one_refuses():
@@ -425,15 +404,7 @@
             opened.get("a", _soon())
         with _raises(errors.Kind.STORE_DOWN):
             opened.list("a", _soon())
-        for call in (
-            lambda: opened.swap("a", b"1", store.ABSENT, _soon()),
-            lambda: opened.delete("a", 1, _soon()),
-            lambda: opened.grant(1, _soon()),
-            lambda: opened.renew(1, _soon()),
-            lambda: opened.revoke(1, _soon()),
-        ):
-            with _raises(errors.Kind.STORE_UNCERTAIN):
-                call()
+        _check_each_raises(errors.Kind.STORE_UNCERTAIN, _writes(opened))
         standin.control(down=False)
         assert opened.list("", _soon()).items == []
 
@@ -441,10 +412,7 @@
 def test_each_failed_call_reaches_the_store_once():
     with _etcd() as (opened, standin):
         standin.control(down=True)
-        with _raises(errors.Kind.STORE_DOWN):
-            opened.get("a", _soon())
-        with _raises(errors.Kind.STORE_UNCERTAIN):
-            opened.swap("a", b"1", store.ABSENT, _soon())
+        _check_unanswered(opened)
         assert standin.calls() == {"range": 1, "txn": 1}
 
 
@@ -469,23 +437,17 @@
 def test_slow_store_is_uncertain_for_writes_and_down_for_reads():
     with _etcd() as (opened, standin):
         standin.control(delay_s=2 * _SHORT_S)
-        with _raises(errors.Kind.STORE_DOWN):
-            opened.get("a", _soon(_SHORT_S))
-        with _raises(errors.Kind.STORE_UNCERTAIN):
-            opened.swap("a", b"1", store.ABSENT, _soon(_SHORT_S))
+        _check_unanswered(opened, _SHORT_S)
         standin.control(delay_s=0)
         # The write arrives after its caller has given it up.
-        deadline = _soon()
-        _wait_for(lambda: opened.get("a", _soon()) is not None, deadline)
+        arrived = lambda: opened.get("a", _soon()) is not None
+        fixtures.wait_until(arrived, _CALL_S, "the late write")
 
 
 def test_silent_store_is_uncertain_for_writes_and_down_for_reads():
     with _etcd() as (opened, standin):
         standin.control(silent=True)
-        with _raises(errors.Kind.STORE_DOWN):
-            opened.get("a", _soon(_SHORT_S))
-        with _raises(errors.Kind.STORE_UNCERTAIN):
-            opened.swap("a", b"1", store.ABSENT, _soon(_SHORT_S))
+        _check_unanswered(opened, _SHORT_S)
         standin.control(silent=False)
         assert opened.get("a", _soon()) is None
 
@@ -557,8 +519,8 @@
         raise AssertionError("an unknown switch was taken")
 
 
-class _Answers(store.Store):
-    """Hands calls on, and loses the answers to swaps as a script says.
+class _Answers:
+    """Hands calls on to a store, and loses the answers to swaps as a script says.
 
     ``lost`` is an error before the effect, ``late`` one after it, and
     ``late_overwritten`` has somebody replace the value before the error.
@@ -569,6 +531,9 @@
         self._script = list(script)
         self.swaps = 0
 
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
     def swap(self, key, value, expected, deadline, lease=store.NO_LEASE):
         self.swaps += 1
         step = self._script.pop(0) if self._script else "answered"
@@ -583,30 +548,6 @@
             raise errors.Error(errors.Kind.STORE_UNCERTAIN, step)
         return swap
 
-    def get(self, key, deadline):
-        return self._inner.get(key, deadline)
-
-    def list(self, prefix, deadline):
-        return self._inner.list(prefix, deadline)
-
-    def delete(self, key, expected, deadline):
-        return self._inner.delete(key, expected, deadline)
-
-    def grant(self, ttl_s, deadline):
-        return self._inner.grant(ttl_s, deadline)
-
-    def renew(self, lease, deadline):
-        return self._inner.renew(lease, deadline)
-
-    def revoke(self, lease, deadline):
-        self._inner.revoke(lease, deadline)
-
-    def watch(self, prefix, after, deadline):
-        return self._inner.watch(prefix, after, deadline)
-
-    def close(self):
-        self._inner.close()
-
 
 def _settle(script, swaps):
     """Settle a replacement of b"1" by b"mine" and check the attempts."""
@@ -648,7 +589,7 @@
         """The lost write arrives between the reading back and the repeat."""
 
         def get(self, key, deadline):
-            item = super().get(key, deadline)
+            item = self._inner.get(key, deadline)
             self._inner.swap(key, b"mine", item.revision, deadline)
             return item
 
@@ -689,20 +630,13 @@
 def test_settle_over_http_outlasts_an_outage():
     with _etcd() as (opened, standin):
         standin.control(silent=True)
-        outcomes = []
-
-        def settle():
-            deadline = _soon(_WATCH_S)
-            swap = store.settle_swap(opened, "a", b"mine", store.ABSENT, deadline)
-            outcomes.append(swap)
-
-        thread = threading.Thread(target=settle)
-        thread.start()
-        deadline = _soon()
-        _wait_for(lambda: standin.calls().get("range", 0) >= 1, deadline)
-        standin.control(silent=False)
-        thread.join()
-        (swap,) = outcomes
+        with futures.ThreadPoolExecutor(1) as pool:
+            call = (opened, "a", b"mine", store.ABSENT, _soon(_WATCH_S))
+            settling = pool.submit(store.settle_swap, *call)
+            asked = lambda: standin.calls().get("range", 0) >= 1
+            fixtures.wait_until(asked, _CALL_S, "the reading back")
+            standin.control(silent=False)
+        swap = settling.result()
         assert swap.done
         assert opened.get("a", _soon()) == store.Item("a", b"mine", swap.revision)
 
