Write the HTTP worker's checks more compactly

Cause: starting a task on a lease, a worker with one long task, and an attach whose answer is lost were spelled out at each test. Ruled out: one table for the tests of lost answers, since each name there is a behaviour; a shared start for tests whose lease or deadline is the point. Conclusion: the same checks; an error of any kind in a thread that shares the client now fails the test, where only the system's own did.

--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -35,12 +35,9 @@
 @contextlib.contextmanager
 def _attached():
     with fixtures.process(["testing.standins.worker", "--port", "0"]) as standin:
-        client = _client(standin.addresses["http"])
-        client.attach(_deadline())
-        try:
+        with contextlib.closing(_client(standin.addresses["http"])) as client:
+            client.attach(_deadline())
             yield standin, client
-        finally:
-            client.close()
 
 
 def _control(standin, **switches):
@@ -52,6 +49,19 @@
     return fixtures.http("GET", f"{standin.url()}/_judge").json()
 
 
+def _start(client, spec):
+    return client.start(spec, _deadline(_LEASE_S), _deadline())
+
+
+@contextlib.contextmanager
+def _running():
+    """A worker that runs one long task; gives its stand-in, a client and the task."""
+    with _attached() as (standin, client):
+        spec = _spec(run_s=_LONG_RUN_S)
+        _start(client, spec)
+        yield standin, client, spec
+
+
 def _run_of(client, spec):
     runs = client.inventory(_deadline()).runs
     return next((run for run in runs if run.spec.task == spec.task), None)
@@ -75,10 +85,22 @@
         raise AssertionError(f"{kind} was not raised")
 
 
+def _lost():
+    return _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN)
+
+
+def _refused():
+    return _raises(errors.Kind.STALE, errors.Ran.NO)
+
+
+def _unreachable():
+    return _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO)
+
+
 def test_task_starts_and_finishes():
     with _attached() as (standin, client):
         spec = _spec(run_s=0.1, steps=4)
-        run = client.start(spec, _deadline(_LEASE_S), _deadline())
+        run = _start(client, spec)
         assert (run.spec, run.state) == (spec, "running")
         assert _wait_for_end(client, spec).state == "finished"
         (record,) = _judge(standin)["runs"]
@@ -90,16 +112,16 @@
 def test_task_that_fails_is_reported_as_failed():
     with _attached() as (_, client):
         spec = _spec(run_s=0.05, fail=True)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
         assert _wait_for_end(client, spec).state == "failed"
 
 
 def test_same_attempt_starts_once():
     with _attached() as (standin, client):
         spec = _spec(run_s=0.0)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
         _wait_for_end(client, spec)
-        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "finished"
+        assert _start(client, spec).state == "finished"
         assert len(_judge(standin)["runs"]) == 1
 
 
@@ -117,22 +139,18 @@
 
 
 def test_renewal_sets_the_time_left():
-    with _attached() as (_, client):
-        spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+    with _running() as (_, client, spec):
         client.renew([(spec.task, _deadline(0.0))], _deadline())
         assert "lease" in _wait_for_end(client, spec).detail
 
 
 def test_older_generation_is_refused():
-    with _attached() as (standin, older):
-        spec = _spec(run_s=_LONG_RUN_S)
-        older.start(spec, _deadline(_LEASE_S), _deadline())
+    with _running() as (standin, older, spec):
         newer = _client(standin.addresses["http"])
         inventory = newer.attach(_deadline())
         assert [run.spec for run in inventory.runs] == [spec]
         for command in _commands(older, spec):
-            with _raises(errors.Kind.STALE, errors.Ran.NO):
+            with _refused():
                 command()
         assert _run_of(newer, spec).state == "running"
         newer.close()
@@ -141,7 +159,7 @@
 def _commands(client, spec):
     return [
         lambda: client.inventory(_deadline()),
-        lambda: client.start(_spec(index=1), _deadline(_LEASE_S), _deadline()),
+        lambda: _start(client, _spec(index=1)),
         lambda: client.renew([(spec.task, _deadline(0.0))], _deadline()),
         lambda: client.checkpoint(spec.task, _deadline()),
         lambda: client.throttle(spec.task, 0.5, _deadline()),
@@ -154,8 +172,8 @@
 def test_command_before_attach_is_refused():
     with _attached() as (standin, _):
         stranger = _client(standin.addresses["http"])
-        with _raises(errors.Kind.STALE, errors.Ran.NO):
-            stranger.start(_spec(), _deadline(_LEASE_S), _deadline())
+        with _refused():
+            _start(stranger, _spec())
         assert _judge(standin)["runs"] == []
 
 
@@ -166,8 +184,8 @@
     with fixtures.process(args) as first:
         client.attach(_deadline())
         first.kill()
-    with fixtures.process(args), _raises(errors.Kind.STALE, errors.Ran.NO):
-        client.start(_spec(), _deadline(_LEASE_S), _deadline())
+    with fixtures.process(args), _refused():
+        _start(client, _spec())
     client.close()
 
 
@@ -175,50 +193,39 @@
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
         _control(standin, lose_answers=1)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.start(spec, _deadline(_LEASE_S), _deadline())
+        with _lost():
+            _start(client, spec)
         assert len(_judge(standin)["runs"]) == 1
-        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "running"
+        assert _start(client, spec).state == "running"
         assert len(_judge(standin)["runs"]) == 1
 
 
-def test_command_is_sent_once_when_each_answer_is_lost():
-    seen = []
+def _check_attach_is_lost(handle):
+    with serving.listening(handle) as address:
+        with contextlib.closing(_client(address)) as client, _lost():
+            client.attach(_deadline())
 
-    def lose(req):
-        seen.append(req.path)
 
-    with serving.listening(lose) as address:
-        client = _client(address)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.attach(_deadline())
-        client.close()
+def test_command_is_sent_once_when_each_answer_is_lost():
+    seen = []
+    _check_attach_is_lost(lambda req: seen.append(req.path))
     assert seen == ["/attach"]
 
 
 def test_answer_cut_in_the_middle_is_lost():
     reply = serving.answer_json([1, [[1, 1, 0], []]])._replace(cut_after=5)
-    with serving.listening(lambda req: reply) as address:
-        client = _client(address)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.attach(_deadline())
-        client.close()
+    _check_attach_is_lost(lambda req: reply)
 
 
 def test_malformed_answer_is_lost():
     reply = serving.answer_json({"no": "generation"})
-    with serving.listening(lambda req: reply) as address:
-        client = _client(address)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.attach(_deadline())
-        client.close()
+    _check_attach_is_lost(lambda req: reply)
 
 
 def test_refused_connection_certainly_had_no_effect():
-    client = _client(f"127.0.0.1:{fixtures.free_port()}")
-    with _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO):
+    address = f"127.0.0.1:{fixtures.free_port()}"
+    with contextlib.closing(_client(address)) as client, _unreachable():
         client.attach(_deadline())
-    client.close()
 
 
 def test_connect_timeout_certainly_had_no_effect():
@@ -232,7 +239,7 @@
             sock.setblocking(False)
             sock.connect_ex(listener.getsockname())
         client = _client(f"127.0.0.1:{listener.getsockname()[1]}")
-        with _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO):
+        with _unreachable():
             client.attach(_deadline(0.5))
         client.close()
 
@@ -253,7 +260,7 @@
         server = threading.Thread(target=lambda: drip(listener.accept()[0]))
         server.start()
         client = _client(f"127.0.0.1:{listener.getsockname()[1]}")
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+        with _lost():
             client.inventory(_deadline(0.5))
         assert not gone.is_set()
         server.join()
@@ -262,7 +269,7 @@
 
 def test_passed_deadline_sends_nothing():
     with _attached() as (standin, client):
-        with _raises(errors.Kind.ENDPOINT_UNREACHABLE, errors.Ran.NO):
+        with _unreachable():
             client.start(_spec(), _deadline(_LEASE_S), _deadline(-1.0))
         assert _judge(standin)["runs"] == []
 
@@ -270,7 +277,7 @@
 def test_silent_worker_ends_the_call_by_its_deadline():
     with _attached() as (standin, client):
         _control(standin, silent=True)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+        with _lost():
             client.inventory(_deadline(0.3))
         _control(standin, silent=False)
         client.inventory(_deadline())
@@ -281,7 +288,7 @@
         client = _client(relay.address)
         client.attach(_deadline())
         relay.swallow()
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+        with _lost():
             client.inventory(_deadline(0.3))
         assert client.inventory(_deadline()).runs == []
         client.close()
@@ -300,7 +307,7 @@
         client = _client(relay.address)
         _call_twice_at_once(client)
         relay.swallow()
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+        with _lost():
             client.renew([], _deadline(0.3))
         _call_twice_at_once(client)
         client.close()
@@ -314,9 +321,7 @@
 
 
 def test_stop_of_a_running_task_ends_it():
-    with _attached() as (_, client):
-        spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+    with _running() as (_, client, spec):
         assert client.stop(spec.task, _deadline()).state == "stopped"
         assert client.stop(spec.task, _deadline()).state == "stopped"
 
@@ -325,48 +330,40 @@
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
         assert client.stop(spec.task, _deadline()) is None
-        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "stopped"
+        assert _start(client, spec).state == "stopped"
         assert _judge(standin)["runs"] == []
         next_attempt = _spec(attempt=2, run_s=_LONG_RUN_S)
-        run = client.start(next_attempt, _deadline(_LEASE_S), _deadline())
-        assert run.state == "running"
+        assert _start(client, next_attempt).state == "running"
 
 
 def test_forgotten_run_does_not_start_again():
     with _attached() as (standin, client):
         spec = _spec(run_s=0.0)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
         _wait_for_end(client, spec)
         client.forget([spec.task], _deadline())
         assert _run_of(client, spec) is None
-        assert client.start(spec, _deadline(_LEASE_S), _deadline()).state == "stopped"
+        assert _start(client, spec).state == "stopped"
         assert len(_judge(standin)["runs"]) == 1
 
 
 def test_running_task_is_not_forgotten():
-    with _attached() as (_, client):
-        spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+    with _running() as (_, client, spec):
         client.forget([spec.task], _deadline())
         assert _run_of(client, spec).state == "running"
 
 
 def test_next_attempt_resumes_from_the_checkpoint():
     with _attached() as (standin, client):
-        first = _spec(run_s=_LONG_RUN_S, steps=12_000)
-        client.start(first, _deadline(_LEASE_S), _deadline())
-
-        def has_progress():
-            return client.checkpoint(first.task, _deadline()) != "step:0"
-
+        long = {"run_s": _LONG_RUN_S, "steps": 12_000}
+        first = _spec(**long)
+        _start(client, first)
+        has_progress = lambda: client.checkpoint(first.task, _deadline()) != "step:0"
         fixtures.wait_until(has_progress, _DEADLINE_S, "a first step")
         end = client.stop(first.task, _deadline())
         step = int(end.checkpoint.removeprefix("step:"))
         assert 0 < step < 12_000
-        second = _spec(
-            attempt=2, checkpoint=end.checkpoint, run_s=_LONG_RUN_S, steps=12_000
-        )
-        client.start(second, _deadline(_LEASE_S), _deadline())
+        _start(client, _spec(attempt=2, checkpoint=end.checkpoint, **long))
         _, record = _judge(standin)["runs"]
         assert record["resumed_from"] == end.checkpoint
         assert record["steps"] >= step
@@ -375,7 +372,7 @@
 def test_run_resumed_near_its_end_has_little_left_to_do():
     with _attached() as (standin, client):
         spec = _spec(checkpoint="step:11990", run_s=_LONG_RUN_S, steps=12_000)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
         assert _wait_for_end(client, spec).state == "finished"
         (record,) = _judge(standin)["runs"]
         assert record["steps"] == 12_000
@@ -397,9 +394,7 @@
 
 
 def test_throttled_task_is_told_as_such():
-    with _attached() as (_, client):
-        spec = _spec(run_s=_LONG_RUN_S)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+    with _running() as (_, client, spec):
         client.throttle(spec.task, 0.5, _deadline())
         assert _run_of(client, spec).throttle == 0.5
 
@@ -407,7 +402,7 @@
 def test_throttle_to_nothing_is_undone_by_the_next():
     with _attached() as (_, client):
         spec = _spec(run_s=0.5)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
         client.throttle(spec.task, 0.0, _deadline())
         client.throttle(spec.task, 1.0, _deadline())
         assert _wait_for_end(client, spec).state == "finished"
@@ -416,7 +411,7 @@
 def test_checkpoint_of_a_task_that_has_none_is_refused():
     with _attached() as (_, client):
         spec = _spec(run_s=_LONG_RUN_S, checkpointable=False)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
         with _raises(errors.Kind.BAD_REQUEST, errors.Ran.NO):
             client.checkpoint(spec.task, _deadline())
         unknown = worker.TaskId("planners", "plan-1", 7, 1)
@@ -427,8 +422,8 @@
 def test_worker_that_is_down_does_nothing():
     with _attached() as (standin, client):
         _control(standin, down=True)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
-            client.start(_spec(), _deadline(_LEASE_S), _deadline())
+        with _lost():
+            _start(client, _spec())
         _control(standin, down=False)
         assert client.inventory(_deadline()).runs == []
 
@@ -436,7 +431,7 @@
 def test_delayed_command_takes_effect_after_its_deadline():
     with _attached() as (standin, client):
         _control(standin, delay_s=0.5)
-        with _raises(errors.Kind.ANSWER_LOST, errors.Ran.UNKNOWN):
+        with _lost():
             client.start(_spec(run_s=_LONG_RUN_S), _deadline(_LEASE_S), _deadline(0.1))
         started = lambda: _judge(standin)["runs"]
         fixtures.wait_until(started, _DEADLINE_S, "the late start")
@@ -452,15 +447,14 @@
 def test_worker_that_fails_everything():
     with _attached() as (standin, client):
         _control(standin, fail_all=True)
-        run = client.start(_spec(run_s=_LONG_RUN_S), _deadline(_LEASE_S), _deadline())
-        assert run.state == "failed"
+        assert _start(client, _spec(run_s=_LONG_RUN_S)).state == "failed"
 
 
 def test_usage_lags_and_tells_of_what_ran_then():
     with _attached() as (standin, client):
         _control(standin, slowdown={"echo": 1.5})
         spec = _spec(run_s=_LONG_RUN_S, cpu_milli=900, memory_bytes=7)
-        client.start(spec, _deadline(_LEASE_S), _deadline())
+        _start(client, spec)
 
         def used():
             usage = client.usage(_deadline())
@@ -477,13 +471,9 @@
 
 def test_judge_records_a_commitment_beyond_capacity():
     with _attached() as (standin, client):
-        client.start(
-            _spec(0, cpu_milli=40_000, run_s=60), _deadline(_LEASE_S), _deadline()
-        )
+        _start(client, _spec(0, cpu_milli=40_000, run_s=60))
         assert not _judge(standin)["exceeded"]
-        client.start(
-            _spec(1, cpu_milli=40_000, run_s=60), _deadline(_LEASE_S), _deadline()
-        )
+        _start(client, _spec(1, cpu_milli=40_000, run_s=60))
         client.stop(_spec(1).task, _deadline())
         judged = _judge(standin)
         assert judged["exceeded"]
@@ -492,26 +482,14 @@
 
 def test_threads_share_a_client():
     with _attached() as (standin, client):
-        faults = []
 
         def start_some(first):
-            try:
-                for index in range(first, first + 10):
-                    client.start(
-                        _spec(index, run_s=60), _deadline(_LEASE_S), _deadline()
-                    )
-            except errors.Error as exc:
-                faults.append(exc)
-
-        starts = [
-            threading.Thread(target=start_some, args=(first,))
-            for first in range(0, 80, 10)
-        ]
-        for thread in starts:
-            thread.start()
-        for thread in starts:
-            thread.join()
-        assert faults == []
+            for index in range(first, first + 10):
+                _start(client, _spec(index, run_s=60))
+
+        with futures.ThreadPoolExecutor(8) as pool:
+            starts = [pool.submit(start_some, first) for first in range(0, 80, 10)]
+        assert [start.exception() for start in starts] == [None] * 8
         assert len(_judge(standin)["runs"]) == 80
 
 
@@ -539,7 +517,7 @@
             assert exc.kind is errors.Kind.STALE, exc
         else:
             raise AssertionError("the older agent attached")
-        newer.start(_spec(), _deadline(_LEASE_S), _deadline())
+        _start(newer, _spec())
 
 
 load_tests = collecting.hook(__name__)
