Write the stand-ins' checks more compactly

Cause: an endpoint with a listening agent, a link with a working connection and a fresh connection that works were spelled out at each test. Ruled out: one table for the link's switches, since each test there has its own order of steps. Conclusion: the same checks.

--- a/testing/standins/test_standins.py
+++ b/testing/standins/test_standins.py
@@ -28,11 +28,18 @@
         return any(body["leaving"] is leaving for _, _, body in self.seen)
 
 
-@contextlib.contextmanager
 def _endpoint(*more):
     args = ["testing.standins.endpoint", "--port", "0", "--id", "ep1", *more]
-    with fixtures.process(args) as endpoint:
-        yield endpoint
+    return fixtures.process(args)
+
+
+@contextlib.contextmanager
+def _announcing():
+    """An endpoint that announces itself; gives it and the agent that listens."""
+    agent = _Agent()
+    with serving.listening(agent.handle) as address:
+        with _endpoint("--announce", f"http://{address}") as endpoint:
+            yield endpoint, agent
 
 
 def _runs(endpoint):
@@ -91,10 +98,7 @@
         _control(endpoint, delay_s=3.0)
         with concurrent.futures.ThreadPoolExecutor(60) as pool:
             answers = [pool.submit(fixtures.http, "GET", url) for _ in range(60)]
-
-            def all_in_progress():
-                return _runs(endpoint)["in_progress"] == 60
-
+            all_in_progress = lambda: _runs(endpoint)["in_progress"] == 60
             fixtures.wait_until(all_in_progress, _TIMEOUT_S, "60 in progress")
             assert [answer.result().status for answer in answers] == [200] * 60
         assert _runs(endpoint)["highest"] == 60
@@ -135,44 +139,33 @@
 
 
 def test_endpoint_announces_itself_and_its_leaving():
-    agent = _Agent()
-    with serving.listening(agent.handle) as address:
-        with _endpoint("--announce", f"http://{address}") as endpoint:
-            heard = lambda: len(agent.seen) >= 2
-            fixtures.wait_until(heard, _TIMEOUT_S, "two announcements")
-            assert agent.seen[0] == (
-                "PUT",
-                "/endpoints/ep1",
-                {
-                    "service": "echo",
-                    "address": endpoint.addresses["http"],
-                    "slots": 8,
-                    "leaving": False,
-                },
-            )
-            endpoint.terminate()
-            assert endpoint.wait(_TIMEOUT_S) == 0
+    with _announcing() as (endpoint, agent):
+        heard = lambda: len(agent.seen) >= 2
+        fixtures.wait_until(heard, _TIMEOUT_S, "two announcements")
+        body = {"service": "echo", "address": endpoint.addresses["http"]}
+        body |= {"slots": 8, "leaving": False}
+        assert agent.seen[0] == ("PUT", "/endpoints/ep1", body)
+        endpoint.terminate()
+        assert endpoint.wait(_TIMEOUT_S) == 0
     leaving = [body["leaving"] for _, _, body in agent.seen]
     assert leaving[-1] is True
     assert leaving == sorted(leaving)
 
 
 def test_leaving_endpoint_finishes_what_is_in_progress():
-    agent = _Agent()
-    with serving.listening(agent.handle) as address:
-        with _endpoint("--announce", f"http://{address}") as endpoint:
-            url = f"{endpoint.url()}/a"
-            with concurrent.futures.ThreadPoolExecutor(1) as pool:
-                headers = {"X-Delay-S": "3"}
-                answer = pool.submit(fixtures.http, "POST", url, b"", headers)
-                begun = lambda: _runs(endpoint)["in_progress"] == 1
-                fixtures.wait_until(begun, _TIMEOUT_S, "the request's begin")
-                endpoint.terminate()
-                told = lambda: agent.has_heard(leaving=True)
-                fixtures.wait_until(told, _TIMEOUT_S, "the leaving announcement")
-                assert not answer.done()
-                assert answer.result().status == 200
-            assert endpoint.wait(_TIMEOUT_S) == 0
+    with _announcing() as (endpoint, agent):
+        url = f"{endpoint.url()}/a"
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            headers = {"X-Delay-S": "3"}
+            answer = pool.submit(fixtures.http, "POST", url, b"", headers)
+            begun = lambda: _runs(endpoint)["in_progress"] == 1
+            fixtures.wait_until(begun, _TIMEOUT_S, "the request's begin")
+            endpoint.terminate()
+            told = lambda: agent.has_heard(leaving=True)
+            fixtures.wait_until(told, _TIMEOUT_S, "the leaving announcement")
+            assert not answer.done()
+            assert answer.result().status == 200
+        assert endpoint.wait(_TIMEOUT_S) == 0
 
 
 def test_announcing_survives_an_agent_away_and_replaced():
@@ -240,8 +233,11 @@
 
 @contextlib.contextmanager
 def _linked():
+    """A link to an echo server; gives it and an open connection that works."""
     with _echo_server() as target, link.Link(target) as relay:
-        yield relay
+        with _connect(relay) as conn:
+            assert _echoes(conn)
+            yield relay, conn
 
 
 def _connect(relay, timeout_s=_TIMEOUT_S):
@@ -254,6 +250,11 @@
     return conn.recv(4) == b"ping"
 
 
+def _echoes_afresh(relay):
+    with _connect(relay) as conn:
+        return _echoes(conn)
+
+
 def _goes_silent(conn):
     conn.settimeout(0.2)
     try:
@@ -265,59 +266,49 @@
 
 
 def test_link_relays_and_passes_on_the_end():
-    with _linked() as relay, _connect(relay) as conn:
-        assert _echoes(conn)
+    with _linked() as (relay, conn):
         conn.shutdown(socket.SHUT_WR)
         assert conn.recv(4) == b""
 
 
 def test_link_cut_drops_open_connections_only():
-    with _linked() as relay, _connect(relay) as conn:
-        assert _echoes(conn)
+    with _linked() as (relay, conn):
         relay.cut()
         assert conn.recv(4) == b""
-        with _connect(relay) as another:
-            assert _echoes(another)
+        assert _echoes_afresh(relay)
 
 
 def test_link_refuse_lasts_until_healed():
-    with _linked() as relay, _connect(relay) as conn:
-        assert _echoes(conn)
+    with _linked() as (relay, conn):
         relay.refuse()
         with _raises(ConnectionRefusedError):
             _connect(relay)
         assert _echoes(conn)
         relay.heal()
-        with _connect(relay) as another:
-            assert _echoes(another)
+        assert _echoes_afresh(relay)
 
 
 def test_link_swallow_is_for_good_on_open_connections():
-    with _linked() as relay, _connect(relay) as conn:
-        assert _echoes(conn)
+    with _linked() as (relay, conn):
         relay.swallow()
         assert _goes_silent(conn)
-        with _connect(relay) as another:
-            assert _echoes(another)
+        assert _echoes_afresh(relay)
         relay.heal()
         assert _goes_silent(conn)
 
 
 def test_link_blackhole_swallows_new_connections_too():
-    with _linked() as relay, _connect(relay) as conn:
-        assert _echoes(conn)
+    with _linked() as (relay, conn):
         relay.blackhole()
         assert _goes_silent(conn)
         with _connect(relay) as another:
             assert _goes_silent(another)
         relay.heal()
-        with _connect(relay) as third:
-            assert _echoes(third)
+        assert _echoes_afresh(relay)
 
 
 def test_link_delay_holds_bytes_back():
-    with _linked() as relay, _connect(relay) as conn:
-        assert _echoes(conn)
+    with _linked() as (relay, conn):
         relay.delay(0.5)
         assert _goes_silent(conn)
         conn.settimeout(_TIMEOUT_S)
