Make an agent's report in one place for the tests

Cause: six test modules spelled out all thirteen fields of a report to set two or three of them. Ruled out: defaults in messages.Report itself; a real agent must say each.

--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -1,15 +1,36 @@
-"""A worker inside the test, with a memory of all runs, and calls made inline."""
+"""Stand-ins inside a test: a worker, an agent's report, and calls made inline."""
 
 import collections
 import concurrent.futures as futures
 import time
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import worker
+from bilberrypass.connection import messages, worker
 
 CAPACITY = resources.Demand(4, 4, 0)
 
 
+def report(**fields) -> messages.Report:
+    """Return the report of a host that has no room and runs nothing, but for fields."""
+    nothing = resources.Demand()
+    plain = messages.Report(
+        host="h0",
+        incarnation=1,
+        sequence=1,
+        address="127.0.0.1:1",
+        region="r",
+        failure_domain="fd0",
+        rack="r0",
+        leaving=False,
+        revision=0,
+        capacity=nothing,
+        committed=nothing,
+        endpoints=[],
+        tasks=[],
+    )
+    return plain._replace(**fields)
+
+
 class Inline(futures.Executor):
     def submit(self, fn, /, *args, **kwargs):
         fn(*args, **kwargs)
--- a/testing/process/test_dispatch.py
+++ b/testing/process/test_dispatch.py
@@ -9,21 +9,7 @@
 from testing import collecting, fakes
 
 _SENDER = dispatch.Sender("e", 0, 1, 60.0)
-_REPORT = messages.Report(
-    "h0",
-    1,
-    1,
-    "a",
-    "r",
-    "fd",
-    "r",
-    False,
-    0,
-    fakes.CAPACITY,
-    resources.Demand(),
-    [],
-    [],
-)
+_REPORT = fakes.report(capacity=fakes.CAPACITY)
 
 
 class _Hosts(t.NamedTuple):
--- a/testing/process/test_disturbance.py
+++ b/testing/process/test_disturbance.py
@@ -14,7 +14,7 @@
     throttle,
 )
 from bilberrypass.version import page
-from testing import collecting
+from testing import collecting, fakes
 
 _START_S = 1_000.0
 
@@ -68,22 +68,8 @@
 
 
 def _report(inflation):
-    return messages.Report(
-        host="h0",
-        incarnation=1,
-        sequence=1,
-        address="",
-        region="",
-        failure_domain="",
-        rack="",
-        leaving=False,
-        revision=0,
-        capacity=resources.Demand(8_000, 8, 0),
-        committed=resources.Demand(),
-        endpoints=[],
-        tasks=[],
-        usage=_usage(inflation),
-    )
+    capacity = resources.Demand(8_000, 8, 0)
+    return fakes.report(capacity=capacity, usage=_usage(inflation))
 
 
 def _running(jobs, id, task_class):
--- a/testing/process/test_model.py
+++ b/testing/process/test_model.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import channels, memory, messages, store
+from bilberrypass.connection import channels, memory, store
 from bilberrypass.process import (
     directory,
     dispatch,
@@ -233,19 +233,14 @@
         agent = self.agents[host]
         agent.poll()
         self.sequences[host] += 1
-        report = messages.Report(
+        report = fakes.report(
             host=host,
             incarnation=self.incarnations[host],
             sequence=self.sequences[host],
-            address="127.0.0.1:1",
-            region="r",
             failure_domain=host,
             rack="r",
-            leaving=False,
-            revision=0,
             capacity=agent.ledger.capacity,
             committed=agent.ledger.committed,
-            endpoints=[],
             tasks=agent.states(),
         )
         known = fleet.Host(report, time.monotonic(), _Peer(self, host))
--- a/testing/process/test_pacing.py
+++ b/testing/process/test_pacing.py
@@ -4,11 +4,10 @@
 import itertools
 import time
 
-from bilberrypass import resources
 from bilberrypass.connection import messages, reporting
 from bilberrypass.process import agent, fleet
 from bilberrypass.version import settings
-from testing import collecting, fixtures, system
+from testing import collecting, fakes, fixtures, system
 
 
 @contextlib.contextmanager
@@ -25,22 +24,7 @@
 
 
 def _report(interval_s: float) -> messages.Report:
-    return messages.Report(
-        host="h0",
-        incarnation=1,
-        sequence=1,
-        address=system.address(),
-        region="default",
-        failure_domain="fd0",
-        rack="r0",
-        leaving=False,
-        revision=0,
-        capacity=resources.Demand(),
-        committed=resources.Demand(),
-        endpoints=[],
-        tasks=[],
-        interval_s=interval_s,
-    )
+    return fakes.report(address=system.address(), interval_s=interval_s)
 
 
 def test_host_reports_to_each_of_many_entries_more_rarely():
--- a/testing/process/test_placement.py
+++ b/testing/process/test_placement.py
@@ -15,7 +15,7 @@
     records,
 )
 from bilberrypass.version import configuration, page
-from testing import collecting
+from testing import collecting, fakes
 
 _CAPACITY = resources.Demand(8_000, 16 << 30, 0)
 
@@ -135,21 +135,8 @@
 
 
 def _report(number):
-    return messages.Report(
-        host=f"h{number}",
-        incarnation=1,
-        sequence=1,
-        address="",
-        region="",
-        failure_domain=f"fd{number}",
-        rack=f"r{number}",
-        leaving=False,
-        revision=0,
-        capacity=_CAPACITY,
-        committed=resources.Demand(),
-        endpoints=[],
-        tasks=[],
-    )
+    where = {"failure_domain": f"fd{number}", "rack": f"r{number}"}
+    return fakes.report(host=f"h{number}", capacity=_CAPACITY, **where)
 
 
 def _hosts(count=2):
--- a/testing/request/test_limits.py
+++ b/testing/request/test_limits.py
@@ -3,29 +3,17 @@
 import contextlib
 import time
 
-from bilberrypass import errors, resources
+from bilberrypass import errors
 from bilberrypass.connection import messages
 from bilberrypass.process import fleet
 from bilberrypass.request import health, limits, routing
-from testing import collecting, fixtures
+from testing import collecting, fakes, fixtures
 
 
 def make_host(name: str, domain: str = "fd1", in_use: int = 0) -> fleet.Host:
     state = messages.EndpointState("ep", "echo", 8, in_use, 0, False)
-    report = messages.Report(
-        host=name,
-        incarnation=1,
-        sequence=1,
-        address="127.0.0.1:1",
-        region="r",
-        failure_domain=domain,
-        rack="r1",
-        leaving=False,
-        revision=0,
-        capacity=resources.Demand(),
-        committed=resources.Demand(),
-        endpoints=[state],
-        tasks=[],
+    report = fakes.report(
+        host=name, failure_domain=domain, rack="r1", endpoints=[state]
     )
     return fleet.Host(report, time.monotonic(), None)
 
