Write the checks of settings and channels more compactly

Cause: tables with one word a line, a context manager where a return does, and two servers that hold their calls. Conclusion: the same checks; the failing case is now named in each table.

--- a/testing/connection/test_channels.py
+++ b/testing/connection/test_channels.py
@@ -23,12 +23,24 @@
 
 
 @contextlib.contextmanager
+def _holding(**options):
+    """A server that holds each call; gives a peer of it, and two events.
+
+    The first event is set once a call has begun, the second lets the calls end.
+    """
+    began, release = threading.Event(), threading.Event()
+
+    def wait(req):
+        began.set()
+        release.wait(10)
+        return messages.Revoked(True)
+
+    with _server(wait, **options) as server, _peer(server.address) as peer:
+        yield peer, began, release
+
+
 def _peer(address):
-    peer = channels.Peer(address)
-    try:
-        yield peer
-    finally:
-        peer.close()
+    return contextlib.closing(channels.Peer(address))
 
 
 def _call(peer, timeout_s=10.0):
@@ -84,14 +96,7 @@
 
 
 def test_too_many_calls_ran_nothing():
-    began, release = threading.Event(), threading.Event()
-
-    def wait(req):
-        began.set()
-        release.wait(10)
-        return messages.Revoked(True)
-
-    with _server(wait, threads=1, queued=0) as server, _peer(server.address) as peer:
+    with _holding(threads=1, queued=0) as (peer, began, release):
         thread = threading.Thread(target=_call, args=(peer,))
         thread.start()
         assert began.wait(10)
@@ -109,15 +114,8 @@
 
 
 def test_closing_a_peer_cuts_no_call_in_progress():
-    began, release = threading.Event(), threading.Event()
     answers = []
-
-    def wait(req):
-        began.set()
-        release.wait(10)
-        return messages.Revoked(True)
-
-    with _server(wait) as server, _peer(server.address) as peer:
+    with _holding() as (peer, began, release):
         thread = threading.Thread(target=lambda: answers.append(_call(peer)))
         thread.start()
         assert began.wait(10)
--- a/testing/version/test_settings.py
+++ b/testing/version/test_settings.py
@@ -1,6 +1,5 @@
 """The check of settings: every fault at once, each with its path and remedy."""
 
-import contextlib
 import json
 import pathlib
 import subprocess
@@ -49,51 +48,31 @@
 
 
 def test_all_faults_are_told_at_once():
-    found = _faults(
-        settings.check_entry,
-        _with(
-            _ENTRY,
-            callers="entry-1:8080",
-            shards="8",
-            silence=3,
-            logs={"levle": "info"},
-            store={"kind": "etcd"},
-        ),
-    )
-    assert [fault.partition(":")[0] for fault in found] == [
-        "callers",
-        "logs.levle",
-        "shards",
-        "silence",
-        "store.addresses",
-    ]
+    changes = {"callers": "entry-1:8080", "shards": "8", "silence": 3}
+    changes |= {"logs": {"levle": "info"}, "store": {"kind": "etcd"}}
+    found = _faults(settings.check_entry, _ENTRY | changes)
+    paths = ["callers", "logs.levle", "shards", "silence", "store.addresses"]
+    assert [fault.partition(":")[0] for fault in found] == paths, found
+
+
+def _meant(key):
+    return f"did you mean {key!r}?"
 
 
 def test_unknown_keys_are_told_the_nearest_of_their_place():
-    for changes, fault in (
-        (
-            {"report_interval": 1.0},
-            "report_interval: unknown key; did you mean 'report_interval_s'?",
-        ),
-        ({"enries": []}, "enries: unknown key; did you mean 'entries'?"),
-        ({"xyzzy": 1}, "xyzzy: unknown key; remove it"),
-        (
-            {"metrics": {"statd": "127.0.0.1:1"}},
-            "metrics.statd: unknown key; did you mean 'statsd'?",
-        ),
-        ({"logs": {"entries": 1}}, "logs.entries: unknown key; remove it"),
+    for changes, path, remedy in (
+        ({"report_interval": 1.0}, "report_interval", _meant("report_interval_s")),
+        ({"enries": []}, "enries", _meant("entries")),
+        ({"xyzzy": 1}, "xyzzy", "remove it"),
+        ({"metrics": {"statd": "127.0.0.1:1"}}, "metrics.statd", _meant("statsd")),
+        ({"logs": {"entries": 1}}, "logs.entries", "remove it"),
     ):
-        assert _faults(settings.check_agent, _with(_AGENT, **changes)) == [fault]
+        found = _faults(settings.check_agent, _AGENT | changes)
+        assert found == [f"{path}: unknown key; {remedy}"], (changes, found)
 
 
 def test_addresses_are_ip_numbers_with_ports():
-    for address in (
-        "localhost:80",
-        "127.0.0.1",
-        "127.0.0.1:",
-        ":80",
-        "127.0.0.1:99999",
-    ):
+    for address in "localhost:80 127.0.0.1 127.0.0.1: :80 127.0.0.1:99999".split():
         (fault,) = _faults(settings.check_entry, _with(_ENTRY, callers=address))
         assert fault.startswith(f"callers: {address!r}"), fault
     for address in ("::1:80", "[127.0.0.1]:80", "127.0.0.1:٣", "1.2.3.4:-1"):
@@ -159,10 +138,9 @@
         assert _faults(settings.read, path)
 
 
-@contextlib.contextmanager
 def _checked(value, *args):
     with fixtures.settings_file(value) as path:
-        yield subprocess.run(
+        return subprocess.run(
             [sys.executable, "-m", "bilberrypass.daemon", *args, "--settings", path],
             capture_output=True,
             text=True,
@@ -171,25 +149,24 @@
 
 
 def test_check_exits_by_its_verdict():
-    with _checked(_AGENT, "check") as done:
-        assert (done.returncode, done.stdout) == (0, "valid settings of an agent\n")
-    with _checked(_with(_ENTRY, shards=0, nonsense=1), "check") as done:
-        assert done.returncode == 2
-        lines = done.stderr.splitlines()
-        assert len(lines) == 2, lines
-        assert all(
-            line.startswith("bilberrypassd: INVALID_SETTINGS: ") for line in lines
-        )
-    with _checked({"id": "x"}, "check", "--role", "agent") as done:
-        assert done.returncode == 2
-        assert "entries: is missing; add it" in done.stderr
+    done = _checked(_AGENT, "check")
+    assert (done.returncode, done.stdout) == (0, "valid settings of an agent\n")
+    done = _checked(_ENTRY | {"shards": 0, "nonsense": 1}, "check")
+    assert done.returncode == 2, done
+    lines = done.stderr.splitlines()
+    assert len(lines) == 2, lines
+    for line in lines:
+        assert line.startswith("bilberrypassd: INVALID_SETTINGS: "), line
+    done = _checked({"id": "x"}, "check", "--role", "agent")
+    assert done.returncode == 2, done
+    assert "entries: is missing; add it" in done.stderr, done
 
 
 def test_nothing_starts_with_faulty_settings():
     for role in ("entry", "agent", "local"):
-        with _checked([json.dumps(_ENTRY)], role) as done:
-            assert done.returncode == 2, done
-            assert done.stdout == ""
+        done = _checked([json.dumps(_ENTRY)], role)
+        assert done.returncode == 2, done
+        assert done.stdout == "", done
 
 
 load_tests = collecting.hook(__name__)
