Share what many process tests wait for and check

Cause: a service that answers, a job that is taken and the three checks of all runs were spelled out in nine test modules. Ruled out: one time limit for all waits; each keeps its own. Conclusion: the same checks and limits; what timed out is still named.

--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -112,6 +112,11 @@
         return HttpAnswer(resp.status, resp.headers, resp.data)
 
 
+def wait_ok(url: str, timeout_s: float, what: str) -> None:
+    """Poll until a GET is answered with 200."""
+    wait_until(lambda: http("GET", url).status == 200, timeout_s, what)
+
+
 class Process:
     """A started process, its ready line and what it has printed."""
 
--- a/testing/judge.py
+++ b/testing/judge.py
@@ -48,6 +48,15 @@
         assert len(own) == 1, (task, own)
 
 
+def check_all(workers, count):
+    """Hold all runs against the promises; return them."""
+    found = runs(workers)
+    check_capacity(workers)
+    check_never_twice_at_once(found)
+    check_finished_once(found, count)
+    return found
+
+
 def check_resumed(found):
     """Each run goes on from the newest checkpoint of those before it."""
     for task, own in _by_task(found).items():
--- a/testing/process/test_capacity.py
+++ b/testing/process/test_capacity.py
@@ -12,12 +12,7 @@
 
 def _submit(run, id, entry=0, **changes):
     url = f"{run.callers(entry)}/jobs/{id}"
-    body = system.job_body(**changes)
-    fixtures.wait_until(
-        lambda: fixtures.http("PUT", url, body=body).status in (200, 201),
-        10,
-        f"job {id} to be taken",
-    )
+    system.put_job(url, 10, **changes)
     return url
 
 
@@ -50,21 +45,14 @@
 def test_two_entries_fill_one_host_at_once():
     # Between two reports neither owner can know what the other has placed.
     with system.system(entries=2, agent_changes={"report_interval_s": 1.0}) as run:
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", f"{run.callers()}/jobs").status == 200,
-            15,
-            "owners of all shards",
-        )
+        fixtures.wait_ok(f"{run.callers()}/jobs", 15, "owners of all shards")
         shards = {worker.shard_of(team, 2) for team in _TEAMS}
         assert len(shards) == 2, "the two teams must belong to different shards"
         with futures.ThreadPoolExecutor() as pool:
             urls = list(pool.map(lambda team: _submit_fill(run, team), _TEAMS))
         for url in urls:
             _wait_finished(url)
-        found = judge.runs(run.workers)
-        judge.check_capacity(run.workers)
-        judge.check_finished_once(found, 2 * _TASKS)
-        judge.check_never_twice_at_once(found)
+        judge.check_all(run.workers, 2 * _TASKS)
 
 
 def test_agent_killed_between_admission_and_start():
@@ -77,10 +65,7 @@
         fixtures.http("PUT", control, body={"delay_s": 0.0})
         with _second_agent(run):
             _wait_finished(url)
-            found = judge.runs(run.workers)
-            judge.check_capacity(run.workers)
-            judge.check_finished_once(found, _TASKS)
-            judge.check_never_twice_at_once(found)
+            judge.check_all(run.workers, _TASKS)
 
 
 def test_two_agents_of_one_host_the_older_paused():
@@ -100,10 +85,7 @@
             )
             run.agents[0].thaw()
             _wait_finished(url)
-            found = judge.runs(run.workers)
-            judge.check_capacity(run.workers)
-            judge.check_finished_once(found, _TASKS)
-            judge.check_never_twice_at_once(found)
+            judge.check_all(run.workers, _TASKS)
 
 
 def test_replaced_worker_loses_nothing():
--- a/testing/process/test_eviction.py
+++ b/testing/process/test_eviction.py
@@ -19,15 +19,6 @@
 _URGENT_START_S = 9.5
 
 
-def _put(url, **changes):
-    body = system.job_body(**changes)
-    fixtures.wait_until(
-        lambda: fixtures.http("PUT", url, body=body).status in (200, 201),
-        15,
-        f"{url} to be taken",
-    )
-
-
 def _job(url):
     return fixtures.http("GET", url).json()
 
@@ -47,7 +38,7 @@
 def _fill_and_displace(run, entry):
     """Fill the host with batch work, then submit urgent work; return both URLs."""
     root = f"{run.callers(entry)}/jobs"
-    _put(f"{root}/batch", **_BATCH)
+    system.put_job(f"{root}/batch", **_BATCH)
     fixtures.wait_until(
         lambda: _states(f"{root}/batch") == ["running"] * _BATCH_TASKS, 15, "the starts"
     )
@@ -55,7 +46,7 @@
     fixtures.wait_until(
         lambda: all(r["steps"] > 200 for r in judge.runs(run.workers)), 15, "progress"
     )
-    _put(f"{root}/urgent", **_URGENT)
+    system.put_job(f"{root}/urgent", **_URGENT)
     return f"{root}/batch", f"{root}/urgent"
 
 
@@ -66,10 +57,7 @@
 
 
 def _check(run):
-    found = judge.runs(run.workers)
-    judge.check_capacity(run.workers)
-    judge.check_never_twice_at_once(found)
-    judge.check_finished_once(found, _BATCH_TASKS + 1)
+    found = judge.check_all(run.workers, _BATCH_TASKS + 1)
     judge.check_resumed(found)
     return found
 
--- a/testing/process/test_jobs.py
+++ b/testing/process/test_jobs.py
@@ -12,12 +12,6 @@
     return fixtures.http("PUT", url, body=system.job_body(**changes))
 
 
-def _put_taken(url, **changes):
-    fixtures.wait_until(
-        lambda: _put(url, **changes).status in (200, 201), 15, f"{url} to be taken"
-    )
-
-
 def _wait_state(url, state):
     fixtures.wait_until(
         lambda: fixtures.http("GET", url).json().get("state") == state,
@@ -29,7 +23,7 @@
 def test_job_that_no_host_could_hold_is_refused_with_the_reason():
     with system.system() as run:
         root = f"{run.callers()}/jobs"
-        _put_taken(f"{root}/small")
+        system.put_job(f"{root}/small")
         demand = {"cpu_milli": 9_000, "memory_bytes": 1}
 
         numbers = itertools.count()
@@ -51,10 +45,10 @@
         fixtures.http("PUT", control, {"fail_all": True})
         root = f"{run.callers()}/jobs"
         for name in ("first", "second"):
-            _put_taken(f"{root}/{name}", max_attempts=2)
+            system.put_job(f"{root}/{name}", max_attempts=2)
         for name in ("first", "second"):
             _wait_state(f"{root}/{name}", "failed")
-        _put_taken(f"{root}/third")
+        system.put_job(f"{root}/third")
 
         def reasons():
             told = fixtures.http("GET", f"{root}/third/explain").json()
@@ -71,7 +65,7 @@
 def test_disturbing_tasks_are_throttled_and_the_host_is_explained():
     with system.system() as run:
         url = f"{run.callers()}/jobs/noisy"
-        _put_taken(url, payload='{"run_s": 60.0}')
+        system.put_job(url, payload='{"run_s": 60.0}')
         fixtures.wait_until(lambda: judge.runs(run.workers), 15, "a start")
         control = f"{run.workers[0].url()}/_control"
         fixtures.http("PUT", control, {"slowdown": {"echo": 2.0}})
@@ -89,7 +83,7 @@
 def test_cancelled_job_stops_and_stays_so():
     with system.system() as run:
         url = f"{run.callers()}/jobs/long"
-        _put_taken(url, tasks=30, payload='{"run_s": 60.0}')
+        system.put_job(url, tasks=30, payload='{"run_s": 60.0}')
         fixtures.wait_until(lambda: judge.runs(run.workers), 15, "a start")
         assert fixtures.http("DELETE", url).status == 200
         _wait_state(url, "cancelled")
--- a/testing/process/test_leases.py
+++ b/testing/process/test_leases.py
@@ -5,15 +5,6 @@
 _LONG = '{"run_s": 6.0, "steps": 60}'
 
 
-def _submit(url, **changes):
-    body = system.job_body(**changes)
-    fixtures.wait_until(
-        lambda: fixtures.http("PUT", url, body=body).status in (200, 201),
-        15,
-        f"{url} to be taken",
-    )
-
-
 def _state(url):
     answer = fixtures.http("GET", url)
     return answer.json().get("state")
@@ -29,18 +20,10 @@
     return [run for run in judge.runs(workers) if run["end"] is None]
 
 
-def _check(workers, tasks):
-    found = judge.runs(workers)
-    judge.check_capacity(workers)
-    judge.check_never_twice_at_once(found)
-    judge.check_finished_once(found, tasks)
-    return found
-
-
 def test_host_cut_off_while_its_tasks_run():
     with system.system(entry_changes={"silence_s": 0.6}) as run:
         url = f"{run.callers()}/jobs/cut"
-        _submit(url, tasks=6, payload=_LONG, max_attempts=1)
+        system.put_job(url, tasks=6, payload=_LONG, max_attempts=1)
         fixtures.wait_until(
             lambda: len(_running(run.workers)) == 6, 15, "the starts on the first host"
         )
@@ -56,14 +39,14 @@
                 )
                 run.agents[0].thaw()
                 _wait_finished(url)
-                found = _check(workers, 6)
+                found = judge.check_all(workers, 6)
                 assert {r["worker"] for r in found} == {0, 1}, found
 
 
 def test_owner_frozen_past_its_lease_and_thawed():
     with system.system(entries=2, hosts=2) as run:
         url = f"{run.callers(1)}/jobs/frozen"
-        _submit(url, tasks=20, payload='{"run_s": 1.0}')
+        system.put_job(url, tasks=20, payload='{"run_s": 1.0}')
         fixtures.wait_until(lambda: _running(run.workers), 15, "a start")
         run.entries[0].freeze()
         fixtures.wait_until(
@@ -71,7 +54,7 @@
         )
         run.entries[0].thaw()
         _wait_finished(url)
-        _check(run.workers, 20)
+        judge.check_all(run.workers, 20)
 
 
 def _shards(run, entry):
@@ -81,10 +64,10 @@
 def test_entry_killed_while_it_places():
     with system.system(entries=2, hosts=2) as run:
         url = f"{run.callers(1)}/jobs/killed"
-        _submit(url, tasks=30, payload='{"run_s": 0.5}')
+        system.put_job(url, tasks=30, payload='{"run_s": 0.5}')
         run.entries[0].kill()
         _wait_finished(url)
-        _check(run.workers, 30)
+        judge.check_all(run.workers, 30)
 
 
 def test_store_answers_lost_after_their_effect():
@@ -93,11 +76,11 @@
         urls = [f"{run.callers()}/jobs/lost-{n}" for n in range(6)]
         for url in urls:
             fixtures.http("PUT", control, body={"lose_answers": 1})
-            _submit(url, tasks=5, team=f"team-{url[-1]}")
+            system.put_job(url, tasks=5, team=f"team-{url[-1]}")
         for url in urls:
             fixtures.http("PUT", control, body={"lose_answers": 1})
             _wait_finished(url)
-        _check(run.workers, 30)
+        judge.check_all(run.workers, 30)
 
 
 def test_store_down_for_a_while():
@@ -105,7 +88,7 @@
     with system.system(entry_changes={"task_lease_s": 60.0}) as run:
         control = f"http://{run.store.addresses['store']}/_control"
         url = f"{run.callers()}/jobs/outage"
-        _submit(url, tasks=4, payload=_LONG)
+        system.put_job(url, tasks=4, payload=_LONG)
         fixtures.wait_until(lambda: len(_running(run.workers)) == 4, 15, "the starts")
         fixtures.http("PUT", control, body={"down": True})
         fixtures.wait_until(
@@ -117,14 +100,14 @@
         assert answer.status == 503, answer
         fixtures.http("PUT", control, body={"down": False})
         _wait_finished(url)
-        found = _check(run.workers, 4)
+        found = judge.check_all(run.workers, 4)
         assert len(found) == 4, found
 
 
 def test_all_entries_replaced():
     with system.system(entries=1, hosts=2) as run:
         url = f"{run.callers()}/jobs/replaced"
-        _submit(url, tasks=10, payload=_LONG)
+        system.put_job(url, tasks=10, payload=_LONG)
         fixtures.wait_until(lambda: _running(run.workers), 15, "a start")
         old = run.entries[0]
         old.kill()
@@ -133,11 +116,9 @@
         )
         with system.daemon("entry", cfg) as new:
             url = f"http://{new.addresses['callers']}/jobs/replaced"
-            fixtures.wait_until(
-                lambda: fixtures.http("GET", url).status == 200, 15, "the job"
-            )
+            fixtures.wait_ok(url, 15, "the job")
             _wait_finished(url)
-            _check(run.workers, 10)
+            judge.check_all(run.workers, 10)
 
 
 load_tests = collecting.hook(__name__)
--- a/testing/process/test_metrics.py
+++ b/testing/process/test_metrics.py
@@ -48,9 +48,7 @@
         changes = {"metrics": {"statsd": address, "prefix": "bp"}}
         with system.system(entry_changes=changes, agent_changes=changes) as run:
             url = run.callers() + "/services/echo/x"
-            fixtures.wait_until(
-                lambda: fixtures.http("GET", url).status == 200, 10, "the path"
-            )
+            fixtures.wait_ok(url, 10, "the path")
             fixtures.http("GET", run.callers() + "/services/no/x")
             fixtures.http("PUT", run.callers() + "/jobs/j1", system.job_body())
             expected = {
--- a/testing/process/test_operators.py
+++ b/testing/process/test_operators.py
@@ -91,9 +91,7 @@
 def test_drained_host_takes_nothing_new_until_resumed():
     with _entry() as (run, url):
         call = f"{run.callers()}/services/echo/a"
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", call).status == 200, _ANSWER_S, "an answer"
-        )
+        fixtures.wait_ok(call, _ANSWER_S, "an answer")
         drained = system.operate("POST", f"{url}/hosts/h0/drain", {"reason": "disks"})
         assert drained.json()["drain"]["reason"] == "disks", drained.body
         fixtures.wait_until(
@@ -105,9 +103,7 @@
         assert again.json() == drained.json(), again.body
         resumed = system.operate("DELETE", f"{url}/hosts/h0/drain")
         assert resumed.json() == {"host": "h0", "drain": None, "revision": 2}
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", call).status == 200, _ANSWER_S, "the return"
-        )
+        fixtures.wait_ok(call, _ANSWER_S, "the return")
 
 
 def test_drain_made_beforehand_holds_for_an_agent_that_comes():
--- a/testing/process/test_path.py
+++ b/testing/process/test_path.py
@@ -13,9 +13,7 @@
 def test_request_goes_to_the_endpoint_and_back():
     with system.system() as run:
         url = f"{run.callers()}/services/echo/fit/check?room=3"
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", url).status == 200, 10, "an answer"
-        )
+        fixtures.wait_ok(url, 10, "an answer")
         answer = fixtures.http("POST", url, body=b"sofa", headers={"X-A": "b"})
         assert answer.status == 200, answer.body
         assert b"sofa" in answer.body, answer.body
@@ -24,13 +22,7 @@
 def test_job_is_stored_placed_started_and_seen_finished():
     with system.system() as run:
         url = f"{run.callers()}/jobs/plan-1"
-        fixtures.wait_until(
-            lambda: (
-                fixtures.http("PUT", url, body=system.job_body()).status in (200, 201)
-            ),
-            10,
-            "the job to be taken",
-        )
+        system.put_job(url, 10)
         fixtures.wait_until(
             lambda: _get_json(url)[1]["state"] == "finished", 10, "the job's end"
         )
--- a/testing/process/test_traces.py
+++ b/testing/process/test_traces.py
@@ -31,9 +31,7 @@
 def test_request_has_a_span_for_each_hop_of_one_trace():
     with system.system(entry_changes=_ON, agent_changes=_ON) as run:
         url = run.callers() + "/services/echo/x"
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", url).status == 200, 10, "the path"
-        )
+        fixtures.wait_ok(url, 10, "the path")
         answer = fixtures.http("GET", url, headers={"Traceparent": _PARENT})
         assert answer.status == 200
         procs = (*run.entries, *run.agents)
@@ -58,9 +56,7 @@
 def test_request_without_a_trace_begins_one():
     with system.system(entry_changes=_ON, agent_changes=_ON) as run:
         url = run.callers() + "/services/echo/x"
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", url).status == 200, 10, "the path"
-        )
+        fixtures.wait_ok(url, 10, "the path")
         malformed = fixtures.http("GET", url, headers={"Traceparent": "00-nonsense"})
         assert malformed.status == 200
         procs = (*run.entries, *run.agents)
--- a/testing/system.py
+++ b/testing/system.py
@@ -141,6 +141,13 @@
         yield System(kv, fronts, agents, workers, endpoints)
 
 
+def put_job(url: str, timeout_s: float = 15.0, **changes) -> None:
+    """Submit a job again and again until it is taken."""
+    body = job_body(**changes)
+    taken = lambda: fixtures.http("PUT", url, body).status in (200, 201)
+    fixtures.wait_until(taken, timeout_s, f"{url} to be taken")
+
+
 def job_body(**changes) -> dict:
     body = {
         "team": "plans",
--- a/testing/test_daemon.py
+++ b/testing/test_daemon.py
@@ -15,15 +15,9 @@
                 other = system.entry_settings(1, kv.addresses["store"])
                 other |= {key: cfg[key]}
                 with fixtures.settings_file(other) as path:
+                    args = [system.DAEMON, "entry", "--settings", path]
                     done = subprocess.run(
-                        [
-                            sys.executable,
-                            "-m",
-                            system.DAEMON,
-                            "entry",
-                            "--settings",
-                            path,
-                        ],
+                        [sys.executable, "-m", *args],
                         capture_output=True,
                         text=True,
                         timeout=30,
@@ -38,11 +32,7 @@
         url = f"{run.callers()}/services/echo/x"
         slow = {"X-Delay-S": "2"}
         answers = []
-        fixtures.wait_until(
-            lambda: fixtures.http("GET", url).status == 200,
-            10,
-            "the path",
-        )
+        fixtures.wait_ok(url, 10, "the path")
         caller = threading.Thread(
             target=lambda: answers.append(fixtures.http("GET", url, headers=slow))
         )
