--- a/testing/commands/test_tool.py
+++ b/testing/commands/test_tool.py
@@ -45,20 +45,22 @@
     return _Done(done.returncode, done.stdout, done.stderr)
 
 
+def _wait_host(proc):
+    serves = lambda: "echo" in _run(proc, "hosts", "--json").out
+    fixtures.wait_until(serves, 10, "host with echo")
+
+
 _JOB = ("--team", "plans", "--cpu-milli", "100", "--memory-mb", "1")
 
 
 def test_submit_wait_shows_progress_and_ends_with_the_job():
     with _local() as proc:
-        done = _run(
-            proc, "submit", "j1", *_JOB, "--payload", '{"run_s": 0.3}', "--wait"
-        )
+        submit = ("submit", "j1", *_JOB, "--payload", '{"run_s": 0.3}')
+        done = _run(proc, *submit, "--wait")
         assert done.code == 0, done
         assert "job j1 of plans: finished" in done.out
         assert "job j1: finished (1 finished)" in done.err
-        again = _run(
-            proc, "submit", "j1", *_JOB, "--payload", '{"run_s": 0.3}', "--json"
-        )
+        again = _run(proc, *submit, "--json")
         assert json.loads(again.out)["state"] == "finished", again
         listed = _run(proc, "job", "list", "--team", "plans")
         lines = listed.out.splitlines()
@@ -116,9 +118,7 @@
 
 def test_hosts_and_status_speak_to_people_and_programs():
     with _local() as proc:
-        fixtures.wait_until(
-            lambda: "echo" in _run(proc, "hosts", "--json").out, 10, "host with echo"
-        )
+        _wait_host(proc)
         table = _run(proc, "hosts").out.splitlines()
         assert table[0].split()[:2] == ["HOST", "DOMAIN"]
         assert table[1].startswith("local-host")
@@ -148,15 +148,9 @@
 def test_configuration_is_changed_from_the_revision_that_was_seen():
     with _local() as proc:
         shown = json.loads(_run(proc, "config", "show", "--json").out)
-        changed = shown | {
-            "exceptions": [
-                {
-                    "match": {"host": "h7"},
-                    "set": {"drain": True},
-                    "reason": "a fan is noisy",
-                }
-            ]
-        }
+        fan = {"match": {"host": "h7"}, "set": {"drain": True}}
+        fan["reason"] = "a fan is noisy"
+        changed = shown | {"exceptions": [fan]}
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "config.json"
             path.write_text(json.dumps(changed))
@@ -207,17 +201,14 @@
     with _local() as proc:
         shown = _run(proc, "status").out
         assert "as entry local sees it" in shown
-        assert any(
-            line.split()[::2][:2] == ["local", "ready"] for line in shown.splitlines()
-        ), shown
+        entries = [line.split()[::2][:2] for line in shown.splitlines()]
+        assert ["local", "ready"] in entries, shown
         assert "behind: none" in shown
 
 
 def test_host_is_drained_and_takes_work_again():
     with _local() as proc:
-        fixtures.wait_until(
-            lambda: "echo" in _run(proc, "hosts", "--json").out, 10, "host with echo"
-        )
+        _wait_host(proc)
         without = _run(proc, "drain", "local-host")
         assert without.code == 1, without
         assert _run(proc, "drain", "local-host", "--reason", "disk").code == 0
--- a/testing/process/test_operators.py
+++ b/testing/process/test_operators.py
@@ -24,8 +24,8 @@
     return system.operate("PUT", f"{url}/config", body, token, **etag)
 
 
-def _exemption(host, **set_):
-    return {"match": {"host": host}, "set": set_, "reason": "a test"}
+def _exemption(host, reason="a test", **set_):
+    return {"match": {"host": host}, "set": set_, "reason": reason}
 
 
 @contextlib.contextmanager
@@ -56,11 +56,8 @@
         assert [r["revision"] for r in history] == [2, 1], history
         change = {"path": "defaults.weights.evictions", "old": 0.3, "new": 2}
         assert history[1]["changes"] == [change], history
-        fixtures.wait_until(
-            lambda: system.operate("GET", f"{url}/config/1").status == 200,
-            _ANSWER_S,
-            "the older revision",
-        )
+        older = lambda: system.operate("GET", f"{url}/config/1").status == 200
+        fixtures.wait_until(older, _ANSWER_S, "the older revision")
         assert _get(url, "/config/1")["defaults"] == shown["defaults"]
 
 
@@ -72,12 +69,8 @@
         assert (late.status, late.json()["code"]) == (412, "CONFLICT"), late.body
         (changed,) = late.json()["changed"]
         assert changed["changes"][0]["path"] == "defaults.weights.evictions", changed
-        wrong = _change(
-            url,
-            1,
-            {"weights": {"eviction": 1, "throughput": "x"}},
-            [{"match": {"host": "h0"}, "set": {"drain": True}, "reason": " "}],
-        )
+        weights = {"weights": {"eviction": 1, "throughput": "x"}}
+        wrong = _change(url, 1, weights, [_exemption("h0", " ", drain=True)])
         assert (wrong.status, wrong.json()["code"]) == (422, "INVALID_CONFIG")
         paths = sorted(f.partition(":")[0] for f in wrong.json()["faults"])
         assert paths == [
@@ -94,9 +87,8 @@
         fixtures.wait_ok(call, _ANSWER_S, "an answer")
         drained = system.operate("POST", f"{url}/hosts/h0/drain", {"reason": "disks"})
         assert drained.json()["drain"]["reason"] == "disks", drained.body
-        fixtures.wait_until(
-            lambda: _get(url, "/hosts")[0]["leaving"], _ANSWER_S, "the drain"
-        )
+        leaves = lambda: _get(url, "/hosts")[0]["leaving"]
+        fixtures.wait_until(leaves, _ANSWER_S, "the drain")
         assert _get(url, "/hosts")[0]["drain"] == "disks"
         assert fixtures.http("GET", call).status == 503
         again = system.operate("POST", f"{url}/hosts/h0/drain", {"reason": "disks"})
@@ -114,11 +106,8 @@
         entry = run.entries[0].addresses["peers"]
         worker = run.workers[0].addresses["http"]
         with system.daemon("agent", system.agent_settings(9, [entry], worker)):
-            hosts = fixtures.wait_until(
-                lambda: [h for h in _get(url, "/hosts") if h["id"] == "h9"],
-                _ANSWER_S,
-                "the agent's report",
-            )
+            found = lambda: [h for h in _get(url, "/hosts") if h["id"] == "h9"]
+            hosts = fixtures.wait_until(found, _ANSWER_S, "the agent's report")
             assert hosts[0]["leaving"], hosts
 
 
@@ -160,10 +149,8 @@
 def test_wrong_tokens_are_bounded_while_known_ones_still_work():
     with _entry() as (run, url):
         _get(url, "/config")
-        answers = [
-            system.operate("GET", f"{url}/config", token=f"operator:{n}")
-            for n in range(12)
-        ]
+        guesses = [f"operator:{n}" for n in range(12)]
+        answers = [system.operate("GET", f"{url}/config", token=x) for x in guesses]
         statuses = [answer.status for answer in answers]
         assert statuses == [401] * 10 + [429] * 2, statuses
         assert int(answers[-1].headers["Retry-After"]) >= 1
