Ask for an error in one place in the tests

Cause: eight test modules spelled out that a call must raise. Ruled out: the same for test_store and test_httpworker's context managers, which also hold several statements. Conclusion: the same checks; what was answered instead is now told, and so is an error of the wrong kind.

--- a/testing/connection/test_channels.py
+++ b/testing/connection/test_channels.py
@@ -48,11 +48,7 @@
 
 
 def _failure(peer, timeout_s=10.0):
-    try:
-        _call(peer, timeout_s)
-    except errors.Error as exc:
-        return exc
-    raise AssertionError("the call succeeded")
+    return fixtures.error_of(errors.Error, _call, peer, timeout_s)
 
 
 def _yes(req):
--- a/testing/connection/test_endpoint.py
+++ b/testing/connection/test_endpoint.py
@@ -33,19 +33,11 @@
 
 
 def _failure(target, req, begin=lambda: None) -> errors.Error:
-    try:
-        answer = _serve(target, req, begin=begin)
-    except errors.Error as exc:
-        return exc
-    raise AssertionError(f"answered: {answer}")
+    return fixtures.error_of(errors.Error, _serve, target, req, 10.0, begin)
 
 
 def _refusal(slots, left_s) -> errors.Refused:
-    try:
-        slots.take(time.monotonic() + left_s)
-    except errors.Refused as exc:
-        return exc
-    raise AssertionError("took a slot")
+    return fixtures.error_of(errors.Refused, slots.take, time.monotonic() + left_s)
 
 
 @contextlib.contextmanager
--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -511,12 +511,8 @@
     with _attached() as (standin, client):
         newer = _client(standin.addresses["http"])
         newer.attach(_deadline(), 7)
-        try:
-            client.attach(_deadline(), 6)
-        except errors.Refused as exc:
-            assert exc.kind is errors.Kind.STALE, exc
-        else:
-            raise AssertionError("the older agent attached")
+        exc = fixtures.error_of(errors.Refused, client.attach, _deadline(), 6)
+        assert exc.kind is errors.Kind.STALE, exc
         _start(newer, _spec())
 
 
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -61,6 +61,15 @@
         time.sleep(_POLL_S)
 
 
+def error_of(kind: type[Exception], call: abc.Callable, *args: t.Any) -> t.Any:
+    """Make a call that must raise an error of a kind, and return the error."""
+    try:
+        answer = call(*args)
+    except kind as exc:
+        return exc
+    raise AssertionError(f"no {kind.__name__} was raised; answered: {answer!r}")
+
+
 def polls(duration_s: float):
     """Yield again and again until the time is over."""
     deadline = time.monotonic() + duration_s
--- a/testing/process/test_placement.py
+++ b/testing/process/test_placement.py
@@ -15,7 +15,7 @@
     records,
 )
 from bilberrypass.version import configuration, page
-from testing import collecting, fakes
+from testing import collecting, fakes, fixtures
 
 _CAPACITY = resources.Demand(8_000, 16 << 30, 0)
 
@@ -232,12 +232,8 @@
 def test_job_id_with_another_body_is_refused():
     jobs: records.Jobs = {}
     _submit(jobs, "a")
-    try:
-        _submit(jobs, "a", cpu_milli=2_000)
-    except errors.Refused as exc:
-        assert exc.kind is errors.Kind.KEY_REUSED
-    else:
-        raise AssertionError("the other body was taken")
+    exc = fixtures.error_of(errors.Refused, _submit, jobs, "a", 2_000)
+    assert exc.kind is errors.Kind.KEY_REUSED, exc
 
 
 load_tests = collecting.hook(__name__)
--- a/testing/process/test_tasks.py
+++ b/testing/process/test_tasks.py
@@ -6,7 +6,7 @@
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
 from bilberrypass.process import tasks
-from testing import collecting, fakes
+from testing import collecting, fakes, fixtures
 
 _LEASE_S = 60.0
 
@@ -92,12 +92,8 @@
 def test_older_owner_is_refused():
     with _agent() as (_, own):
         own.check_epoch(0, 5)
-        try:
-            _start(own, _spec())
-        except errors.Refused as exc:
-            assert exc.kind is errors.Kind.STALE
-        else:
-            raise AssertionError("the older owner was obeyed")
+        exc = fixtures.error_of(errors.Refused, _start, own, _spec())
+        assert exc.kind is errors.Kind.STALE, exc
 
 
 def test_followed_agent_is_fenced():
--- a/testing/version/test_configuration.py
+++ b/testing/version/test_configuration.py
@@ -7,7 +7,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.version import configuration
-from testing import collecting
+from testing import collecting, fixtures
 
 _TODAY = datetime.date(2026, 12, 3)
 _HOST = configuration.Subject("h1", "r1", "fd1", "north")
@@ -28,12 +28,9 @@
 
 
 def _faults(value, current=configuration.FIRST):
-    try:
-        _check(value, current)
-    except errors.Faulty as exc:
-        assert exc.kind is errors.Kind.INVALID_CONFIG
-        return exc.faults
-    raise AssertionError("no fault was found")
+    exc = fixtures.error_of(errors.Faulty, _check, value, current)
+    assert exc.kind is errors.Kind.INVALID_CONFIG, exc
+    return exc.faults
 
 
 def _paths(value):
--- a/testing/version/test_page.py
+++ b/testing/version/test_page.py
@@ -5,7 +5,7 @@
 
 from bilberrypass import errors
 from bilberrypass.version import page
-from testing import collecting
+from testing import collecting, fixtures
 
 _SEED = 7
 _STORE_LIMIT_BYTES = 1 << 20
@@ -72,13 +72,9 @@
 
 def test_every_fault_of_a_job_is_named():
     body = b'{"team": "t", "demand": {"cpu_milli": 0}, "rules": {"rack": ["r1"]}}'
-    try:
-        page.parse_job("j", body, 1.0, "")
-    except errors.Faulty as exc:
-        paths = {fault.split(":")[0] for fault in exc.faults}
-        assert paths == {"demand.cpu_milli", "demand.memory_bytes", "rules.rack"}
-    else:
-        raise AssertionError("the body was taken")
+    exc = fixtures.error_of(errors.Faulty, page.parse_job, "j", body, 1.0, "")
+    paths = {fault.split(":")[0] for fault in exc.faults}
+    assert paths == {"demand.cpu_milli", "demand.memory_bytes", "rules.rack"}, exc
 
 
 load_tests = collecting.hook(__name__)
