Start the tests' system and wait for its newest revision more compactly

Cause: nested calls a word a line in the system's fixture, context managers that only hand another on, a list of 22 names with the same two prefixes. Ruled out: starting the processes side by side, which would change what the tests see.

--- a/testing/process/test_metrics.py
+++ b/testing/process/test_metrics.py
@@ -12,6 +12,14 @@
 from testing import collecting, fixtures, system
 
 _PAGE = pathlib.Path(__file__).parent.parent.parent / "docs/METRICS.md"
+_ENTRY_NAMES = """
+requests request_ms refusals.UNKNOWN_SERVICE in_progress reports hosts revision
+tasks_placed tasks_ended.finished store_calls.swap store_ms.swap
+"""
+_AGENT_NAMES = """
+requests request_ms reports revision slots slots_in_use queued tasks tasks_started
+cpu_milli_committed memory_bytes_committed
+"""
 _ROW = re.compile(r"^\| `([a-z_]+)(?:\.<\w+>)?` \|", re.M)
 
 
@@ -51,30 +59,8 @@
             fixtures.wait_ok(url, 10, "the path")
             fixtures.http("GET", run.callers() + "/services/no/x")
             fixtures.http("PUT", run.callers() + "/jobs/j1", system.job_body())
-            expected = {
-                "bp.entry.e0.requests",
-                "bp.entry.e0.request_ms",
-                "bp.entry.e0.refusals.UNKNOWN_SERVICE",
-                "bp.entry.e0.in_progress",
-                "bp.entry.e0.reports",
-                "bp.entry.e0.hosts",
-                "bp.entry.e0.revision",
-                "bp.entry.e0.tasks_placed",
-                "bp.entry.e0.tasks_ended.finished",
-                "bp.entry.e0.store_calls.swap",
-                "bp.entry.e0.store_ms.swap",
-                "bp.agent.h0.requests",
-                "bp.agent.h0.request_ms",
-                "bp.agent.h0.reports",
-                "bp.agent.h0.revision",
-                "bp.agent.h0.slots",
-                "bp.agent.h0.slots_in_use",
-                "bp.agent.h0.queued",
-                "bp.agent.h0.tasks",
-                "bp.agent.h0.tasks_started",
-                "bp.agent.h0.cpu_milli_committed",
-                "bp.agent.h0.memory_bytes_committed",
-            }
+            expected = {f"bp.entry.e0.{name}" for name in _ENTRY_NAMES.split()}
+            expected |= {f"bp.agent.h0.{name}" for name in _AGENT_NAMES.split()}
             fixtures.wait_until(lambda: expected <= names, 15, "all names")
             run.store.kill()
             fixtures.wait_until(
--- a/testing/process/test_races.py
+++ b/testing/process/test_races.py
@@ -47,10 +47,8 @@
         defaults = current["defaults"]
         defaults["quotas"][team] = {"cpu_milli": 1000}
         body = {"defaults": defaults, "exceptions": current["exceptions"]}
-        headers = {
-            "If_Match": shown.headers["ETag"],
-            "Idempotency_Key": f"change-{team}",
-        }
+        headers = {"If_Match": shown.headers["ETag"]}
+        headers["Idempotency_Key"] = f"change-{team}"
         sent_at = time.monotonic()
         answer = system.operate("PUT", f"{url}/config", body, **headers)
         assert answer.status in (200, 409, 412, 503), answer.body
@@ -75,6 +73,14 @@
     return threads
 
 
+def _wait_newest(operators, urls):
+    """Wait until the newest accepted revision is in force; return it."""
+    newest = max(max(operator.accepted) for operator in operators)
+    for url in urls:
+        fleets.wait_in_force(url, newest)
+    return newest
+
+
 def _judge(operators, observer, url, prefix=""):
     assert observer.falls == [], observer.falls
     quotas = fleets.get(url, "/config")["defaults"]["quotas"]
@@ -94,18 +100,14 @@
         with fleets.Observer(urls) as observer:
             for thread in _run_all(pair, lambda number: number == _CHANGES_EACH):
                 thread.join()
-            newest = max(max(op.accepted) for op in pair)
-            for url in urls:
-                fleets.wait_in_force(url, newest)
-            fixtures.wait_until(
-                lambda: observer.has_seen(newest), fleets.LIMIT_S, "the last sample"
-            )
+            newest = _wait_newest(pair, urls)
+            seen = lambda: observer.has_seen(newest)
+            fixtures.wait_until(seen, fleets.LIMIT_S, "the last sample")
         assert newest == 2 * _CHANGES_EACH, newest
         _judge(pair, observer, urls[0])
         history = fleets.get(urls[0], "/config/history")
-        assert [r["revision"] for r in history] == sorted(
-            (r["revision"] for r in history), reverse=True
-        )
+        revisions = [record["revision"] for record in history]
+        assert revisions == sorted(revisions, reverse=True), revisions
 
 
 def _start_anew(stack, run, numbers):
@@ -135,14 +137,9 @@
                 _wait_complete(urls)
             over.set()
             changing.join()
-            newest = max(operator.accepted)
-            for url in urls:
-                fleets.wait_in_force(url, newest)
-            fixtures.wait_until(
-                lambda: observer.has_seen(newest, "h"),
-                fleets.LIMIT_S,
-                "the last sample",
-            )
+            newest = _wait_newest([operator], urls)
+            seen = lambda: observer.has_seen(newest, "h")
+            fixtures.wait_until(seen, fleets.LIMIT_S, "the last sample")
         _judge([operator], observer, urls[0], "h")
 
 
@@ -164,9 +161,7 @@
             _wait_complete(urls)
             over.set()
             changing.join()
-            newest = max(operator.accepted)
-            for url in urls:
-                fleets.wait_in_force(url, newest)
+            _wait_newest([operator], urls)
         assert observer.falls == [], observer.falls
         quotas = fleets.get(urls[0], "/config")["defaults"]["quotas"]
         assert set(operator.teams) <= quotas.keys()
--- a/testing/system.py
+++ b/testing/system.py
@@ -82,29 +82,23 @@
             yield proc
 
 
-@contextlib.contextmanager
-def store(**options):
+def store():
     args = ["testing.standins.platform", "--port", str(fixtures.free_port())]
-    with fixtures.process(args) as proc:
-        yield proc
+    return fixtures.process(args)
 
 
-@contextlib.contextmanager
 def worker(cpu_milli: int = 8_000, memory_gb: int = 16, accelerators: int = 0):
     args = ["testing.standins.worker", "--port", str(fixtures.free_port())]
     args += ["--cpu-milli", str(cpu_milli), "--memory-gb", str(memory_gb)]
     args += ["--accelerators", str(accelerators)]
-    with fixtures.process(args) as proc:
-        yield proc
+    return fixtures.process(args)
 
 
-@contextlib.contextmanager
 def endpoint(agent: str, service: str = "echo", id: str = "ep1", slots: int = 8):
     args = ["testing.standins.endpoint", "--port", str(fixtures.free_port())]
     args += ["--service", service, "--id", id, "--slots", str(slots)]
     args += ["--announce", f"http://{agent}"]
-    with fixtures.process(args) as proc:
-        yield proc
+    return fixtures.process(args)
 
 
 @contextlib.contextmanager
@@ -112,28 +106,18 @@
     """Run a store, entries, and hosts with agent, worker and endpoint each."""
     with contextlib.ExitStack() as stack:
         kv = stack.enter_context(store())
-        fronts = [
-            stack.enter_context(
-                daemon(
-                    "entry",
-                    entry_settings(n, kv.addresses["store"], **(entry_changes or {})),
-                )
-            )
-            for n in range(entries)
-        ]
+        changes = entry_changes or {}
+        fronts = []
+        for number in range(entries):
+            cfg = entry_settings(number, kv.addresses["store"], **changes)
+            fronts.append(stack.enter_context(daemon("entry", cfg)))
         peers = [front.addresses["peers"] for front in fronts]
         workers = [stack.enter_context(worker()) for _ in range(hosts)]
-        agents = [
-            stack.enter_context(
-                daemon(
-                    "agent",
-                    agent_settings(
-                        n, peers, w.addresses["http"], **(agent_changes or {})
-                    ),
-                )
-            )
-            for n, w in enumerate(workers)
-        ]
+        changes = agent_changes or {}
+        agents = []
+        for number, proc in enumerate(workers):
+            cfg = agent_settings(number, peers, proc.addresses["http"], **changes)
+            agents.append(stack.enter_context(daemon("agent", cfg)))
         endpoints = [
             stack.enter_context(endpoint(a.addresses["announcements"], id=f"ep{n}"))
             for n, a in enumerate(agents)
