Start the store's stand-in as the other stand-ins start

Cause: the platform's stand-in had its own ready line, SIGTERM and serving thread beside serving.run. Ruled out: serving its calls by serving.make; it streams watches and cuts connections, which needs its own gateway. Conclusion: the same ready line and the same answers.

--- a/testing/standins/platform.py
+++ b/testing/standins/platform.py
@@ -6,14 +6,13 @@
 
 import argparse
 import collections
+import contextlib
 import http.client
 import itertools
 import json
 import math
 import select
-import signal
 import socket
-import sys
 import threading
 import typing as t
 
@@ -22,6 +21,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import etcd_wire, memory, store
+from testing.standins import serving
 
 _THREADS = 128
 _KEEP_ALIVE_CONNECTIONS = 1000
@@ -70,8 +70,7 @@
         self._calls: collections.Counter[str] = collections.Counter()
         self._leases: set[int] = set()
         self._delay_s = 0.0
-        self._down = False
-        self._silent = False
+        self._down = self._silent = False
         self._lose_answers = 0
         self._watch_ids = itertools.count(1)
         self._silenced_watches = 0
@@ -164,12 +163,9 @@
     def _find(self, request: etcd_wire.RangeRequest) -> etcd_wire.RangeAnswer:
         listing = self._store.list(_prefix(request), _FOREVER)
         exact = "range_end" not in request
-        items = [
-            item
-            for item in listing.items
-            if not exact or item.key.encode() == request["key"]
-        ]
-        found = [_key_value(item.key, item.value, item.revision) for item in items]
+        key = request["key"].decode()
+        items = [item for item in listing.items if not exact or item.key == key]
+        found = [_key_value(*item) for item in items]
         answer = etcd_wire.RangeAnswer(header=_header(listing.revision))
         return answer | {"kvs": found, "count": len(found)} if found else answer
 
@@ -310,11 +306,9 @@
 def _cut_connection(req) -> None:
     """Close the connection; what cheroot writes afterwards goes nowhere."""
     req.close_connection = True
-    try:
+    # The peer may have been first.
+    with contextlib.suppress(OSError):
         req.conn.socket.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The peer was first.
-        return
 
 
 def _is_gone(sock) -> bool:
@@ -326,7 +320,7 @@
         return True
 
 
-def main() -> int:
+def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--host", default="127.0.0.1")
@@ -342,23 +336,12 @@
     )
     server.gateway = _Gateway
     server.keep_alive_conn_limit = _KEEP_ALIVE_CONNECTIONS
-    leaving = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: leaving.set())
     server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
-    _announce(server.bind_addr)
-    leaving.wait()
+    terminated = serving.run("store", "store", server, name="store")
+    terminated.wait()
     platform.stop()
     server.stop()
-    return 0
-
-
-def _announce(address: tuple[str, int]) -> None:
-    host, port = address[:2]
-    addresses = {"store": f"{host}:{port}"}
-    ready = {"ready": True, "role": "store", "id": "store", "addresses": addresses}
-    print(json.dumps(ready), flush=True)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/testing/standins/serving.py
+++ b/testing/standins/serving.py
@@ -81,12 +81,14 @@
         thread.join()
 
 
-def run(role: str, ident: str, made: server.HTTPServer) -> threading.Event:
+def run(
+    role: str, ident: str, made: server.HTTPServer, name: str = "http"
+) -> threading.Event:
     """Serve, print the ready line, and return the event that SIGTERM sets."""
     terminated = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: terminated.set())
     threading.Thread(target=made.serve, daemon=True).start()
-    addresses = {"http": address(made)}
+    addresses = {name: address(made)}
     line = {"ready": True, "role": role, "id": ident, "addresses": addresses}
     print(json.dumps(line), flush=True)
     return terminated
