Wait for an answered call in one place in the tests of requests

Cause: five files repeated a call until it was answered with 200, each in its own lambda, and the three tests of planned stops repeated one course. Ruled out: rawhttp.exchange for the raw sender of test_bodies, whose time limit is three times as long.

--- a/testing/request/calling.py
+++ b/testing/request/calling.py
@@ -77,19 +77,21 @@
     assert answer.status == 200, answer
 
 
+def wait_answered(front: str, timeout_s: float, what: str, **options) -> Told:
+    """Call again and again until the answer is 200; return it."""
+
+    def answered():
+        told = call(front, **options)
+        return told if told.status == 200 else None
+
+    return fixtures.wait_until(answered, timeout_s, what)
+
+
 def wait_ready(run: system.System) -> None:
     """Wait until each entry serves and all claims shards are owned."""
     for number in range(len(run.entries)):
         front = run.callers(number)
-        fixtures.wait_until(
-            lambda front=front: call(front, method="GET").status == 200,
-            10,
-            "an answer through each entry",
-        )
+        wait_answered(front, 10, "an answer through each entry", method="GET")
         for shard_key in range(12):
             key = f"warm-{number}-{shard_key}"
-            fixtures.wait_until(
-                lambda front=front, key=key: call(front, key).status == 200,
-                10,
-                "a claim in each shard",
-            )
+            wait_answered(front, 10, "a claim in each shard", key=key)
--- a/testing/request/faults.py
+++ b/testing/request/faults.py
@@ -162,15 +162,9 @@
     """Wait until a new keyed request is answered through each entry."""
     for number in range(len(run.entries)):
         for shard in range(4):
-            key = f"{name}-after-{number}-{shard}"
-            fixtures.wait_until(
-                lambda number=number, key=key: (
-                    calling.call(run.front(number), key, deadline_s=_DEADLINE_S).status
-                    == 200
-                ),
-                _RECOVERY_S,
-                f"{name}: recovery",
-            )
+            key, what = f"{name}-after-{number}-{shard}", f"{name}: recovery"
+            options = {"key": key, "deadline_s": _DEADLINE_S}
+            calling.wait_answered(run.front(number), _RECOVERY_S, what, **options)
 
 
 def judge(run: linked.Linked, sent: list[Sent]) -> None:
--- a/testing/request/test_bodies.py
+++ b/testing/request/test_bodies.py
@@ -32,11 +32,7 @@
 def _system():
     limits = {"max_body_bytes": _MAX_BODY_BYTES}
     with system.system(entry_changes=limits, agent_changes=limits) as run:
-        fixtures.wait_until(
-            lambda: calling.call(run.callers(), method="GET").status == 200,
-            10,
-            "an answer",
-        )
+        calling.wait_answered(run.callers(), 10, "an answer", method="GET")
         yield run
 
 
--- a/testing/request/test_claims.py
+++ b/testing/request/test_claims.py
@@ -82,14 +82,9 @@
             assert calling.runs(run, f"k5-{number}") == 0
         calling.control_store(run, down=False)
         for number in range(4):
-            fixtures.wait_until(
-                lambda key=f"k5-{number}": (
-                    calling.call(run.callers(), key).status == 200
-                ),
-                20,
-                "the retry to run",
-            )
-            assert calling.runs(run, f"k5-{number}") == 1
+            key = f"k5-{number}"
+            calling.wait_answered(run.callers(), 20, "the retry to run", key=key)
+            assert calling.runs(run, key) == 1
 
 
 def test_slow_store_holds_up_no_request_without_a_key():
@@ -166,27 +161,17 @@
         agent = run.agents[0].addresses["announcements"]
         args = ["testing.standins.endpoint", "--port", str(port), "--announce"]
         with fixtures.process([*args, f"http://{agent}"]) as back:
-            again = fixtures.wait_until(
-                lambda: _status_200(run.callers(), "k9"), 10, "the retry to run"
-            )
-            assert again.status == 200, again
+            calling.wait_answered(run.callers(), 10, "the retry to run", key="k9")
             found = fixtures.http("GET", f"{back.url()}/_runs").json()
             assert found["by_key"]["k9"] == 1, found
 
 
-def _status_200(front, key):
-    told = calling.call(front, key)
-    return told if told.status == 200 else None
-
-
 def test_owner_frozen_over_its_lease_cannot_claim():
     with _system() as run:
         run.entries[0].freeze()
         keys = [f"k10-{n}" for n in range(6)]
         for key in keys:
-            fixtures.wait_until(
-                lambda key=key: _status_200(run.callers(1), key), 20, f"{key} to run"
-            )
+            calling.wait_answered(run.callers(1), 20, f"{key} to run", key=key)
         run.entries[0].thaw()
         begun = time.monotonic()
         while time.monotonic() < begun + 1.0:
--- a/testing/request/test_leaving.py
+++ b/testing/request/test_leaving.py
@@ -51,20 +51,19 @@
 def _system(**options):
     with system.system(**options) as run:
         for number in range(len(run.entries)):
-            fixtures.wait_until(
-                lambda n=number: (
-                    calling.call(run.callers(n), method="GET").status == 200
-                ),
-                10,
-                "an answer",
-            )
+            calling.wait_answered(run.callers(number), 10, "an answer", method="GET")
         yield run
 
 
-def _terminate_twice(proc) -> None:
-    proc.terminate()
-    proc.terminate()
-    assert proc.wait(30) == 0, proc.stderr_text()
+def _assert_cuts_nothing(proc, fronts: abc.Callable[[], list[str]]) -> None:
+    """Tell a process twice to leave, under load."""
+    with _Load(fronts, 0.1) as load:
+        load.wait_for(20)
+        proc.terminate()
+        proc.terminate()
+        assert proc.wait(30) == 0, proc.stderr_text()
+        load.wait_for(20)
+    assert {one.status for one in load.told} == {200}, load.told
 
 
 def _ready_fronts(run):
@@ -82,29 +81,17 @@
 
 def test_entry_that_leaves_twice_told_cuts_nothing():
     with _system(entries=2, hosts=1) as run:
-        with _Load(_ready_fronts(run), 0.1) as load:
-            load.wait_for(20)
-            _terminate_twice(run.entries[0])
-            load.wait_for(20)
-        assert {one.status for one in load.told} == {200}, load.told
+        _assert_cuts_nothing(run.entries[0], _ready_fronts(run))
 
 
 def test_agent_that_leaves_twice_told_cuts_nothing():
     with _system(entries=1, hosts=2) as run:
-        with _Load(lambda: [run.callers()], 0.1) as load:
-            load.wait_for(20)
-            _terminate_twice(run.agents[0])
-            load.wait_for(20)
-        assert {one.status for one in load.told} == {200}, load.told
+        _assert_cuts_nothing(run.agents[0], lambda: [run.callers()])
 
 
 def test_endpoint_that_leaves_twice_told_cuts_nothing():
     with _system(entries=1, hosts=2) as run:
-        with _Load(lambda: [run.callers()], 0.1) as load:
-            load.wait_for(20)
-            _terminate_twice(run.endpoints[0])
-            load.wait_for(20)
-        assert {one.status for one in load.told} == {200}, load.told
+        _assert_cuts_nothing(run.endpoints[0], lambda: [run.callers()])
 
 
 def _total(host: linked.Host) -> int:
@@ -114,9 +101,7 @@
 def _assert_gets_nothing_new(begin_leaving: abc.Callable[[linked.Host], None]):
     with linked.linked_system(entries=1) as run:
         front = run.front(0)
-        fixtures.wait_until(
-            lambda: calling.call(front, method="GET").status == 200, 10, "an answer"
-        )
+        calling.wait_answered(front, 10, "an answer", method="GET")
         leaving, staying = run.hosts
         fixtures.wait_until(
             lambda: calling.call(front).status == 200 and _total(leaving), 10, "use"
