Pass on the length that an answer to HEAD names

Cause: the entry wrote the length of the body that it held, which is 0 for HEAD, 304 and 204. RFC 9110 wants the length of the GET answer, or none, for the first two, and none for a 204. Ruled out: a change of the whole-answer check at the entry; `length` stays the length of the body that travels, `named_length` stands beside it. Conclusion: callers learn the size of an answer by HEAD.

--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -2,6 +2,7 @@
 
 import collections.abc as abc
 import heapq
+import http
 import http.client
 import itertools
 import threading
@@ -307,7 +308,14 @@
             else:
                 conn.close()
         headers = end_to_end(resp.headers.items())
-        return messages.Forwarded(req.request, resp.status, headers, body, len(body))
+        return messages.Forwarded(
+            req.request,
+            resp.status,
+            headers,
+            body,
+            len(body),
+            _named_length(req.method, resp),
+        )
 
     def _await_answer(
         self,
@@ -376,6 +384,13 @@
         self._pool.clear()
 
 
+def _named_length(method: str, resp: urllib3.HTTPResponse) -> int | None:
+    if method != "HEAD" and resp.status != http.HTTPStatus.NOT_MODIFIED:
+        return None
+    text = resp.headers.get("Content-Length", "")
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def _traced(req: messages.Forward) -> urllib3.HTTPHeaderDict:
     headers = urllib3.HTTPHeaderDict(req.headers)
     if req.traceparent:
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -48,13 +48,18 @@
 
 
 class Forwarded(t.NamedTuple):
-    """An endpoint's whole answer, from agent to entry."""
+    """An endpoint's whole answer, from agent to entry.
+
+    ``length`` is that of ``body``; ``named_length`` is the Content-Length of an
+    answer that has no body, such as that to HEAD, or None if it named none.
+    """
 
     request: str
     status: int
     headers: list[tuple[str, str]]
     body: bytes
     length: int
+    named_length: int | None = None
 
 
 class EndpointState(t.NamedTuple):
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -1,5 +1,6 @@
 """The interface to callers: ``/services/<service>/<path>``."""
 
+import http
 import re
 import secrets
 import threading
@@ -75,8 +76,8 @@
     ) -> tuple[int, list[tuple[str, str]], bytes]:
         try:
             answer = self._serve(environ)
-            headers = [*answer.headers, ("Content-Length", str(answer.length))]
-            return answer.status, headers, answer.body
+            length = _content_length(environ["REQUEST_METHOD"], answer)
+            return answer.status, [*answer.headers, *length], answer.body
         except errors.Error as exc:
             return problems.problem(exc)
         except Exception:
@@ -172,6 +173,15 @@
     return service, f"/{rest}" + (f"?{query}" if query else "")
 
 
+def _content_length(method: str, answer: messages.Forwarded) -> list[tuple[str, str]]:
+    """Return the Content-Length header, or none where there is none to tell."""
+    if answer.status == http.HTTPStatus.NO_CONTENT:
+        return []
+    is_without_body = method == "HEAD" or answer.status == http.HTTPStatus.NOT_MODIFIED
+    length = answer.named_length if is_without_body else answer.length
+    return [] if length is None else [("Content-Length", str(length))]
+
+
 def _headers(environ: dict[str, t.Any]) -> list[tuple[str, str]]:
     found = [
         (key[5:].replace("_", "-").lower(), value)
--- a/testing/request/test_bodies.py
+++ b/testing/request/test_bodies.py
@@ -66,6 +66,39 @@
         assert len(json.loads(told.body)["padding"]) == 900_000
 
 
+def test_head_names_the_length_that_the_endpoint_named():
+    with _system() as run:
+        headers = {"X-Size": "2000"}
+        direct = fixtures.http("HEAD", f"{run.endpoints[0].url()}/a", None, headers)
+        path = f"{run.callers()}/services/echo/a"
+        told = fixtures.http("HEAD", path, None, headers)
+        assert int(direct.headers["Content-Length"]) > 2000, direct
+        assert told.headers["Content-Length"] == direct.headers["Content-Length"], told
+        assert (told.status, told.body) == (200, b""), told
+
+
+def test_answer_to_head_leaves_the_connection_usable():
+    with _system() as run:
+        head = b"HEAD /services/echo/a HTTP/1.1\r\nHost: a\r\nX-Size: 2000\r\n\r\n"
+        last = b"GET /services/echo/b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        answer = _send_raw(run, head + last)
+        _, _, rest = answer.partition(b"\r\n\r\n")
+        assert rest.startswith(b"HTTP/1.1 200 OK\r\n"), answer
+        assert b'"path": "/b"' in rest, answer
+
+
+def test_answers_without_body_claim_no_empty_one():
+    with _system() as run:
+        for status, is_named in ((204, False), (304, True)):
+            head = f"GET /services/echo/a HTTP/1.1\r\nHost: a\r\nX-Status: {status}"
+            answer = _send_raw(run, head.encode() + b"\r\nConnection: close\r\n\r\n")
+            fields, _, body = answer.partition(b"\r\n\r\n")
+            assert fields.startswith(f"HTTP/1.1 {status}".encode()), answer
+            assert (b"content-length:" in fields.lower()) is is_named, answer
+            assert b"content-length: 0" not in fields.lower(), answer
+            assert not body, answer
+
+
 def test_chunked_body_passes_whole():
     with _system() as run:
         head = b"POST /services/echo/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
