Name the tool's own remedies at the prompt

Cause: a newcomer's walk through every command of the tool. `hosts` without a token advised an Authorization header, `drain HOST` advised a JSON body, `drain` of a mistyped host said that it takes no new work, and `token "a b"` made a token whose settings line `bilberrypassd check` refuses. Ruled out: refusing an unknown host; operators may drain it before it starts. The test of a drain without reason expected exit code 1; it expects 2 now, the documented code of wrong usage, and that the host stays live.

--- a/src/bilberrypass/commands/client.py
+++ b/src/bilberrypass/commands/client.py
@@ -32,7 +32,17 @@
 
 
 class Unreachable(errors.Error):
-    """No entry answered at the address."""
+    """No entry answered at the address.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    option : str
+        The option that names another address.
+    why : str
+        What the connection ran into.
+    """
 
     def __init__(self, address: str, option: str, why: str) -> None:
         super().__init__(
@@ -101,7 +111,7 @@
             why = _describe(exc)
             raise Unreachable(self._address, self._option, why) from None
         if resp.status >= 400:
-            raise _refusal(resp)
+            raise self._refusal(resp)
         return Answer(_parse(resp), resp.headers)
 
     def call_until(
@@ -131,6 +141,17 @@
                     raise
             time.sleep(pause_s)
 
+    def _refusal(self, resp: urllib3.BaseHTTPResponse) -> errors.Error:
+        """Return the entry's refusal, with the remedy in the tool's own words."""
+        exc = _parse_refusal(resp)
+        if exc.kind is errors.Kind.UNAUTHORIZED:
+            fault = (
+                "the token sent is unknown" if self._headers else "no token was sent"
+            )
+            remedy = f"set {_TOKEN_VARIABLE} or name a file with --token-file"
+            exc.detail = f"{fault}; {remedy}"
+        return exc
+
 
 def _check_address(address: str, option: str) -> str:
     try:
@@ -158,7 +179,7 @@
         ) from None
 
 
-def _refusal(resp: urllib3.BaseHTTPResponse) -> errors.Error:
+def _parse_refusal(resp: urllib3.BaseHTTPResponse) -> errors.Error:
     try:
         said = json.loads(resp.data)
         kind = errors.Kind(said["code"])
--- a/src/bilberrypass/commands/fleet.py
+++ b/src/bilberrypass/commands/fleet.py
@@ -5,7 +5,8 @@
 
 import typer
 
-from bilberrypass.commands import options, output
+from bilberrypass import errors
+from bilberrypass.commands import client, options, output
 
 
 def status(
@@ -30,7 +31,9 @@
     )
     known = value["hosts"]
     behind = ", ".join(known["behind"]) or "none"
-    typer.echo(f"\n{known['count']} hosts, {known['silent']} silent, behind: {behind}")
+    typer.echo(
+        f"\nhosts: {known['count']}, silent: {known['silent']}, behind: {behind}"
+    )
 
 
 def _entry_row(entry: dict[str, t.Any]) -> tuple[object, ...]:
@@ -86,9 +89,16 @@
     return "leaving" if host["leaving"] else "live"
 
 
+def _is_known(entries: client.Client, host: str) -> bool:
+    found = entries.call("GET", "/hosts").value
+    return any(known["id"] == host for known in found)
+
+
 def drain(
     host: t.Annotated[str, typer.Argument(help="Id of the host.")],
-    reason: t.Annotated[str, typer.Option(help="Why, for the other operators.")] = "",
+    reason: t.Annotated[
+        str, typer.Option(help="Why, for the other operators; needed.")
+    ] = "",
     undo: t.Annotated[
         bool, typer.Option("--undo", help="Let the host take work again.")
     ] = False,
@@ -96,11 +106,18 @@
     operators: options.Operators = options.DEFAULT_OPERATORS,
     token_file: options.TokenFile = None,
 ) -> None:
-    """Give a host no new work."""
+    """Give a host no new work; ``--reason`` is needed unless it is undone."""
+    if not undo and not reason.strip():
+        raise errors.Faulty(
+            errors.Kind.INVALID_SETTINGS,
+            ["--reason: is missing; say why, for the other operators"],
+        )
     path = f"/hosts/{urllib.parse.quote(host, safe='')}/drain"
     method = "DELETE" if undo else "POST"
     entries = options.operators(operators, token_file)
     answer = entries.call(method, path, {"reason": reason})
+    if not undo and not _is_known(entries, host):
+        typer.echo(f"no host {host} was heard of yet; check the id", err=True)
     if as_json:
         output.write_json(answer.value)
         return
--- a/src/bilberrypass/commands/jobs.py
+++ b/src/bilberrypass/commands/jobs.py
@@ -16,7 +16,9 @@
 _RETRY_S: t.Final = 15.0
 _ENDED: t.Final = frozenset({"finished", "failed", "cancelled"})
 
-APP: t.Final = typer.Typer(no_args_is_help=True, help="Show, list and cancel jobs.")
+APP: t.Final = typer.Typer(
+    no_args_is_help=True, help="Show, list, cancel and explain jobs."
+)
 
 _Id = t.Annotated[str, typer.Argument(help="The job's id.")]
 
--- a/src/bilberrypass/commands/tokens.py
+++ b/src/bilberrypass/commands/tokens.py
@@ -2,12 +2,15 @@
 
 import enum
 import json
+import re
 import typing as t
 
 import typer
 
+from bilberrypass import errors
 from bilberrypass.commands import options, output
 from bilberrypass.process import tokens
+from bilberrypass.version import settings
 
 
 class Role(enum.StrEnum):
@@ -23,6 +26,9 @@
     as_json: options.Json = False,
 ) -> None:
     """Make a token, and the line for ``operator_tokens`` in the entries' settings."""
+    if not re.fullmatch(settings.NAME_PATTERN, name):
+        fault = f"NAME: {name[:64]!r} is no name; use up to 63 letters, digits, . _ -"
+        raise errors.Faulty(errors.Kind.INVALID_SETTINGS, [fault])
     made = tokens.make(name, role)
     if as_json:
         output.write_json({"token": made.token, "settings": made.kept})
--- a/src/bilberrypass/errors.py
+++ b/src/bilberrypass/errors.py
@@ -141,7 +141,15 @@
 
 
 class Faulty(Error):
-    """Input with one or more faults, each with its JSON path."""
+    """Input with one or more faults, each with its JSON path.
+
+    Parameters
+    ----------
+    kind : Kind
+        Its place in the closed list.
+    faults : list of str
+        Each as ``path: what and remedy``.
+    """
 
     def __init__(self, kind: Kind, faults: list[str]) -> None:
         super().__init__(kind, "; ".join(faults))
@@ -149,7 +157,15 @@
 
 
 class Conflict(Error):
-    """Somebody else's write came first, with what it changed."""
+    """Somebody else's write came first, with what it changed.
+
+    Parameters
+    ----------
+    detail : str
+        Names the culprit and the remedy.
+    changed : list
+        The changes made meanwhile, as the history records them.
+    """
 
     def __init__(self, detail: str, changed: list[t.Any]) -> None:
         super().__init__(Kind.CONFLICT, detail)
--- a/src/bilberrypass/version/settings.py
+++ b/src/bilberrypass/version/settings.py
@@ -13,6 +13,7 @@
 from bilberrypass import errors
 from bilberrypass.version import checking
 
+NAME_PATTERN: t.Final = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
 
@@ -55,7 +56,7 @@
 Address = t.Annotated[str, pydantic.AfterValidator(check_address)]
 RemoteAddress = t.Annotated[str, pydantic.AfterValidator(_check_remote)]
 AnnouncedAddress = t.Annotated[str, pydantic.AfterValidator(_check_announced)]
-Name = t.Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Name = t.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
 Hex = t.Annotated[str, pydantic.Field(pattern=r"^([0-9a-f]{2}){8,64}$")]
 Seconds = t.Annotated[float, pydantic.Field(gt=0, le=86_400)]
 Count = t.Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
--- a/testing/commands/test_tool.py
+++ b/testing/commands/test_tool.py
@@ -131,6 +131,10 @@
         without = _run(proc, "hosts", BILBERRYPASS_TOKEN="")
         assert without.code == 1
         assert without.err.startswith("bilberrypass: UNAUTHORIZED: "), without
+        assert "no token was sent; set BILBERRYPASS_TOKEN" in without.err, without
+        wrong = _run(proc, "hosts", BILBERRYPASS_TOKEN="ann:wrong")
+        assert wrong.code == 1, wrong
+        assert "UNAUTHORIZED: the token sent is unknown" in wrong.err, wrong
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "token"
             path.write_text(system.OPERATOR.token + "\n")
@@ -219,8 +223,14 @@
             lambda: "echo" in _run(proc, "hosts", "--json").out, 10, "host with echo"
         )
         without = _run(proc, "drain", "local-host")
-        assert without.code == 1, without
-        assert _run(proc, "drain", "local-host", "--reason", "disk").code == 0
+        assert without.code == 2, without
+        assert "--reason: is missing" in without.err, without
+        assert " live " in _run(proc, "hosts").out
+        known = _run(proc, "drain", "local-host", "--reason", "disk")
+        assert (known.code, known.err) == (0, ""), known
+        unknown = _run(proc, "drain", "h77", "--reason", "disk")
+        assert unknown.code == 0, unknown
+        assert "no host h77 was heard of yet" in unknown.err, unknown
         assert " drained " in _run(proc, "hosts").out
         assert _run(proc, "drain", "local-host", "--undo").code == 0
         assert " live " in _run(proc, "hosts").out
@@ -235,6 +245,13 @@
     assert other["token"] != made["token"]
 
 
+def test_token_has_a_name_that_the_settings_take():
+    for name in ("a b", "", "ann:x", "x" * 64):
+        refused = _run(None, "token", name)
+        assert (refused.code, refused.out) == (2, ""), (name, refused)
+        assert "NAME: " in refused.err, (name, refused)
+
+
 def test_daemon_loads_no_command_line_library():
     probe = (
         "import sys; from bilberrypass import daemon; "
