--- a/src/bilberrypass/connection/etcd_watch.py
+++ b/src/bilberrypass/connection/etcd_watch.py
@@ -40,6 +40,19 @@
 
     A connection that goes silent may be broken without either end knowing, so
     it is replaced by a fresh one that takes up at the same revision.
+
+    Parameters
+    ----------
+    host : str
+        IP number of the store's gateway.
+    port : int
+        TCP port.
+    prefix : str
+        First part of the keys that are watched.
+    after : int
+        The store's revision that the events follow.
+    deadline : float
+        Monotonic seconds at which the watch ends.
     """
 
     def __init__(
--- a/src/bilberrypass/connection/httpworker.py
+++ b/src/bilberrypass/connection/httpworker.py
@@ -56,7 +56,15 @@
 
 @t.final
 class HttpWorker(worker.Worker):
-    """A worker reached by its IP number and port; threads may share it."""
+    """A worker reached by its IP number and port; threads may share it.
+
+    Parameters
+    ----------
+    host : str
+        IP number.
+    port : int
+        TCP port.
+    """
 
     def __init__(self, host: str, port: int) -> None:
         self._host = host
--- a/src/bilberrypass/process/placement.py
+++ b/src/bilberrypass/process/placement.py
@@ -117,7 +117,13 @@
 
 @t.final
 class Random(Policy):
-    """Takes any host that has room."""
+    """Takes any host that has room.
+
+    Parameters
+    ----------
+    seed : int
+        Of the random numbers.
+    """
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/process/placing.py
@@ -9,6 +9,7 @@
 from bilberrypass.process import (
     budget,
     decisions,
+    displacement,
     fleet,
     health,
     placement,
@@ -17,7 +18,6 @@
 )
 from bilberrypass.version import configuration, page
 
-_LEAST_RUN_S: t.Final = 2.0
 _PATIENCE_S: t.Final = 1_800.0
 
 Waiting = tuple[records.JobKey, int]
@@ -112,19 +112,29 @@
             choice = ranking.choose(ask)
             if choice.room is None:
                 self._note_no_room(job, choice)
-                if not job.urgent:
-                    self._full.add(_signature(job))
-                for _ in indexes[count:] if job.urgent else ():
-                    self._displace(jobs, key, rooms)
+                self._make_way(jobs, key, len(indexes) - count, rooms)
                 return
             room = choice.room
             rooms[room.host] = self._take(room, job)
             used[job.team] = after
-            domains[room.failure_domain] = domains.get(room.failure_domain, 0) + 1
-            racks[room.rack] = racks.get(room.rack, 0) + 1
+            _count(room, domains, racks)
             self._note_placed(job, index, choice)
             yield records.place(jobs, key, index, room.host), room.host
 
+    def _make_way(
+        self,
+        jobs: records.Jobs,
+        key: records.JobKey,
+        waiting: int,
+        rooms: dict[str, placement.Room],
+    ) -> None:
+        """Displace batch work for an urgent job's tasks; others find no room now."""
+        if not jobs[key].urgent:
+            self._full.add(_signature(jobs[key]))
+            return
+        for _ in range(waiting):
+            self._displace(jobs, key, rooms)
+
     def _quota(self, team: str) -> resources.Demand | None:
         return self._tools.values(configuration.Subject(team=team)).quotas.get(team)
 
@@ -152,12 +162,12 @@
             if room.resting or placement.why_never(ask, room):
                 continue
             leaving = self._leaving(jobs, room.host, on_host)
-            victims = _movable(jobs, on_host.get(room.host, []))
+            victims = displacement.find_movable(jobs, on_host.get(room.host, []))
             if demand.fits(room.free.plus(leaving)):
                 # Room comes free there already; it is taken for this task.
                 rooms[room.host] = room._replace(free=room.free.minus(demand))
                 return
-            chosen = _choose_victims(jobs, demand, room.free.plus(leaving), victims)
+            chosen = displacement.choose(jobs, demand, room.free.plus(leaving), victims)
             if chosen:
                 options.append((len(chosen), room.host, chosen))
         if not options:
@@ -204,8 +214,6 @@
         self._note(jobs[key], f"{len(chosen)} batch tasks on {host} make room")
         return True
 
-    # Rooms.
-
     def _rooms(
         self, jobs: records.Jobs, on_host: dict[str, list[worker.TaskId]]
     ) -> dict[str, placement.Room]:
@@ -259,8 +267,6 @@
             reasons.append(f"{report.host} {reason}")
         return "; ".join(reasons[:3])
 
-    # What is explained.
-
     def _note(self, job: page.JobRecord, text: str) -> None:
         self._tools.decisions.note(_subject(job), text)
 
@@ -329,11 +335,18 @@
     for record in job.tasks:
         room = rooms.get(record.host)
         if room is not None and record.state in page.ON_HOST:
-            domains[room.failure_domain] = domains.get(room.failure_domain, 0) + 1
-            racks[room.rack] = racks.get(room.rack, 0) + 1
+            _count(room, domains, racks)
     return domains, racks
 
 
+def _count(
+    room: placement.Room, domains: dict[str, int], racks: dict[str, int]
+) -> None:
+    """Count one more task of a job on a host."""
+    domains[room.failure_domain] = domains.get(room.failure_domain, 0) + 1
+    racks[room.rack] = racks.get(room.rack, 0) + 1
+
+
 def _used_by_team(
     jobs: records.Jobs, on_host: dict[str, list[worker.TaskId]]
 ) -> dict[str, resources.Demand]:
@@ -345,40 +358,6 @@
     return used
 
 
-def _movable(jobs: records.Jobs, found: list[worker.TaskId]) -> list[worker.TaskId]:
-    """Return the batch tasks that have run long enough to be moved."""
-    now = time.time()
-    victims = []
-    for task in found:
-        job = jobs[task.team, task.job]
-        record = job.tasks[task.index]
-        has_run = now > record.changed_at + _LEAST_RUN_S
-        if record.state == page.RUNNING and not job.urgent and has_run:
-            victims.append(task)
-    return victims
-
-
-def _choose_victims(
-    jobs: records.Jobs,
-    demand: resources.Demand,
-    free: resources.Demand,
-    victims: list[worker.TaskId],
-) -> list[worker.TaskId]:
-    """Return the fewest tasks that make room, the latest started first, or none."""
-
-    def order(task: worker.TaskId) -> tuple[int, float]:
-        job = jobs[task.team, task.job]
-        return -job.demand.cpu_milli, -job.tasks[task.index].changed_at
-
-    chosen: list[worker.TaskId] = []
-    for task in sorted(victims, key=order):
-        if demand.fits(free):
-            break
-        free = free.plus(jobs[task.team, task.job].demand)
-        chosen.append(task)
-    return chosen if demand.fits(free) else []
-
-
 def _waiting(jobs: records.Jobs) -> list[Waiting]:
     """Return the waiting tasks, urgent and older jobs first."""
     waiting = [
