Shorten the longest functions of entry and agent

Cause: `Entry.__init__` had 51 lines, `Agent.__init__` 39, `Entry._hear_report` 32; comments stood as headings in tasks, owner and placing. What they do is the same.

--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -70,19 +70,7 @@
             cfg["id"], cfg["rack"], cfg["failure_domain"], cfg["region"]
         )
         self.tasks = self._make_tasks(driver)
-        threads = _FORWARD_THREADS + _CONTROL_THREADS
-        self._server = channels.Server(
-            cfg["peers"],
-            {
-                channels.FORWARD: self._forward,
-                channels.REVOKE: self._revoke,
-                channels.START: self._start_tasks,
-                channels.STOP: self._stop_tasks,
-                channels.CONFIG: self._tell_config,
-                channels.INTRODUCE: self._hear_introduction,
-            },
-            threads,
-        )
+        self._server = self._listen_peers()
         self._listener = serving.Listener(
             cfg["announcements"],
             announcements.Announcements(self.hear_endpoint),
@@ -90,6 +78,18 @@
             cfg["max_body_bytes"],
         )
 
+    def _listen_peers(self) -> channels.Server:
+        handlers = {
+            channels.FORWARD: self._forward,
+            channels.REVOKE: self._revoke,
+            channels.START: self._start_tasks,
+            channels.STOP: self._stop_tasks,
+            channels.CONFIG: self._tell_config,
+            channels.INTRODUCE: self._hear_introduction,
+        }
+        threads = _FORWARD_THREADS + _CONTROL_THREADS
+        return channels.Server(self._cfg["peers"], handlers, threads)
+
     def _make_tasks(self, driver: worker.Worker | None) -> tasks.Tasks | None:
         if driver is None:
             if "worker" not in self._cfg:
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -69,16 +69,7 @@
         self._leaving = threading.Event()
         self._kv = metered.metered(kv or etcd.EtcdStore(cfg["store"]["addresses"]))
         self.fleet = fleet.Fleet(cfg["silence_s"])
-        self._server = channels.Server(
-            cfg["peers"],
-            {
-                channels.REPORT: self._hear_report,
-                channels.JOB: self._serve_job,
-                channels.CLAIM: self._serve_claim,
-                channels.CONFIG: self._tell_config,
-            },
-            _PEER_THREADS,
-        )
+        self._server = self._listen_peers()
         self.names = directory.Directory(
             self._kv,
             cfg["store"]["prefix"],
@@ -101,14 +92,25 @@
         self.shards = [self._make_shard(number) for number in range(cfg["shards"])]
         self._router = jobs.Router(self.names, self.shards)
         self._claims = self._make_claims()
-        dispatcher = dispatch.Dispatcher(
+        self._callers = callers.Callers(cfg, self._make_dispatcher(), self._claims)
+        self._listeners = [self._listen_callers(), self._listen_operators()]
+
+    def _listen_peers(self) -> channels.Server:
+        handlers = {
+            channels.REPORT: self._hear_report,
+            channels.JOB: self._serve_job,
+            channels.CLAIM: self._serve_claim,
+            channels.CONFIG: self._tell_config,
+        }
+        return channels.Server(self._cfg["peers"], handlers, _PEER_THREADS)
+
+    def _make_dispatcher(self) -> dispatch.Dispatcher:
+        return dispatch.Dispatcher(
             self.fleet,
-            routing.POLICIES[cfg["routing"]](),
-            cfg["failure_domain"],
+            routing.POLICIES[self._cfg["routing"]](),
+            self._cfg["failure_domain"],
             self._retry_share,
         )
-        self._callers = callers.Callers(cfg, dispatcher, self._claims)
-        self._listeners = [self._listen_callers(), self._listen_operators()]
 
     def _latency_weight(self) -> float:
         return self.config.in_force.values().tail_latency
@@ -234,12 +236,7 @@
             for shard in self.shards
             if shard.is_owned
         ]
-        metrics.count(metrics.Name.REPORTS)
-        metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
-        metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
-        metrics.gauge(metrics.Name.CONFIG_AGE, self.config.age_s())
-        owned = sum(shard.is_owned for shard in self.shards)
-        metrics.gauge(metrics.Name.SHARDS_OWNED, owned)
+        self._measure()
         return messages.Reported(
             entry=self._cfg["id"],
             revision=self.config.in_force.revision,
@@ -252,6 +249,14 @@
             slice=self.config.in_force.slice_for(_subject_of(report), report.revision),
         )
 
+    def _measure(self) -> None:
+        metrics.count(metrics.Name.REPORTS)
+        metrics.gauge(metrics.Name.HOSTS, len(self.fleet.all()))
+        metrics.gauge(metrics.Name.REVISION, self.config.in_force.revision)
+        metrics.gauge(metrics.Name.CONFIG_AGE, self.config.age_s())
+        owned = sum(shard.is_owned for shard in self.shards)
+        metrics.gauge(metrics.Name.SHARDS_OWNED, owned)
+
     def _serve_job(self, req: messages.JobCall) -> messages.JobAnswer:
         if self._leaving.is_set():
             raise errors.Refused(
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/process/owner.py
@@ -182,8 +182,6 @@
             detail = f"{record.host} did not answer the start"
             self.submit(lambda jobs: records.recall(jobs, task, detail))
 
-    # Outcomes of starts and stops.
-
     def started(self, task: worker.TaskId) -> None:
         """Note that a task runs."""
         self._seen.confirm(task)
@@ -210,8 +208,6 @@
             job = (state.task.team, state.task.job)
             self._tools.health.failed(record.host, job)
 
-    # What hosts report.
-
     def hear(self, report: messages.Report) -> Heard:
         """Compare a host's tasks of this shard with the records."""
         if not self.is_owned:
@@ -254,8 +250,6 @@
         _log.info("owner: {} taken back: {}", task, detail)
         self.submit(lambda jobs: records.take_back(jobs, task, detail))
 
-    # Calls on jobs.
-
     def call(self, req: messages.JobCall, deadline: float) -> messages.JobAnswer:
         """Answer a call on a job of this shard."""
         return self._calls.answer(req, deadline)
--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/process/placing.py
@@ -148,8 +148,6 @@
             resting=self._tools.health.why_resting(room.host),
         )
 
-    # Displacement.
-
     def _displace(
         self, jobs: records.Jobs, key: records.JobKey, rooms: dict[str, placement.Room]
     ) -> None:
--- a/src/bilberrypass/process/tasks.py
+++ b/src/bilberrypass/process/tasks.py
@@ -102,8 +102,6 @@
                 f"shard {shard} has a newer owner (epoch {newest}, not {epoch}); stop",
             )
 
-    # Starts.
-
     def start(self, req: messages.Start, sent_at: float) -> messages.Started:
         """Start tasks whose leases count from a report's sending time."""
         self.check_epoch(req.shard, req.epoch)
@@ -165,8 +163,6 @@
             if not is_live and task not in self._uncertain:
                 self.ledger.release(task)
 
-    # Leases.
-
     def renew(self, shards: int, grants: list[messages.Grant], sent_at: float) -> None:
         """Take renewals for all tasks of the granted shards."""
         for grant in grants:
@@ -200,8 +196,6 @@
             _log.warning("tasks: {} ends: its lease was not renewed", task)
         self.stop(lapsing, checkpoint=True)
 
-    # Ends.
-
     def forget(self, recorded: list[worker.TaskId]) -> None:
         """Drop tasks whose ends the store holds."""
         with self._lock:
@@ -274,8 +268,6 @@
             except errors.Error as exc:
                 _log.warning("tasks: {} not throttled: {}", task, exc.detail)
 
-    # What the worker says.
-
     def states(self) -> list[messages.TaskState]:
         """Return the state of each task not yet forgotten."""
         with self._lock:
