Tell a store that does not answer in plain words

After: "the store at ... gave no whole answer (ProtocolError); come back later". Run: python -m testing process.test_configuring test_readme test_imports: 21 passed; connection.test_store 44 passed, process.test_tasks 9 passed.

--- a/src/bilberrypass/connection/etcd.py
+++ b/src/bilberrypass/connection/etcd.py
@@ -201,13 +201,12 @@
                 return _exchange(pool, path, body, deadline)
             except _NOT_SENT as exc:
                 self._replace(pool)
-                reason = f"{pool.host}:{pool.port} takes no connection: {exc}"
+                reason = _describe(pool, "takes no connection", exc)
             except (urllib3.exceptions.HTTPError, OSError) as exc:
                 # Other idle connections to the address may be broken as well.
                 self._replace(pool)
-                raise _lost(
-                    f"{pool.host}:{pool.port}: {exc}", is_write=is_write
-                ) from exc
+                reason = _describe(pool, "gave no whole answer", exc)
+                raise _lost(reason, is_write=is_write) from exc
         raise errors.Error(errors.Kind.STORE_DOWN, reason)
 
     def _check_open(self) -> None:
@@ -295,6 +294,11 @@
     return f"{reply.status}: {reply.body[:200].decode(errors='replace')}"
 
 
+def _describe(pool: urllib3.HTTPConnectionPool, fault: str, exc: Exception) -> str:
+    why = type(exc).__name__
+    return f"the store at {pool.host}:{pool.port} {fault} ({why}); come back later"
+
+
 def _lost(reason: str, *, is_write: bool) -> errors.Error:
     kind = errors.Kind.STORE_UNCERTAIN if is_write else errors.Kind.STORE_DOWN
     return errors.Error(kind, reason)
--- a/testing/process/test_configuring.py
+++ b/testing/process/test_configuring.py
@@ -63,6 +63,8 @@
         assert refused.status == 503, refused.body
         assert refused.json()["ran"] in ("no", "unknown"), refused.body
         assert "Retry-After" in refused.headers
+        detail = refused.json()["detail"]
+        assert "; " in detail and "Disconnected(" not in detail, detail
         for number in (0, 1):
             url = f"{run.url(number)}/readyz"
             answer = fixtures.wait_until(
