--- a/src/bilberrypass/commands/jobs.py
+++ b/src/bilberrypass/commands/jobs.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from bilberrypass import errors
+from bilberrypass import errors, resources
 from bilberrypass.commands import client, options, output
 
 _FIRST_POLL_S: t.Final = 0.25
@@ -16,7 +16,9 @@
 _RETRY_S: t.Final = 15.0
 _ENDED: t.Final = frozenset({"finished", "failed", "cancelled"})
 
-APP: t.Final = typer.Typer(no_args_is_help=True, help="Show, list and cancel jobs.")
+APP: t.Final = typer.Typer(
+    no_args_is_help=True, help="Show, list, cancel and explain jobs."
+)
 
 _Id = t.Annotated[str, typer.Argument(help="The job's id.")]
 
@@ -92,7 +94,7 @@
 ) -> dict[str, t.Any]:
     named = {
         "cpu_milli": cpu_milli,
-        "memory_bytes": None if memory_mb is None else memory_mb << 20,
+        "memory_bytes": None if memory_mb is None else memory_mb * resources.MIB,
         "accelerators": accelerators,
     }
     given = {key: value for key, value in named.items() if value is not None}
--- a/testing/commands/test_tool.py
+++ b/testing/commands/test_tool.py
@@ -131,6 +131,10 @@
         without = _run(proc, "hosts", BILBERRYPASS_TOKEN="")
         assert without.code == 1
         assert without.err.startswith("bilberrypass: UNAUTHORIZED: "), without
+        assert "no token was sent; set BILBERRYPASS_TOKEN" in without.err, without
+        wrong = _run(proc, "hosts", BILBERRYPASS_TOKEN="ann:wrong")
+        assert wrong.code == 1, wrong
+        assert "UNAUTHORIZED: the token sent is unknown" in wrong.err, wrong
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "token"
             path.write_text(system.OPERATOR.token + "\n")
@@ -163,7 +167,7 @@
             assert done.code == 0, done
             assert "+ exceptions[0].reason" in done.err, done
             again = _run(proc, *args, "--yes", "--revision", str(shown["revision"]))
-            assert again.code in (0, 5), again
+            assert again.code == 5, again
             path.write_text(json.dumps(changed | {"exceptions": []}))
             stale = _run(proc, *args, "--yes")
             assert stale.code == 5, stale
@@ -178,6 +182,17 @@
         assert "INVALID_CONFIG: exceptions[0].reason" in faulty.err, faulty
 
 
+def test_change_to_what_is_in_force_makes_no_revision():
+    with _local() as proc:
+        before = _revision(proc)
+        change = ("config", "set", "defaults.guards.eviction_budget=true", "--yes")
+        same = _run(proc, *change)
+        assert (same.code, same.out, same.err) == (0, "", "nothing to change\n"), same
+        told = _run(proc, *change, "--json")
+        assert json.loads(told.out)["revision"] == before, told
+        assert _revision(proc) == before
+
+
 def test_explain_tells_why_a_job_waits():
     with _local() as proc:
         big = ("submit", "big", "--team", "plans", "--cpu-milli", "6000")
@@ -210,8 +225,14 @@
     with _local() as proc:
         _wait_host(proc)
         without = _run(proc, "drain", "local-host")
-        assert without.code == 1, without
-        assert _run(proc, "drain", "local-host", "--reason", "disk").code == 0
+        assert without.code == 2, without
+        assert "--reason: is missing" in without.err, without
+        assert " live " in _run(proc, "hosts").out
+        known = _run(proc, "drain", "local-host", "--reason", "disk")
+        assert (known.code, known.err) == (0, ""), known
+        unknown = _run(proc, "drain", "h77", "--reason", "disk")
+        assert unknown.code == 0, unknown
+        assert "no host h77 was heard of yet" in unknown.err, unknown
         assert " drained " in _run(proc, "hosts").out
         assert _run(proc, "drain", "local-host", "--undo").code == 0
         assert " live " in _run(proc, "hosts").out
@@ -226,6 +247,13 @@
     assert other["token"] != made["token"]
 
 
+def test_token_has_a_name_that_the_settings_take():
+    for name in ("a b", "", "ann:x", "x" * 64):
+        refused = _run(None, "token", name)
+        assert (refused.code, refused.out) == (2, ""), (name, refused)
+        assert "NAME: " in refused.err, (name, refused)
+
+
 def test_daemon_loads_no_command_line_library():
     probe = (
         "import sys; from bilberrypass import daemon; "
