--- a/testing/process/test_outbox.py
+++ b/testing/process/test_outbox.py
@@ -8,27 +8,8 @@
 from bilberrypass.process import fleet, outbox, sightings
 from testing import collecting, fakes
 
-<<<<<<< HEAD:testing/process/test_outbox.py
 _SENDER = outbox.Sender("e", 0, 1, 60.0)
-_REPORT = messages.Report(
-    "h0",
-    1,
-    1,
-    "a",
-    "r",
-    "fd",
-    "r",
-    False,
-    0,
-    fakes.CAPACITY,
-    resources.Demand(),
-    [],
-    [],
-)
-=======
-_SENDER = dispatch.Sender("e", 0, 1, 60.0)
 _REPORT = fakes.report(capacity=fakes.CAPACITY)
->>>>>>> condense:testing/process/test_dispatch.py
 
 
 class _Hosts(t.NamedTuple):
