--- a/testing/version/test_settings.py
+++ b/testing/version/test_settings.py
@@ -166,9 +166,9 @@
 def test_examples_are_valid_settings_of_their_role():
     for role, kind in (("entry", "an entry"), ("agent", "an agent")):
         cfg = json.loads((_EXAMPLES / f"{role}.json").read_text())
-        with _checked(cfg, "check") as done:
-            assert done.returncode == 0, done
-            assert done.stdout == f"valid settings of {kind}\n", done
+        done = _checked(cfg, "check")
+        assert done.returncode == 0, done
+        assert done.stdout == f"valid settings of {kind}\n", done
 
 
 def test_nothing_starts_with_faulty_settings():
