Find the owner of a shard in one place, index the hosts once for a job

Cause: jobs.Router and claiming.Router each looked up a shard's owner and kept connections; the one for jobs made a new channel with every forwarded call, as setdefault's argument is made whether it is needed or not. Making way for an urgent job indexed all tasks of the shard by host anew for each waiting task, though an evicted task stays on its host until its stop is confirmed. Ruled out: merging the routers, since only claims bound who waits for the store and send notes. Conclusion: process/owners.py serves both; behaviour and answers stay.

--- a/src/bilberrypass/process/claiming.py
+++ b/src/bilberrypass/process/claiming.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
-from bilberrypass.process import claims, directory
+from bilberrypass.process import claims, directory, owners
 
 _log = logbook.Logger("claiming")
 
@@ -67,8 +67,7 @@
         # A slow store must hold up neither reports nor requests without a key.
         self._waiting = threading.BoundedSemaphore(max_waiting)
         self._served = threading.BoundedSemaphore(_MAX_SERVED)
-        self._names = names
-        self._peers: dict[str, channels.Peer] = {}
+        self._owners = owners.Owners(names, "claims")
         self._notes: queue.Queue[_Note] = queue.Queue(_MAX_NOTES)
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="claiming", daemon=True)
@@ -211,17 +210,7 @@
         shard = self.shards[req.shard]
         if shard.is_owned:
             return shard.call(req, deadline)
-        found = self._names.owner("claims", req.shard)
-        if found is None or found.entry == self._names.me.id:
-            raise errors.Refused(
-                errors.Kind.NOT_READY,
-                f"claims shard {req.shard} has no owner at the moment; come back",
-                retry_after_s=_RETRY_S,
-            )
-        peer = self._peers.get(found.peers)
-        if peer is None:
-            peer = self._peers.setdefault(found.peers, channels.Peer(found.peers))
-        return peer.call(channels.CLAIM, req, deadline)
+        return self._owners.find(req.shard).call(channels.CLAIM, req, deadline)
 
 
 def _store_is_slow() -> errors.Refused:
--- a/src/bilberrypass/process/jobs.py
+++ b/src/bilberrypass/process/jobs.py
@@ -8,7 +8,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages, worker
-from bilberrypass.process import directory, owner, traces, web
+from bilberrypass.process import directory, owner, owners, traces, web
 from bilberrypass.version import page, settings
 
 _CALL_S: t.Final = 8.0
@@ -27,9 +27,8 @@
     """
 
     def __init__(self, names: directory.Directory, shards: list[owner.Shard]) -> None:
-        self._names = names
+        self._owners = owners.Owners(names, "jobs")
         self._shards = shards
-        self._peers: dict[str, channels.Peer] = {}
 
     def serve(self, req: messages.JobCall) -> messages.JobAnswer:
         """Answer a call that another entry sent to this one as the owner."""
@@ -45,15 +44,7 @@
         deadline = time.monotonic() + _CALL_S
         if self._shards[req.shard].is_owned:
             return self._shards[req.shard].call(req, deadline)
-        found = self._names.owner("jobs", req.shard)
-        if found is None or found.entry == self._names.me.id:
-            raise errors.Error(
-                errors.Kind.NOT_READY,
-                f"shard {req.shard} has no owner at the moment; come back",
-                retry_after_s=1.0,
-            )
-        peer = self._peers.setdefault(found.peers, channels.Peer(found.peers))
-        return peer.call(channels.JOB, req, deadline)
+        return self._owners.find(req.shard).call(channels.JOB, req, deadline)
 
     def find(self, verb: str, team: str, id: str) -> messages.JobAnswer:
         """Have the owner answer that has the job; without a team all are asked."""
--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/process/placing.py
@@ -136,8 +136,10 @@
         if not jobs[key].urgent:
             self._full.add(_signature(jobs[key]))
             return
+        # An evicted task stays on its host until its stop is confirmed.
+        on_host = records.on_host(jobs)
         for _ in range(waiting):
-            self._displace(jobs, key, rooms)
+            self._displace(jobs, key, rooms, on_host)
 
     def _quota(self, team: str) -> resources.Demand | None:
         return self._tools.values(configuration.Subject(team=team)).quotas.get(team)
@@ -153,12 +155,15 @@
         )
 
     def _displace(
-        self, jobs: records.Jobs, key: records.JobKey, rooms: dict[str, placement.Room]
+        self,
+        jobs: records.Jobs,
+        key: records.JobKey,
+        rooms: dict[str, placement.Room],
+        on_host: dict[str, list[worker.TaskId]],
     ) -> None:
         """Evict batch tasks of this shard for an urgent one, within the budget."""
         demand = jobs[key].demand
         ask = placement.Ask(demand, rules=jobs[key].rules)
-        on_host = records.on_host(jobs)
         options = []
         for room in rooms.values():
             if room.resting or placement.why_never(ask, room):
