--- /dev/null
+++ b/src/bilberrypass/hosting/__init__.py
@@ -0,0 +1,1 @@
+"""One host: the agent's part beside its runner; knows no wire format."""
--- /dev/null
+++ b/src/bilberrypass/hosting/runs.py
@@ -0,0 +1,219 @@
+"""The agent's table of the runs on its host, in one life of the runner."""
+
+import collections.abc as abc
+import threading
+import typing as t
+
+from bilberrypass.hosting import messages, runner
+
+State = messages.RunState
+FINAL: t.Final = (State.ENDED, State.REJECTED, State.GONE)
+
+RunKey = tuple[str, int]
+
+
+class Run:
+    """A run and what the agent knows of it.
+
+    ``answered_at`` is when the runner last answered an order for it: only a list
+    asked for later can tell that the run is missing.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "checkpoint",
+        "end",
+        "figure",
+        "is_stop_wanted",
+        "key",
+        "order",
+        "outcome",
+        "pace",
+        "progress",
+        "state",
+    )
+
+    def __init__(self, key: RunKey, state: messages.RunState) -> None:
+        self.key = key
+        self.state = state
+        self.order: messages.Order | None = None
+        self.outcome = ""
+        self.end = 0
+        self.checkpoint = ""
+        self.progress = 0
+        self.figure = 0
+        self.pace = 100
+        self.answered_at: float | None = None
+        self.is_stop_wanted = False
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether the run certainly is not on the host and never will be."""
+        return self.state in FINAL
+
+    def row(self) -> messages.RunRow:
+        """Return what the scheduler is told."""
+        return messages.RunRow(
+            self.key[0],
+            self.key[1],
+            int(self.state),
+            self.outcome,
+            self.end,
+            self.checkpoint,
+            self.progress,
+            self.figure,
+            self.pace,
+        )
+
+
+@t.final
+class Table:
+    """The runs of one life of the runner.
+
+    Its methods may be called from any thread. ``changed`` is set whenever the
+    scheduler ought to hear of it soon.
+    """
+
+    def __init__(self, changed: threading.Event) -> None:
+        self._lock = threading.Lock()
+        self._runs: dict[RunKey, Run] = {}
+        self._changed = changed
+        self._noted = 0
+
+    def take(self, order: messages.Order) -> Run | None:
+        """Take an order; return the run if somebody must now carry it out."""
+        key = (order.task, order.run)
+        with self._lock:
+            run = self._runs.get(key)
+            if order.verb == messages.Verb.DESCRIBE:
+                if run is not None and run.order is None:
+                    run.order = order
+                return None
+            if order.verb == messages.Verb.START:
+                if run is not None:
+                    run.order = run.order or order
+                    return None
+                run = self._runs[key] = Run(key, State.STARTING)
+                run.order = order
+                return run
+            if run is None:
+                run = self._runs[key] = Run(key, State.STOPPING)
+                run.is_stop_wanted = True
+                return run
+            if run.is_final or run.is_stop_wanted:
+                return None
+            run.is_stop_wanted = True
+            # A start in progress turns to the stop itself.
+            if run.state is State.STARTING:
+                return None
+            run.state = State.STOPPING
+            return run
+
+    def confirm(self, run: Run, at: float) -> None:
+        """Record that the runner has obeyed the newest order for a run."""
+        with self._lock:
+            if run.is_final:
+                return
+            run.answered_at = at
+            if run.state is State.STARTING:
+                run.state = State.RUNNING
+
+    def turn_to_stop(self, run: Run) -> bool:
+        """Let a run be stopped; False if it has come to its end already."""
+        with self._lock:
+            if run.is_final:
+                return False
+            run.state = State.STOPPING
+            run.answered_at = None
+            return True
+
+    def reject(self, run: Run, reason: str) -> None:
+        """Record that a run was refused and never begins."""
+        with self._lock:
+            if not run.is_final:
+                run.state, run.outcome = State.REJECTED, reason
+        self._changed.set()
+
+    def merge(self, lists: runner.Lists, asked_at: float) -> list[RunKey]:
+        """Take in the runner's lists, asked for at a time.
+
+        Returns
+        -------
+        list of RunKey
+            Runs that were given up and are on the host all the same.
+        """
+        present = {(row.task, row.run): row for row in lists.running}
+        strays = []
+        with self._lock:
+            for key, row in present.items():
+                run = self._runs.get(key)
+                if run is None:
+                    run = self._runs[key] = Run(key, State.RUNNING)
+                    run.answered_at = asked_at
+                    self._changed.set()
+                elif run.is_final and run.state is not State.ENDED:
+                    strays.append(key)
+                run.checkpoint = row.checkpoint
+                run.progress, run.figure = row.progress, row.figure
+            for end in lists.ended:
+                self._end(end)
+            for run in self._runs.values():
+                self._miss(run, present, asked_at)
+        return strays
+
+    def _end(self, end: runner.Ended) -> None:
+        if end.number <= self._noted:
+            return
+        key = (end.task, end.run)
+        run = self._runs.get(key)
+        if run is None:
+            run = self._runs[key] = Run(key, State.ENDED)
+        elif run.end == end.number:
+            return
+        run.state, run.outcome = State.ENDED, end.how
+        run.end, run.checkpoint = end.number, end.checkpoint
+        self._changed.set()
+
+    def _miss(self, run: Run, present: abc.Container[RunKey], asked_at: float) -> None:
+        is_due = run.answered_at is not None and run.answered_at < asked_at
+        if is_due and not run.is_final and run.key not in present:
+            run.state, run.outcome = State.GONE, "missing"
+            self._changed.set()
+
+    def lose_all(self, outcome: str) -> None:
+        """Record that nothing of this life is on the host any more."""
+        with self._lock:
+            for run in self._runs.values():
+                if not run.is_final:
+                    run.state, run.outcome = State.GONE, outcome
+        self._changed.set()
+
+    def forget(self, noted: int, settled: abc.Iterable[RunKey]) -> None:
+        """Drop final rows that the scheduler has stored."""
+        with self._lock:
+            self._noted = max(self._noted, noted)
+            for key in settled:
+                run = self._runs.get(key)
+                if run is not None and run.is_final and run.end <= self._noted:
+                    del self._runs[key]
+
+    @property
+    def noted(self) -> int:
+        """The number up to which the runner may forget its ends."""
+        with self._lock:
+            return self._noted
+
+    def has_unnoted_ends(self) -> bool:
+        """Tell whether an end was listed that is not stored yet."""
+        with self._lock:
+            return any(run.end > self._noted for run in self._runs.values())
+
+    def rows(self) -> list[messages.RunRow]:
+        """Return what the scheduler is told of all runs."""
+        with self._lock:
+            return [run.row() for run in self._runs.values()]
+
+    def live(self) -> list[Run]:
+        """Return the runs that may be on the host."""
+        with self._lock:
+            return [run for run in self._runs.values() if not run.is_final]
--- /dev/null
+++ b/src/bilberrypass/hosting/session.py
@@ -0,0 +1,220 @@
+"""One life of the runner, as its agent deals with it: orders, lists, lease."""
+
+import concurrent.futures as futures
+import threading
+import typing as t
+
+from bilberrypass import clock, errors
+from bilberrypass.hosting import messages, runner, runs
+from bilberrypass.observing import decisions
+
+_ORDER_TIMEOUT_S: t.Final = 0.7  # a runner on the same machine answers in ms
+_RETRY_INTERVAL_S: t.Final = 0.2
+_HOLD_WAIT_S: t.Final = 1.0  # several renewals within the shortest lease
+_NOTE_WAIT_S: t.Final = 0.3
+_FAILED_HOLD_INTERVAL_S: t.Final = 0.3
+_ORDER_THREADS: t.Final = 6
+# The runner's clock may run slow by 2% (PROTOCOL.md); half a percent is ours.
+_CLOCK_RATE: t.Final = 0.975
+_MS: t.Final = 1_000
+# Reasons after which nothing of the run is or comes on the runner.
+_BARRED: t.Final = ("old",)
+
+
+@t.final
+class Session:
+    """The agent's dealings with one life of the runner.
+
+    Parameters
+    ----------
+    info : messages.RunnerInfo
+        The runner, by its first report.
+    client : runner.Runner
+        Calls it.
+    changed : threading.Event
+        Set when the scheduler ought to be told something.
+    lease_end : float
+        Until when, on ``clock.now``, an earlier agent may have leased.
+    """
+
+    def __init__(
+        self,
+        info: messages.RunnerInfo,
+        client: runner.Runner,
+        changed: threading.Event,
+        lease_end: float,
+    ) -> None:
+        self.info = info
+        self.table = runs.Table(changed)
+        self._client = client
+        self._changed = changed
+        self._epoch = 0
+        self._granted_until = 0.0
+        self._leased_until = lease_end
+        self._clock_ms = 0
+        self._clock_at = 0.0
+        self._answered_at = clock.now()
+        self._ended = threading.Event()
+        self._woken = threading.Event()
+        self._pool = futures.ThreadPoolExecutor(
+            _ORDER_THREADS, thread_name_prefix="orders"
+        )
+        self._thread = threading.Thread(target=self._hold, name="hold", daemon=True)
+
+    def start(self) -> None:
+        """Begin to keep the lease and to read the lists."""
+        self._thread.start()
+
+    def end(self, outcome: str) -> None:
+        """Give the life up: nothing of it is on the host any more."""
+        self._ended.set()
+        self._woken.set()
+        self.table.lose_all(outcome)
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    @property
+    def answered_ago_s(self) -> float:
+        """The age of the runner's last answer."""
+        return clock.now() - self._answered_at
+
+    def grant(self, epoch: int, until: float) -> None:
+        """Allow the lease to be renewed up to a time on ``clock.now``."""
+        self._granted_until = max(self._granted_until, until)
+        if epoch > self._epoch:
+            self._epoch = epoch
+            self._woken.set()
+
+    def note(self, noted: int, settled: list[runs.RunKey]) -> None:
+        """Let the runner forget ends that are stored."""
+        self.table.forget(noted, settled)
+        self._woken.set()
+
+    def obey(self, epoch: int, orders: list[messages.Order]) -> None:
+        """Carry out orders, each once, in the background."""
+        self._epoch = max(self._epoch, epoch)
+        for order in orders:
+            if order.life != self.info.life or self._ended.is_set():
+                continue
+            run = self.table.take(order)
+            if run is not None and run.state is runs.State.STARTING:
+                self._pool.submit(self._start_run, run, order)
+            elif run is not None:
+                self._pool.submit(self._stop_run, run)
+
+    def _lease_end_ms(self) -> int | None:
+        """Return the granted lease's end on the runner's clock, if that is known.
+
+        The runner read its clock no later than its answer arrived, and the clock
+        may run slow, so the lease never outlasts the grant.
+        """
+        if not self._clock_at or self._granted_until <= clock.now():
+            return None
+        left_s = self._granted_until - self._clock_at
+        self._leased_until = max(self._leased_until, self._granted_until)
+        return self._clock_ms + int(left_s * _CLOCK_RATE * _MS)
+
+    def _see_clock(self, clock_ms: int, at: float) -> None:
+        self._answered_at = at
+        if clock_ms:
+            self._clock_ms, self._clock_at = clock_ms, at
+
+    def _start_run(self, run: runs.Run, order: messages.Order) -> None:
+        wanted = runner.Run(
+            order.task, order.run, order.spec, order.checkpoint, order.ticket
+        )
+        is_uncertain = False
+        while not self._ended.is_set() and not run.is_final:
+            if run.is_stop_wanted:
+                self._stop_run(run)
+                return
+            lease_end_ms = self._lease_end_ms()
+            if lease_end_ms is None:
+                if not is_uncertain:
+                    self._refuse(run, "no_lease")
+                    return
+                self._stop_run(run)
+                return
+            deadline = clock.now() + _ORDER_TIMEOUT_S
+            try:
+                answer = self._client.start(wanted, lease_end_ms, self._epoch, deadline)
+            except errors.Error as exc:
+                is_uncertain = is_uncertain or exc.ran is not errors.Ran.NO
+                decisions.record(
+                    "start.unanswered", task=order.task, run=order.run, why=exc.detail
+                )
+                self._ended.wait(_RETRY_INTERVAL_S)
+                continue
+            self._see_clock(answer.clock_ms, clock.now())
+            if not answer.reason:
+                self.table.confirm(run, clock.now())
+            elif is_uncertain:
+                self._stop_run(run)
+            else:
+                self._refuse(run, answer.reason)
+            return
+
+    def _refuse(self, run: runs.Run, reason: str) -> None:
+        decisions.record(
+            "start.rejected", task=run.key[0], run=run.key[1], reason=reason
+        )
+        self.table.reject(run, reason)
+
+    def _stop_run(self, run: runs.Run) -> None:
+        """Stop a run or bar it; the lists tell later what became of it."""
+        if not self.table.turn_to_stop(run):
+            return
+        while not self._ended.is_set() and not run.is_final:
+            deadline = clock.now() + _ORDER_TIMEOUT_S
+            try:
+                answer = self._client.stop(*run.key, self._epoch, deadline)
+            except errors.Error as exc:
+                decisions.record(
+                    "stop.unanswered", task=run.key[0], run=run.key[1], why=exc.detail
+                )
+                self._ended.wait(_RETRY_INTERVAL_S)
+                continue
+            self._see_clock(answer.clock_ms, clock.now())
+            if not answer.reason or answer.reason in _BARRED:
+                self.table.confirm(run, clock.now())
+                self._woken.set()
+                return
+            self._ended.wait(_RETRY_INTERVAL_S)
+
+    def _bar(self, key: runs.RunKey) -> None:
+        """Stop a run that was given up; the next lists show whether it worked."""
+        deadline = clock.now() + _ORDER_TIMEOUT_S
+        try:
+            answer = self._client.stop(*key, self._epoch, deadline)
+        except errors.Error as exc:
+            answer = runner.Answer(exc.detail, 0)
+        decisions.record("run.stray", task=key[0], run=key[1], why=answer.reason)
+
+    def _hold(self) -> None:
+        while not self._ended.is_set():
+            if not self._epoch:
+                self._woken.wait(_NOTE_WAIT_S)
+                self._woken.clear()
+                continue
+            asked_at = clock.now()
+            wait_s = 0.0 if self.table.has_unnoted_ends() else _HOLD_WAIT_S
+            try:
+                lists = self._client.hold(
+                    self.table.noted, self._lease_end_ms(), self._epoch, wait_s
+                )
+            except errors.Error as exc:
+                self._on_silence(exc)
+                self._ended.wait(_FAILED_HOLD_INTERVAL_S)
+                continue
+            self._see_clock(lists.clock_ms, clock.now())
+            if lists.life and lists.life != self.info.life:
+                continue  # the next report of the runner begins a new session
+            for key in self.table.merge(lists, asked_at):
+                self._pool.submit(self._bar, key)
+            if self.table.has_unnoted_ends():
+                self._woken.wait(_NOTE_WAIT_S)
+                self._woken.clear()
+
+    def _on_silence(self, exc: errors.Error) -> None:
+        decisions.record("runner.silent", runner=self.info.id, why=exc.detail)
+        if clock.now() > self._leased_until:
+            self.table.lose_all("lapsed")
--- /dev/null
+++ b/src/bilberrypass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the users' platform and the product; decides nothing."""
--- /dev/null
+++ b/src/bilberrypass/platform/front.py
@@ -0,0 +1,216 @@
+"""The platform's callers' interface: submissions, their states, cancellations."""
+
+import re
+import time
+import typing as t
+
+import logbook
+import msgspec
+import prometheus_client as prometheus
+
+from bilberrypass import clock, errors
+from bilberrypass.request import problems
+from bilberrypass.scheduling import entry, jobs, queues
+
+_log = logbook.Logger("front")
+
+_ID: t.Final = re.compile(r"^[0-9a-f]{16}$")
+_DEADLINE_HEADER: t.Final = "HTTP_TIME_REMAINING"
+_DEFAULT_TIME_S: t.Final = 3.0
+_ANSWER_MARGIN_S: t.Final = 0.1  # for the way back to the caller
+_MS: t.Final = 1_000.0
+_REASONS: t.Final = {200: "OK", 404: "Not Found", 410: "Gone"}
+
+_seconds = prometheus.Histogram(
+    "bilberrypass_request_seconds", "Duration of callers' requests", ["method"]
+)
+_requests = prometheus.Counter(
+    "bilberrypass_requests", "Callers' requests", ["method", "status"]
+)
+
+
+class _Step(msgspec.Struct):
+    count: int
+    # Thousandths of a core.
+    cpu: int = 0
+    task_memory_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    # One label that the runner must have.
+    requirements: str = ""
+    # The rack near the task's data.
+    affinity: str = ""
+    # At most so many tasks of the step on one runner.
+    anti_affinity: int = 0
+    # The task writes checkpoints.
+    checkpointing: bool = False
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    # The task's processors are not counted against the runner's capacity.
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Submission(msgspec.Struct):
+    specification: str
+    steps: tuple[_Step, ...]
+    repetitions: int = 0
+    first_run_ms: float = 0
+    interval_ms: float = 0
+
+
+def _step(found: _Step) -> jobs.Step:
+    return jobs.Step(
+        count=found.count,
+        cpu_milli=found.cpu,
+        memory_mb=found.task_memory_mb,
+        gpus=found.gpu,
+        estimate_s=found.estimated_ms / _MS,
+        after=found.after,
+        is_gang=found.gang,
+        is_rack_bound=found.same_rack,
+        required_label=found.requirements,
+        data_rack=found.affinity,
+        max_per_host=found.anti_affinity,
+        has_checkpoints=found.checkpointing,
+        may_duplicate=found.allow_duplicates,
+        is_service=found.long_running,
+        image=found.image,
+        latency_target_ms=int(found.target_ms),
+        is_filler=found.fills,
+        max_unavailable=found.may_miss,
+    )
+
+
+def read_job(id: str, queue: str, body: bytes) -> jobs.Job:
+    """Decode and check a submission.
+
+    Raises
+    ------
+    errors.Refused
+        BAD_BODY, naming the field and its remedy.
+    """
+    try:
+        found = msgspec.json.decode(body, type=_Submission)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        raise errors.Refused(
+            errors.Kind.BAD_BODY, f"{exc}; correct the body", ran=errors.Ran.NO
+        ) from exc
+    job = jobs.Job(
+        id,
+        queue,
+        found.specification,
+        tuple(map(_step, found.steps)),
+        time.time(),
+        found.repetitions,
+        found.first_run_ms / _MS,
+        found.interval_ms / _MS,
+    )
+    jobs.check(job)
+    return job
+
+
+class _Answer(t.NamedTuple):
+    status: int
+    body: bytes
+
+
+@t.final
+class Front:
+    """The WSGI application that answers callers.
+
+    Parameters
+    ----------
+    served : entry.Entry
+        Stores and finds jobs.
+    """
+
+    def __init__(self, served: entry.Entry) -> None:
+        self._entry = served
+        self.is_leaving = False
+
+    def __call__(self, environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
+        """Answer one request."""
+        began = clock.now()
+        method = environ["REQUEST_METHOD"]
+        headers = [("Content-Type", "application/json")]
+        try:
+            status, body = self._serve(method, environ)
+        except errors.Error as exc:
+            status, headers, body = problems.problem(exc)
+        except Exception:
+            _log.exception("front: a request failed")
+            exc = errors.Error(errors.Kind.INTERNAL, "the entry's log says why")
+            status, headers, body = problems.problem(exc)
+        if not any(key == "Content-Length" for key, _ in headers):
+            headers.append(("Content-Length", str(len(body))))
+        if self.is_leaving:
+            headers.append(("Connection", "close"))
+        _requests.labels(method, status).inc()
+        _seconds.labels(method).observe(clock.now() - began)
+        start(f"{status} {_REASONS.get(status, 'Status')}", headers)
+        return [body]
+
+    def _serve(self, method: str, environ: dict[str, t.Any]) -> _Answer:
+        table = self._entry.table
+        if table is None:
+            raise errors.Refused(
+                errors.Kind.NOT_READY,
+                "no configuration was read yet; try another entry",
+                retry_after_s=1.0,
+            )
+        path = environ["PATH_INFO"]
+        route = table.find(environ.get("HTTP_HOST", ""), path)
+        if route is None:
+            raise errors.Refused(errors.Kind.NOT_FOUND, f"no queue at {path[:80]}")
+        deadline = clock.now() + _time_left_s(environ) - _ANSWER_MARGIN_S
+        id = path.removeprefix(route.prefix)
+        if not id and method == "GET":
+            waiting = self._entry.waiting(queues.queue_name(route.host, route.prefix))
+            return _json(200, {"waiting": waiting})
+        if not _ID.match(id):
+            raise errors.Refused(
+                errors.Kind.NOT_FOUND, f"{id[:40]!r} is no id of 16 hexadecimal digits"
+            )
+        if method == "POST":
+            body = _read_body(environ, table.config.limits.max_body_bytes)
+            name = queues.queue_name(route.host, route.prefix)
+            self._entry.submit(read_job(id, name, body), deadline)
+            return _json(200, {})
+        if method == "GET":
+            status = self._entry.status(id, deadline)
+            return _json(200, {"state": status}) if status else _json(410, {})
+        if method == "DELETE":
+            return _json(200 if self._entry.cancel(id, deadline) else 410, {})
+        raise errors.Refused(
+            errors.Kind.METHOD_NOT_ALLOWED, f"{method}: use POST, GET or DELETE"
+        )
+
+
+def _json(status: int, content: t.Any) -> _Answer:
+    return _Answer(status, msgspec.json.encode(content))
+
+
+def _time_left_s(environ: dict[str, t.Any]) -> float:
+    """Return how long the caller waits; the header's unit is milliseconds."""
+    text = environ.get(_DEADLINE_HEADER, "")
+    try:
+        return float(text) / _MS if text else _DEFAULT_TIME_S
+    except ValueError:
+        raise errors.Refused(
+            errors.Kind.BAD_HEADER, f"Time-Remaining: {text[:20]!r} is no number"
+        ) from None
+
+
+def _read_body(environ: dict[str, t.Any], limit: int) -> bytes:
+    body = environ["wsgi.input"].read(limit + 1)
+    if len(body) > limit:
+        raise errors.Refused(
+            errors.Kind.BODY_TOO_LARGE, f"the body is over {limit} bytes; send less"
+        )
+    return body
--- /dev/null
+++ b/src/bilberrypass/platform/runner.py
@@ -0,0 +1,190 @@
+"""The platform's calls of a runner, and the reports that a runner sends."""
+
+import typing as t
+
+import msgspec
+
+from bilberrypass import clock, errors
+from bilberrypass.hosting import messages, runner
+from bilberrypass.platform import http
+
+_MS: t.Final = 1_000
+_HOLD_MARGIN_S: t.Final = 1.0  # beyond its wait, a call without answer is given up
+_WRONG_LIFE: t.Final = 421
+_STATUS_REASONS: t.Final = {400: "invalid", 421: "life", 429: "busy", 503: "busy"}
+
+
+class _Answer(msgspec.Struct):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _Lists(msgspec.Struct):
+    # Rows of task, run, checkpoint, percent and figure; the last may be missing.
+    running: list[list[t.Any]]
+    # Rows of number, task, run, how it ended, checkpoint.
+    ended_runs: list[tuple[int, str, int, str, str]]
+    clock_ms: int = 0
+    # "born" is the start of the runner, in Unix milliseconds.
+    born: int = 0
+
+
+class _Room(msgspec.Struct):
+    cpu: int
+    task_memory_mb: int
+    gpu: int = 0
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: t.Literal["ready", "draining"]
+    # "sequence" rises with each report of one life.
+    sequence: int
+    capacity: _Room
+    labels: list[str] = []
+    born: int = 0
+    # How long a draining runner stays at least.
+    remaining_ms: float = 0
+
+
+class Heard(t.NamedTuple):
+    """A runner's report of itself."""
+
+    info: messages.RunnerInfo
+    address: str
+    sequence: int
+
+
+def read_report(id: str, body: bytes) -> Heard:
+    """Decode a runner's report.
+
+    Raises
+    ------
+    errors.Error
+        BAD_BODY, naming the field.
+    """
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        raise errors.Error(
+            errors.Kind.BAD_BODY, f"report of runner {id[:64]}: {exc}; correct it"
+        ) from exc
+    info = messages.RunnerInfo(
+        id=id,
+        life=beat.born,
+        service=beat.service,
+        cpu_milli=beat.capacity.cpu,
+        memory_mb=beat.capacity.task_memory_mb,
+        gpus=beat.capacity.gpu,
+        labels=tuple(beat.labels),
+        is_draining=beat.state == "draining",
+        time_left_s=beat.remaining_ms / _MS,
+    )
+    return Heard(info, beat.address, beat.sequence)
+
+
+@t.final
+class Runner(runner.Runner):
+    """A client of one life of the runner.
+
+    Parameters
+    ----------
+    id : str
+        The runner's id; another runner at the address refuses all calls.
+    address : str
+        IP number and port.
+    """
+
+    def __init__(self, id: str, address: str) -> None:
+        self._client = http.Client(address, connections=8)
+        self._headers = {"Expected-Instance": id}
+
+    def _call(self, path: str, body: t.Any, deadline: float) -> http.Response:
+        return self._client.call("POST", path, deadline, body, self._headers)
+
+    def _order(self, path: str, body: t.Any, deadline: float) -> runner.Answer:
+        found = self._call(path, body, deadline)
+        answer = _Answer()
+        if found.body:
+            try:
+                answer = msgspec.json.decode(found.body, type=_Answer)
+            except msgspec.MsgspecError as exc:
+                raise errors.Error(
+                    errors.Kind.ANSWER_LOST, f"{path}: unreadable answer: {exc}"
+                ) from exc
+        if found.status == 200:
+            return runner.Answer("", answer.clock_ms)
+        reason = answer.reason or _STATUS_REASONS.get(found.status, "")
+        if not reason:
+            raise errors.Error(
+                errors.Kind.ANSWER_LOST, f"{path} answered {found.status}"
+            )
+        return runner.Answer(reason, answer.clock_ms)
+
+    def start(
+        self, run: runner.Run, lease_end_ms: int, epoch: int, deadline: float
+    ) -> runner.Answer:
+        """Start a run under a lease that ends on the runner's clock."""
+        body: dict[str, t.Any] = {
+            "task": run.task,
+            "run": run.run,
+            "specification": run.spec,
+            "deadline_ms": lease_end_ms,
+            "fencing_token": epoch,
+        }
+        if run.checkpoint:
+            body["checkpoint"] = run.checkpoint
+        if run.ticket:
+            body["ticket"] = run.ticket
+        return self._order("/api/run-start", body, deadline)
+
+    def stop(self, task: str, run: int, epoch: int, deadline: float) -> runner.Answer:
+        """Stop a run, or bar it from starting."""
+        body = {"task": task, "run": run, "fencing_token": epoch}
+        return self._order("/api/run-stop", body, deadline)
+
+    def pace(
+        self, task: str, run: int, percent: int, epoch: int, deadline: float
+    ) -> runner.Answer:
+        """Slow a run down to a share of its speed."""
+        body = {"task": task, "run": run, "percent": percent, "fencing_token": epoch}
+        return self._order("/api/pace", body, deadline)
+
+    def hold(
+        self, noted: int, lease_end_ms: int | None, epoch: int, wait_s: float
+    ) -> runner.Lists:
+        """Renew the lease, forget the ends up to ``noted``, wait for an end."""
+        body: dict[str, t.Any] = {"fencing_token": epoch, "last_seen": noted}
+        if wait_s:
+            body["wait_ms"] = int(wait_s * _MS)
+        if lease_end_ms is not None:
+            body["deadline_ms"] = lease_end_ms
+        found = self._call("/api/hold", body, clock.now() + wait_s + _HOLD_MARGIN_S)
+        if found.status != 200:
+            why = _STATUS_REASONS.get(found.status, str(found.status))
+            raise errors.Error(
+                errors.Kind.STALE
+                if found.status == _WRONG_LIFE
+                else errors.Kind.ENDPOINT_UNREACHABLE,
+                f"the runner refused to list its runs: {why} {found.body[:80]!r}",
+            )
+        return _lists(found.body)
+
+
+def _lists(body: bytes) -> runner.Lists:
+    try:
+        lists = msgspec.json.decode(body, type=_Lists)
+        running = [
+            runner.Listed(
+                row[0], row[1], row[2], row[3], int(row[4]) if len(row) > 4 else 0
+            )
+            for row in lists.running
+        ]
+    except (msgspec.MsgspecError, IndexError, TypeError, ValueError) as exc:
+        raise errors.Error(
+            errors.Kind.ANSWER_LOST, f"unreadable lists of the runner: {exc}"
+        ) from exc
+    ended = [runner.Ended(*row) for row in lists.ended_runs]
+    return runner.Lists(running, ended, lists.clock_ms, lists.born)
--- /dev/null
+++ b/src/bilberrypass/platform/settings.py
@@ -0,0 +1,132 @@
+"""The platform's settings file, decoded once."""
+
+import os
+import pathlib
+import typing as t
+
+import msgspec
+import yaml
+
+from bilberrypass import errors
+
+ENV_PATH: t.Final = "BILBERRYPASS_CONFIG"
+_MS: t.Final = 1_000.0
+
+
+class Node(t.NamedTuple):
+    """What a process needs to know of itself and of the platform."""
+
+    name: str
+    zone: str
+    ip: str
+    caller_address: str
+    readiness_address: str
+    runner_reports_address: str
+    peer_address: str
+    metrics_port: int
+    store_address: str
+    advice_address: str
+    machines_address: str
+    runner_address: str
+    memory_mb: int
+    max_lease_s: float
+    stop_timeout_s: float
+    drain_s: float
+    grace_s: float
+    min_store_lease_s: float
+    harm_s: float
+    status_s: float
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Bounds(msgspec.Struct):
+    hold_max_ms: float = 6_000
+    stop_timeout_ms: float = 900
+    drain_ms: float = 2_000
+    grace_s: float = 6
+    harm_ms: float = 4_000
+    status_s: float = 120
+
+
+class _Platform(msgspec.Struct):
+    address: str
+    min_ttl_ms: float = 1_000
+
+
+class _Cloud(msgspec.Struct):
+    address: str = ""
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: float = 300
+
+
+class _File(msgspec.Struct):
+    node_name: str
+    zone: str
+    ip_address: str
+    internal_port_range: list[int]
+    platform: _Platform
+    listen_addresses: _Listen = msgspec.field(default_factory=_Listen)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    cloud: _Cloud | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    # The address of the advice service, which says where a step may run.
+    recommendation: str | None = None
+    # The runner's own address, on side machines only.
+    app: str | None = None
+
+
+def read(path: pathlib.Path | None = None) -> Node:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    errors.Error
+        INVALID_SETTINGS, naming the file and the faulty key.
+    """
+    path = path or pathlib.Path(os.environ.get(ENV_PATH, ""))
+    try:
+        value = yaml.load(path.read_bytes(), Loader=_loader())
+        found = msgspec.convert(value, _File, strict=False)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as exc:
+        raise errors.Error(
+            errors.Kind.INVALID_SETTINGS,
+            f"{path}: {exc}; ask the platform's operators to correct the file",
+        ) from exc
+    return _translate(found)
+
+
+def _loader() -> t.Any:
+    return getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+def _translate(found: _File) -> Node:
+    first_port = found.internal_port_range[0]
+    return Node(
+        name=found.node_name,
+        zone=found.zone,
+        ip=found.ip_address,
+        caller_address=found.listen_addresses.front,
+        readiness_address=found.listen_addresses.ready,
+        runner_reports_address=found.listen_addresses.control,
+        peer_address=f"{found.ip_address}:{first_port}",
+        metrics_port=first_port + 1,
+        store_address=found.platform.address,
+        advice_address=found.recommendation or "",
+        machines_address=found.cloud.address if found.cloud else "",
+        runner_address=found.app or "",
+        memory_mb=int(found.limits.memory_mb),
+        max_lease_s=found.bounds.hold_max_ms / _MS,
+        stop_timeout_s=found.bounds.stop_timeout_ms / _MS,
+        drain_s=found.bounds.drain_ms / _MS,
+        grace_s=found.bounds.grace_s,
+        min_store_lease_s=found.platform.min_ttl_ms / _MS,
+        harm_s=found.bounds.harm_ms / _MS,
+        status_s=found.bounds.status_s,
+    )
--- /dev/null
+++ b/src/bilberrypass/scheduling/entry.py
@@ -0,0 +1,222 @@
+"""An entry: serves callers, and schedules while it is elected."""
+
+import collections.abc as abc
+import threading
+import time
+import typing as t
+
+import prometheus_client as prometheus
+
+from bilberrypass import errors
+from bilberrypass.connection import channels
+from bilberrypass.hosting import messages
+from bilberrypass.observing import decisions
+from bilberrypass.scheduling import (
+    election,
+    intake,
+    jobs,
+    keyvalue,
+    queues,
+    scheduler,
+)
+
+_PEER_CALL_S: t.Final = 0.4  # a few round trips; the store answers in its place
+_RPC_THREADS: t.Final = 48
+_STOP_S: t.Final = 1.0
+
+_submissions = prometheus.Counter(
+    "bilberrypass_submissions", "Submissions by outcome", ["outcome"]
+)
+
+
+@t.final
+class Entry(election.Candidate):
+    """One entry process.
+
+    Parameters
+    ----------
+    name : str
+        Names this process in logs and in the election.
+    peer_address : str
+        Where agents and other entries reach it.
+    store : keyvalue.Store
+        Keeps jobs, their progress and the election.
+    config : queues.Follower
+        Follows the configuration.
+    cfg : scheduler.Settings
+        Used while it schedules.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peer_address: str,
+        store: keyvalue.Store,
+        config: queues.Follower,
+        cfg: scheduler.Settings,
+    ) -> None:
+        self.name = name
+        self._address = peer_address
+        self._store = store
+        self._config = config
+        self._cfg = cfg
+        self._submissions = intake.Submissions(store)
+        self._scheduler: scheduler.Scheduler | None = None
+        self._lock = threading.Lock()
+        self._peer: channels.Peer | None = None
+        self._election = election.Election(store, name, peer_address, self)
+        self._server = channels.Server(
+            peer_address,
+            {
+                messages.REPORT: self._serve_report,
+                messages.STATE: self._serve_state,
+                messages.WAITING: self._serve_waiting,
+            },
+            threads=_RPC_THREADS,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the configuration and the election."""
+        self._server.start()
+        self._config.start()
+        self._election.start()
+
+    def hand_over(self) -> None:
+        """Give the lead up."""
+        self._election.hand_over()
+
+    def stop(self) -> None:
+        """End."""
+        self._config.stop()
+        self._server.stop(_STOP_S)
+
+    @property
+    def table(self) -> queues.Table | None:
+        """The configuration in force."""
+        return self._config.table
+
+    def lead(self, epoch: int) -> None:
+        """Begin to schedule."""
+        with self._lock:
+            self._scheduler = scheduler.Scheduler(
+                self._store,
+                epoch,
+                self._address,
+                self._cfg,
+                lambda: self._config.table,
+                lambda: self._election.contact_at,
+                self._election.depose,
+            )
+            self._scheduler.start()
+
+    def resign(self, epoch: int) -> None:
+        """Schedule no longer."""
+        with self._lock:
+            found, self._scheduler = self._scheduler, None
+        if found is not None:
+            found.stop()
+
+    # Called by callers' threads.
+
+    def submit(self, job: jobs.Job, deadline: float) -> None:
+        """Store a job; see ``intake.Submissions.submit``."""
+        try:
+            is_new = self._submissions.submit(job, deadline)
+        except errors.Error as exc:
+            _submissions.labels(exc.kind).inc()
+            decisions.record("job.refused", job=job.id, why=str(exc))
+            raise
+        _submissions.labels("new" if is_new else "known").inc()
+        decisions.record(
+            "job.accepted",
+            job=job.id,
+            queue=job.queue,
+            new=is_new,
+            version=self._version,
+        )
+
+    @property
+    def _version(self) -> int:
+        table = self._config.table
+        return table.config.version if table else 0
+
+    def cancel(self, id: str, deadline: float) -> bool:
+        """Store a cancellation; False if there is no such job."""
+        is_known = self._submissions.cancel(id, deadline)
+        decisions.record("job.cancel", job=id, known=is_known)
+        return is_known
+
+    def status(self, id: str, deadline: float) -> str:
+        """Return a job's stored status; empty if the store has no such job."""
+        ask = messages.StateAsk(id)
+        told = self._ask_leader(messages.STATE, ask, self._serve_state)
+        if told is not None and told.status:
+            return told.status
+        status = self._submissions.read_status(id, deadline)
+        decisions.record("job.status_read", job=id, status=status, leader=bool(told))
+        return status
+
+    def waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun.
+
+        Raises
+        ------
+        errors.Error
+            PEER_UNREACHABLE if the scheduler does not answer.
+        """
+        ask = messages.WaitingAsk(queue)
+        told = self._ask_leader(messages.WAITING, ask, self._serve_waiting)
+        if told is None:
+            raise errors.Refused(
+                errors.Kind.PEER_UNREACHABLE,
+                f"no scheduler counts the jobs of {queue} now; ask again",
+                retry_after_s=1.0,
+            )
+        return told.waiting
+
+    def _ask_leader(
+        self, method: channels.Method, ask: t.Any, serve: abc.Callable[[t.Any], t.Any]
+    ) -> t.Any:
+        """Return the leader's answer, or None if there is none at once."""
+        if self._scheduler is not None:
+            return serve(ask)
+        leader = self._election.leader
+        if leader is None or leader.address == self._address:
+            return None
+        try:
+            deadline = time.monotonic() + _PEER_CALL_S
+            told = self._leader_peer(leader).call(method, ask, deadline)
+        except errors.Error as exc:
+            decisions.record("leader.unanswered", leader=leader.name, why=str(exc))
+            return None
+        return told if told.is_leader else None
+
+    def _leader_peer(self, leader: election.Leader) -> channels.Peer:
+        with self._lock:
+            peer = self._peer
+            if peer is None or peer.address != leader.address:
+                if peer is not None:
+                    peer.close()
+                peer = self._peer = channels.Peer(leader.address)
+            return peer
+
+    # Called by peers' threads.
+
+    def _serve_report(self, report: messages.Report) -> messages.Reported:
+        found = self._scheduler
+        if found is None:
+            leader = self._election.leader
+            return messages.Reported(False, leader.epoch if leader else 0)
+        return found.report(report)
+
+    def _serve_state(self, ask: messages.StateAsk) -> messages.StateTold:
+        found = self._scheduler
+        if found is None or not found.is_loaded:
+            return messages.StateTold(False)
+        return messages.StateTold(True, found.status(ask.job))
+
+    def _serve_waiting(self, ask: messages.WaitingAsk) -> messages.WaitingTold:
+        found = self._scheduler
+        if found is None or not found.is_loaded:
+            return messages.WaitingTold(False)
+        return messages.WaitingTold(True, found.waiting(ask.queue))
--- /dev/null
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -0,0 +1,109 @@
+"""The scheduler's view of one host: what it holds and what it is asked to run."""
+
+from bilberrypass.hosting import messages
+from bilberrypass.scheduling import jobs, state
+
+SILENT_AFTER_S = 1.6  # three reports of an agent
+
+RowKey = tuple[str, int]
+StepKey = tuple[str, int, int]
+
+
+class Host:
+    """A host with the runs that may be on it.
+
+    ``granted_until`` bounds, on ``clock.now``, the lease of everything there.
+    ``sent`` maps the runs whose orders went out to the agent's start that got them.
+    """
+
+    def __init__(self, name: str, granted_until: float) -> None:
+        self.name = name
+        self.address = ""
+        self.zone = ""
+        self.agent = 0
+        self.sequence = -1
+        self.life = 0
+        self.runner: messages.RunnerInfo | None = None
+        self.is_leaving = False
+        self.heard_at = 0.0
+        self.granted_until = granted_until
+        self.answered_ago_s = 0.0
+        self.tasks: dict[RowKey, state.Task] = {}
+        self.sent: dict[RowKey, int] = {}
+        self.settled: set[RowKey] = set()
+        self.open_ends: set[int] = set()
+        self.noted = 0
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_gpus = 0
+        self.filler_cpu = 0
+        self.services = 0
+        self.step_counts: dict[StepKey, int] = {}
+        self.failures = 0
+        self.avoid_until = 0.0
+
+    def add(self, task: state.Task) -> None:
+        """Count a run as being on the host."""
+        self._count(task, 1)
+        self.tasks[str(task.key), task.run] = task
+
+    def remove(self, task: state.Task) -> None:
+        """Count a run as gone from the host."""
+        if self.tasks.pop((str(task.key), task.run), None) is not None:
+            self._count(task, -1)
+        self.sent.pop((str(task.key), task.run), None)
+
+    def _count(self, task: state.Task, sign: int) -> None:
+        step = task.step
+        if step.is_filler:
+            self.filler_cpu += sign * step.cpu_milli
+        else:
+            self.used_cpu += sign * step.cpu_milli
+        self.used_memory += sign * step.memory_mb
+        self.used_gpus += sign * step.gpus
+        self.services += sign * step.is_service
+        key = step_key(task.key)
+        self.step_counts[key] = self.step_counts.get(key, 0) + sign
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether new runs may be sent here."""
+        return (
+            self.runner is not None
+            and not self.runner.is_draining
+            and not self.is_leaving
+            and now - self.heard_at < SILENT_AFTER_S
+            and self.answered_ago_s < SILENT_AFTER_S
+        )
+
+    def settle(self, key: RowKey, end: int) -> None:
+        """Record that a final row has been stored."""
+        self.settled.add(key)
+        self.open_ends.discard(end)
+        self._advance(end)
+
+    def see_end(self, number: int) -> None:
+        """Record that an end was listed that is not stored yet."""
+        if number > self.noted:
+            self.open_ends.add(number)
+
+    def _advance(self, end: int) -> None:
+        if self.open_ends:
+            self.noted = max(self.noted, min(self.open_ends) - 1)
+        else:
+            self.noted = max(self.noted, end)
+
+    def begin_life(self, info: messages.RunnerInfo) -> list[state.Task]:
+        """Take up a new life of the runner; return the runs that ended with the old."""
+        lost = [task for task in self.tasks.values() if task.life != info.life]
+        self.life = info.life
+        self.noted = 0
+        self.open_ends.clear()
+        self.settled.clear()
+        self.failures = 0
+        self.avoid_until = 0.0
+        return lost
+
+
+def step_key(key: jobs.TaskKey) -> StepKey:
+    """Return what the tasks of one step in one repetition share."""
+    return key.job, key.occurrence, key.step
--- /dev/null
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -0,0 +1,256 @@
+"""Brings what agents report together with what the scheduler believes."""
+
+import typing as t
+
+import prometheus_client as prometheus
+
+from bilberrypass import clock
+from bilberrypass.hosting import messages
+from bilberrypass.observing import decisions
+from bilberrypass.scheduling import hosts, state
+
+if t.TYPE_CHECKING:
+    from bilberrypass.scheduling import scheduler
+
+_LEASE_MARGIN_S: t.Final = 0.2
+_RETRY_S: t.Final = 0.25
+_FAILED_HOST_AVOIDED_S: t.Final = 4.0
+_FAILURES_TO_AVOID: t.Final = 2
+
+_ends = prometheus.Counter("bilberrypass_runs_ended", "Runs that ended", ["how"])
+
+State = messages.RunState
+Verb = messages.Verb
+
+
+@t.final
+class Reconciler:
+    """The part of a scheduler that follows the hosts.
+
+    Parameters
+    ----------
+    owner : scheduler.Scheduler
+        Holds jobs and hosts, and writes what changes.
+    """
+
+    def __init__(self, owner: "scheduler.Scheduler") -> None:
+        self._owner = owner
+
+    def adopt(self, job: state.JobState) -> None:
+        """Count the runs of a job that an earlier scheduler ordered."""
+        for task in job.tasks.values():
+            if task.is_active:
+                self._host(task.host).add(task)
+
+    def _host(self, name: str) -> hosts.Host:
+        host = self._owner.hosts.get(name)
+        if host is None:
+            host = hosts.Host(name, self._owner.unheard_until())
+            self._owner.hosts[name] = host
+        return host
+
+    def report(self, report: messages.Report, at: float, lease_s: float) -> None:
+        """Take an agent's report in."""
+        host = self._host(report.host)
+        if (report.agent, report.sequence) <= (host.agent, host.sequence):
+            return
+        if report.agent != host.agent:
+            decisions.record(
+                "host.agent", host=report.host, agent=report.agent, zone=report.zone
+            )
+        host.agent, host.sequence = report.agent, report.sequence
+        host.address, host.zone = report.address, report.zone
+        host.is_leaving = report.is_leaving
+        host.heard_at = at
+        host.granted_until = max(host.granted_until, at + lease_s)
+        host.answered_ago_s = report.answered_ago_s
+        if report.runner is not None:
+            self._see_runner(host, report.runner)
+            self._see_runs(host, report)
+
+    def _see_runner(self, host: hosts.Host, info: messages.RunnerInfo) -> None:
+        if host.runner is None or host.runner.is_draining != info.is_draining:
+            decisions.record("host.runner", host=host.name, **info._asdict())
+        host.runner = info
+        if info.life == host.life:
+            return
+        lost = host.begin_life(info)
+        decisions.record(
+            "host.new_life", host=host.name, life=info.life, lost=len(lost)
+        )
+        for task in lost:
+            self._lose(host, task, "the runner started anew")
+
+    def _see_runs(self, host: hosts.Host, report: messages.Report) -> None:
+        rows = {(row.task, row.run): row for row in report.runs}
+        host.settled &= rows.keys()
+        for row in report.runs:
+            if row.end:
+                host.see_end(row.end)
+        for key, row in rows.items():
+            task = host.tasks.get(key)
+            if key in host.settled:
+                continue
+            if task is None:
+                self._see_stray(host, key, row)
+            else:
+                self._see_run(host, task, row)
+        for key, task in list(host.tasks.items()):
+            if key not in rows:
+                self._see_missing(host, task)
+
+    def _see_stray(
+        self, host: hosts.Host, key: hosts.RowKey, row: messages.RunRow
+    ) -> None:
+        """Stop a run that the scheduler has given up, or let its end be forgotten."""
+        if row.state in (State.ENDED, State.REJECTED, State.GONE):
+            host.settle(key, row.end)
+            return
+        if row.state != State.STOPPING:
+            decisions.record("run.unwanted", task=row.task, run=row.run, host=host.name)
+            self._owner.order(
+                host, messages.Order(Verb.STOP, row.task, row.run, host.life)
+            )
+
+    def _see_run(
+        self, host: hosts.Host, task: state.Task, row: messages.RunRow
+    ) -> None:
+        if row.checkpoint:
+            task.checkpoint = row.checkpoint
+        task.figure = row.figure
+        if row.state == State.RUNNING:
+            if task.phase is state.Phase.ORDERED:
+                task.phase = state.Phase.RUNNING
+            if host.sent.get((row.task, row.run)) != host.agent:
+                is_stopped = task.phase is state.Phase.STOPPING
+                self._resend(host, task, Verb.STOP if is_stopped else Verb.DESCRIBE)
+        elif row.state == State.ENDED:
+            self._end(host, task, row)
+        elif row.state in (State.REJECTED, State.GONE):
+            self._lose(host, task, row.outcome, row)
+
+    def _see_missing(self, host: hosts.Host, task: state.Task) -> None:
+        """Settle a run that the agent does not know.
+
+        An agent that began after the order was sent may not know it, and the
+        runner may still carry the order out.
+        """
+        key = str(task.key), task.run
+        if host.sent.get(key) == host.agent or not task.is_stored:
+            return
+        is_wanted = task.phase is state.Phase.ORDERED and not task.job.cancelled
+        self._resend(host, task, Verb.START if is_wanted else Verb.STOP)
+
+    def _resend(self, host: hosts.Host, task: state.Task, verb: Verb) -> None:
+        decisions.record(
+            "run.resent", task=str(task.key), run=task.run, host=host.name, verb=verb
+        )
+        self._owner.order(host, order(task, verb))
+
+    def _end(self, host: hosts.Host, task: state.Task, row: messages.RunRow) -> None:
+        """Take in an end; it is noted at the host once it is stored."""
+        job = task.job
+        _ends.labels(row.outcome).inc()
+        host.remove(task)
+        if row.outcome == "done":
+            host.failures = 0
+            job.finish_task(task)
+        else:
+            task.phase = state.Phase.WAITING
+            task.not_before = 0.0
+            if row.outcome == "failed":
+                self._fail(host, task)
+            decisions.record(
+                "run.ended",
+                task=str(task.key),
+                run=task.run,
+                host=host.name,
+                how=row.outcome,
+                failures=task.failures,
+            )
+        key = (row.task, row.run)
+        self._owner.changed(job, lambda: host.settle(key, row.end))
+
+    def _fail(self, host: hosts.Host, task: state.Task) -> None:
+        task.failures += 1
+        host.failures += 1
+        if host.failures >= _FAILURES_TO_AVOID:
+            host.avoid_until = clock.now() + _FAILED_HOST_AVOIDED_S
+        queue = self._owner.queue_of(task.job)
+        if task.step.is_service or queue is None:
+            return
+        if task.failures >= queue.max_attempts and not task.job.failed:
+            task.job.failed = True
+            decisions.record(
+                "job.failing", job=task.job.job.id, task=str(task.key), host=host.name
+            )
+            self.abandon(task.job)
+
+    def _lose(
+        self,
+        host: hosts.Host,
+        task: state.Task,
+        why: str,
+        row: messages.RunRow | None = None,
+    ) -> None:
+        """Let a task wait again whose run certainly is not on the host."""
+        host.remove(task)
+        task.phase = state.Phase.WAITING
+        task.not_before = clock.now() + _RETRY_S
+        decisions.record(
+            "run.lost", task=str(task.key), run=task.run, host=host.name, why=why
+        )
+        if row is None:
+            self._owner.changed(task.job)
+            return
+        key = (row.task, row.run)
+        self._owner.changed(task.job, lambda: host.settle(key, row.end))
+
+    def abandon(self, job: state.JobState) -> None:
+        """Stop everything of a job that is cancelled or has failed."""
+        for task in job.tasks.values():
+            if task.phase not in (state.Phase.ORDERED, state.Phase.RUNNING):
+                continue
+            host = self._owner.hosts[task.host]
+            task.phase = state.Phase.STOPPING
+            if task.is_stored:
+                self._owner.order(host, order(task, Verb.STOP))
+        self._owner.changed(job)
+
+    def unsent(self, name: str, orders: list[messages.Order]) -> None:
+        """Have orders sent again with the host's next report."""
+        host = self._owner.hosts.get(name)
+        for item in orders if host is not None else ():
+            host.sent.pop((item.task, item.run), None)
+
+    def tick(self, now: float) -> None:
+        """Give up what runs on hosts whose lease has certainly ended."""
+        for host in self._owner.hosts.values():
+            if host.tasks and now > host.granted_until + _LEASE_MARGIN_S:
+                decisions.record(
+                    "host.lapsed",
+                    host=host.name,
+                    runs=len(host.tasks),
+                    silent_s=round(now - host.heard_at, 2),
+                )
+                for task in list(host.tasks.values()):
+                    self._lose(host, task, "the lease lapsed")
+
+
+def order(task: state.Task, verb: Verb) -> messages.Order:
+    """Return the order for a task's newest run."""
+    key = task.key
+    if verb is Verb.STOP:
+        return messages.Order(verb, str(key), task.run, task.life)
+    step = task.step
+    return messages.Order(
+        verb,
+        str(key),
+        task.run,
+        task.life,
+        task.job.job.spec if verb is Verb.START else "",
+        task.checkpoint if verb is Verb.START else "",
+        task.ticket,
+        step.is_filler,
+        step.latency_target_ms,
+    )
--- /dev/null
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -0,0 +1,322 @@
+"""The scheduler: one thread owns all jobs and hosts of one term of office."""
+
+import collections
+import collections.abc as abc
+import queue
+import threading
+import time
+import typing as t
+
+import prometheus_client as prometheus
+
+from bilberrypass import clock
+from bilberrypass.hosting import messages
+from bilberrypass.observing import decisions
+from bilberrypass.scheduling import (
+    committing,
+    hosts,
+    intake,
+    jobs,
+    keyvalue,
+    placing,
+    queues,
+    reconciling,
+    sending,
+    state,
+)
+
+TICK_S: t.Final = 0.1
+REPORT_WAIT_S: t.Final = 0.08  # a few answers of the store
+_GATHER_S: t.Final = 0.012  # events that come together share a write
+_LEASE_MARGIN_S: t.Final = 0.3
+# Without an answer of the store for this long, no lease is granted any more: a
+# successor waits as long for hosts that it cannot reach.
+AUTHORITY_S: t.Final = 12.0
+
+_depth = prometheus.Gauge("bilberrypass_jobs_open", "Jobs that are not final")
+_ended = prometheus.Counter("bilberrypass_jobs_ended", "Jobs ended", ["status"])
+_job_seconds = prometheus.Histogram(
+    "bilberrypass_job_seconds",
+    "Time from acceptance to the end of a job",
+    buckets=(0.5, 1, 2, 4, 8, 16, 32, 64, 128),
+)
+
+
+class Settings(t.NamedTuple):
+    """What a scheduler is told by the settings, in seconds."""
+
+    lease_s: float
+    status_s: float
+
+
+Event = abc.Callable[[], None]
+
+
+@t.final
+class Scheduler:
+    """All jobs and hosts, for as long as one election holds.
+
+    Parameters
+    ----------
+    store : keyvalue.Store
+        Keeps jobs and their progress.
+    epoch : int
+        The election's revision.
+    address : str
+        Where agents reach this process.
+    cfg : Settings
+        Checked settings.
+    table : callable
+        Returns the configuration in force, or None.
+    contact_at : callable
+        Returns when the store last answered for this leader, on ``clock.now``.
+    on_deposed : callable
+        Told why, once another leads.
+    """
+
+    def __init__(
+        self,
+        store: keyvalue.Store,
+        epoch: int,
+        address: str,
+        cfg: Settings,
+        table: abc.Callable[[], queues.Table | None],
+        contact_at: abc.Callable[[], float],
+        on_deposed: abc.Callable[[str], None],
+    ) -> None:
+        self.epoch = epoch
+        self.cfg = cfg
+        self.jobs: dict[str, state.JobState] = {}
+        self.hosts: dict[str, hosts.Host] = {}
+        self.open_jobs: dict[str, state.JobState] = {}
+        self.is_loaded = False
+        self._elected_at = clock.now()
+        self._table = table
+        self._contact_at = contact_at
+        self._mailbox: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
+        self._dirty: dict[str, list[Event]] = collections.defaultdict(list)
+        self._in_flight: dict[str, list[Event]] = {}
+        self._orders: dict[str, list[messages.Order]] = collections.defaultdict(list)
+        self._stored = threading.Condition()
+        self._committer = committing.Committer(
+            store, epoch, self._on_stored, on_deposed
+        )
+        self._follower = intake.Follower(
+            store, self._on_loaded, self._on_job, self._on_cancel
+        )
+        self._sender = sending.Sender(epoch, address, self._on_unsent)
+        self._reconciler = reconciling.Reconciler(self)
+        self._placer = placing.Placer(self)
+        self._thread = threading.Thread(target=self._run, name="scheduler", daemon=True)
+
+    def start(self) -> None:
+        """Begin to lead."""
+        self._committer.start()
+        self._follower.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Lead no longer; what was ordered goes on."""
+        self._mailbox.put(None)
+        self._committer.stop()
+        self._follower.stop()
+        self._sender.stop()
+
+    # Called from other threads.
+
+    def report(self, report: messages.Report) -> messages.Reported:
+        """Take an agent's report in, and answer it with a lease."""
+        now = clock.now()
+        lease_s = self._lease_s(now)
+        host = self.hosts.get(report.host)
+        if host is not None:
+            host.granted_until = max(host.granted_until, now + lease_s)
+        done = threading.Event()
+        self._mailbox.put(lambda: self._on_report(report, now, lease_s, done))
+        done.wait(REPORT_WAIT_S)
+        if any(row.end for row in report.runs):
+            self._await_stored(report)
+        noted, settled = 0, []
+        host = self.hosts.get(report.host)
+        if host is not None and report.runner and host.life == report.runner.life:
+            noted, settled = host.noted, list(host.settled)
+        return messages.Reported(True, self.epoch, lease_s, noted, settled)
+
+    def _await_stored(self, report: messages.Report) -> None:
+        """Give the ends of a report the time of a write, so that they are noted."""
+        newest = max(row.end for row in report.runs)
+        deadline = time.monotonic() + REPORT_WAIT_S
+        with self._stored:
+            while (left := deadline - time.monotonic()) > 0:
+                host = self.hosts.get(report.host)
+                if host is None or host.noted >= newest:
+                    return
+                self._stored.wait(left)
+
+    def _lease_s(self, now: float) -> float:
+        authority = self._contact_at() + AUTHORITY_S - now
+        return max(0.0, min(self.cfg.lease_s, authority))
+
+    def status(self, id: str) -> str:
+        """Return a job's stored status; empty if it is not known."""
+        job = self.jobs.get(id)
+        return "" if job is None else job.shown
+
+    def waiting(self, name: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return sum(
+            job.job.queue == name and job.status is state.Status.QUEUED
+            for job in list(self.open_jobs.values())
+        )
+
+    def _on_loaded(self, loaded: intake.Loaded) -> None:
+        self._mailbox.put(lambda: self._load(loaded))
+
+    def _on_job(self, job: jobs.Job) -> None:
+        self._mailbox.put(lambda: self._add(job))
+
+    def _on_cancel(self, id: str) -> None:
+        self._mailbox.put(lambda: self._cancel(id))
+
+    def _on_stored(self, group: list[committing.Write], revision: int) -> None:
+        self._mailbox.put(lambda: self._settle(group, revision))
+
+    def _on_unsent(self, host: str, orders: list[messages.Order]) -> None:
+        self._mailbox.put(lambda: self._reconciler.unsent(host, orders))
+
+    # On the scheduler's thread.
+
+    def _run(self) -> None:
+        next_tick = 0.0
+        while True:
+            try:
+                event = self._mailbox.get(timeout=TICK_S)
+            except queue.Empty:
+                event = _nothing
+            if event is None:
+                return
+            event()
+            time.sleep(_GATHER_S)
+            while not self._mailbox.empty():
+                event = self._mailbox.get()
+                if event is None:
+                    return
+                event()
+            if not self.is_loaded:
+                continue
+            now = clock.now()
+            if now >= next_tick:
+                next_tick = now + TICK_S
+                self._reconciler.tick(now)
+                _depth.set(len(self.open_jobs))
+            self._placer.place(now)
+            self._write()
+            self._flush_orders()
+
+    def _load(self, loaded: intake.Loaded) -> None:
+        for job in loaded.jobs:
+            self.jobs[job.id] = state.JobState(job)
+        for item in loaded.progress:
+            known = self.jobs.get(item.key.removeprefix(committing.PREFIX))
+            if known is not None:
+                known.restore(item.value, item.revision)
+        self.is_loaded = True
+        for known in self.jobs.values():
+            if not known.is_final:
+                self.open_jobs[known.job.id] = known
+                self._reconciler.adopt(known)
+        for id in loaded.cancelled:
+            self._cancel(id)
+        decisions.record(
+            "scheduler.loaded",
+            epoch=self.epoch,
+            jobs=len(self.jobs),
+            open=len(self.open_jobs),
+            took_s=round(clock.now() - self._elected_at, 3),
+        )
+
+    def _add(self, job: jobs.Job) -> None:
+        if job.id in self.jobs:
+            return
+        self.jobs[job.id] = self.open_jobs[job.id] = state.JobState(job)
+        decisions.record("job.seen", job=job.id, queue=job.queue, steps=len(job.steps))
+
+    def _cancel(self, id: str) -> None:
+        job = self.jobs.get(id)
+        if job is None or job.cancelled or job.is_final:
+            return
+        job.cancelled = True
+        decisions.record("job.cancelling", job=id)
+        self._reconciler.abandon(job)
+
+    def _on_report(
+        self,
+        report: messages.Report,
+        at: float,
+        lease_s: float,
+        done: threading.Event,
+    ) -> None:
+        if self.is_loaded:
+            self._reconciler.report(report, at, lease_s)
+        done.set()
+
+    def unheard_until(self) -> float:
+        """Until when an earlier scheduler may have leased a host's runs."""
+        return self._elected_at + AUTHORITY_S + _LEASE_MARGIN_S
+
+    def queue_of(self, job: state.JobState) -> jobs.Queue | None:
+        """Return the queue of a job, or None if the configuration has none."""
+        table = self._table()
+        return None if table is None else table.queues.get(job.job.queue)
+
+    def changed(self, job: state.JobState, effect: Event | None = None) -> None:
+        """Have a job's progress written, and an effect follow once it is stored."""
+        was_final = job.is_final
+        job.refresh(time.time())
+        effects = self._dirty[job.job.id]
+        if effect is not None:
+            effects.append(effect)
+        if job.is_final and not was_final:
+            self.open_jobs.pop(job.job.id, None)
+            took_s = job.finished_at - job.job.accepted_at
+            _ended.labels(job.status).inc()
+            _job_seconds.observe(took_s)
+            decisions.record(
+                "job.ended", job=job.job.id, status=job.status, took_s=round(took_s, 3)
+            )
+
+    def order(self, host: hosts.Host, order: messages.Order) -> None:
+        """Send an order with the others of this round."""
+        host.sent[order.task, order.run] = host.agent
+        self._orders[host.name].append(order)
+
+    def _write(self) -> None:
+        if self._committer.is_busy or not self._dirty:
+            return
+        group = []
+        for id in list(self._dirty)[: committing.MAX_JOBS]:
+            job = self.jobs[id]
+            self._in_flight[id] = self._dirty.pop(id)
+            group.append(committing.Write(id, job.encode(), job.revision))
+        self._committer.submit(group)
+
+    def _settle(self, group: list[committing.Write], revision: int) -> None:
+        for write in group:
+            job = self.jobs[write.job]
+            job.revision = revision
+            job.shown = state.Status(state.decode(write.value).status)
+            for effect in self._in_flight.pop(write.job):
+                effect()
+        with self._stored:
+            self._stored.notify_all()
+
+    def _flush_orders(self) -> None:
+        for name, orders in self._orders.items():
+            host = self.hosts[name]
+            if host.address:
+                self._sender.send(name, host.address, orders)
+        self._orders.clear()
+
+
+def _nothing() -> None:
+    """Let a tick pass."""
--- /dev/null
+++ b/src/bilberrypass/scheduling/state.py
@@ -0,0 +1,238 @@
+"""The progress of a job, as the scheduler holds it and as the store keeps it."""
+
+import enum
+import typing as t
+
+import msgspec
+
+from bilberrypass.scheduling import jobs
+
+
+class Phase(enum.IntEnum):
+    """What a task is doing, as far as the scheduler knows."""
+
+    WAITING = 0
+    ORDERED = 1
+    RUNNING = 2
+    STOPPING = 3
+    DONE = 4
+
+
+ACTIVE: t.Final = (Phase.ORDERED, Phase.RUNNING, Phase.STOPPING)
+
+
+class Status(enum.StrEnum):
+    """The state of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL: t.Final = (Status.COMPLETED, Status.FAILED, Status.CANCELLED)
+
+
+class StoredTask(t.NamedTuple):
+    """A task that has begun; the others have no record."""
+
+    occurrence: int
+    step: int
+    index: int
+    phase: int
+    run: int
+    host: str
+    life: int
+    failures: int
+    checkpoint: str
+
+
+class StoredJob(t.NamedTuple):
+    """What the store keeps of a job's progress."""
+
+    status: str
+    tasks: list[StoredTask]
+    finished_at: float = 0.0
+
+
+class Task:
+    """One task and its newest run.
+
+    ``life`` is the start of the runner, in Unix milliseconds, to which the run was
+    sent; ``failures`` counts runs that ended as failed. ``is_stored`` is False from the
+    choice of a host until the run is in the store and may be ordered.
+    """
+
+    __slots__ = (
+        "checkpoint",
+        "failures",
+        "figure",
+        "host",
+        "is_stored",
+        "job",
+        "key",
+        "life",
+        "not_before",
+        "phase",
+        "run",
+        "started_at",
+        "step",
+        "ticket",
+    )
+
+    def __init__(self, job: "JobState", key: jobs.TaskKey, step: jobs.Step) -> None:
+        self.job = job
+        self.key = key
+        self.step = step
+        self.phase = Phase.WAITING
+        self.run = 0
+        self.host = ""
+        self.life = 0
+        self.failures = 0
+        self.checkpoint = ""
+        self.ticket = ""
+        self.not_before = 0.0
+        self.started_at = 0.0
+        self.figure = 0
+        self.is_stored = True
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether a run may be on a host."""
+        return self.phase in ACTIVE
+
+
+class JobState:
+    """A job with its tasks; owned by the scheduler's thread."""
+
+    __slots__ = (
+        "cancelled",
+        "failed",
+        "finished_at",
+        "job",
+        "open_steps",
+        "revision",
+        "shown",
+        "status",
+        "tasks",
+    )
+
+    def __init__(self, job: jobs.Job) -> None:
+        self.job = job
+        self.tasks: dict[jobs.TaskKey, Task] = {}
+        self.status = Status.QUEUED
+        self.shown = Status.QUEUED
+        self.cancelled = False
+        self.failed = False
+        self.finished_at = 0.0
+        self.revision = 0
+        self.open_steps: dict[tuple[int, int], int] = {}
+        for occurrence in range(max(1, job.repetitions)):
+            for number, step in enumerate(job.steps):
+                self.open_steps[occurrence, number] = step.count
+                for index in range(step.count):
+                    key = jobs.TaskKey(job.id, occurrence, number, index)
+                    self.tasks[key] = Task(self, key, step)
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether nothing changes any more."""
+        return self.status in FINAL
+
+    def is_eligible(self, task: Task, now: float) -> bool:
+        """Tell whether a waiting task's turn has come, at a Unix time."""
+        if self.cancelled or self.failed or task.phase is not Phase.WAITING:
+            return False
+        occurrence = task.key.occurrence
+        if self.job.repetitions:
+            due = self.job.first_run_at + occurrence * self.job.interval_s
+            if now < due:
+                return False
+        return not any(self.open_steps[occurrence, n] for n in task.step.after)
+
+    def finish_task(self, task: Task) -> None:
+        """Record that a task has ended as done."""
+        if task.phase is not Phase.DONE:
+            task.phase = Phase.DONE
+            self.open_steps[task.key.occurrence, task.key.step] -= 1
+
+    def refresh(self, now: float) -> None:
+        """Bring the status up to date with the tasks."""
+        if self.is_final:
+            return
+        if self.cancelled or self.failed:
+            if not any(task.is_active for task in self.tasks.values()):
+                self.status = Status.CANCELLED if self.cancelled else Status.FAILED
+        elif not any(self.open_steps.values()):
+            self.status = Status.COMPLETED
+        elif self.status is Status.QUEUED and any(
+            task.phase is not Phase.WAITING for task in self.tasks.values()
+        ):
+            self.status = Status.RUNNING
+        if self.is_final:
+            self.finished_at = now
+
+    def encode(self) -> bytes:
+        """Return the progress as the store keeps it."""
+        tasks = []
+        if not self.is_final:
+            tasks = [_store(task) for task in self.tasks.values() if task.run]
+        status = Status.FAILED if self.failed else self.status
+        return _encode(StoredJob(status.value, tasks, self.finished_at))
+
+    def restore(self, value: bytes, revision: int) -> None:
+        """Take up the progress that the store has."""
+        stored = decode(value)
+        self.revision = revision
+        self.status = self.shown = Status(stored.status)
+        self.finished_at = stored.finished_at
+        self.failed = self.status is Status.FAILED
+        if self.failed and not stored.finished_at:
+            self.status = Status.RUNNING
+        for row in stored.tasks:
+            key = jobs.TaskKey(self.job.id, row.occurrence, row.step, row.index)
+            task = self.tasks.get(key)
+            if task is None:
+                continue
+            task.run, task.host, task.life = row.run, row.host, row.life
+            task.failures, task.checkpoint = row.failures, row.checkpoint
+            if row.phase == Phase.DONE:
+                self.finish_task(task)
+            else:
+                task.phase = Phase(row.phase)
+
+
+def _store(task: Task) -> StoredTask:
+    phase = Phase.ORDERED if task.phase is Phase.RUNNING else task.phase
+    return StoredTask(
+        task.key.occurrence,
+        task.key.step,
+        task.key.index,
+        int(phase),
+        task.run,
+        task.host,
+        task.life,
+        task.failures,
+        task.checkpoint,
+    )
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_job_decoder = msgspec.msgpack.Decoder(jobs.Job)
+_state_decoder = msgspec.msgpack.Decoder(StoredJob)
+
+
+def encode_job(job: jobs.Job) -> bytes:
+    """Return a job as the store keeps it."""
+    return _encode(job)
+
+
+def decode_job(value: bytes) -> jobs.Job:
+    """Return a job that the store has."""
+    return _job_decoder.decode(value)
+
+
+def decode(value: bytes) -> StoredJob:
+    """Return the progress that the store has."""
+    return _state_decoder.decode(value)
