Pace fillers beside services and fill the processors that services leave

A watch from a key's own revision fell out of the store's history after 20 s and became a busy loop (19,200 calls). Ruled out: too few hosts (services reserve 702 of 704 cores but use half). Conclusion: which image presses on which service must be learnt next.

--- a/src/bilberrypass/hosting/messages.py
+++ b/src/bilberrypass/hosting/messages.py
@@ -29,6 +29,7 @@
     ticket: str = ""
     is_filler: bool = False
     latency_target_ms: int = 0
+    image: str = ""
 
 
 class Orders(t.NamedTuple):
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -5,11 +5,12 @@
 import typing as t
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import messages, runner, runs
+from bilberrypass.hosting import messages, pacing, runner, runs
 from bilberrypass.observing import decisions
 
 _ORDER_TIMEOUT_S: t.Final = 0.7  # a runner on the same machine answers in ms
 _RETRY_INTERVAL_S: t.Final = 0.2
+_PACED_HOLD_WAIT_S: t.Final = 0.4  # the runner's figures are renewed twice a second
 _HOLD_WAIT_S: t.Final = 1.0  # several renewals within the shortest lease
 _NOTE_WAIT_S: t.Final = 0.3
 _FAILED_HOLD_INTERVAL_S: t.Final = 0.3
@@ -54,6 +55,8 @@
         self._clock_ms = 0
         self._clock_at = 0.0
         self._answered_at = clock.now()
+        self._pacer = pacing.Pacer()
+        self._wait_s = _HOLD_WAIT_S
         self._ended = threading.Event()
         self._woken = threading.Event()
         self._pool = futures.ThreadPoolExecutor(
@@ -196,7 +199,7 @@
                 self._woken.clear()
                 continue
             asked_at = clock.now()
-            wait_s = 0.0 if self.table.has_unnoted_ends() else _HOLD_WAIT_S
+            wait_s = 0.0 if self.table.has_unnoted_ends() else self._wait_s
             try:
                 lists = self._client.hold(
                     self.table.noted, self._lease_end_ms(), self._epoch, wait_s
@@ -210,10 +213,47 @@
                 continue  # the next report of the runner begins a new session
             for key in self.table.merge(lists, asked_at):
                 self._pool.submit(self._bar, key)
+            self._pace()
             if self.table.has_unnoted_ends():
                 self._woken.wait(_NOTE_WAIT_S)
                 self._woken.clear()
 
+    def _pace(self) -> None:
+        """Set the speed of the fillers by what the services beside them measure."""
+        live = self.table.live()
+        served = [
+            pacing.Served(run.figure, run.order.latency_target_ms)
+            for run in live
+            if run.order is not None and run.order.latency_target_ms and run.figure
+        ]
+        fillers = [run for run in live if run.order and run.order.is_filler]
+        self._wait_s = _PACED_HOLD_WAIT_S if served and fillers else _HOLD_WAIT_S
+        before = self._pacer.level
+        level = self._pacer.decide(served, clock.now())
+        if level != before:
+            decisions.record(
+                "fillers.paced",
+                percent=level,
+                fillers=len(fillers),
+                worst=max(
+                    (round(s.latency_ms / s.target_ms, 2) for s in served), default=0
+                ),
+            )
+        for run in fillers:
+            if run.pace != level and run.state is runs.State.RUNNING:
+                self._set_pace(run, level)
+
+    def _set_pace(self, run: runs.Run, level: int) -> None:
+        deadline = clock.now() + _ORDER_TIMEOUT_S
+        try:
+            answer = self._client.pace(*run.key, level, self._epoch, deadline)
+        except errors.Error as exc:
+            answer = runner.Answer(exc.detail, 0)
+        if answer.reason:
+            decisions.record("pace.failed", task=run.key[0], why=answer.reason)
+        else:
+            run.pace = level
+
     def _on_silence(self, exc: errors.Error) -> None:
         decisions.record("runner.silent", runner=self.info.id, why=exc.detail)
         if clock.now() > self._leased_until:
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -91,8 +91,8 @@
         self._store = kept
 
     def find(self) -> tuple[str, int] | None:
-        item = self._store.get(election.KEY, clock.now() + _FIND_S)
-        leader = election.read(item)
+        found = self._store.get(election.KEY, clock.now() + _FIND_S)
+        leader = election.read(found.item)
         return None if leader is None else (leader.address, leader.epoch)
 
 
--- a/src/bilberrypass/platform/store.py
+++ b/src/bilberrypass/platform/store.py
@@ -32,9 +32,14 @@
     tombstone: bool = False
 
 
+class _Got(_Item):
+    key: str = ""
+    # "at" is the store's own revision, "revision" that of the key.
+    at: int = 0
+
+
 class _Range(msgspec.Struct):
     items: list[_Item]
-    # "at" is the store's own revision, not that of an item.
     at: int
     has_more: bool = False
 
@@ -103,11 +108,13 @@
             f"{name} answered {found.status}; the store refuses work for now",
         )
 
-    def get(self, key: str, deadline: float) -> keyvalue.Item | None:
-        """Return a key as it is now."""
+    def get(self, key: str, deadline: float) -> keyvalue.Found:
+        """Return a key as it is now, and a revision from which to watch it."""
         path = f"/api/kv-key?{urllib.parse.urlencode({'key': key})}"
         found = self._call("get", "GET", path, deadline, accepted=(200, 404))
-        return None if found.status == 404 else _item(_decode(found, _Item))
+        got = _decode(found, _Got)
+        item = None if found.status == 404 else _item(got)
+        return keyvalue.Found(item, got.at)
 
     def list(self, prefix: str, deadline: float) -> keyvalue.Listing:
         """Return all keys below a prefix, page by page."""
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -14,7 +14,7 @@
 LEASE_S: t.Final = 3.0  # longer than a slow store's answer, short for a takeover
 _RENEW_INTERVAL_S: t.Final = 0.7  # four tries within the lease
 _CALL_S: t.Final = 2.0
-_WATCH_S: t.Final = 1.0
+_WATCH_S: t.Final = 2.0
 _RETRY_S: t.Final = 0.2
 
 
@@ -127,14 +127,13 @@
     def _follow(self) -> None:
         while not self._stopping.is_set():
             try:
-                item = self._store.get(KEY, clock.now() + _CALL_S)
-                leader = read(item)
+                found = self._store.get(KEY, clock.now() + _CALL_S)
+                leader = read(found.item)
                 self._see(leader)
                 if leader is None or self._is_predecessor(leader):
                     self._stand(0 if leader is None else leader.epoch)
                     continue
-                assert item is not None
-                self._watch(item.revision)
+                self._watch(found.revision)
             except errors.Error as exc:
                 decisions.record("election.store_failed", why=str(exc))
                 self._stopping.wait(_RETRY_S)
@@ -144,6 +143,7 @@
             try:
                 watched = self._store.watch(KEY, revision, _WATCH_S)
             except keyvalue.HistoryLost:
+                self._stopping.wait(_RETRY_S)
                 return
             revision = max(revision, watched.revision)
             if any(change.key == KEY for change in watched.changes):
@@ -177,7 +177,7 @@
         except errors.Error as exc:
             if exc.kind is not errors.Kind.STORE_UNCERTAIN:
                 raise
-            item = self._store.get(KEY, clock.now() + _CALL_S)
+            item = self._store.get(KEY, clock.now() + _CALL_S).item
             if item is None or item.value != value:
                 raise
             epoch = item.revision
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -38,6 +38,8 @@
         self.used_gpus = 0
         self.filler_cpu = 0
         self.services = 0
+        self.service_cpu = 0
+        self.pressure = 0.0
         self.step_counts: dict[StepKey, int] = {}
         self.failures = 0
         self.avoid_until = 0.0
@@ -62,6 +64,7 @@
         self.used_memory += sign * step.memory_mb
         self.used_gpus += sign * step.gpus
         self.services += sign * step.is_service
+        self.service_cpu += sign * step.cpu_milli * step.is_service
         key = step_key(task.key)
         self.step_counts[key] = self.step_counts.get(key, 0) + sign
 
@@ -92,6 +95,17 @@
         else:
             self.noted = max(self.noted, end)
 
+    def measure(self) -> None:
+        """Bring ``pressure`` up to date: the worst latency by its target."""
+        self.pressure = max(
+            (
+                task.figure / task.step.latency_target_ms
+                for task in self.tasks.values()
+                if task.step.latency_target_ms
+            ),
+            default=0.0,
+        )
+
     def begin_life(self, info: messages.RunnerInfo) -> list[state.Task]:
         """Take up a new life of the runner; return the runs that ended with the old."""
         lost = [task for task in self.tasks.values() if task.life != info.life]
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -70,16 +70,16 @@
 
     def cancel(self, id: str, deadline: float) -> bool:
         """Store a cancellation; False if there is no such job."""
-        if self._store.get(JOB_PREFIX + id, deadline) is None:
+        if self._store.get(JOB_PREFIX + id, deadline).item is None:
             return False
         self._create(CANCEL_PREFIX + id, b"", deadline)
         return True
 
     def read_status(self, id: str, deadline: float) -> str:
         """Return a job's status as the store has it; empty if there is none."""
-        if self._store.get(JOB_PREFIX + id, deadline) is None:
+        if self._store.get(JOB_PREFIX + id, deadline).item is None:
             return ""
-        item = self._store.get(committing.PREFIX + id, deadline)
+        item = self._store.get(committing.PREFIX + id, deadline).item
         return state.Status.QUEUED if item is None else state.decode(item.value).status
 
 
@@ -159,6 +159,7 @@
                 watched = self._store.watch(PREFIX, revision, _WATCH_S)
             except keyvalue.HistoryLost as exc:
                 decisions.record("intake.history_lost", why=exc.detail)
+                self._stopping.wait(_RETRY_S)
                 return
             except errors.Error as exc:
                 decisions.record("intake.watch_failed", why=str(exc))
--- a/src/bilberrypass/scheduling/keyvalue.py
+++ b/src/bilberrypass/scheduling/keyvalue.py
@@ -17,6 +17,13 @@
     revision: int
 
 
+class Found(t.NamedTuple):
+    """A key as it was at a revision of the store; None if it did not exist."""
+
+    item: Item | None
+    revision: int
+
+
 class Change(t.NamedTuple):
     """A change of a key; ``value`` is None where the key was removed."""
 
@@ -92,8 +99,8 @@
     """
 
     @abc.abstractmethod
-    def get(self, key: str, deadline: float) -> Item | None:
-        """Return a key as it is now."""
+    def get(self, key: str, deadline: float) -> Found:
+        """Return a key as it is now, and a revision from which to watch it."""
 
     @abc.abstractmethod
     def list(self, prefix: str, deadline: float) -> Listing:
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -8,6 +8,11 @@
 _AVOIDED: t.Final = 1_000_000  # outweighs any processor count in thousandths
 _FAR_FROM_DATA: t.Final = 100_000
 _BESIDE_SERVICES: t.Final = 200_000
+_PRESSURE_WEIGHT: t.Final = 20_000  # a service at its target weighs 20 cores
+_PRESSURE_LIMIT: t.Final = 0.8  # of a service's latency target
+_SERVICE_USE: t.Final = (
+    0.55  # share of its reservation that a service uses at most times
+)
 
 
 def choose(
@@ -63,23 +68,38 @@
         return False
     if host.used_gpus + step.gpus > runner.gpus:
         return False
-    left = runner.cpu_milli - host.used_cpu - step.cpu_milli
     if step.is_filler:
-        # A filler beyond what is left over would only slow the others down.
-        return left - host.filler_cpu >= 0 or not host.filler_cpu
-    return left >= 0
+        return has_spare(step, host)
+    return host.used_cpu + step.cpu_milli <= runner.cpu_milli
+
+
+def spare_cpu(host: hosts.Host) -> int:
+    """Return the processors that nobody is expected to use, in thousandths.
+
+    Services reserve for their peaks, which do not come together.
+    """
+    assert host.runner is not None
+    idle = int(host.service_cpu * (1.0 - _SERVICE_USE))
+    return host.runner.cpu_milli - host.used_cpu + idle - host.filler_cpu
+
+
+def has_spare(step: jobs.Step, host: hosts.Host) -> bool:
+    """Tell whether a filler would find processors without harm to services."""
+    if not host.filler_cpu:
+        return True
+    # A filler beyond what is left over would only slow the others down.
+    return spare_cpu(host) >= step.cpu_milli and host.pressure < _PRESSURE_LIMIT
 
 
 def _score(step: jobs.Step, host: hosts.Host, now: float) -> int:
     assert host.runner is not None
-    left = host.runner.cpu_milli - host.used_cpu - host.filler_cpu
-    score = left
+    score = spare_cpu(host)
     if now < host.avoid_until:
         score -= _AVOIDED
     if step.data_rack and step.data_rack not in host.runner.labels:
         score -= _FAR_FROM_DATA
-    if step.is_filler and host.services:
-        score -= _BESIDE_SERVICES
+    if step.is_filler:
+        score -= int(host.pressure * _PRESSURE_WEIGHT)
     elif step.is_service:
         score += _BESIDE_SERVICES * bool(host.services) - host.filler_cpu
     return score
--- a/src/bilberrypass/scheduling/queues.py
+++ b/src/bilberrypass/scheduling/queues.py
@@ -12,6 +12,7 @@
 
 _CALL_S: t.Final = 1.0
 _WATCH_S: t.Final = 0.7  # with its margin, a silent watch is noticed within 1.5 s
+_READ_INTERVAL_S: t.Final = 1.4  # a watch may stay silent while changes are made
 _RETRY_S: t.Final = 0.15
 
 _version_metric = prometheus.Gauge(
@@ -127,28 +128,29 @@
         while not self._stopping.is_set():
             try:
                 asked_at = clock.now()
-                item = self._store.get(self._key, asked_at + _CALL_S)
-                if item is None:
-                    self._stopping.wait(_RETRY_S)
-                    continue
-                self._take(item.value, item.revision)
+                found = self._store.get(self._key, asked_at + _CALL_S)
+                if found.item is not None:
+                    self._take(found.item.value, found.item.revision)
                 self._checked_at = asked_at
-                self._watch(item.revision)
+                self._watch(found.revision, asked_at + _READ_INTERVAL_S)
             except errors.Error as exc:
                 decisions.record(
                     "config.unconfirmed", age_s=round(self.age_s, 2), why=str(exc)
                 )
                 self._stopping.wait(_RETRY_S)
 
-    def _watch(self, revision: int) -> None:
-        """Take each change, until a watch ends without one: then read again."""
-        try:
-            watched = self._store.watch(self._key, revision, _WATCH_S)
-        except keyvalue.HistoryLost:
-            return
-        for change in watched.changes:
-            if change.key == self._key and change.value is not None:
-                self._take(change.value, change.revision)
+    def _watch(self, revision: int, until: float) -> None:
+        """Take each change, until it is time to read the key again."""
+        while not self._stopping.is_set() and clock.now() < until:
+            try:
+                watched = self._store.watch(self._key, revision, _WATCH_S)
+            except keyvalue.HistoryLost:
+                self._stopping.wait(_RETRY_S)
+                return
+            revision = max(revision, watched.revision)
+            for change in watched.changes:
+                if change.key == self._key and change.value is not None:
+                    self._take(change.value, change.revision)
 
     def _take(self, value: bytes, revision: int) -> None:
         if revision <= self._revision:
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -95,6 +95,7 @@
                 self._see_stray(host, key, row)
             else:
                 self._see_run(host, task, row)
+        host.measure()
         for key, task in list(host.tasks.items()):
             if key not in rows:
                 self._see_missing(host, task)
@@ -253,4 +254,5 @@
         task.ticket,
         step.is_filler,
         step.latency_target_ms,
+        step.image,
     )
