Never reject a repeated start that may run

Ruled out: the lease of the host (it held), the store (the state was complete). A lost dependency is logged once, not at each try. Conclusion: only the process that sent an order first may call it never sent.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -15,7 +15,7 @@
 _REPORT_INTERVAL_S: t.Final = 0.5
 _GATHER_S: t.Final = 0.015  # ends that come together share a report
 _CALL_S: t.Final = 1.0
-_FIND_INTERVAL_S: t.Final = 0.5
+_FIND_INTERVAL_S: t.Final = 0.4
 _RPC_THREADS: t.Final = 6
 
 _reports = prometheus.Counter(
@@ -85,6 +85,8 @@
         self._peer: channels.Peer | None = None
         self._is_search_wanted = True
         self._is_leaving = False
+        self._searched = decisions.Dependency("leader.search")
+        self._told = decisions.Dependency("scheduler")
         self._changed = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="report", daemon=True)
@@ -172,9 +174,12 @@
             old.close()
 
     def _run(self) -> None:
+        searched_at = 0.0
         while not self._stopping.is_set():
             self._changed.clear()
-            if self._peer is None or self._is_search_wanted:
+            is_due = clock.now() - searched_at > _FIND_INTERVAL_S
+            if is_due and (self._peer is None or self._is_search_wanted):
+                searched_at = clock.now()
                 self._find()
             is_told = self._peer is not None and self._report(self._peer)
             if is_told:
@@ -187,8 +192,9 @@
         try:
             found = self._leadership.find()
         except errors.Error as exc:
-            decisions.record("scheduler.unknown", why=str(exc))
+            self._searched.failed(exc)
             return
+        self._searched.worked()
         if found is not None:
             self._follow(*found)
 
@@ -214,11 +220,13 @@
             told = peer.call(messages.REPORT, report, time.monotonic() + _CALL_S)
         except errors.Error as exc:
             _reports.labels(exc.kind).inc()
-            decisions.record("report.unanswered", to=peer.address, why=str(exc))
+            self._told.failed(exc)
             return False
         if not told.is_leader or told.epoch < self._epoch:
             _reports.labels("not_leader").inc()
+            self._told.failed(f"{peer.address} does not lead")
             return False
+        self._told.worked()
         _reports.labels("told").inc()
         self._epoch = told.epoch
         self._is_search_wanted = told.is_cut_off
--- a/src/bilberrypass/hosting/messages.py
+++ b/src/bilberrypass/hosting/messages.py
@@ -17,7 +17,8 @@
 class Order(t.NamedTuple):
     """An order for one run; ``life`` names the start of the runner it is meant for.
 
-    A DESCRIBE tells an agent that began after the run what the run is.
+    A DESCRIBE tells an agent that began after the run what the run is. An order
+    that ``is_repeated`` may have been carried out before.
     """
 
     verb: int
@@ -30,6 +31,7 @@
     is_filler: bool = False
     latency_target_ms: int = 0
     image: str = ""
+    is_repeated: bool = False
 
 
 class Orders(t.NamedTuple):
@@ -87,7 +89,7 @@
     memory_mb: int
     gpus: int
     labels: tuple[str, ...]
-    is_draining: bool
+    is_draining: bool = False
     time_left_s: float = 0.0
 
 
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -1,5 +1,6 @@
 """One life of the runner, as its agent deals with it: orders, lists, lease."""
 
+import collections.abc as abc
 import concurrent.futures as futures
 import threading
 import typing as t
@@ -10,6 +11,7 @@
 
 _ORDER_TIMEOUT_S: t.Final = 0.7  # a runner on the same machine answers in ms
 _RETRY_INTERVAL_S: t.Final = 0.2
+_LEASE_WAIT_S: t.Final = 1.5  # three reports to the scheduler
 _PACED_HOLD_WAIT_S: t.Final = 0.4  # the runner's figures are renewed twice a second
 _HOLD_WAIT_S: t.Final = 1.0  # several renewals within the shortest lease
 _NOTE_WAIT_S: t.Final = 0.3
@@ -55,6 +57,7 @@
         self._clock_ms = 0
         self._clock_at = 0.0
         self._answered_at = clock.now()
+        self._listed = decisions.Dependency("runner")
         self._pacer = pacing.Pacer()
         self._wait_s = _HOLD_WAIT_S
         self._ended = threading.Event()
@@ -100,9 +103,15 @@
                 continue
             run = self.table.take(order)
             if run is not None and run.state is runs.State.STARTING:
-                self._pool.submit(self._start_run, run, order)
+                self._submit(self._start_run, run, order)
             elif run is not None:
-                self._pool.submit(self._stop_run, run)
+                self._submit(self._stop_run, run)
+
+    def _submit(self, call: abc.Callable[..., None], *args: t.Any) -> None:
+        try:
+            self._pool.submit(call, *args)
+        except RuntimeError:
+            decisions.record("order.dropped", runner=self.info.id, why="the life ended")
 
     def _lease_end_ms(self) -> int | None:
         """Return the granted lease's end on the runner's clock, if that is known.
@@ -125,18 +134,20 @@
         wanted = runner.Run(
             order.task, order.run, order.spec, order.checkpoint, order.ticket
         )
-        is_uncertain = False
+        # An order that was sent before may have been carried out, or may be yet.
+        is_uncertain = order.is_repeated
+        give_up_at = clock.now() + _LEASE_WAIT_S
         while not self._ended.is_set() and not run.is_final:
             if run.is_stop_wanted:
                 self._stop_run(run)
                 return
             lease_end_ms = self._lease_end_ms()
             if lease_end_ms is None:
-                if not is_uncertain:
+                if clock.now() > give_up_at and not is_uncertain:
                     self._refuse(run, "no_lease")
                     return
-                self._stop_run(run)
-                return
+                self._ended.wait(_RETRY_INTERVAL_S)
+                continue
             deadline = clock.now() + _ORDER_TIMEOUT_S
             try:
                 answer = self._client.start(wanted, lease_end_ms, self._epoch, deadline)
@@ -208,11 +219,12 @@
                 self._on_silence(exc)
                 self._ended.wait(_FAILED_HOLD_INTERVAL_S)
                 continue
+            self._listed.worked()
             self._see_clock(lists.clock_ms, clock.now())
             if lists.life and lists.life != self.info.life:
                 continue  # the next report of the runner begins a new session
             for key in self.table.merge(lists, asked_at):
-                self._pool.submit(self._bar, key)
+                self._submit(self._bar, key)
             self._pace()
             if self.table.has_unnoted_ends():
                 self._woken.wait(_NOTE_WAIT_S)
@@ -255,6 +267,6 @@
             run.pace = level
 
     def _on_silence(self, exc: errors.Error) -> None:
-        decisions.record("runner.silent", runner=self.info.id, why=exc.detail)
+        self._listed.failed(exc)
         if clock.now() > self._leased_until:
             self.table.lose_all("lapsed")
--- a/src/bilberrypass/observing/decisions.py
+++ b/src/bilberrypass/observing/decisions.py
@@ -39,6 +39,37 @@
         _dropped.inc()
 
 
+@t.final
+class Dependency:
+    """Logs when something that a process relies on is lost and regained.
+
+    Parameters
+    ----------
+    name : str
+        What it is, such as ``store``.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._lost_at: float | None = None
+        self._failures = 0
+
+    def failed(self, why: object) -> None:
+        """Record a failed call; only the first of a row is logged."""
+        self._failures += 1
+        if self._lost_at is None:
+            self._lost_at = time.monotonic()
+            record(f"{self._name}.lost", why=str(why))
+
+    def worked(self) -> None:
+        """Record a call that was answered."""
+        if self._lost_at is not None:
+            lost_s = round(time.monotonic() - self._lost_at, 3)
+            self._lost_at = None
+            record(f"{self._name}.regained", lost_s=lost_s, failures=self._failures)
+            self._failures = 0
+
+
 def _write() -> None:
     out = sys.stdout.buffer
     while True:
--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -2,6 +2,7 @@
 
 import collections.abc as abc
 import threading
+import time
 import typing as t
 
 from bilberrypass import clock, errors
@@ -55,6 +56,7 @@
         self._on_deposed = on_deposed
         self._group: list[Write] | None = None
         self._ready = threading.Condition()
+        self._stored = decisions.Dependency("commit")
         self._stopping = False
         self._thread = threading.Thread(target=self._run, name="commit", daemon=True)
 
@@ -101,14 +103,14 @@
         puts = [keyvalue.Put(PREFIX + write.job, write.value) for write in group]
         while not self._stopping:
             try:
-                return self._store.commit(expected, puts, clock.now() + _CALL_S)
+                revision = self._store.commit(expected, puts, clock.now() + _CALL_S)
+                self._stored.worked()
+                return revision
             except keyvalue.PreconditionFailed as exc:
                 return self._resolve(group, exc.items)
             except errors.Error as exc:
-                decisions.record(
-                    "commit.failed", epoch=self._epoch, jobs=len(group), why=str(exc)
-                )
-            threading.Event().wait(_RETRY_S)
+                self._stored.failed(exc)
+            time.sleep(_RETRY_S)
         return None
 
     def _resolve(
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -13,9 +13,9 @@
 KEY: t.Final = "leader"
 LEASE_S: t.Final = 3.0  # longer than a slow store's answer, short for a takeover
 _RENEW_INTERVAL_S: t.Final = 0.7  # four tries within the lease
-_CALL_S: t.Final = 2.0
+_CALL_S: t.Final = 1.0
 _WATCH_S: t.Final = 2.0
-_RETRY_S: t.Final = 0.2
+_RETRY_S: t.Final = 0.3
 
 
 class Leader(t.NamedTuple):
@@ -81,6 +81,8 @@
         self._leader: Leader | None = None
         self._epoch = 0
         self._contact_at = 0.0
+        self._seen = decisions.Dependency("election.store")
+        self._renewed = decisions.Dependency("election.renewal")
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=self._follow, name="election", daemon=True),
@@ -128,6 +130,7 @@
         while not self._stopping.is_set():
             try:
                 found = self._store.get(KEY, clock.now() + _CALL_S)
+                self._seen.worked()
                 leader = read(found.item)
                 self._see(leader)
                 if leader is None or self._is_predecessor(leader):
@@ -135,7 +138,7 @@
                     continue
                 self._watch(found.revision)
             except errors.Error as exc:
-                decisions.record("election.store_failed", why=str(exc))
+                self._seen.failed(exc)
                 self._stopping.wait(_RETRY_S)
 
     def _watch(self, revision: int) -> None:
@@ -201,6 +204,7 @@
                     self._lease = None
                 continue
             except errors.Error as exc:
-                decisions.record("election.renewal_failed", why=str(exc))
+                self._renewed.failed(exc)
                 continue
+            self._renewed.worked()
             self._contact_at = sent_at
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -116,6 +116,7 @@
         self._on_loaded = on_loaded
         self._on_job = on_job
         self._on_cancel = on_cancel
+        self._read = decisions.Dependency("intake.store")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="intake", daemon=True)
 
@@ -140,7 +141,7 @@
                         self._tell(item.key, item.value)
                 self._watch(listing.revision)
             except errors.Error as exc:
-                decisions.record("intake.store_failed", why=str(exc))
+                self._read.failed(exc)
                 self._stopping.wait(_RETRY_S)
 
     def _load(self, listing: keyvalue.Listing) -> None:
@@ -162,9 +163,10 @@
                 self._stopping.wait(_RETRY_S)
                 return
             except errors.Error as exc:
-                decisions.record("intake.watch_failed", why=str(exc))
+                self._read.failed(exc)
                 self._stopping.wait(_RETRY_S)
                 continue
+            self._read.worked()
             revision = max(revision, watched.revision)
             for change in watched.changes:
                 if change.value is not None:
--- a/src/bilberrypass/scheduling/queues.py
+++ b/src/bilberrypass/scheduling/queues.py
@@ -103,6 +103,7 @@
         self._table: Table | None = None
         self._revision = 0
         self._checked_at = 0.0
+        self._confirmed = decisions.Dependency("config.store")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="config", daemon=True)
 
@@ -132,11 +133,10 @@
                 if found.item is not None:
                     self._take(found.item.value, found.item.revision)
                 self._checked_at = asked_at
+                self._confirmed.worked()
                 self._watch(found.revision, asked_at + _READ_INTERVAL_S)
             except errors.Error as exc:
-                decisions.record(
-                    "config.unconfirmed", age_s=round(self.age_s, 2), why=str(exc)
-                )
+                self._confirmed.failed(exc)
                 self._stopping.wait(_RETRY_S)
 
     def _watch(self, revision: int, until: float) -> None:
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -146,7 +146,7 @@
         decisions.record(
             "run.resent", task=str(task.key), run=task.run, host=host.name, verb=verb
         )
-        self._owner.order(host, order(task, verb))
+        self._owner.order(host, order(task, verb)._replace(is_repeated=True))
 
     def _end(self, host: hosts.Host, task: state.Task, row: messages.RunRow) -> None:
         """Take in an end; it is noted at the host once it is stored."""
--- /dev/null
+++ b/testing/standins/runners.py
@@ -0,0 +1,141 @@
+"""A stand-in for a runner: runs, ends, lease, epochs, late and lost orders."""
+
+import threading
+
+from bilberrypass import clock, errors
+from bilberrypass.hosting import runner
+
+_MS = 1_000
+
+
+class _Late:
+    def __init__(self, at, call):
+        self.at = at
+        self.call = call
+
+
+class Runner(runner.Runner):
+    """One life of a runner.
+
+    ``lose`` is the number of orders to come that are carried out ``late_s`` later
+    (never, if that is None) and get no answer. ``is_silent`` answers nothing and
+    does nothing. ``room`` bounds the number of runs.
+    """
+
+    def __init__(self, life=1_000, room=100, clock_rate=1.0):
+        self.life = life
+        self.room = room
+        self.lose = 0
+        self.late_s = None
+        self.is_silent = False
+        self.epoch = 0
+        self.running: dict[tuple[str, int], str] = {}
+        self.barred: dict[str, int] = {}
+        self.ended: list[runner.Ended] = []
+        self.started: list[tuple[str, int]] = []
+        self.most_at_once: dict[str, int] = {}
+        self.paces: dict[tuple[str, int], int] = {}
+        self.figures: dict[tuple[str, int], int] = {}
+        self.lease_end_ms = 0
+        self._number = 0
+        self._born_at = clock.now()
+        self._rate = clock_rate
+        self._late: list[_Late] = []
+        self._lock = threading.Condition()
+
+    @property
+    def clock_ms(self):
+        return int((clock.now() - self._born_at) * self._rate * _MS)
+
+    def _turn(self):
+        """Let the time that has passed take effect."""
+        due = [late for late in self._late if late.at <= clock.now()]
+        self._late = [late for late in self._late if late.at > clock.now()]
+        for late in due:
+            late.call()
+        if self.running and self.clock_ms > self.lease_end_ms:
+            for key in list(self.running):
+                self._end(key, "lapsed")
+
+    def _end(self, key, how):
+        checkpoint = self.running.pop(key)
+        self._number += 1
+        self.barred[key[0]] = max(self.barred.get(key[0], 0), key[1])
+        self.ended.append(runner.Ended(self._number, *key, how, checkpoint))
+        self._lock.notify_all()
+
+    def end(self, task, run, how="done"):
+        """Let a run end by itself."""
+        with self._lock:
+            self._end((task, run), how)
+
+    def _order(self, call):
+        with self._lock:
+            self._turn()
+            if self.is_silent:
+                raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
+            if self.lose:
+                self.lose -= 1
+                if self.late_s is not None:
+                    self._late.append(_Late(clock.now() + self.late_s, call))
+                raise errors.Error(errors.Kind.ANSWER_LOST, "no answer")
+            return runner.Answer(call(), self.clock_ms)
+
+    def start(self, run, lease_end_ms, epoch, deadline):
+        return self._order(lambda: self._start(run, lease_end_ms, epoch))
+
+    def _start(self, run, lease_end_ms, epoch):
+        if epoch < self.epoch:
+            return "fence"
+        self.epoch = epoch
+        key = (run.task, run.run)
+        if key in self.running:
+            return ""
+        if run.run <= self.barred.get(run.task, 0):
+            return "old"
+        if lease_end_ms < self.clock_ms:
+            return "late"
+        if len(self.running) >= self.room:
+            return "room"
+        self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
+        self.running[key] = run.checkpoint
+        self.started.append(key)
+        return ""
+
+    def stop(self, task, run, epoch, deadline):
+        return self._order(lambda: self._stop(task, run, epoch))
+
+    def _stop(self, task, run, epoch):
+        if epoch < self.epoch:
+            return "fence"
+        self.epoch = epoch
+        self.barred[task] = max(self.barred.get(task, 0), run)
+        if (task, run) in self.running:
+            self._end((task, run), "stopped")
+        return ""
+
+    def pace(self, task, run, percent, epoch, deadline):
+        def pace():
+            self.paces[task, run] = percent
+            return ""
+
+        return self._order(pace)
+
+    def hold(self, noted, lease_end_ms, epoch, wait_s):
+        with self._lock:
+            self._turn()
+            if self.is_silent:
+                raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
+            if epoch < self.epoch:
+                raise errors.Error(errors.Kind.ENDPOINT_UNREACHABLE, "fence")
+            self.epoch = epoch
+            self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0)
+            self.ended = [end for end in self.ended if end.number > noted]
+            if not self.ended and wait_s:
+                self._lock.wait(min(wait_s, 0.1))
+                self._turn()
+            running = [
+                runner.Listed(*key, checkpoint, 50, self.figures.get(key, 0))
+                for key, checkpoint in self.running.items()
+            ]
+            return runner.Lists(running, list(self.ended), self.clock_ms, self.life)
