Send an order again that an agent dropped

Ruled out: the cancellation (it was stored and seen), the lease (it held). Conclusion: delivery of an order is believed from the agent's table only.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -158,8 +158,9 @@
             return messages.Obeyed(False, self._epoch)
         self._follow(req.address, req.epoch)
         found = self._session
-        if found is not None:
-            found.obey(req.epoch, req.orders)
+        if found is None:
+            return messages.Obeyed(False, self._epoch)
+        found.obey(req.epoch, req.orders)
         return messages.Obeyed(True, self._epoch)
 
     def _follow(self, address: str, epoch: int) -> None:
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -1,19 +1,30 @@
 """The scheduler's view of one host: what it holds and what it is asked to run."""
 
+import typing as t
+
 from bilberrypass.hosting import messages
 from bilberrypass.scheduling import jobs, state
 
 SILENT_AFTER_S = 1.6  # three reports of an agent
 
+RESEND_AFTER_S = 1.0  # two reports of an agent
+
 RowKey = tuple[str, int]
 StepKey = tuple[str, int, int]
 
 
+class Sent(t.NamedTuple):
+    """When an order last went out, and to which start of the agent."""
+
+    agent: int
+    at: float
+
+
 class Host:
     """A host with the runs that may be on it.
 
     ``granted_until`` bounds, on ``clock.now``, the lease of everything there.
-    ``sent`` maps the runs whose orders went out to the agent's start that got them.
+    ``sent`` maps the runs to their newest order.
     ``pending`` holds final rows whose outcome is being stored, ``settled`` those
     that are stored and may be forgotten.
     """
@@ -31,7 +42,7 @@
         self.granted_until = granted_until
         self.answered_ago_s = 0.0
         self.tasks: dict[RowKey, state.Task] = {}
-        self.sent: dict[RowKey, int] = {}
+        self.sent: dict[RowKey, Sent] = {}
         self.pending: set[RowKey] = set()
         self.settled: set[RowKey] = set()
         self.open_ends: set[int] = set()
@@ -81,6 +92,13 @@
             and self.answered_ago_s < SILENT_AFTER_S
         )
 
+    def is_order_lost(self, key: RowKey, now: float) -> bool:
+        """Tell whether the newest order for a run, by now, must have arrived."""
+        sent = self.sent.get(key)
+        return (
+            sent is None or sent.agent != self.agent or now - sent.at > RESEND_AFTER_S
+        )
+
     def settle(self, key: RowKey, end: int) -> None:
         """Record that a final row has been stored."""
         self.pending.discard(key)
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -122,14 +122,22 @@
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
-            if host.sent.get((row.task, row.run)) != host.agent:
-                is_stopped = task.phase is state.Phase.STOPPING
-                self._resend(host, task, Verb.STOP if is_stopped else Verb.DESCRIBE)
+            self._see_running(host, task)
         elif row.state == State.ENDED:
             self._end(host, task, row)
         elif row.state in (State.REJECTED, State.GONE):
             self._lose(host, task, row.outcome, row)
 
+    def _see_running(self, host: hosts.Host, task: state.Task) -> None:
+        """Repeat what the agent of a running task ought to know and does not."""
+        key = str(task.key), task.run
+        sent = host.sent.get(key)
+        if task.phase is state.Phase.STOPPING:
+            if host.is_order_lost(key, host.heard_at):
+                self._resend(host, task, Verb.STOP)
+        elif sent is None or sent.agent != host.agent:
+            self._resend(host, task, Verb.DESCRIBE)
+
     def _see_missing(self, host: hosts.Host, task: state.Task) -> None:
         """Settle a run that the agent does not know.
 
@@ -137,7 +145,7 @@
         runner may still carry the order out.
         """
         key = str(task.key), task.run
-        if host.sent.get(key) == host.agent or not task.is_stored:
+        if not task.is_stored or not host.is_order_lost(key, host.heard_at):
             return
         is_wanted = task.phase is state.Phase.ORDERED and not task.job.cancelled
         self._resend(host, task, Verb.START if is_wanted else Verb.STOP)
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -289,7 +289,7 @@
 
     def order(self, host: hosts.Host, order: messages.Order) -> None:
         """Send an order with the others of this round."""
-        host.sent[order.task, order.run] = host.agent
+        host.sent[order.task, order.run] = hosts.Sent(host.agent, clock.now())
         self._orders[host.name].append(order)
 
     def _write(self) -> None:
--- a/src/bilberrypass/scheduling/sending.py
+++ b/src/bilberrypass/scheduling/sending.py
@@ -109,5 +109,5 @@
                 continue
             if not answer.is_taken:
                 decisions.record("orders.refused", host=host, epoch=answer.epoch)
-            return True
+            return answer.is_taken
         return False
