Learn which fillers disturb which services, and place and pace by it

Change: scheduling/interference.py learns the rise of a latency's logarithm a core by pair of images; agents cut the fillers that press most.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -233,5 +233,6 @@
         self._is_search_wanted = told.is_cut_off
         if found is not None and found is self._session:
             found.grant(told.epoch, sent_at + told.lease_s)
+            found.learn(told.pressing)
             found.note(told.noted, [tuple(key) for key in told.settled])
         return True
--- a/src/bilberrypass/hosting/messages.py
+++ b/src/bilberrypass/hosting/messages.py
@@ -31,6 +31,7 @@
     is_filler: bool = False
     latency_target_ms: int = 0
     image: str = ""
+    cpu_milli: int = 0
     is_repeated: bool = False
 
 
@@ -113,6 +114,14 @@
     is_leaving: bool = False
 
 
+class PressRow(t.NamedTuple):
+    """Rise of a service's log latency for each core of a filler, by image."""
+
+    service: str
+    filler: str
+    per_core: float
+
+
 class Reported(t.NamedTuple):
     """The scheduler's answer to a report.
 
@@ -128,6 +137,7 @@
     noted: int = 0
     settled: list[tuple[str, int]] = []  # noqa: RUF012
     is_cut_off: bool = False
+    pressing: list[PressRow] = []  # noqa: RUF012
 
 
 class StateAsk(t.NamedTuple):
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -59,6 +59,7 @@
         self._answered_at = clock.now()
         self._listed = decisions.Dependency("runner")
         self._pacer = pacing.Pacer()
+        self._pressing: dict[tuple[str, str], float] = {}
         self._wait_s = _HOLD_WAIT_S
         self._ended = threading.Event()
         self._woken = threading.Event()
@@ -230,30 +231,40 @@
                 self._woken.wait(_NOTE_WAIT_S)
                 self._woken.clear()
 
+    def learn(self, rows: abc.Iterable[messages.PressRow]) -> None:
+        """Take over what the scheduler knows of images that disturb each other."""
+        self._pressing.update({(r.service, r.filler): r.per_core for r in rows})
+
     def _pace(self) -> None:
         """Set the speed of the fillers by what the services beside them measure."""
-        live = self.table.live()
+        live = [run for run in self.table.live() if run.order is not None]
         served = [
-            pacing.Served(run.figure, run.order.latency_target_ms)
+            pacing.Served(run.order.image, run.figure, run.order.latency_target_ms)
+            for run in live
+            if run.order.latency_target_ms and run.figure
+        ]
+        running = {
+            run.key: run
             for run in live
-            if run.order is not None and run.order.latency_target_ms and run.figure
+            if run.order.is_filler and run.state is runs.State.RUNNING
+        }
+        fillers = [
+            pacing.Filler(key, run.order.image, run.pace, run.order.cpu_milli / _MS)
+            for key, run in running.items()
         ]
-        fillers = [run for run in live if run.order and run.order.is_filler]
         self._wait_s = _PACED_HOLD_WAIT_S if served and fillers else _HOLD_WAIT_S
-        before = self._pacer.level
-        level = self._pacer.decide(served, clock.now())
-        if level != before:
-            decisions.record(
-                "fillers.paced",
-                percent=level,
-                fillers=len(fillers),
-                worst=max(
-                    (round(s.latency_ms / s.target_ms, 2) for s in served), default=0
-                ),
-            )
-        for run in fillers:
-            if run.pace != level and run.state is runs.State.RUNNING:
-                self._set_pace(run, level)
+        paces = self._pacer.decide(served, fillers, self._pressing, clock.now())
+        if not paces:
+            return
+        decisions.record(
+            "fillers.paced",
+            paces={f"{task}/{run}": pace for (task, run), pace in paces.items()},
+            worst=max(
+                (round(s.latency_ms / s.target_ms, 2) for s in served), default=0
+            ),
+        )
+        for key, pace in paces.items():
+            self._set_pace(running[key], pace)
 
     def _set_pace(self, run: runs.Run, level: int) -> None:
         deadline = clock.now() + _ORDER_TIMEOUT_S
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -3,10 +3,11 @@
 import typing as t
 
 from bilberrypass.hosting import messages
-from bilberrypass.scheduling import jobs, state
+from bilberrypass.scheduling import interference, jobs, state
 
 SILENT_AFTER_S = 1.6  # three reports of an agent
 
+_PACED_BELOW = 80  # percent of full speed
 RESEND_AFTER_S = 1.0  # two reports of an agent
 
 RowKey = tuple[str, int]
@@ -54,6 +55,9 @@
         self.services = 0
         self.service_cpu = 0
         self.pressure = 0.0
+        self.is_paced = False
+        self.taught_at = 0.0
+        self.sample: interference.Sample | None = None
         self.step_counts: dict[StepKey, int] = {}
         self.failures = 0
         self.avoid_until = 0.0
@@ -118,7 +122,11 @@
             self.noted = max(self.noted, end)
 
     def measure(self) -> None:
-        """Bring ``pressure`` up to date: the worst latency by its target."""
+        """Bring ``pressure``, the worst latency by its target, up to date."""
+        self.is_paced = any(
+            task.step.is_filler and task.pace < _PACED_BELOW
+            for task in self.tasks.values()
+        )
         self.pressure = max(
             (
                 task.figure / task.step.latency_target_ms
--- /dev/null
+++ b/src/bilberrypass/scheduling/interference.py
@@ -0,0 +1,111 @@
+"""How much the fillers of one image slow down the services of another."""
+
+import collections.abc as abc
+import math
+import typing as t
+
+from bilberrypass.hosting import messages
+
+# Before anything is known: a filler of 7 cores adds a seventh to the latency.
+_PRIOR: t.Final = 0.02
+_PRIOR_SD: t.Final = 0.03
+_NOISE_SD: t.Final = 0.15  # a service's own load moves its latency in half a second
+_DRIFT_SD: t.Final = 0.002  # a sample; images change their ways slowly
+_MIN: t.Final = 0.005
+_MAX: t.Final = 0.4
+
+Pair = tuple[str, str]
+
+
+class Estimate(t.NamedTuple):
+    """Rise of the logarithm of a latency for each core of a filler."""
+
+    mean: float
+    variance: float
+
+
+@t.final
+class Estimates:
+    """Learns from how latencies change when the fillers beside them change.
+
+    Answers batch bursts over services: which pairs of images may share a host is
+    visible in measurements alone, and only a few of them disturb each other.
+    A Kalman filter with a diagonal covariance, one state for each pair.
+    """
+
+    def __init__(self) -> None:
+        self._pairs: dict[Pair, Estimate] = {}
+
+    def per_core(self, service: str, filler: str) -> float:
+        """Return the expected rise for each core, never zero."""
+        found = self._pairs.get((service, filler))
+        return _PRIOR if found is None else min(_MAX, max(_MIN, found.mean))
+
+    def observe(
+        self, service: str, before_ms: float, after_ms: float, cores: dict[str, float]
+    ) -> None:
+        """Take in a change of a latency beside changes of the fillers.
+
+        Parameters
+        ----------
+        service : str
+            Image of the service.
+        before_ms, after_ms : float
+            Its tail latency in two samples about half a second apart.
+        cores : dict of str to float
+            Change of the processors in use by fillers, by image.
+        """
+        changed = {image: x for image, x in cores.items() if abs(x) > 0.2}
+        if not changed or before_ms <= 0 or after_ms <= 0:
+            return
+        prior = Estimate(_PRIOR, _PRIOR_SD**2)
+        known = {f: self._pairs.get((service, f), prior) for f in changed}
+        expected = sum(known[f].mean * x for f, x in changed.items())
+        error = math.log(after_ms / before_ms) - expected
+        spread = _NOISE_SD**2 + sum(
+            known[f].variance * x * x for f, x in changed.items()
+        )
+        for filler, x in changed.items():
+            mean, variance = known[filler]
+            gain = variance * x / spread
+            self._pairs[service, filler] = Estimate(
+                mean + gain * error, variance * (1.0 - gain * x) + _DRIFT_SD**2
+            )
+
+    def rows(self, services: abc.Set[str]) -> list[messages.PressRow]:
+        """Return what is known of some services."""
+        return [
+            messages.PressRow(service, filler, round(self.per_core(service, filler), 4))
+            for service, filler in self._pairs
+            if service in services
+        ]
+
+
+class Sample(t.NamedTuple):
+    """What was measured on a host at a time on ``clock.now``.
+
+    ``services`` maps a task to its image and latency in milliseconds, ``cores``
+    an image of fillers to the processors that they used together.
+    """
+
+    at: float
+    services: dict[str, tuple[str, float]]
+    cores: dict[str, float]
+
+
+_MIN_GAP_S: t.Final = 0.45  # the runner's figures cover half a second
+_MAX_GAP_S: t.Final = 1.6
+
+
+def learn(estimates: Estimates, before: Sample | None, after: Sample) -> Sample:
+    """Compare two samples of a host; return the one to compare the next with."""
+    if before is None or after.at - before.at > _MAX_GAP_S:
+        return after
+    if after.at - before.at < _MIN_GAP_S:
+        return before
+    images = before.cores.keys() | after.cores.keys()
+    cores = {i: after.cores.get(i, 0.0) - before.cores.get(i, 0.0) for i in images}
+    for task, (image, latency_ms) in after.services.items():
+        if task in before.services:
+            estimates.observe(image, before.services[task][1], latency_ms, cores)
+    return after
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -1,15 +1,17 @@
 """The choice of a host for a task."""
 
 import collections.abc as abc
+import math
 import typing as t
 
-from bilberrypass.scheduling import hosts, jobs, state
+from bilberrypass.scheduling import hosts, interference, jobs, state
 
 _AVOIDED: t.Final = 1_000_000  # outweighs any processor count in thousandths
 _FAR_FROM_DATA: t.Final = 100_000
 _BESIDE_SERVICES: t.Final = 200_000
 _PRESSURE_WEIGHT: t.Final = 20_000  # a service at its target weighs 20 cores
-_PRESSURE_LIMIT: t.Final = 0.8  # of a service's latency target
+_PRESSURE_LIMIT: t.Final = 0.85  # of a service's latency target
+_MILLI: t.Final = 1_000
 _SERVICE_USE: t.Final = (
     0.55  # share of its reservation that a service uses at most times
 )
@@ -19,6 +21,7 @@
     task: state.Task,
     service: str,
     candidates: abc.Iterable[hosts.Host],
+    estimates: interference.Estimates,
     now: float,
 ) -> hosts.Host | None:
     """Return the host that suits a task best, or None if none can hold it.
@@ -35,6 +38,8 @@
         The service whose runners may run it.
     candidates : iterable of hosts.Host
         Usable hosts.
+    estimates : interference.Estimates
+        Which images disturb each other.
     now : float
         On ``clock.now``.
     """
@@ -43,6 +48,11 @@
         if not _may_run(task, service, host) or not fits(task.step, host):
             continue
         score = _score(task.step, host, now)
+        if task.step.is_filler and host.services:
+            pressure = expected_pressure(task.step, host, estimates)
+            if pressure > _PRESSURE_LIMIT and host.filler_cpu:
+                continue
+            score -= int(pressure * _PRESSURE_WEIGHT)
         if best is None or score > best_score:
             best, best_score = host, score
     return best
@@ -84,11 +94,25 @@
 
 
 def has_spare(step: jobs.Step, host: hosts.Host) -> bool:
-    """Tell whether a filler would find processors without harm to services."""
+    """Tell whether a filler would find processors that nobody uses."""
     if not host.filler_cpu:
         return True
     # A filler beyond what is left over would only slow the others down.
-    return spare_cpu(host) >= step.cpu_milli and host.pressure < _PRESSURE_LIMIT
+    return spare_cpu(host) >= step.cpu_milli and not host.is_paced
+
+
+def expected_pressure(
+    step: jobs.Step, host: hosts.Host, estimates: interference.Estimates
+) -> float:
+    """Return the worst latency by its target that a filler is expected to cause."""
+    worst = 0.0
+    cores = step.cpu_milli / _MILLI
+    for task in host.tasks.values():
+        target_ms = task.step.latency_target_ms
+        if target_ms:
+            rise = estimates.per_core(task.step.image, step.image) * cores
+            worst = max(worst, task.figure / target_ms * math.exp(rise))
+    return worst
 
 
 def _score(step: jobs.Step, host: hosts.Host, now: float) -> int:
@@ -98,8 +122,6 @@
         score -= _AVOIDED
     if step.data_rack and step.data_rack not in host.runner.labels:
         score -= _FAR_FROM_DATA
-    if step.is_filler:
-        score -= int(host.pressure * _PRESSURE_WEIGHT)
-    elif step.is_service:
+    if step.is_service:
         score += _BESIDE_SERVICES * bool(host.services) - host.filler_cpu
     return score
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -65,7 +65,9 @@
                 continue
             if now < task.not_before or not job.is_eligible(task, unix_now):
                 continue
-            host = placement.choose(task, queue.service, usable, now)
+            host = placement.choose(
+                task, queue.service, usable, self._owner.estimates, now
+            )
             if host is None:
                 full.add(task.key.step)
                 continue
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -7,13 +7,14 @@
 from bilberrypass import clock
 from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, state
+from bilberrypass.scheduling import hosts, interference, state
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
 
 _LEASE_MARGIN_S: t.Final = 0.2
 _RETRY_S: t.Final = 0.25
+_MILLI: t.Final = 1_000
 _FAILED_HOST_AVOIDED_S: t.Final = 4.0
 _FAILURES_TO_AVOID: t.Final = 2
 
@@ -96,10 +97,25 @@
             else:
                 self._see_run(host, task, row)
         host.measure()
+        self._learn(host)
         for key, task in list(host.tasks.items()):
             if key not in rows:
                 self._see_missing(host, task)
 
+    def _learn(self, host: hosts.Host) -> None:
+        """Learn from the host's newest figures which images disturb each other."""
+        services: dict[str, tuple[str, float]] = {}
+        cores: dict[str, float] = {}
+        for task in host.tasks.values():
+            step = task.step
+            if step.latency_target_ms and task.figure:
+                services[str(task.key)] = step.image, float(task.figure)
+            elif step.is_filler:
+                cores[step.image] = cores.get(step.image, 0.0) + task.figure / _MILLI
+        if services:
+            sample = interference.Sample(host.heard_at, services, cores)
+            host.sample = interference.learn(self._owner.estimates, host.sample, sample)
+
     def _see_stray(
         self, host: hosts.Host, key: hosts.RowKey, row: messages.RunRow
     ) -> None:
@@ -118,7 +134,7 @@
     ) -> None:
         if row.checkpoint:
             task.checkpoint = row.checkpoint
-        task.figure = row.figure
+        task.figure, task.pace = row.figure, row.pace
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
@@ -169,14 +185,15 @@
             task.not_before = 0.0
             if row.outcome == "failed":
                 self._fail(host, task)
-            decisions.record(
-                "run.ended",
-                task=str(task.key),
-                run=task.run,
-                host=host.name,
-                how=row.outcome,
-                failures=task.failures,
-            )
+        decisions.record(
+            "run.ended",
+            task=row.task,
+            run=row.run,
+            host=host.name,
+            how=row.outcome,
+            took_s=round(host.heard_at - task.started_at, 2),
+            failures=task.failures,
+        )
         self._settle_later(host, job, row)
 
     def _settle_later(
@@ -274,4 +291,5 @@
         step.is_filler,
         step.latency_target_ms,
         step.image,
+        step.cpu_milli,
     )
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 import time
 import typing as t
 
+import logbook
 import prometheus_client as prometheus
 
 from bilberrypass import clock
@@ -16,6 +17,7 @@
     committing,
     hosts,
     intake,
+    interference,
     jobs,
     keyvalue,
     placing,
@@ -25,10 +27,13 @@
     state,
 )
 
+_log = logbook.Logger("scheduler")
+
 TICK_S: t.Final = 0.1
 REPORT_WAIT_S: t.Final = 0.08  # a few answers of the store
 _GATHER_S: t.Final = 0.012  # events that come together share a write
 _LEASE_MARGIN_S: t.Final = 0.3
+_TEACH_INTERVAL_S: t.Final = 1.0
 CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election's lease
 # Without an answer of the store for this long, no lease is granted any more: a
 # successor waits as long for hosts that it cannot reach.
@@ -90,9 +95,11 @@
         self.jobs: dict[str, state.JobState] = {}
         self.hosts: dict[str, hosts.Host] = {}
         self.open_jobs: dict[str, state.JobState] = {}
+        self.estimates = interference.Estimates()
         self.is_loaded = False
         self._elected_at = clock.now()
         self._table = table
+        self._on_deposed = on_deposed
         self._contact_at = contact_at
         self._mailbox: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self._dirty: dict[str, list[Event]] = collections.defaultdict(list)
@@ -137,12 +144,15 @@
         done.wait(REPORT_WAIT_S)
         if any(row.end for row in report.runs):
             self._await_stored(report)
-        noted, settled = 0, []
+        noted, settled, pressing = 0, [], []
         host = self.hosts.get(report.host)
         if host is not None and report.runner and host.life == report.runner.life:
             noted, settled = host.noted, list(host.settled)
+            pressing = self._pressing(host, now)
         is_cut_off = now - self._contact_at() > CUT_OFF_AFTER_S
-        return messages.Reported(True, self.epoch, lease_s, noted, settled, is_cut_off)
+        return messages.Reported(
+            True, self.epoch, lease_s, noted, settled, is_cut_off, pressing
+        )
 
     def _await_stored(self, report: messages.Report) -> None:
         """Give the ends of a report the time of a write, so that they are noted."""
@@ -155,6 +165,14 @@
                     return
                 self._stored.wait(left)
 
+    def _pressing(self, host: hosts.Host, now: float) -> list[messages.PressRow]:
+        """Return what an agent ought to know of its services, now and then."""
+        if now < host.taught_at + _TEACH_INTERVAL_S:
+            return []
+        host.taught_at = now
+        tasks = list(host.tasks.values())
+        return self.estimates.rows({k.step.image for k in tasks if k.step.is_service})
+
     def _lease_s(self, now: float) -> float:
         authority = self._contact_at() + AUTHORITY_S - now
         return max(0.0, min(self.cfg.lease_s, authority))
@@ -189,6 +207,13 @@
     # On the scheduler's thread.
 
     def _run(self) -> None:
+        try:
+            self._serve()
+        except Exception:
+            _log.exception("scheduler: failed; a new term of office loads anew")
+            self._on_deposed("the scheduler failed")
+
+    def _serve(self) -> None:
         next_tick = 0.0
         while True:
             try:
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -74,6 +74,7 @@
         "key",
         "life",
         "not_before",
+        "pace",
         "phase",
         "run",
         "started_at",
@@ -95,6 +96,7 @@
         self.not_before = 0.0
         self.started_at = 0.0
         self.figure = 0
+        self.pace = 100
         self.is_stored = True
 
     @property
