--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -7,8 +7,8 @@
 FULL: t.Final = 100
 
 _ACT_INTERVAL_S: t.Final = 0.55  # a figure covers half a second
-_LIMIT: t.Final = 0.88  # of the target: what the next half second may add
-_FREE: t.Final = 0.80
+_LIMIT: t.Final = 0.85  # of the target: what the next half second may add
+_FREE: t.Final = 0.78
 _STOP_AT: t.Final = 2.0
 _STOP_AFTER_S: t.Final = 1.5  # two measurements after the first cut
 _OVERSHOOT: t.Final = 1.2  # cuts go a little further than the estimate asks
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -7,7 +7,6 @@
 
 SILENT_AFTER_S = 1.6  # three reports of an agent
 
-_PACED_BELOW = 80  # percent of full speed
 RESEND_AFTER_S = 1.0  # two reports of an agent
 
 RowKey = tuple[str, int]
@@ -55,7 +54,6 @@
         self.services = 0
         self.service_cpu = 0
         self.pressure = 0.0
-        self.is_paced = False
         self.taught_at = 0.0
         self.sample: interference.Sample | None = None
         self.step_counts: dict[StepKey, int] = {}
@@ -123,10 +121,6 @@
 
     def measure(self) -> None:
         """Bring ``pressure``, the worst latency by its target, up to date."""
-        self.is_paced = any(
-            task.step.is_filler and task.pace < _PACED_BELOW
-            for task in self.tasks.values()
-        )
         self.pressure = max(
             (
                 task.figure / task.step.latency_target_ms
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -9,8 +9,11 @@
 _AVOIDED: t.Final = 1_000_000  # outweighs any processor count in thousandths
 _FAR_FROM_DATA: t.Final = 100_000
 _BESIDE_SERVICES: t.Final = 200_000
+_SAME_IMAGE: t.Final = 50_000
 _PRESSURE_WEIGHT: t.Final = 20_000  # a service at its target weighs 20 cores
-_PRESSURE_LIMIT: t.Final = 0.85  # of a service's latency target
+_RISE_WEIGHT: t.Final = 100_000  # a tenth more latency weighs 10 cores
+_PERCENT: t.Final = 100.0
+_PRESSURE_LIMIT: t.Final = 0.82  # of a service's latency target
 _MILLI: t.Final = 1_000
 _SERVICE_USE: t.Final = (
     0.55  # share of its reservation that a service uses at most times
@@ -27,8 +30,8 @@
     """Return the host that suits a task best, or None if none can hold it.
 
     Answers the burst of fillers over long-lived services: fillers get the
-    processors that others leave unused and stay away from services as long as
-    other hosts have room; services share few hosts; the rest goes beside them.
+    processors that others leave unused, where they disturb least; services of one
+    image share hosts, so that their neighbours can be chosen well.
 
     Parameters
     ----------
@@ -44,15 +47,17 @@
         On ``clock.now``.
     """
     best, best_score = None, 0
+    step = task.step
     for host in candidates:
-        if not _may_run(task, service, host) or not fits(task.step, host):
+        if not _may_run(task, service, host) or not fits(step, host):
             continue
-        score = _score(task.step, host, now)
-        if task.step.is_filler and host.services:
-            pressure = expected_pressure(task.step, host, estimates)
-            if pressure > _PRESSURE_LIMIT and host.filler_cpu:
+        score = _score(step, host, now)
+        if step.is_filler and host.services:
+            effect = expect(step, host, estimates)
+            if effect.pressure > _PRESSURE_LIMIT:
                 continue
-            score -= int(pressure * _PRESSURE_WEIGHT)
+            score -= int(effect.rise * _RISE_WEIGHT)
+            score -= int(effect.pressure * _PRESSURE_WEIGHT)
         if best is None or score > best_score:
             best, best_score = host, score
     return best
@@ -79,7 +84,8 @@
     if host.used_gpus + step.gpus > runner.gpus:
         return False
     if step.is_filler:
-        return has_spare(step, host)
+        # A filler beyond what is left over would only slow the others down.
+        return not host.filler_cpu or spare_cpu(host) >= step.cpu_milli
     return host.used_cpu + step.cpu_milli <= runner.cpu_milli
 
 
@@ -93,26 +99,47 @@
     return host.runner.cpu_milli - host.used_cpu + idle - host.filler_cpu
 
 
-def has_spare(step: jobs.Step, host: hosts.Host) -> bool:
-    """Tell whether a filler would find processors that nobody uses."""
-    if not host.filler_cpu:
-        return True
-    # A filler beyond what is left over would only slow the others down.
-    return spare_cpu(host) >= step.cpu_milli and not host.is_paced
+class Effect(t.NamedTuple):
+    """What one more filler would do to the services of a host.
 
+    ``pressure`` is the worst latency by its target once all fillers there work at
+    full speed, ``rise`` the largest rise of a latency's logarithm by the new one.
+    """
+
+    pressure: float
+    rise: float
 
-def expected_pressure(
+
+def expect(
     step: jobs.Step, host: hosts.Host, estimates: interference.Estimates
-) -> float:
-    """Return the worst latency by its target that a filler is expected to cause."""
-    worst = 0.0
+) -> Effect:
+    """Return what a filler is expected to do to the services of a host."""
     cores = step.cpu_milli / _MILLI
+    slowed = _slowed_cores(host)
+    pressure = most = 0.0
+    for task in host.tasks.values():
+        target_ms, image = task.step.latency_target_ms, task.step.image
+        if not target_ms:
+            continue
+        rise = estimates.per_core(image, step.image) * cores
+        later = sum(estimates.per_core(image, f) * x for f, x in slowed.items())
+        most = max(most, rise)
+        pressure = max(pressure, task.figure / target_ms * math.exp(rise + later))
+    return Effect(pressure, most)
+
+
+def _slowed_cores(host: hosts.Host) -> dict[str, float]:
+    """Return by image the cores that fillers would use beyond their newest figure."""
+    found: dict[str, float] = {}
     for task in host.tasks.values():
-        target_ms = task.step.latency_target_ms
-        if target_ms:
-            rise = estimates.per_core(task.step.image, step.image) * cores
-            worst = max(worst, task.figure / target_ms * math.exp(rise))
-    return worst
+        if not task.step.is_filler:
+            continue
+        unused = task.step.cpu_milli * (1.0 - task.pace / _PERCENT)
+        if not task.figure:
+            unused = task.step.cpu_milli  # too new to be in the services' figures
+        image = task.step.image
+        found[image] = found.get(image, 0.0) + unused / _MILLI
+    return found
 
 
 def _score(step: jobs.Step, host: hosts.Host, now: float) -> int:
@@ -123,5 +150,7 @@
     if step.data_rack and step.data_rack not in host.runner.labels:
         score -= _FAR_FROM_DATA
     if step.is_service:
-        score += _BESIDE_SERVICES * bool(host.services) - host.filler_cpu
+        same = sum(task.step.image == step.image for task in host.tasks.values())
+        score += _SAME_IMAGE * same + _BESIDE_SERVICES * bool(host.services)
+        score -= host.filler_cpu
     return score
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -7,7 +7,14 @@
 
 from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, jobs, placement, reconciling, state
+from bilberrypass.scheduling import (
+    hosts,
+    jobs,
+    ordering,
+    placement,
+    reconciling,
+    state,
+)
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -37,17 +44,17 @@
         if not usable:
             return
         unix_now = time.time()
-        for job, queue in self._ordered():
+        for job, queue in self._ordered(unix_now):
             self._place_job(job, queue, usable, now, unix_now)
 
-    def _ordered(self) -> list[tuple[state.JobState, jobs.Queue]]:
-        """Return the open jobs by priority, then in the order of acceptance."""
+    def _ordered(self, now: float) -> list[tuple[state.JobState, jobs.Queue]]:
+        """Return the open jobs by rank, at a Unix time."""
         found = []
         for job in self._owner.open_jobs.values():
             queue = self._owner.queue_of(job)
             if queue is not None and not (job.cancelled or job.failed):
                 found.append((job, queue))
-        found.sort(key=lambda pair: (pair[1].priority, pair[0].job.accepted_at))
+        found.sort(key=lambda pair: ordering.rank(*pair, now))
         return found
 
     def _place_job(
@@ -96,6 +103,7 @@
         task.phase = state.Phase.ORDERED
         task.is_stored = False
         task.started_at = now
+        task.pace, task.progress, task.figure = 100, 0, 0
         host.add(task)
         _starts.inc()
 
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -135,6 +135,7 @@
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         task.figure, task.pace = row.figure, row.pace
+        task.progress = row.progress
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -20,6 +20,7 @@
     interference,
     jobs,
     keyvalue,
+    moving,
     placing,
     queues,
     reconciling,
@@ -115,6 +116,7 @@
         self._sender = make_outlet(self._on_unsent)
         self._reconciler = reconciling.Reconciler(self)
         self._placer = placing.Placer(self)
+        self._mover = moving.Mover(self)
         self._thread = threading.Thread(target=self._run, name="scheduler", daemon=True)
 
     def start(self) -> None:
@@ -235,6 +237,7 @@
             if now >= next_tick:
                 next_tick = now + TICK_S
                 self._reconciler.tick(now)
+                self._mover.tick(now)
                 _depth.set(len(self.open_jobs))
             self._placer.place(now)
             self._write()
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -76,7 +76,9 @@
         "not_before",
         "pace",
         "phase",
+        "progress",
         "run",
+        "slow_since",
         "started_at",
         "step",
         "ticket",
@@ -97,6 +99,8 @@
         self.started_at = 0.0
         self.figure = 0
         self.pace = 100
+        self.progress = 0
+        self.slow_since = 0.0
         self.is_stored = True
 
     @property
