--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -13,6 +13,10 @@
 _DRIFT_SD: t.Final = 0.002  # a sample; images change their ways slowly
 _MIN: t.Final = 0.005
 _MAX: t.Final = 0.4
+_MIN_GAP_S: t.Final = 0.45  # the runner's figures cover half a second
+_MAX_GAP_S: t.Final = 1.6
+_TREND_S: t.Final = 1.5  # smooths the noise of single figures
+_MAX_AHEAD: t.Final = 0.7  # twice the latency
 
 Pair = tuple[str, str]
 
@@ -93,8 +97,35 @@
     cores: dict[str, float]
 
 
-_MIN_GAP_S: t.Final = 0.45  # the runner's figures cover half a second
-_MAX_GAP_S: t.Final = 1.6
+class Trend:
+    """How fast a service's own load moves its latency, without the fillers' part.
+
+    ``slope`` is the smoothed change of the latency's logarithm a second.
+    """
+
+    __slots__ = ("at", "own", "slope")
+
+    def __init__(self) -> None:
+        self.at = 0.0
+        self.own = 0.0
+        self.slope = 0.0
+
+    def observe(self, at: float, latency_ms: float, rise: float) -> None:
+        """Take in a latency, and the part of its logarithm that fillers cause."""
+        own = math.log(latency_ms) - rise
+        gap_s = at - self.at
+        if gap_s > _MAX_GAP_S:
+            self.slope = 0.0
+        elif gap_s < _MIN_GAP_S:
+            return
+        else:
+            share = min(1.0, gap_s / _TREND_S)
+            self.slope += share * ((own - self.own) / gap_s - self.slope)
+        self.at, self.own = at, own
+
+    def ahead(self, horizon_s: float) -> float:
+        """Return the expected rise within a time; a fall is not counted on."""
+        return min(_MAX_AHEAD, max(0.0, self.slope * horizon_s))
 
 
 def learn(estimates: Estimates, before: Sample | None, after: Sample) -> Sample:
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -106,12 +106,18 @@
         """Learn from the host's newest figures which images disturb each other."""
         services: dict[str, tuple[str, float]] = {}
         cores: dict[str, float] = {}
+        trends: list[state.Task] = []
         for task in host.tasks.values():
             step = task.step
             if step.latency_target_ms and task.figure:
                 services[str(task.key)] = step.image, float(task.figure)
+                trends.append(task)
             elif step.is_filler:
                 cores[step.image] = cores.get(step.image, 0.0) + task.figure / _MILLI
+        per_core = self._owner.estimates.per_core
+        for task in trends:
+            rise = sum(per_core(task.step.image, f) * x for f, x in cores.items())
+            task.trend.observe(host.heard_at, task.figure, rise)
         if services:
             sample = interference.Sample(host.heard_at, services, cores)
             host.sample = interference.learn(self._owner.estimates, host.sample, sample)
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bilberrypass.scheduling import jobs
+from bilberrypass.scheduling import interference, jobs
 
 
 class Phase(enum.IntEnum):
@@ -82,6 +82,7 @@
         "started_at",
         "step",
         "ticket",
+        "trend",
     )
 
     def __init__(self, job: "JobState", key: jobs.TaskKey, step: jobs.Step) -> None:
@@ -101,6 +102,7 @@
         self.pace = 100
         self.progress = 0
         self.slow_since = 0.0
+        self.trend = interference.Trend()
         self.is_stored = True
 
     @property
--- /dev/null
+++ b/testing/scheduling/test_placement.py
@@ -0,0 +1,121 @@
+"""The choice of hosts, without a network."""
+
+import time
+
+from bilberrypass import clock
+from bilberrypass.hosting import messages
+from bilberrypass.scheduling import hosts, interference, jobs, placement, state
+from testing import collecting
+
+FILLER = jobs.Step(1, cpu_milli=7_000, memory_mb=13_000, is_filler=True, image="f")
+SERVICE = jobs.Step(
+    1,
+    cpu_milli=13_000,
+    memory_mb=26_000,
+    is_service=True,
+    image="s",
+    latency_target_ms=100,
+)
+PLAIN = jobs.Step(1, cpu_milli=1_000, memory_mb=2_000)
+
+
+def _host(name, cpu=64_000, labels=("a", "r1"), service="p"):
+    host = hosts.Host(name, 0.0)
+    host.runner = messages.RunnerInfo(f"i-{name}", 1, service, cpu, 256_000, 0, labels)
+    host.heard_at = clock.now()
+    return host
+
+
+def _task(step, index=0, job="j"):
+    made = state.JobState(jobs.Job(job, "q", "", (step,), time.time()))
+    return state.Task(made, jobs.TaskKey(job, 0, 0, index), step)
+
+
+def _put(host, step, count=1, latency_ms=0, job="k"):
+    for index in range(count):
+        task = _task(step, index, job)
+        task.run, task.figure = 1, latency_ms
+        host.add(task)
+
+
+def _choose(step, *candidates, estimates=None, **fields):
+    return placement.choose(
+        _task(step, **fields),
+        "p",
+        candidates,
+        estimates or interference.Estimates(),
+        clock.now(),
+    )
+
+
+def test_a_host_without_room_is_left_out():
+    full, free = _host("full"), _host("free", cpu=2_000)
+    _put(full, PLAIN, 64)
+    assert _choose(PLAIN, full, free) is free
+    _put(free, PLAIN, 2)
+    assert _choose(PLAIN, full, free) is None
+
+
+def test_memory_binds_as_processors_do():
+    host = _host("h")
+    _put(host, jobs.Step(1, memory_mb=250_000))
+    assert _choose(jobs.Step(1, memory_mb=10_000), host) is None
+
+
+def test_a_label_a_service_and_a_spread_are_kept():
+    host = _host("h")
+    assert _choose(PLAIN._replace(required_label="gpu"), host) is None
+    assert _choose(PLAIN, _host("h", service="other")) is None
+    spread = PLAIN._replace(max_per_host=1)
+    host.add(_task(spread, 0))
+    assert _choose(spread, host, index=1) is None
+
+
+def test_a_rack_with_the_data_is_preferred():
+    near, far = _host("near", labels=("a", "r2")), _host("far")
+    _put(near, PLAIN, 10)
+    assert _choose(PLAIN._replace(data_rack="r2"), far, near) is near
+
+
+def test_a_filler_goes_where_its_image_is_mild():
+    estimates = interference.Estimates()
+    for _ in range(10):
+        estimates.observe("s", 50.0, 100.0, {"f": 7.0})
+        estimates.observe("t", 50.0, 50.0, {"f": 7.0})
+    sensitive, sturdy = _host("sensitive"), _host("sturdy")
+    _put(sensitive, SERVICE, 2, latency_ms=40)
+    _put(sturdy, SERVICE._replace(image="t"), 3, latency_ms=60)
+    assert _choose(FILLER, sensitive, sturdy, estimates=estimates) is sturdy
+
+
+def test_a_filler_waits_rather_than_press_a_service_over_its_target():
+    host = _host("h")
+    _put(host, SERVICE, 2, latency_ms=90)
+    assert _choose(FILLER, host) is None
+
+
+def test_services_of_one_image_share_a_host():
+    same, other = _host("same"), _host("other")
+    _put(same, SERVICE, 1)
+    _put(other, SERVICE._replace(image="t"), 1)
+    assert _choose(SERVICE, other, same) is same
+
+
+def test_fillers_do_not_crowd_a_host_beyond_its_processors():
+    host = _host("h")
+    placed = 0
+    while _choose(FILLER, host) is host:
+        _put(host, FILLER, 1, job=f"k{placed}")
+        placed += 1
+    assert placed == 9, placed
+
+
+def test_a_host_that_fails_what_it_starts_is_taken_last():
+    bad, busy = _host("bad"), _host("busy")
+    bad.avoid_until = clock.now() + 5
+    _put(busy, PLAIN, 40)
+    assert _choose(PLAIN, bad, busy) is busy
+    assert _choose(PLAIN, bad) is bad
+
+
+load_tests = collecting.hook(__name__)
