Move runs off hosts that hang, crawl or leave

Cause: a task on a hung host waited for its lease or for ever, a second attempt could land on the host that had failed the first, and what ran on a leaving host ended with it. Ruled out: health as the runner says it (reports of such hosts are good). Change: progress is followed by run; stalled and crawling runs restart elsewhere, a retry avoids the host that failed, services leave draining hosts at once. A takeover takes 2 s. Conclusion: health is learnt from outcomes.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -135,7 +135,8 @@
             found = self._session
             if found is None or found.info.id != id:
                 return
-            self._session = None
+            # Its rows still tell the scheduler that everything there is gone.
+            found.info = found.info._replace(is_draining=True)
         decisions.record("runner.left", runner=id)
         found.end("left")
         self._changed.set()
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -11,8 +11,8 @@
 from bilberrypass.scheduling import keyvalue
 
 KEY: t.Final = "leader"
-LEASE_S: t.Final = 3.0  # longer than a slow store's answer, short for a takeover
-_RENEW_INTERVAL_S: t.Final = 0.7  # four tries within the lease
+LEASE_S: t.Final = 2.0  # longer than a slow store's answer, short for a takeover
+_RENEW_INTERVAL_S: t.Final = 0.5  # four tries within the lease
 _CALL_S: t.Final = 1.0
 _WATCH_S: t.Final = 2.0
 _RETRY_S: t.Final = 0.3
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -5,6 +5,9 @@
 from bilberrypass.hosting import messages
 from bilberrypass.scheduling import interference, jobs, state
 
+_ASIDE_S = 1.0  # after one failure, which sound hosts see too
+_MAX_ASIDE_S = 8.0
+_FORGIVEN = 0.25  # of a failure, for each task done
 SILENT_AFTER_S = 1.6  # three reports of an agent
 
 RESEND_AFTER_S = 1.0  # two reports of an agent
@@ -57,8 +60,19 @@
         self.taught_at = 0.0
         self.sample: interference.Sample | None = None
         self.step_counts: dict[StepKey, int] = {}
-        self.failures = 0
+        self.failures = 0.0
         self.avoid_until = 0.0
+        self.draining_until = 0.0
+
+    def blame(self, now: float) -> None:
+        """Set the host aside for a while that grows with each failure."""
+        self.failures += 1.0
+        aside_s = min(_MAX_ASIDE_S, _ASIDE_S * 2.0 ** (self.failures - 1.0))
+        self.avoid_until = max(self.avoid_until, now + aside_s)
+
+    def praise(self) -> None:
+        """Forgive a part of a failure for work that was done."""
+        self.failures = max(0.0, self.failures - _FORGIVEN)
 
     def add(self, task: state.Task) -> None:
         """Count a run as being on the host."""
@@ -138,7 +152,7 @@
         self.open_ends.clear()
         self.pending.clear()
         self.settled.clear()
-        self.failures = 0
+        self.failures = 0.0
         self.avoid_until = 0.0
         return lost
 
--- a/src/bilberrypass/scheduling/moving.py
+++ b/src/bilberrypass/scheduling/moving.py
@@ -1,4 +1,4 @@
-"""Fillers that stand still beside a service move to where they can work."""
+"""Runs that cannot get on where they are move to another host."""
 
 import typing as t
 
@@ -12,14 +12,15 @@
 _SLOW_FOR_S: t.Final = 1.2  # two settings of the speed
 _MOVES_A_ROUND: t.Final = 3
 _LITTLE_DONE_PERCENT: t.Final = 15  # what is lost without a checkpoint
+_LEAVE_MARGIN_S: t.Final = 0.7  # a stop and its report
 
 
 @t.final
 class Mover:
-    """The part of a scheduler that moves fillers.
+    """The part of a scheduler that moves runs.
 
-    Answers a load peak of services: what their hosts slow down holds up whole jobs
-    while other hosts have room.
+    Answers load peaks of services, which slow their neighbours down, hosts that
+    hang or crawl, and hosts that are about to leave.
 
     Parameters
     ----------
@@ -31,31 +32,66 @@
         self._owner = owner
 
     def tick(self, now: float) -> None:
-        """Stop a few slow fillers that another host would take at once."""
+        """Stop a few runs that another host would take at once."""
         moves = 0
         usable = [host for host in self._owner.hosts.values() if host.is_usable(now)]
-        for host in usable:
+        for host in self._owner.hosts.values():
+            if now - host.heard_at > hosts.SILENT_AFTER_S:
+                continue
             for task in list(host.tasks.values()):
-                if moves < _MOVES_A_ROUND and self._is_due(task, now):
-                    moves += self._move(task, host, usable, now)
+                if moves >= _MOVES_A_ROUND:
+                    return
+                why = self._reason(task, host, now)
+                if why:
+                    moves += self._move(task, host, usable, why, now)
 
-    def _is_due(self, task: state.Task, now: float) -> bool:
-        if not task.step.is_filler or task.phase is not state.Phase.RUNNING:
-            return False
-        if task.pace >= _SLOW_BELOW:
+    def _reason(self, task: state.Task, host: hosts.Host, now: float) -> str:
+        """Return why a run ought to move, or nothing."""
+        if task.phase is not state.Phase.RUNNING or task.step.is_gang:
+            return ""
+        runner = host.runner
+        if runner is not None and runner.is_draining:
+            return self._reason_to_leave(task, host, now)
+        if task.step.is_service:
+            return ""
+        if self._is_held_back(task, now):
+            return "slowed"
+        if task.progress.is_stalled(now):
+            return "stalled"
+        is_filler = task.step.is_filler
+        if not is_filler and task.progress.is_crawling(task.step.estimate_s, now):
+            return "crawling"
+        return ""
+
+    def _reason_to_leave(self, task: state.Task, host: hosts.Host, now: float) -> str:
+        """Let short work end on a host that leaves, and move the rest in time."""
+        assert host.runner is not None
+        if task.step.is_service:
+            return "leaving"
+        done = task.progress.percent / 100
+        left_s = task.step.estimate_s * (1.0 - done)
+        stays_s = host.draining_until - now
+        if left_s > stays_s - _LEAVE_MARGIN_S and self._can_restart(task):
+            return "leaving"
+        return ""
+
+    def _is_held_back(self, task: state.Task, now: float) -> bool:
+        if not task.step.is_filler or task.pace >= _SLOW_BELOW:
             task.slow_since = 0.0
             return False
         task.slow_since = task.slow_since or now
-        if now - task.slow_since < _SLOW_FOR_S:
-            return False
+        return now - task.slow_since >= _SLOW_FOR_S and self._can_restart(task)
+
+    def _can_restart(self, task: state.Task) -> bool:
         has_saved = task.step.has_checkpoints and bool(task.checkpoint)
-        return has_saved or task.progress < _LITTLE_DONE_PERCENT
+        return has_saved or task.progress.percent < _LITTLE_DONE_PERCENT
 
     def _move(
         self,
         task: state.Task,
         host: hosts.Host,
         usable: list[hosts.Host],
+        why: str,
         now: float,
     ) -> bool:
         queue = self._owner.queue_of(task.job)
@@ -73,9 +109,13 @@
             run=task.run,
             host=host.name,
             expected=target.name,
+            why=why,
             pace=task.pace,
-            progress=task.progress,
+            progress=task.progress.percent,
         )
+        if why in ("stalled", "crawling"):
+            host.blame(now)
+            task.avoided_host = host.name
         task.phase = state.Phase.STOPPING
         task.slow_since = 0.0
         self._owner.order(host, reconciling.order(task, reconciling.Verb.STOP))
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -53,6 +53,8 @@
         if not _may_run(task, service, host) or not fits(step, host):
             continue
         score = _score(step, host, now)
+        if host.name == task.avoided_host:
+            score -= _AVOIDED
         if step.is_filler and host.services:
             effect = expect(step, host, estimates)
             if effect.pressure > _PRESSURE_LIMIT:
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -103,7 +103,8 @@
         task.phase = state.Phase.ORDERED
         task.is_stored = False
         task.started_at = now
-        task.pace, task.progress, task.figure = 100, 0, 0
+        task.pace, task.figure = 100, 0
+        task.progress.begin()
         host.add(task)
         _starts.inc()
 
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -15,8 +15,6 @@
 _LEASE_MARGIN_S: t.Final = 0.2
 _RETRY_S: t.Final = 0.25
 _MILLI: t.Final = 1_000
-_FAILED_HOST_AVOIDED_S: t.Final = 4.0
-_FAILURES_TO_AVOID: t.Final = 2
 
 _ends = prometheus.Counter("bilberrypass_runs_ended", "Runs that ended", ["how"])
 
@@ -72,6 +70,8 @@
     def _see_runner(self, host: hosts.Host, info: messages.RunnerInfo) -> None:
         if host.runner is None or host.runner.is_draining != info.is_draining:
             decisions.record("host.runner", host=host.name, **info._asdict())
+        if info.is_draining and not (host.runner and host.runner.is_draining):
+            host.draining_until = host.heard_at + info.time_left_s
         host.runner = info
         if info.life == host.life:
             return
@@ -141,7 +141,8 @@
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         task.figure, task.pace = row.figure, row.pace
-        task.progress = row.progress
+        if row.state == State.RUNNING:
+            task.progress.see(row.progress, row.pace, host.heard_at)
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
@@ -185,7 +186,7 @@
         _ends.labels(row.outcome).inc()
         host.remove(task)
         if row.outcome == "done":
-            host.failures = 0
+            host.praise()
             job.finish_task(task)
         else:
             task.phase = state.Phase.WAITING
@@ -218,9 +219,8 @@
 
     def _fail(self, host: hosts.Host, task: state.Task) -> None:
         task.failures += 1
-        host.failures += 1
-        if host.failures >= _FAILURES_TO_AVOID:
-            host.avoid_until = clock.now() + _FAILED_HOST_AVOIDED_S
+        task.avoided_host = host.name
+        host.blame(clock.now())
         queue = self._owner.queue_of(task.job)
         if task.step.is_service or queue is None:
             return
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from bilberrypass.scheduling import interference, jobs
+from bilberrypass.scheduling import interference, jobs, stragglers
 
 
 class Phase(enum.IntEnum):
@@ -65,6 +65,7 @@
     """
 
     __slots__ = (
+        "avoided_host",
         "checkpoint",
         "failures",
         "figure",
@@ -100,7 +101,8 @@
         self.started_at = 0.0
         self.figure = 0
         self.pace = 100
-        self.progress = 0
+        self.progress = stragglers.Progress()
+        self.avoided_host = ""
         self.slow_since = 0.0
         self.trend = interference.Trend()
         self.is_stored = True
