Keep a cancellation that is read before its job

Ruled out: a late write of the cancellation (acknowledged 0.2 s before the list). Change: such ids are remembered; testing/scheduling/test_intake.py failed first. Conclusion: both orders of the two keys are now the same to the scheduler.

--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -97,6 +97,7 @@
         self.hosts: dict[str, hosts.Host] = {}
         self.open_jobs: dict[str, state.JobState] = {}
         self.estimates = interference.Estimates()
+        self._cancelled_early: set[str] = set()
         self.is_loaded = False
         self._elected_at = clock.now()
         self._table = table
@@ -270,10 +271,17 @@
             return
         self.jobs[job.id] = self.open_jobs[job.id] = state.JobState(job)
         decisions.record("job.seen", job=job.id, queue=job.queue, steps=len(job.steps))
+        if job.id in self._cancelled_early:
+            self._cancelled_early.discard(job.id)
+            self._cancel(job.id)
 
     def _cancel(self, id: str) -> None:
         job = self.jobs.get(id)
-        if job is None or job.cancelled or job.is_final:
+        if job is None:
+            # A list has cancellations before the jobs that they belong to.
+            self._cancelled_early.add(id)
+            return
+        if job.cancelled or job.is_final:
             return
         job.cancelled = True
         decisions.record("job.cancelling", job=id)
--- /dev/null
+++ b/testing/scheduling/test_intake.py
@@ -0,0 +1,88 @@
+"""Submissions and cancellations through a store that fails."""
+
+import threading
+import time
+
+from bilberrypass import clock, errors
+from bilberrypass.scheduling import intake, jobs, state
+from testing import collecting, fixtures
+from testing.scheduling import offices
+from testing.standins import keyvalues
+
+STEP = jobs.Step(1, cpu_milli=100)
+ID = "a" * 16
+
+
+def _job(id=ID):
+    return jobs.Job(id, offices.QUEUE, "spec", (STEP,), time.time())
+
+
+def test_a_cancellation_found_with_its_job_after_a_gap_counts():
+    # Seen on nvctg-sched scale-1: the store dropped its history, and the list that
+    # replaces it has cancellations before jobs.
+    with offices.office() as office:
+        store = office.store
+        host = office.host("h1")
+        with store._lock:
+            store._change(intake.JOB_PREFIX + ID, state.encode_job(_job()))
+            store._change(intake.CANCEL_PREFIX + ID, b"")
+            store._oldest = store.revision
+            store._history.clear()
+        office.await_status("cancelled", host)
+        assert not [o for o in host.orders if o.verb == offices.Verb.START]
+
+
+def test_one_id_is_one_job():
+    store = keyvalues.Store()
+    submissions = intake.Submissions(store)
+    assert submissions.submit(_job(), clock.now() + 1)
+    assert not submissions.submit(_job(), clock.now() + 1)
+
+
+def test_a_lost_answer_is_not_taken_for_a_refusal():
+    store = keyvalues.Store()
+    store.lose_answers = 1
+    intake.Submissions(store).submit(_job(), clock.now() + 2)
+    assert intake.JOB_PREFIX + ID in store.items
+
+
+def test_a_create_that_comes_late_changes_nothing():
+    store = keyvalues.Store()
+    store.hold_commits = 1
+    intake.Submissions(store).submit(_job(), clock.now() + 2)
+    before = store.items[intake.JOB_PREFIX + ID]
+    store.release()
+    assert store.items[intake.JOB_PREFIX + ID] == before
+
+
+def test_a_store_that_is_down_refuses_at_once_and_certainly():
+    store = keyvalues.Store()
+    store.is_down = True
+    began = clock.now()
+    exc = fixtures.error_of(
+        errors.Error, intake.Submissions(store).submit, _job(), clock.now() + 3
+    )
+    assert exc.kind is errors.Kind.STORE_DOWN and clock.now() - began < 1.0
+
+
+def test_a_create_that_may_be_stored_is_never_called_refused():
+    store = keyvalues.Store()
+    store.hold_commits = 1
+
+    def go_down():
+        store.is_down = True
+
+    timer = threading.Timer(0.05, go_down)
+    timer.start()
+    exc = fixtures.error_of(
+        errors.Error, intake.Submissions(store).submit, _job(), clock.now() + 0.8
+    )
+    timer.join()
+    assert exc.kind is errors.Kind.STORE_UNCERTAIN
+
+
+def test_a_cancellation_of_an_unknown_job_is_told_so():
+    assert not intake.Submissions(keyvalues.Store()).cancel(ID, clock.now() + 1)
+
+
+load_tests = collecting.hook(__name__)
