Store a change through the leader where a host's own way to the store fails

Cause: the store may refuse single hosts while it serves others; entries there refused their callers although the leader could store for them. Conclusion: a caller is refused only where nobody reaches the store.

--- a/src/bilberrypass/hosting/messages.py
+++ b/src/bilberrypass/hosting/messages.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from bilberrypass.connection import channels
+from bilberrypass.scheduling import jobs
 
 
 class Verb(enum.IntEnum):
@@ -168,7 +169,35 @@
     waiting: int = 0
 
 
+class SubmitAsk(t.NamedTuple):
+    """Asks another entry, which reaches the store, to store a job."""
+
+    job: jobs.Job
+    time_left_s: float
+
+
+class SubmitTold(t.NamedTuple):
+    """The job is stored; tells whether it was new."""
+
+    is_new: bool
+
+
+class CancelAsk(t.NamedTuple):
+    """Asks another entry to store a cancellation."""
+
+    job: str
+    time_left_s: float
+
+
+class CancelTold(t.NamedTuple):
+    """The cancellation is stored, if the job is known."""
+
+    is_known: bool
+
+
 REPORT: t.Final = channels.Method("HostReport", Report, Reported)
 ORDERS: t.Final = channels.Method("HostOrders", Orders, Obeyed)
 STATE: t.Final = channels.Method("JobState", StateAsk, StateTold)
+SUBMIT: t.Final = channels.Method("JobSubmit", SubmitAsk, SubmitTold)
+CANCEL: t.Final = channels.Method("JobCancel", CancelAsk, CancelTold)
 WAITING: t.Final = channels.Method("JobsWaiting", WaitingAsk, WaitingTold)
--- a/src/bilberrypass/platform/front.py
+++ b/src/bilberrypass/platform/front.py
@@ -180,17 +180,39 @@
         if method == "POST":
             body = _read_body(environ, table.config.limits.max_body_bytes)
             name = queues.queue_name(route.host, route.prefix)
-            self._entry.submit(read_job(id, name, body), deadline)
+            self._submit(read_job(id, name, body), deadline)
             return _json(200, {})
         if method == "GET":
             status = self._entry.status(id, deadline)
             return _json(200, {"state": status}) if status else _json(410, {})
         if method == "DELETE":
-            return _json(200 if self._entry.cancel(id, deadline) else 410, {})
+            return _json(200 if self._cancel(id, deadline) else 410, {})
         raise errors.Refused(
             errors.Kind.METHOD_NOT_ALLOWED, f"{method}: use POST, GET or DELETE"
         )
 
+    def _submit(self, job: jobs.Job, deadline: float) -> None:
+        try:
+            self._entry.submit(job, deadline)
+        except errors.Error as exc:
+            raise _certain(exc) from exc
+
+    def _cancel(self, id: str, deadline: float) -> bool:
+        try:
+            return self._entry.cancel(id, deadline)
+        except errors.Error as exc:
+            raise _certain(exc) from exc
+
+
+def _certain(exc: errors.Error) -> errors.Error:
+    """Return the error to answer with: 502 wherever the change may be stored.
+
+    Callers take 429 and 503 for a promise that nothing was stored.
+    """
+    if exc.kind is errors.Kind.STORE_UNCERTAIN or exc.ran is errors.Ran.UNKNOWN:
+        return errors.Error(errors.Kind.ANSWER_LOST, exc.detail)
+    return exc
+
 
 def _json(status: int, content: t.Any) -> _Answer:
     return _Answer(status, msgspec.json.encode(content))
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -7,7 +7,7 @@
 
 import prometheus_client as prometheus
 
-from bilberrypass import errors
+from bilberrypass import clock, errors
 from bilberrypass.connection import channels
 from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
@@ -23,8 +23,13 @@
 
 _PEER_CALL_S: t.Final = 0.4  # a few round trips; the store answers in its place
 _RPC_THREADS: t.Final = 48
+_OWN_SHARE: t.Final = 0.45  # of a caller's time, before the leader is asked instead
+_DETOUR_S: t.Final = 2.0  # how long the leader is asked first after a failure
+_DETOUR_CALL_S: t.Final = 1.0
 _STOP_S: t.Final = 1.0
 
+T = t.TypeVar("T")
+
 _submissions = prometheus.Counter(
     "bilberrypass_submissions", "Submissions by outcome", ["outcome"]
 )
@@ -65,6 +70,7 @@
         self._scheduler: scheduler.Scheduler | None = None
         self._lock = threading.Lock()
         self._peer: channels.Peer | None = None
+        self._detour_until = 0.0
         self._election = election.Election(store, name, peer_address, self)
         self._server = channels.Server(
             peer_address,
@@ -72,6 +78,8 @@
                 messages.REPORT: self._serve_report,
                 messages.STATE: self._serve_state,
                 messages.WAITING: self._serve_waiting,
+                messages.SUBMIT: self._serve_submit,
+                messages.CANCEL: self._serve_cancel,
             },
             threads=_RPC_THREADS,
         )
@@ -122,7 +130,17 @@
     def submit(self, job: jobs.Job, deadline: float) -> None:
         """Store a job; see ``intake.Submissions.submit``."""
         try:
-            is_new = self._submissions.submit(job, deadline)
+            is_new = self._through_store(
+                lambda until: self._submissions.submit(job, until),
+                lambda peer, until: (
+                    peer.call(
+                        messages.SUBMIT,
+                        messages.SubmitAsk(job, until - clock.now()),
+                        time.monotonic() + until - clock.now(),
+                    ).is_new
+                ),
+                deadline,
+            )
         except errors.Error as exc:
             _submissions.labels(exc.kind).inc()
             decisions.record("job.refused", job=job.id, why=str(exc))
@@ -136,6 +154,40 @@
             version=self._version,
         )
 
+    def _through_store(
+        self,
+        here: abc.Callable[[float], T],
+        there: abc.Callable[[channels.Peer, float], T],
+        deadline: float,
+    ) -> T:
+        """Make an idempotent change here, or by the leader if the store fails us.
+
+        The store may serve the leader and refuse this host.
+        """
+        leader = self._election.leader
+        if leader is None or leader.address == self._address:
+            return here(deadline)
+        peer = self._leader_peer(leader)
+        own_deadline = clock.now() + (deadline - clock.now()) * _OWN_SHARE
+        tries: list[abc.Callable[[], T]] = [
+            lambda: here(own_deadline),
+            lambda: there(peer, deadline),
+        ]
+        if clock.now() < self._detour_until:
+            first = min(deadline, clock.now() + _DETOUR_CALL_S)
+            tries = [lambda: there(peer, first), lambda: here(deadline)]
+        lost: errors.Error | None = None
+        for attempt in tries:
+            try:
+                return attempt()
+            except errors.Error as exc:
+                self._detour_until = clock.now() + _DETOUR_S
+                decisions.record("change.failed", leader=leader.name, why=str(exc))
+                if lost is None or not _is_certain(exc):
+                    lost = exc
+        assert lost is not None
+        raise lost
+
     @property
     def _version(self) -> int:
         table = self._config.table
@@ -143,7 +195,17 @@
 
     def cancel(self, id: str, deadline: float) -> bool:
         """Store a cancellation; False if there is no such job."""
-        is_known = self._submissions.cancel(id, deadline)
+        is_known = self._through_store(
+            lambda until: self._submissions.cancel(id, until),
+            lambda peer, until: (
+                peer.call(
+                    messages.CANCEL,
+                    messages.CancelAsk(id, until - clock.now()),
+                    time.monotonic() + until - clock.now(),
+                ).is_known
+            ),
+            deadline,
+        )
         decisions.record("job.cancel", job=id, known=is_known)
         return is_known
 
@@ -210,6 +272,14 @@
             return messages.Reported(False, leader.epoch if leader else 0)
         return found.report(report)
 
+    def _serve_submit(self, ask: messages.SubmitAsk) -> messages.SubmitTold:
+        is_new = self._submissions.submit(ask.job, clock.now() + ask.time_left_s)
+        return messages.SubmitTold(is_new)
+
+    def _serve_cancel(self, ask: messages.CancelAsk) -> messages.CancelTold:
+        is_known = self._submissions.cancel(ask.job, clock.now() + ask.time_left_s)
+        return messages.CancelTold(is_known)
+
     def _serve_state(self, ask: messages.StateAsk) -> messages.StateTold:
         found = self._scheduler
         if found is None or not found.is_loaded:
@@ -221,3 +291,10 @@
         if found is None or not found.is_loaded:
             return messages.WaitingTold(False)
         return messages.WaitingTold(True, found.waiting(ask.queue))
+
+
+def _is_certain(exc: errors.Error) -> bool:
+    """Tell whether a change that failed certainly had no effect."""
+    if exc.kind is errors.Kind.STORE_UNCERTAIN:
+        return False
+    return exc.kind is errors.Kind.STORE_DOWN or exc.ran is errors.Ran.NO
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -165,3 +165,44 @@
         with self._lock:
             for id in list(self._leases):
                 self._end_lease(id)
+
+
+class Way(keyvalue.Store):
+    """One host's way to a store that others reach.
+
+    ``is_cut`` lets nothing through; ``drops_commits`` swallows commits
+    without an answer.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self.is_cut = False
+        self.drops_commits = False
+
+    def _pass(self, name, *args):
+        if self.is_cut:
+            raise errors.Error(errors.Kind.STORE_DOWN, "cut off")
+        if self.drops_commits and name == "commit":
+            raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
+        return getattr(self._store, name)(*args)
+
+    def get(self, key, deadline):
+        return self._pass("get", key, deadline)
+
+    def list(self, prefix, deadline):
+        return self._pass("list", prefix, deadline)
+
+    def watch(self, prefix, after, wait_s):
+        return self._pass("watch", prefix, after, wait_s)
+
+    def commit(self, expected, puts, deadline):
+        return self._pass("commit", expected, puts, deadline)
+
+    def grant(self, ttl_s, deadline):
+        return self._pass("grant", ttl_s, deadline)
+
+    def renew(self, lease, deadline):
+        return self._pass("renew", lease, deadline)
+
+    def revoke(self, lease, deadline):
+        return self._pass("revoke", lease, deadline)
