--- /dev/null
+++ b/testing/platform/test_wire.py
@@ -0,0 +1,154 @@
+"""What the platform sends is decoded once, and its words stay in one folder."""
+
+import pathlib
+import re
+import tempfile
+
+from bilberrypass import errors
+from bilberrypass.platform import front, operator, runner, settings
+from testing import collecting, fixtures
+
+_SRC = pathlib.Path(__file__).parents[2] / "src" / "bilberrypass"
+# Field names and paths that mean something on the wire only.
+_WIRE = re.compile(
+    r"\"(specification|task_memory_mb|estimated_ms|ended_runs|last_seen|fencing_token"
+    r"|heartbeat_address|cold_remaining_ms|expected_revision|set_keys|has_more"
+    r"|tombstone|ttl_ms|long_running|anti_affinity|may_miss|target_ms|born)\""
+    r"|/api/(kv-|run-|hold|pace|advise|instances|readiness|machine)"
+    r"|BILBERRYPASS_CONFIG|op/config"
+)
+_SETTINGS = """
+node_name: "front-a-1"
+zone: "a"
+ip_address: "10.1.0.13"
+listen_addresses: {front: "10.1.0.13:8161", ready: "10.1.0.13:8167"}
+internal_port_range: [7720, 7735]
+bounds: {hold_max_ms: 6000, stop_timeout_ms: 900, grace_s: 6, new_bound: true}
+platform: {address: "10.200.1.7:8169", form: "kv", min_ttl_ms: 1000}
+unknown_field: 1
+"""
+_JOB = b"""{"specification": "text", "steps": [
+ {"count": 4, "cpu": 500, "task_memory_mb": 256, "estimated_ms": 900},
+ {"count": 2, "after": [0], "fills": true, "image": "i", "affinity": "r1",
+  "checkpointing": true, "anti_affinity": 1}]}"""
+
+
+def test_no_word_of_the_wire_stands_outside_the_adapter():
+    found = [
+        f"{path.relative_to(_SRC)}: {match.group(0)}"
+        for path in sorted(_SRC.rglob("*.py"))
+        if not path.is_relative_to(_SRC / "platform")
+        for match in [_WIRE.search(path.read_text())]
+        if match
+    ]
+    assert not found, found
+
+
+def test_the_product_does_not_import_the_adapter():
+    found = [
+        str(path.relative_to(_SRC))
+        for path in sorted(_SRC.rglob("*.py"))
+        if not path.is_relative_to(_SRC / "platform")
+        and "bilberrypass.platform" in path.read_text()
+    ]
+    assert not found, found
+
+
+def test_the_adapter_stays_small():
+    lines = {p: p.read_text().count("\n") for p in _SRC.rglob("*.py")}
+    own = sum(n for p, n in lines.items() if p.is_relative_to(_SRC / "platform"))
+    assert own < sum(lines.values()) / 10, own
+
+
+def _read(text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "node.yaml"
+        path.write_text(text)
+        return settings.read(path)
+
+
+def test_settings_are_read_and_unknown_fields_are_left_out():
+    node = _read(_SETTINGS)
+    assert node.name == "front-a-1" and node.peer_address == "10.1.0.13:7720"
+    assert node.max_lease_s == 6.0 and node.stop_timeout_s == 0.9
+
+
+def test_faulty_settings_name_the_key():
+    exc = fixtures.error_of(errors.Error, _read, _SETTINGS.replace("zone", "zoe"))
+    assert exc.kind is errors.Kind.INVALID_SETTINGS and "zone" in exc.detail
+
+
+def test_a_submission_is_decoded_into_the_products_words():
+    job = front.read_job("a" * 16, "h/q/", _JOB)
+    first, second = job.steps
+    assert (first.count, first.cpu_milli, first.memory_mb) == (4, 500, 256)
+    assert first.estimate_s == 0.9 and not first.is_filler
+    assert second.after == (0,) and second.is_filler and second.has_checkpoints
+    assert second.data_rack == "r1" and second.max_per_host == 1
+
+
+def test_bad_submissions_are_refused_with_what_to_correct():
+    deep = b"[" * 100_000 + b"]" * 100_000
+    bodies = (
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        deep,
+        b'{"specification": "x", "steps": ' + deep + b"}",
+        b'{"specification": "x", "steps": []}',
+        b'{"specification": 1, "steps": [{"count": 1}]}',
+        b'{"specification": "x", "steps": [{"count": 0}]}',
+        b'{"specification": "x", "steps": [{"count": 1, "after": [0]}]}',
+        b'{"specification": "x", "steps": [{"count": 1, "cpu": -1}]}',
+        b'{"specification": "x", "steps": [{"count": 1000000}]}',
+    )
+    for body in bodies:
+        exc = fixtures.error_of(errors.Error, front.read_job, "a" * 16, "q", body)
+        assert exc.kind is errors.Kind.BAD_BODY, body[:40]
+        assert exc.ran is errors.Ran.NO
+
+
+def test_a_runners_report_is_decoded():
+    body = (
+        b'{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,'
+        b'"state":"draining","remaining_ms":1500,"sequence":4,"born":17,'
+        b'"capacity":{"cpu":16000,"task_memory_mb":32768,"gpu":1},"labels":["a","r1"]}'
+    )
+    heard = runner.read_report("i-1", body)
+    assert heard.info.is_draining and heard.info.time_left_s == 1.5
+    assert heard.info.life == 17 and heard.info.cpu_milli == 16_000
+    assert heard.address == "10.0.0.9:80" and heard.sequence == 4
+
+
+def test_reports_of_other_writers_name_no_runner():
+    good = (
+        b'{"service":"s","address":"a:1","zone":"z","state":"ready","sequence":1,'
+        b'"capacity":{"cpu":1,"task_memory_mb":1}}'
+    )
+    runner.read_report("i", good)
+    for faulty in (
+        b"\x00\xff",
+        b"{}",
+        good.replace(b'"ready"', b'"sleeping"'),
+        good.replace(b'"sequence":1', b'"sequence":"x"'),
+        good.replace(b'"cpu":1,', b""),
+    ):
+        exc = fixtures.error_of(errors.Error, runner.read_report, "i", faulty)
+        assert exc.kind is errors.Kind.BAD_BODY
+
+
+def test_a_configuration_is_decoded_and_a_faulty_one_refused():
+    body = (
+        b'{"version":7,"routes":[{"name":"r","host":"h","prefix":"/q/","service":"s",'
+        b'"priority":2,"max_attempts":4,"stretch":2.0,"target_latency_ms":1000}],'
+        b'"services":[],"limits":{"max_body_bytes":100}}'
+    )
+    config = operator.read_config(body)
+    queue = config.routes[0].queue
+    assert config.version == 7 and config.limits.max_body_bytes == 100
+    assert queue.max_attempts == 4 and queue.latency_objective_s == 1.0
+    exc = fixtures.error_of(errors.Error, operator.read_config, body[:-10])
+    assert exc.kind is errors.Kind.INVALID_CONFIG
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/standins/kvhttp.py
@@ -0,0 +1,116 @@
+"""The stand-in for the platform's store, over its HTTP interface."""
+
+import base64
+import contextlib
+import json
+import urllib.parse
+
+from bilberrypass import clock, errors
+from bilberrypass.connection import serving
+from bilberrypass.scheduling import keyvalue
+from testing.standins import keyvalues
+
+
+def _item(item):
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created": item.revision,
+        "lease": 0,
+    }
+
+
+class Server:
+    """A WSGI application over a store in memory.
+
+    ``refuse_with`` is a status that every call gets. ``page`` bounds a listing.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.refuse_with = 0
+        self.page = 500
+
+    def __call__(self, environ, start):
+        status, body = self._serve(environ)
+        content = json.dumps(body).encode()
+        start(f"{status} X", [("Content-Length", str(len(content)))])
+        return [content]
+
+    def _serve(self, environ):
+        if self.refuse_with:
+            return self.refuse_with, {}
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
+        name = environ["PATH_INFO"].removeprefix("/api/kv-").split("/")
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(length) or b"{}")
+        call = getattr(self, f"_{name[0].replace('-', '_')}")
+        try:
+            return call(query, body, *name[1:])
+        except keyvalue.PreconditionFailed as exc:
+            return 412, {"items": [_item(i) for i in exc.items.values()]}
+        except keyvalue.LeaseLost:
+            return 404, {}
+        except keyvalue.HistoryLost:
+            return 410, {}
+        except errors.Error:
+            return 503, {}
+
+    def _key(self, query, body):
+        found = self.store.get(query["key"], clock.now())
+        if found.item is None:
+            return 404, {"at": found.revision}
+        return 200, _item(found.item) | {"at": found.revision}
+
+    def _range(self, query, body):
+        found = self.store.list(query["prefix"], clock.now())
+        items = [i for i in found.items if i.key > query.get("after", "")]
+        return 200, {
+            "items": [_item(i) for i in items[: self.page]],
+            "has_more": len(items) > self.page,
+            "at": found.revision,
+        }
+
+    def _watch(self, query, body):
+        wait_s = int(query["wait_ms"]) / 1_000
+        found = self.store.watch(query["prefix"], int(query["after"]), wait_s)
+        events = [
+            {"key": c.key, "revision": c.revision, "tombstone": True}
+            if c.value is None
+            else _item(keyvalue.Item(c.key, c.value, c.revision))
+            for c in found.changes
+        ]
+        return 200, {"events": events, "at": found.revision}
+
+    def _txn(self, query, body):
+        expected = {row["key"]: row["revision"] for row in body["expected_revision"]}
+        puts = [
+            keyvalue.Put(p["key"], base64.b64decode(p["value"]), p["lease"])
+            for p in body["set_keys"]
+        ]
+        return 200, {"revision": self.store.commit(expected, puts, clock.now())}
+
+    def _lease(self, query, body):
+        lease = self.store.grant(body["ttl_ms"] / 1_000, clock.now())
+        return 200, {"lease": lease.id, "ttl_ms": int(lease.ttl_s * 1_000)}
+
+    def _keep(self, query, body, id):
+        self.store.renew(int(id), clock.now())
+        return 200, {"ttl_ms": 3_000}
+
+    def _lease_end(self, query, body, id):
+        self.store.revoke(int(id), clock.now())
+        return 200, {}
+
+
+@contextlib.contextmanager
+def serve():
+    """Serve a new store; yields the application and its address."""
+    app = Server(keyvalues.Store())
+    listener = serving.Listener("127.0.0.1:0", app, 8, 4 << 20)
+    listener.start()
+    try:
+        yield app, listener.address
+    finally:
+        listener.stop()
