Note ends that are stored out of order

Ruled out: lost writes (each end was in the store), moves of runs (plain ends too). Change: settled rows carry the number of their end; notes go up to the last stored end below the first open one; stuck ends are logged. Conclusion: the notes follow the store alone.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -11,6 +11,9 @@
 
 RunKey = tuple[str, int]
 
+# A runner takes up to 0.9 s to stop a run and list its end (RULES.md).
+_LISTED_S: t.Final = 1.0
+
 
 class Run:
     """A run and what the agent knows of it.
@@ -175,7 +178,8 @@
         self._changed.set()
 
     def _miss(self, run: Run, present: abc.Container[RunKey], asked_at: float) -> None:
-        is_due = run.answered_at is not None and run.answered_at < asked_at
+        """Give up a run that the runner would list by now, if it were there."""
+        is_due = run.answered_at is not None and run.answered_at + _LISTED_S < asked_at
         if is_due and not run.is_final and run.key not in present:
             run.state, run.outcome = State.GONE, "missing"
             self._changed.set()
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -10,6 +10,7 @@
 _FORGIVEN = 0.25  # of a failure, for each task done
 SILENT_AFTER_S = 1.6  # three reports of an agent
 
+_STUCK_AFTER_S = 3.0  # many writes of a slow store
 RESEND_AFTER_S = 1.0  # two reports of an agent
 
 RowKey = tuple[str, int]
@@ -30,7 +31,7 @@
     a guess about earlier schedulers until the agent's first report.
     ``sent`` maps the runs to their newest order.
     ``pending`` holds final rows whose outcome is being stored, ``settled`` those
-    that are stored and may be forgotten.
+    that are stored and may be forgotten, with the number of the end.
     """
 
     def __init__(self, name: str, granted_until: float) -> None:
@@ -49,9 +50,10 @@
         self.tasks: dict[RowKey, state.Task] = {}
         self.sent: dict[RowKey, Sent] = {}
         self.pending: set[RowKey] = set()
-        self.settled: set[RowKey] = set()
-        self.open_ends: set[int] = set()
+        self.settled: dict[RowKey, int] = {}
+        self.open_ends: dict[int, float] = {}
         self.noted = 0
+        self.last_stored = 0
         self.used_cpu = 0
         self.used_memory = 0
         self.used_gpus = 0
@@ -60,6 +62,7 @@
         self.service_cpu = 0
         self.pressure = 0.0
         self.taught_at = 0.0
+        self.complained_at = 0.0
         self.sample: interference.Sample | None = None
         self.step_counts: dict[StepKey, int] = {}
         self.failures = 0.0
@@ -120,20 +123,21 @@
     def settle(self, key: RowKey, end: int) -> None:
         """Record that a final row has been stored."""
         self.pending.discard(key)
-        self.settled.add(key)
-        self.open_ends.discard(end)
-        self._advance(end)
+        self.settled[key] = end
+        self.open_ends.pop(end, None)
+        self.last_stored = max(self.last_stored, end)
+        lowest_open = min(self.open_ends, default=self.last_stored + 1)
+        self.noted = max(self.noted, lowest_open - 1)
 
     def see_end(self, number: int) -> None:
         """Record that an end was listed that is not stored yet."""
-        if number > self.noted:
-            self.open_ends.add(number)
+        if number > self.noted and number not in self.open_ends:
+            self.open_ends[number] = self.heard_at
 
-    def _advance(self, end: int) -> None:
-        if self.open_ends:
-            self.noted = max(self.noted, min(self.open_ends) - 1)
-        else:
-            self.noted = max(self.noted, end)
+    def stuck_ends(self, now: float) -> list[int]:
+        """Return the ends that ought to have been stored by now."""
+        due = now - _STUCK_AFTER_S
+        return [number for number, at in self.open_ends.items() if at < due]
 
     def measure(self) -> None:
         """Bring ``pressure``, the worst latency by its target, up to date."""
@@ -150,7 +154,7 @@
         """Take up a new life of the runner; return the runs that ended with the old."""
         lost = [task for task in self.tasks.values() if task.life != info.life]
         self.life = info.life
-        self.noted = 0
+        self.noted = self.last_stored = 0
         self.open_ends.clear()
         self.pending.clear()
         self.settled.clear()
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -15,6 +15,7 @@
 _LEASE_MARGIN_S: t.Final = 0.2
 _RETRY_S: t.Final = 0.25
 _MILLI: t.Final = 1_000
+_COMPLAIN_INTERVAL_S: t.Final = 2.0
 
 _ends = prometheus.Counter("bilberrypass_runs_ended", "Runs that ended", ["how"])
 
@@ -87,13 +88,14 @@
 
     def _see_runs(self, host: hosts.Host, report: messages.Report) -> None:
         rows = {(row.task, row.run): row for row in report.runs}
-        host.settled &= rows.keys()
-        for row in report.runs:
-            if row.end:
+        for key in host.settled.keys() - rows.keys():
+            del host.settled[key]
+        for key, row in rows.items():
+            if row.end and host.settled.get(key) != row.end:
                 host.see_end(row.end)
         for key, row in rows.items():
             task = host.tasks.get(key)
-            if key in host.settled or key in host.pending:
+            if key in host.pending or host.settled.get(key) == row.end:
                 continue
             if task is None:
                 self._see_stray(host, key, row)
@@ -273,6 +275,12 @@
     def tick(self, now: float) -> None:
         """Give up what runs on hosts whose lease has certainly ended."""
         for host in self._owner.hosts.values():
+            stuck = host.stuck_ends(now)
+            if stuck and now > host.complained_at + _COMPLAIN_INTERVAL_S:
+                host.complained_at = now
+                decisions.record(
+                    "host.ends_stuck", host=host.name, ends=stuck[:10], noted=host.noted
+                )
             if host.tasks and now > host.granted_until + _LEASE_MARGIN_S:
                 decisions.record(
                     "host.lapsed",
--- a/testing/scheduling/test_ends.py
+++ b/testing/scheduling/test_ends.py
@@ -48,4 +48,36 @@
         assert office.stored().status == "completed"
 
 
+def test_ends_that_are_stored_out_of_order_are_all_noted():
+    # Seen on ringkas-bilberry quiet-1: the later of two ends was stored first, came
+    # in again with the next report, and then held all notes of the host up.
+    with offices.office() as office:
+        host = office.host("h1")
+        for id in ("a" * 16, "b" * 16):
+            office.submit(jobs.Step(2, cpu_milli=100), id=id)
+        host.await_orders(4)
+        orders = {order.task[0] + order.task[-1]: order for order in host.obey()}
+        first, second = orders["a0"], orders["b0"]
+        host.report()
+        office.store.hold_commits = 1
+        host.end((first.task, first.run), "done")
+        host.report()
+        number = host.end((second.task, second.run), "done")
+        fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "the notes")
+
+
+def test_an_end_that_comes_after_a_run_was_given_up_is_noted():
+    with offices.office() as office:
+        host = office.host("h1")
+        office.submit(jobs.Step(1, cpu_milli=100))
+        host.await_orders(1)
+        (order,) = host.obey()
+        host.report()
+        key = order.task, order.run
+        host.rows[key] = host.rows[key]._replace(state=int(offices.State.GONE))
+        host.report()
+        number = host.end(key, "stopped")
+        fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "the note")
+
+
 load_tests = collecting.hook(__name__)
