Write the next group only once the revisions of the last are known

Cause: the writer was free again before the scheduler's thread had taken the new revisions in; a job in both groups would have failed its precondition and cost the term of office. Change: a group counts as under way until its revisions are taken in; the stand-in shares the revision.

--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -70,13 +70,8 @@
             self._stopping = True
             self._ready.notify()
 
-    @property
-    def is_busy(self) -> bool:
-        """Tell whether a group is on its way."""
-        return self._group is not None
-
     def submit(self, group: list[Write]) -> None:
-        """Write a group; only while not busy."""
+        """Write a group; only after the one before was stored."""
         with self._ready:
             assert self._group is None
             self._group = group
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -329,7 +329,8 @@
         self._orders[host.name].append(order)
 
     def _write(self) -> None:
-        if self._committer.is_busy or not self._dirty:
+        # A group is under way until its revisions are known here.
+        if self._in_flight or not self._dirty:
             return
         group = []
         for id in list(self._dirty)[: committing.MAX_JOBS]:
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -49,8 +49,9 @@
             if lease == id:
                 self._change(key, None)
 
-    def _change(self, key, value, lease=0):
-        self.revision += 1
+    def _change(self, key, value, lease=0, revision=None):
+        # The writes of one transaction share a revision.
+        self.revision = self.revision + 1 if revision is None else revision
         self._attached.pop(key, None)
         if value is None:
             self.items.pop(key, None)
@@ -134,8 +135,9 @@
         for put in puts:
             if put.lease and put.lease not in self._leases:
                 raise keyvalue.LeaseLost(put.lease)
+        revision = self.revision + 1
         for put in puts:
-            self._change(put.key, put.value, put.lease)
+            self._change(put.key, put.value, put.lease, revision)
         return self.revision
 
     def grant(self, ttl_s, deadline):
