Give up the runs of a silent runner, and judge a host's speed by many tasks

A lease of 9 s was also longer than the 6 s that a task that lasts may be away. Ruled out: placement (the scheduler believed the runs alive). Conclusion: what was promised without an answer must not grow.

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -57,6 +57,7 @@
         self._clock_ms = 0
         self._clock_at = 0.0
         self._answered_at = clock.now()
+        self._is_silent = False
         self._listed = decisions.Dependency("runner")
         self._pacer = pacing.Pacer()
         self._pressing: dict[tuple[str, str], float] = {}
@@ -123,16 +124,20 @@
         """Return the granted lease's end on the runner's clock, if that is known.
 
         The runner read its clock no later than its answer arrived, and the clock
-        may run slow, so the lease never outlasts the grant.
+        may run slow, so the lease never outlasts the grant. A silent runner gets no
+        longer lease: a call without an answer may renew it all the same, and its
+        runs could never be given up.
         """
-        if not self._clock_at or self._granted_until <= clock.now():
+        until = self._leased_until if self._is_silent else self._granted_until
+        if not self._clock_at or until <= clock.now():
             return None
-        left_s = self._granted_until - self._clock_at
-        self._leased_until = max(self._leased_until, self._granted_until)
+        left_s = until - self._clock_at
+        self._leased_until = max(self._leased_until, until)
         return self._clock_ms + int(left_s * _CLOCK_RATE * _MS)
 
     def _see_clock(self, clock_ms: int, at: float) -> None:
         self._answered_at = at
+        self._is_silent = False
         if clock_ms:
             self._clock_ms, self._clock_at = clock_ms, at
 
@@ -284,5 +289,6 @@
 
     def _on_silence(self, exc: errors.Error) -> None:
         self._listed.failed(exc)
+        self._is_silent = True
         if clock.now() > self._leased_until:
             self.table.lose_all("lapsed")
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -23,6 +23,9 @@
 # The balancer drops an entry after two missed probes, one a second.
 _LEAVE_S: t.Final = 2.6
 _LEASE_SHARE: t.Final = 0.9  # of the longest lease that a runner keeps
+# Outlasts the restart of an agent, and lets a task that lasts run again within the
+# 6 s that RULES.md gives (LOST).
+_LEASE_S: t.Final = 5.0
 _FIND_S: t.Final = 1.0
 _FLUSH_S: t.Final = 0.3
 
@@ -41,7 +44,7 @@
 
 def lease_s(node: settings.Node) -> float:
     """Return how long a lease lasts from the agent's report on."""
-    return node.max_lease_s * _LEASE_SHARE
+    return min(_LEASE_S, node.max_lease_s * _LEASE_SHARE)
 
 
 @t.final
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -3,7 +3,7 @@
 import typing as t
 
 from bilberrypass.hosting import messages
-from bilberrypass.scheduling import interference, jobs, state
+from bilberrypass.scheduling import interference, jobs, state, stragglers
 
 _ASIDE_S = 1.0  # after one failure, which sound hosts see too
 _MAX_ASIDE_S = 8.0
@@ -68,6 +68,8 @@
         self.failures = 0.0
         self.avoid_until = 0.0
         self.draining_until = 0.0
+        self.speed = stragglers.Speed()
+        self.is_slow = False
 
     def blame(self, now: float) -> None:
         """Set the host aside for a while that grows with each failure."""
@@ -160,6 +162,7 @@
         self.settled.clear()
         self.failures = 0.0
         self.avoid_until = 0.0
+        self.speed = stragglers.Speed()
         return lost
 
 
--- a/src/bilberrypass/scheduling/moving.py
+++ b/src/bilberrypass/scheduling/moving.py
@@ -3,7 +3,7 @@
 import typing as t
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, placement, reconciling, state
+from bilberrypass.scheduling import hosts, placement, reconciling, state, stragglers
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -12,6 +12,7 @@
 _SLOW_FOR_S: t.Final = 1.2  # two settings of the speed
 _MOVES_A_ROUND: t.Final = 3
 _LITTLE_DONE_PERCENT: t.Final = 15  # what is lost without a checkpoint
+_RESTART_S: t.Final = 0.8  # a stop, a write and a start
 _LEAVE_MARGIN_S: t.Final = 0.7  # a stop and its report
 
 
@@ -35,6 +36,7 @@
         """Stop a few runs that another host would take at once."""
         moves = 0
         usable = [host for host in self._owner.hosts.values() if host.is_usable(now)]
+        self._judge(now)
         for host in self._owner.hosts.values():
             if now - host.heard_at > hosts.SILENT_AFTER_S:
                 continue
@@ -45,6 +47,25 @@
                 if why:
                     moves += self._move(task, host, usable, why, now)
 
+    def _judge(self, now: float) -> None:
+        """Tell slow hosts from the others."""
+        every = self._owner.hosts.values()
+        usual = stragglers.usual_level(host.speed for host in every)
+        for host in every:
+            is_slow = host.speed.is_slow(usual)
+            if is_slow != host.is_slow:
+                host.is_slow = is_slow
+                decisions.record(
+                    "host.speed",
+                    host=host.name,
+                    is_slow=is_slow,
+                    level=round(host.speed.level, 2),
+                    usual=round(usual, 2),
+                )
+            if is_slow and now > host.avoid_until:
+                host.blame(now)
+                host.speed = stragglers.Speed()  # judged anew by what starts next
+
     def _reason(self, task: state.Task, host: hosts.Host, now: float) -> str:
         """Return why a run ought to move, or nothing."""
         if task.phase is not state.Phase.RUNNING or task.step.is_gang:
@@ -56,12 +77,10 @@
             return ""
         if self._is_held_back(task, now):
             return "slowed"
-        if task.progress.is_stalled(now):
+        if task.progress.is_stalled(task.step.estimate_s, now):
             return "stalled"
-        is_filler = task.step.is_filler
-        if not is_filler and task.progress.is_crawling(task.step.estimate_s, now):
-            return "crawling"
-        return ""
+        is_worth = task.progress.left_s(now) > task.step.estimate_s + _RESTART_S
+        return "crawling" if host.is_slow and is_worth else ""
 
     def _reason_to_leave(self, task: state.Task, host: hosts.Host, now: float) -> str:
         """Let short work end on a host that leaves, and move the rest in time."""
@@ -114,7 +133,8 @@
             progress=task.progress.percent,
         )
         if why in ("stalled", "crawling"):
-            host.blame(now)
+            if now > host.avoid_until:
+                host.blame(now)
             task.avoided_host = host.name
         task.phase = state.Phase.STOPPING
         task.slow_since = 0.0
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -102,6 +102,7 @@
             else:
                 self._see_run(host, task, row)
         host.measure()
+        host.speed.keep({f"{row.task}/{row.run}" for row in report.runs})
         self._learn(host)
         for key, task in list(host.tasks.items()):
             if key not in rows:
@@ -147,7 +148,7 @@
             task.checkpoint = row.checkpoint
         task.figure, task.pace = row.figure, row.pace
         if row.state == State.RUNNING:
-            task.progress.see(row.progress, row.pace, host.heard_at)
+            self._see_progress(host, task, row)
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
@@ -157,6 +158,18 @@
         elif row.state in (State.REJECTED, State.GONE):
             self._lose(host, task, row.outcome, row)
 
+    def _see_progress(
+        self, host: hosts.Host, task: state.Task, row: messages.RunRow
+    ) -> None:
+        task.progress.see(row.progress, row.pace, host.heard_at)
+        if not (task.step.is_service or task.step.is_filler):
+            host.speed.observe(
+                f"{row.task}/{row.run}",
+                row.progress,
+                task.step.estimate_s,
+                host.heard_at,
+            )
+
     def _see_running(self, host: hosts.Host, task: state.Task) -> None:
         """Repeat what the agent of a running task ought to know and does not."""
         key = str(task.key), task.run
