Serve a cut-off leader's callers through other entries; metrics on a fixed port

Ruled out: giving the lead up sooner (a successor leads after 2 s; it is the callers' channels that stay). Change: entries give their address with each question, and a cut-off leader sends changes and questions to one heard of late. Conclusion: callers are refused only where no entry heard of reaches the store.

--- a/src/bilberrypass/hosting/messages.py
+++ b/src/bilberrypass/hosting/messages.py
@@ -144,9 +144,10 @@
 
 
 class StateAsk(t.NamedTuple):
-    """Asks for the state of a job."""
+    """Asks for the state of a job; ``asker`` is the entry's own address."""
 
     job: str
+    asker: str
 
 
 class StateTold(t.NamedTuple):
@@ -197,7 +198,9 @@
 
 REPORT: t.Final = channels.Method("HostReport", Report, Reported)
 ORDERS: t.Final = channels.Method("HostOrders", Orders, Obeyed)
+# Only the scheduler answers STATE; any entry finds a STATUS out.
 STATE: t.Final = channels.Method("JobState", StateAsk, StateTold)
+STATUS: t.Final = channels.Method("JobStatus", StateAsk, StateTold)
 SUBMIT: t.Final = channels.Method("JobSubmit", SubmitAsk, SubmitTold)
 CANCEL: t.Final = channels.Method("JobCancel", CancelAsk, CancelTold)
 WAITING: t.Final = channels.Method("JobsWaiting", WaitingAsk, WaitingTold)
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -1,7 +1,6 @@
 """The two programs of the platform, put together from the product's parts."""
 
 import abc
-import http.server
 import signal
 import threading
 import time
@@ -27,6 +26,7 @@
 # 6 s that RULES.md gives (LOST).
 _LEASE_S: t.Final = 5.0
 _FIND_S: t.Final = 1.0
+_METRICS_PORT: t.Final = 9464  # as deploy/system.toml says
 _FLUSH_S: t.Final = 0.3
 
 
@@ -136,8 +136,7 @@
 
 
 def _serve_metrics(node: settings.Node) -> None:
-    server, _ = prometheus.start_http_server(node.metrics_port, node.ip)
-    assert isinstance(server, http.server.HTTPServer)
+    prometheus.start_http_server(_METRICS_PORT, node.ip)
 
 
 def run(role: str) -> int:
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -23,7 +23,6 @@
     readiness_address: str
     runner_reports_address: str
     peer_address: str
-    metrics_port: int
     store_address: str
     advice_address: str
     machines_address: str
@@ -116,7 +115,6 @@
         readiness_address=found.listen_addresses.ready,
         runner_reports_address=found.listen_addresses.control,
         peer_address=f"{found.ip_address}:{first_port}",
-        metrics_port=first_port + 1,
         store_address=found.platform.address,
         advice_address=found.recommendation or "",
         machines_address=found.cloud.address if found.cloud else "",
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -23,6 +23,9 @@
 
 _PEER_CALL_S: t.Final = 0.4  # a few round trips; the store answers in its place
 _RPC_THREADS: t.Final = 48
+_CALL_S: t.Final = 1.0
+_HELPER_CALL_S: t.Final = 1.2  # a call of the helper's own, and back
+_HEARD_S: t.Final = 60.0
 _OWN_SHARE: t.Final = 0.45  # of a caller's time, before the leader is asked instead
 _DETOUR_S: t.Final = 2.0  # how long the leader is asked first after a failure
 _DETOUR_CALL_S: t.Final = 1.0
@@ -71,6 +74,7 @@
         self._lock = threading.Lock()
         self._peer: channels.Peer | None = None
         self._detour_until = 0.0
+        self._askers: dict[str, float] = {}
         self._election = election.Election(store, name, peer_address, self)
         self._server = channels.Server(
             peer_address,
@@ -78,6 +82,7 @@
                 messages.REPORT: self._serve_report,
                 messages.STATE: self._serve_state,
                 messages.WAITING: self._serve_waiting,
+                messages.STATUS: self._serve_status,
                 messages.SUBMIT: self._serve_submit,
                 messages.CANCEL: self._serve_cancel,
             },
@@ -164,10 +169,10 @@
 
         The store may serve the leader and refuse this host.
         """
-        leader = self._election.leader
-        if leader is None or leader.address == self._address:
+        address = self._find_helper()
+        if not address:
             return here(deadline)
-        peer = self._leader_peer(leader)
+        peer = self._peer_at(address)
         own_deadline = clock.now() + (deadline - clock.now()) * _OWN_SHARE
         tries: list[abc.Callable[[], T]] = [
             lambda: here(own_deadline),
@@ -182,7 +187,7 @@
                 return attempt()
             except errors.Error as exc:
                 self._detour_until = clock.now() + _DETOUR_S
-                decisions.record("change.failed", leader=leader.name, why=str(exc))
+                decisions.record("change.failed", helper=address, why=str(exc))
                 if lost is None or not _is_certain(exc):
                     lost = exc
         assert lost is not None
@@ -211,14 +216,37 @@
 
     def status(self, id: str, deadline: float) -> str:
         """Return a job's stored status; empty if the store has no such job."""
-        ask = messages.StateAsk(id)
-        told = self._ask_leader(messages.STATE, ask, self._serve_state)
+        ask = messages.StateAsk(id, self._address)
+        if self._is_cut_off:
+            told = self._ask_helper(ask, deadline)
+        else:
+            told = self._ask_leader(messages.STATE, ask, self._serve_state)
         if told is not None and told.status:
             return told.status
         status = self._submissions.read_status(id, deadline)
         decisions.record("job.status_read", job=id, status=status, leader=bool(told))
         return status
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Tell whether this entry leads, and another may by now."""
+        found = self._scheduler
+        return found is not None and found.is_cut_off
+
+    def _ask_helper(
+        self, ask: messages.StateAsk, deadline: float
+    ) -> messages.StateTold | None:
+        """Return what another entry finds out, or None."""
+        address = self._find_helper()
+        if not address:
+            return None
+        until = time.monotonic() + min(_HELPER_CALL_S, deadline - clock.now())
+        try:
+            return self._peer_at(address).call(messages.STATUS, ask, until)
+        except errors.Error as exc:
+            decisions.record("helper.unanswered", helper=address, why=str(exc))
+            return None
+
     def waiting(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun.
 
@@ -248,19 +276,30 @@
             return None
         try:
             deadline = time.monotonic() + _PEER_CALL_S
-            told = self._leader_peer(leader).call(method, ask, deadline)
+            told = self._peer_at(leader.address).call(method, ask, deadline)
         except errors.Error as exc:
             decisions.record("leader.unanswered", leader=leader.name, why=str(exc))
             return None
         return told if told.is_leader else None
 
-    def _leader_peer(self, leader: election.Leader) -> channels.Peer:
+    def _find_helper(self) -> str:
+        """Return another entry's address: the leader's, or of one heard of late."""
+        leader = self._election.leader
+        if leader is not None and leader.address != self._address:
+            return leader.address
+        heard_at, address = max(
+            ((at, address) for address, at in list(self._askers.items())),
+            default=(0.0, ""),
+        )
+        return address if clock.now() - heard_at < _HEARD_S else ""
+
+    def _peer_at(self, address: str) -> channels.Peer:
         with self._lock:
             peer = self._peer
-            if peer is None or peer.address != leader.address:
+            if peer is None or peer.address != address:
                 if peer is not None:
                     peer.close()
-                peer = self._peer = channels.Peer(leader.address)
+                peer = self._peer = channels.Peer(address)
             return peer
 
     # Called by peers' threads.
@@ -281,11 +320,17 @@
         return messages.CancelTold(is_known)
 
     def _serve_state(self, ask: messages.StateAsk) -> messages.StateTold:
+        self._askers[ask.asker] = clock.now()
         found = self._scheduler
         if found is None or not found.is_loaded:
             return messages.StateTold(False)
         return messages.StateTold(True, found.status(ask.job))
 
+    def _serve_status(self, ask: messages.StateAsk) -> messages.StateTold:
+        if self._is_cut_off:
+            return messages.StateTold(False)
+        return messages.StateTold(True, self.status(ask.job, clock.now() + _CALL_S))
+
     def _serve_waiting(self, ask: messages.WaitingAsk) -> messages.WaitingTold:
         found = self._scheduler
         if found is None or not found.is_loaded:
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -152,9 +152,8 @@
         if host is not None and report.runner and host.life == report.runner.life:
             noted, settled = host.noted, list(host.settled)
             pressing = self._pressing(host, now)
-        is_cut_off = now - self._contact_at() > CUT_OFF_AFTER_S
         return messages.Reported(
-            True, self.epoch, lease_s, noted, settled, is_cut_off, pressing
+            True, self.epoch, lease_s, noted, settled, self.is_cut_off, pressing
         )
 
     def _await_stored(self, report: messages.Report) -> None:
@@ -180,6 +179,11 @@
         authority = self._contact_at() + AUTHORITY_S - now
         return max(0.0, min(self.cfg.lease_s, authority))
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether the store has not answered of late, so that another may lead."""
+        return clock.now() - self._contact_at() > CUT_OFF_AFTER_S
+
     def status(self, id: str) -> str:
         """Return a job's stored status; empty if it is not known."""
         job = self.jobs.get(id)
--- a/testing/scheduling/test_entry.py
+++ b/testing/scheduling/test_entry.py
@@ -64,4 +64,16 @@
         assert follower.status("b" * 16, clock.now() + 2) == ""
 
 
+def test_a_leader_that_is_cut_off_has_its_callers_served_by_others():
+    # Seen on nvctg-sched trouble-1: the leader's host was refused by the store, and
+    # for seven seconds its callers got 502.
+    with _entries() as ((leader, follower), (way, _), store):
+        follower.status("b" * 16, clock.now() + 1)
+        way.is_cut = True
+        leader.submit(_job(), clock.now() + 2)
+        assert intake.JOB_PREFIX + ID in store.items
+        fixtures.wait_until(lambda: follower._scheduler, 8.0, "the successor")
+        assert leader.status(ID, clock.now() + 2) == "queued"
+
+
 load_tests = collecting.hook(__name__)
