Keep what was learnt of images for a successor, and wait for first figures

Ruled out: the pacing at the agent (it stopped them within half a second). Change: estimates go into the store with the progress of jobs, at no extra call; a service without a figure counts as at half of its target.

--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -10,8 +10,10 @@
 from bilberrypass.scheduling import election, keyvalue
 
 PREFIX: t.Final = "progress/"
-# Each job takes a precondition and a value; the election takes a precondition.
-MAX_JOBS: t.Final = (keyvalue.MAX_COMMIT_ENTRIES - 1) // 2
+INTERFERENCE_KEY: t.Final = "interference"
+# Each job takes a precondition and a value; the election takes a precondition, and
+# what was learnt of images a value.
+MAX_JOBS: t.Final = (keyvalue.MAX_COMMIT_ENTRIES - 2) // 2
 _CALL_S: t.Final = 1.0  # four times the answer of a store 60 times slower than usual
 _RETRY_S: t.Final = 0.1
 
@@ -55,6 +57,7 @@
         self._on_stored = on_stored
         self._on_deposed = on_deposed
         self._group: list[Write] | None = None
+        self._extra: list[keyvalue.Put] = []
         self._ready = threading.Condition()
         self._stored = decisions.Dependency("commit")
         self._stopping = False
@@ -70,11 +73,12 @@
             self._stopping = True
             self._ready.notify()
 
-    def submit(self, group: list[Write]) -> None:
-        """Write a group; only after the one before was stored."""
+    def submit(self, group: list[Write], extra: keyvalue.Put | None = None) -> None:
+        """Write a group, and a key that nobody depends on; after the one before."""
         with self._ready:
             assert self._group is None
             self._group = group
+            self._extra = [] if extra is None else [extra]
             self._ready.notify()
 
     def _run(self) -> None:
@@ -96,6 +100,7 @@
         expected = {PREFIX + write.job: write.replaces for write in group}
         expected[election.KEY] = self._epoch
         puts = [keyvalue.Put(PREFIX + write.job, write.value) for write in group]
+        puts += self._extra
         while not self._stopping:
             try:
                 revision = self._store.commit(expected, puts, clock.now() + _CALL_S)
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -89,6 +89,7 @@
     jobs: list[jobs.Job]
     cancelled: list[str]
     progress: list[keyvalue.Item]
+    learnt: bytes
 
 
 @t.final
@@ -146,13 +147,15 @@
 
     def _load(self, listing: keyvalue.Listing) -> None:
         progress = self._store.list(committing.PREFIX, clock.now() + _CALL_S)
+        learnt = self._store.get(committing.INTERFERENCE_KEY, clock.now() + _CALL_S)
         found, cancelled = [], []
         for item in listing.items:
             if item.key.startswith(CANCEL_PREFIX):
                 cancelled.append(item.key.removeprefix(CANCEL_PREFIX))
             elif (job := _decode(item.key, item.value)) is not None:
                 found.append(job)
-        self._on_loaded(Loaded(found, cancelled, progress.items))
+        value = b"" if learnt.item is None else learnt.item.value
+        self._on_loaded(Loaded(found, cancelled, progress.items, value))
 
     def _watch(self, revision: int) -> None:
         while not self._stopping.is_set():
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -4,6 +4,8 @@
 import math
 import typing as t
 
+import msgspec
+
 from bilberrypass.hosting import messages
 
 # Before anything is known: a filler of 7 cores adds a seventh to the latency.
@@ -84,6 +86,28 @@
             if service in services
         ]
 
+    def encode(self) -> bytes:
+        """Return all estimates as the store keeps them."""
+        return msgspec.msgpack.encode(
+            [_Stored(*pair, *found) for pair, found in self._pairs.items()]
+        )
+
+    def restore(self, value: bytes) -> None:
+        """Take up what an earlier scheduler has learnt."""
+        rows = msgspec.msgpack.decode(value, type=list[_Stored])
+        self._pairs = {
+            (row.service, row.filler): Estimate(row.mean, row.variance) for row in rows
+        }
+
+
+class _Stored(t.NamedTuple):
+    """One estimate in the store."""
+
+    service: str
+    filler: str
+    mean: float
+    variance: float
+
 
 class Sample(t.NamedTuple):
     """What was measured on a host at a time on ``clock.now``.
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -13,6 +13,7 @@
 _PRESSURE_WEIGHT: t.Final = 20_000  # a service at its target weighs 20 cores
 _RISE_WEIGHT: t.Final = 100_000  # a tenth more latency weighs 10 cores
 _PERCENT: t.Final = 100.0
+_UNMEASURED: t.Final = 0.5  # of its target, for a service without a figure yet
 _AHEAD_S: t.Final = 3.0  # about a filler's time to its next move
 _PRESSURE_LIMIT: t.Final = 0.82  # of a service's latency target
 _MILLI: t.Final = 1_000
@@ -128,7 +129,8 @@
         later = sum(estimates.per_core(image, f) * x for f, x in slowed.items())
         most = max(most, rise)
         later += task.trend.ahead(_AHEAD_S)
-        pressure = max(pressure, task.figure / target_ms * math.exp(rise + later))
+        share = task.figure / target_ms if task.figure else _UNMEASURED
+        pressure = max(pressure, share * math.exp(rise + later))
     return Effect(pressure, most)
 
 
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -35,6 +35,7 @@
 _GATHER_S: t.Final = 0.012  # events that come together share a write
 _LEASE_MARGIN_S: t.Final = 0.3
 _TEACH_INTERVAL_S: t.Final = 1.0
+_LEARNT_INTERVAL_S: t.Final = 4.0
 CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election's lease
 # Without an answer of the store for this long, no lease is granted any more: a
 # successor waits as long for hosts that it cannot reach.
@@ -97,6 +98,7 @@
         self.hosts: dict[str, hosts.Host] = {}
         self.open_jobs: dict[str, state.JobState] = {}
         self.estimates = interference.Estimates()
+        self._learnt_at = clock.now()
         self._cancelled_early: set[str] = set()
         self.is_loaded = False
         self._elected_at = clock.now()
@@ -255,6 +257,8 @@
             known = self.jobs.get(item.key.removeprefix(committing.PREFIX))
             if known is not None:
                 known.restore(item.value, item.revision)
+        if loaded.learnt:
+            self.estimates.restore(loaded.learnt)
         self.is_loaded = True
         for known in self.jobs.values():
             if not known.is_final:
@@ -341,7 +345,15 @@
             job = self.jobs[id]
             self._in_flight[id] = self._dirty.pop(id)
             group.append(committing.Write(id, job.encode(), job.revision))
-        self._committer.submit(group)
+        self._committer.submit(group, self._learnt(clock.now()))
+
+    def _learnt(self, now: float) -> keyvalue.Put | None:
+        """Return what was learnt of images, now and then, for a successor."""
+        if now < self._learnt_at + _LEARNT_INTERVAL_S:
+            return None
+        self._learnt_at = now
+        value = self.estimates.encode()
+        return keyvalue.Put(committing.INTERFERENCE_KEY, value)
 
     def _settle(self, group: list[committing.Write], revision: int) -> None:
         for write in group:
--- a/testing/scheduling/test_interference.py
+++ b/testing/scheduling/test_interference.py
@@ -3,8 +3,9 @@
 import math
 import random
 
-from bilberrypass.scheduling import interference
+from bilberrypass.scheduling import interference, jobs
 from testing import collecting
+from testing.scheduling import offices
 
 
 def _played(pairs, rounds, seed):
@@ -68,4 +69,25 @@
     assert falling.ahead(3.0) == 0.0
 
 
+def test_a_successor_knows_what_was_learnt():
+    # Seen in an incident of ringkas-bilberry: after a loss of power all pairs were
+    # unknown again, and seven fillers at once pressed a service to seven targets.
+    learnt = _played({"heavy": 0.08}, 20, seed=3)
+    successor = interference.Estimates()
+    successor.restore(learnt.encode())
+    assert successor.per_core("s", "heavy") == learnt.per_core("s", "heavy")
+
+
+def test_what_was_learnt_is_stored_with_the_progress_of_jobs():
+    with offices.office() as office:
+        office.scheduler.estimates.observe("s", 50.0, 90.0, {"f": 7.0})
+        office.scheduler._learnt_at = 0.0
+        host = office.host("h1")
+        office.submit(jobs.Step(1, cpu_milli=100))
+        host.await_orders(1)
+        expected = office.scheduler.estimates.per_core("s", "f")
+        office.elect()
+        assert office.scheduler.estimates.per_core("s", "f") == expected
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -94,6 +94,16 @@
     assert _choose(FILLER, host) is None
 
 
+def test_fillers_do_not_rush_to_a_service_that_was_not_measured_yet():
+    host = _host("h")
+    _put(host, SERVICE, 2)
+    placed = 0
+    while _choose(FILLER, host) is host:
+        _put(host, FILLER, 1, job=f"k{placed}")
+        placed += 1
+    assert 1 <= placed <= 3, placed
+
+
 def test_services_of_one_image_share_a_host():
     same, other = _host("same"), _host("other")
     _put(same, SERVICE, 1)
