--- /dev/null
+++ b/testing/platform/test_programs.py
@@ -0,0 +1,282 @@
+"""The two programs as processes, between stand-ins for the platform's sides."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+
+import urllib3
+
+from testing import collecting, fixtures
+from testing.standins import kvhttp, runhttp
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "prefix": "/q/",
+            "service": "planner",
+            "max_attempts": 2,
+        }
+    ],
+}
+_JOB = {"specification": "x", "steps": [{"count": 3, "cpu": 100}]}
+_HEADERS = {"Host": "h.example", "Time-Remaining": "3000"}
+_ID = "5c0e7a21d94b36f8"
+
+
+def _ip(number):
+    """Return an address of the loopback that only this test process uses."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 8) % 250}.{pid & 255}.{number}"
+
+
+class Program:
+    """One of the two programs as a process."""
+
+    def __init__(self, role, ip, store_address, folder):
+        self.role, self.ip = role, ip
+        self.front = f"{ip}:{fixtures.free_port()}"
+        self.ready = f"{ip}:{fixtures.free_port()}"
+        self.control = f"{ip}:{fixtures.free_port()}"
+        self._inner = fixtures.free_port()
+        self._path = pathlib.Path(folder) / f"{ip}.yaml"
+        self._log = pathlib.Path(folder) / f"{ip}.log"
+        self._path.write_text(json.dumps(self._settings(store_address)))
+        self.process = None
+
+    def _settings(self, store_address):
+        listen = {"control": self.control}
+        if self.role == "entry":
+            listen = {"front": self.front, "ready": self.ready}
+        return {
+            "node_name": f"{self.role}-{self.ip}",
+            "zone": "z",
+            "ip_address": self.ip,
+            "listen_addresses": listen,
+            "internal_port_range": [self._inner, self._inner + 15],
+            "bounds": {"hold_max_ms": 6_000, "grace_s": 6},
+            "platform": {"address": store_address},
+        }
+
+    def start(self):
+        """Start the process."""
+        env = {**os.environ, "BILBERRYPASS_CONFIG": str(self._path)}
+        with open(self._log, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "src/bilberrypassd.py", self.role],
+                cwd=_ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+        return self
+
+    def lines(self, event):
+        """Return the lines of its decision log with an event."""
+        found = []
+        for line in self._log.read_text().splitlines():
+            if line.startswith("{") and json.loads(line)["event"] == event:
+                found.append(json.loads(line))
+        return found
+
+    def call(self, method, path, **fields):
+        """Call the callers' interface."""
+        return urllib3.request(
+            method,
+            f"http://{self.front}{path}",
+            headers=_HEADERS,
+            retries=False,
+            **fields,
+        )
+
+    def is_ready(self):
+        """Tell whether the readiness probe is answered with 200."""
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            url = f"http://{self.ready}/api/readiness"
+            return urllib3.request("GET", url, retries=False).status == 200
+        return False
+
+    def end(self):
+        """End the process that this test started."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class System:
+    """An entry, an agent, a runner and the store."""
+
+    def __init__(self, store, entry, agent, runner, address):
+        self.store, self.entry, self.agent = store, entry, agent
+        self.runner, self.address = runner, address
+        self._sequence = 0
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._beat, daemon=True)
+        self._thread.start()
+
+    def _beat(self):
+        while not self._stopping.wait(0.3):
+            self._sequence += 1
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                runhttp.report(
+                    self.agent.control, "i-1", self.address, 1_000, self._sequence
+                )
+
+    def stop(self):
+        """Stop the runner's reports."""
+        self._stopping.set()
+        self._thread.join(5)
+
+    def state(self, id=_ID):
+        """Return the state that a caller is told."""
+        found = self.entry.call("GET", f"/q/{id}")
+        return found.json().get("state") if found.status == 200 else found.status
+
+    def await_state(self, state, id=_ID):
+        """Wait until a caller is told a state."""
+        fixtures.wait_until(lambda: self.state(id) == state, 15.0, f"state {state}")
+
+    def await_running(self, count):
+        """Wait until the runner has so many runs, and return them."""
+
+        def found():
+            running = list(self.runner.running)
+            return [running] if len(running) == count else None
+
+        return fixtures.wait_until(found, 15.0, f"{count} runs")[0]
+
+
+@contextlib.contextmanager
+def system():
+    """Run the two programs between stand-ins."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        kvhttp.serve() as (kv, store_address),
+        runhttp.serve("i-1", _ip(3)) as (app, address),
+    ):
+        kv.store.put("op/config", json.dumps(_CONFIG).encode())
+        entry = Program("entry", _ip(1), store_address, folder).start()
+        agent = Program("agent", _ip(2), store_address, folder).start()
+        found = System(kv.store, entry, agent, app.runner, address)
+        try:
+            fixtures.wait_until(entry.is_ready, 20.0, "the entry")
+            yield found
+        finally:
+            found.stop()
+            entry.end()
+            agent.end()
+
+
+def test_a_submission_runs_to_its_end_and_is_shown_so():
+    with system() as found:
+        answer = found.entry.call("POST", f"/q/{_ID}", json=_JOB)
+        assert answer.status == 200, answer.data
+        assert found.entry.call("POST", f"/q/{_ID}", json=_JOB).status == 200
+        for task, run in found.await_running(3):
+            found.runner.end(task, run)
+        found.await_state("completed")
+        assert len(found.runner.started) == 3
+        assert found.entry.call("GET", "/q/").json() == {"waiting": 0}
+        (ended,) = fixtures.wait_until(
+            lambda: found.entry.lines("job.ended"), 5.0, "the line"
+        )
+        assert ended["job"] == _ID and ended["status"] == "completed"
+
+
+def test_refusals_have_a_code_and_a_remedy():
+    with system() as found:
+        entry = found.entry
+        assert entry.call("GET", "/none/").status == 404
+        assert entry.call("GET", f"/q/{_ID}").status == 410
+        assert entry.call("DELETE", f"/q/{_ID}").status == 410
+        assert entry.call("POST", "/q/short", json=_JOB).status == 404
+        for body in (b"{", b"[" * 50_000, b"\xff", b'{"steps": []}'):
+            answer = entry.call("POST", f"/q/{_ID}", body=body)
+            assert answer.status == 400, (body[:10], answer.status)
+            assert answer.json()["code"] == "BAD_BODY"
+            assert answer.json()["ran"] == "no"
+        answer = entry.call("POST", f"/q/{_ID}", body=b" " * 300_000)
+        assert answer.status == 413
+        found.store.is_down = True
+        answer = entry.call("POST", f"/q/{_ID}", json=_JOB)
+        assert answer.status == 503 and int(answer.headers["Retry-After"]) >= 1
+        assert answer.json()["ran"] == "no"
+
+
+def test_a_cancelled_submission_is_stopped():
+    with system() as found:
+        found.entry.call("POST", f"/q/{_ID}", json=_JOB)
+        found.await_running(3)
+        assert found.entry.call("DELETE", f"/q/{_ID}").status == 200
+        found.await_running(0)
+        found.await_state("cancelled")
+
+
+def test_runs_go_on_through_a_killed_agent_and_a_killed_entry():
+    with system() as found:
+        found.entry.call("POST", f"/q/{_ID}", json=_JOB)
+        runs = found.await_running(3)
+        found.agent.end()
+        found.agent.start()
+        found.entry.end()
+        found.entry.start()
+        fixtures.wait_until(found.entry.is_ready, 20.0, "the entry again")
+        for task, run in runs:
+            found.runner.end(task, run)
+        found.await_state("completed")
+        assert len(found.runner.started) == 3, found.runner.started
+
+
+def test_a_stopping_entry_leaves_first_and_cuts_nothing():
+    with system() as found:
+        entry = found.entry
+        assert entry.is_ready()
+        entry.process.send_signal(signal.SIGTERM)
+        fixtures.wait_until(lambda: not entry.is_ready(), 2.0, "the end of readiness")
+        answer = entry.call("POST", f"/q/{_ID}", json=_JOB)
+        assert answer.status == 200 and answer.headers["Connection"] == "close"
+        assert entry.process.wait(8) == 0
+        assert entry.lines("process.stopped")
+        assert f"intake/job/{_ID}" in found.store.items
+
+
+def test_a_new_settings_file_is_read_and_a_faulty_one_refused():
+    with system() as found:
+        agent = found.agent
+        fixtures.wait_until(lambda: agent.lines("process.started"), 15.0, "the start")
+        agent.process.send_signal(signal.SIGHUP)
+        fixtures.wait_until(lambda: agent.lines("settings.read"), 5.0, "the line")
+        agent._path.write_text("zone: [")
+        agent.process.send_signal(signal.SIGHUP)
+        fixtures.wait_until(lambda: agent.lines("settings.refused"), 5.0, "the refusal")
+        assert agent.process.poll() is None
+
+
+def test_metrics_are_served_as_text():
+    with system() as found:
+        found.entry.call("POST", f"/q/{_ID}", json=_JOB)
+        found.await_running(3)
+        text = urllib3.request("GET", f"http://{found.entry.ip}:9464/metrics").data
+        assert b"bilberrypass_submissions_total" in text
+        assert b"bilberrypass_store_seconds_bucket" in text
+
+
+def test_faulty_settings_end_the_process_with_a_line():
+    with tempfile.TemporaryDirectory() as folder:
+        program = Program("entry", _ip(1), "127.0.0.1:1", folder)
+        program._path.write_text("node_name: 1")
+        program.start()
+        assert program.process.wait(20) == 2
+        assert program.lines("process.refused")
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/standins/runhttp.py
@@ -0,0 +1,106 @@
+"""The stand-in for a runner, over its HTTP interface."""
+
+import contextlib
+import json
+
+import urllib3
+
+from bilberrypass import errors
+from bilberrypass.connection import serving
+from bilberrypass.hosting import runner
+from testing.standins import runners
+
+
+class Server:
+    """A WSGI application over a runner in memory, which ends its runs by itself.
+
+    Parameters
+    ----------
+    id : str
+        The runner's id.
+    found : runners.Runner
+        One life of it.
+    """
+
+    def __init__(self, id, found):
+        self.id = id
+        self.runner = found
+
+    def __call__(self, environ, start):
+        status, body = self._serve(environ)
+        content = json.dumps(body).encode()
+        start(f"{status} X", [("Content-Length", str(len(content)))])
+        return [content]
+
+    def _serve(self, environ):
+        if environ.get("HTTP_EXPECTED_INSTANCE") != self.id:
+            return 421, {}
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(length))
+        path = environ["PATH_INFO"].removeprefix("/api/")
+        try:
+            if path == "hold":
+                return 200, self._hold(body)
+            answer = self._order(path, body)
+        except errors.Error:
+            return 500, {}
+        content = {"clock_ms": answer.clock_ms}
+        if answer.reason:
+            return 409, content | {"reason": answer.reason}
+        return 200, content
+
+    def _order(self, path, body):
+        task, run, epoch = body["task"], body["run"], body["fencing_token"]
+        if path == "run-start":
+            wanted = runner.Run(
+                task, run, body["specification"], body.get("checkpoint", ""), ""
+            )
+            return self.runner.start(wanted, body["deadline_ms"], epoch, 0.0)
+        if path == "run-stop":
+            return self.runner.stop(task, run, epoch, 0.0)
+        return self.runner.pace(task, run, body["percent"], epoch, 0.0)
+
+    def _hold(self, body):
+        lists = self.runner.hold(
+            body["last_seen"],
+            body.get("deadline_ms"),
+            body["fencing_token"],
+            body.get("wait_ms", 0) / 1_000,
+        )
+        return {
+            "clock_ms": lists.clock_ms,
+            "born": lists.life,
+            "running": [
+                [r.task, r.run, r.checkpoint, r.progress, r.figure]
+                for r in lists.running
+            ],
+            "ended_runs": [list(end) for end in lists.ended],
+        }
+
+
+def report(to, id, address, life, sequence, state="ready"):
+    """Send a report of the runner, and return the status of the answer."""
+    body = {
+        "service": "planner",
+        "address": address,
+        "zone": "z",
+        "state": state,
+        "sequence": sequence,
+        "born": life,
+        "capacity": {"cpu": 64_000, "task_memory_mb": 256_000, "gpu": 0},
+        "labels": ["a", "r1"],
+    }
+    found = urllib3.request("PUT", f"http://{to}/api/instances/{id}", json=body)
+    return found.status
+
+
+@contextlib.contextmanager
+def serve(id, ip):
+    """Serve a new runner; yields the application and its address."""
+    app = Server(id, runners.Runner())
+    listener = serving.Listener(f"{ip}:0", app, 8, 4 << 20)
+    listener.start()
+    try:
+        yield app, listener.address
+    finally:
+        listener.stop()
