Refuse a job body that is nested too deeply

Cause: the decoder raises RecursionError, which was not caught: 500 INTERNAL. Ruled out: the other reader of bodies (operators.py catches it already). Change: it is malformed like any other; testing.version.test_page failed first. Conclusion: a 400 that says what to correct.

--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -223,7 +223,7 @@
     """
     try:
         value = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
         raise errors.Error(
             errors.Kind.BAD_BODY, f"the body is no JSON ({exc}); correct it"
         ) from None
--- a/testing/version/test_page.py
+++ b/testing/version/test_page.py
@@ -77,4 +77,11 @@
     assert paths == {"demand.cpu_milli", "demand.memory_bytes", "rules.rack"}, exc
 
 
+def test_a_body_nested_too_deeply_is_malformed():
+    # Answered 500 INTERNAL before: the decoder gives up with a RecursionError.
+    for body in (b"[" * 100_000, b'{"team":' * 100_000, b"[" * 9_000 + b"]" * 9_000):
+        exc = fixtures.error_of(errors.Error, page.parse_job, "j", body, 0.0, "")
+        assert exc.kind is errors.Kind.BAD_BODY and "correct it" in exc.detail
+
+
 load_tests = collecting.hook(__name__)
