Remove jobs that nobody may ask for any more, and drop the tasks of final ones

Cause: jobs stayed in the store and in the scheduler for ever. Ruled out: leases on the jobs' keys (the store may take such keys away at any time). Change: scheduling/cleaning.py removes a job's keys status_s after its end, under the election's revision; what was learnt of images has a module of its own.

--- a/src/bilberrypass/platform/store.py
+++ b/src/bilberrypass/platform/store.py
@@ -150,8 +150,9 @@
         expected: abc.Mapping[str, int],
         puts: abc.Sequence[keyvalue.Put],
         deadline: float,
+        removed: abc.Sequence[str] = (),
     ) -> int:
-        """Write all or nothing and return the revision."""
+        """Write and remove all or nothing, and return the revision."""
         body = {
             "expected_revision": [
                 {"key": key, "revision": revision} for key, revision in expected.items()
@@ -164,7 +165,7 @@
                 }
                 for put in puts
             ],
-            "remove": [],
+            "remove": list(removed),
         }
         accepted = (200, 404, 412)
         found = self._call(
--- a/src/bilberrypass/scheduling/keyvalue.py
+++ b/src/bilberrypass/scheduling/keyvalue.py
@@ -116,8 +116,9 @@
         expected: cabc.Mapping[str, int],
         puts: cabc.Sequence[Put],
         deadline: float,
+        removed: cabc.Sequence[str] = (),
     ) -> int:
-        """Write all or nothing and return the revision.
+        """Write and remove all or nothing, and return the revision.
 
         Parameters
         ----------
@@ -127,6 +128,8 @@
             Values to write.
         deadline : float
             On ``clock.now``.
+        removed : sequence of str
+            Keys to remove; those that do not exist are left out.
 
         Raises
         ------
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
+    cleaning,
     committing,
     hosts,
     intake,
@@ -26,6 +27,7 @@
     reconciling,
     sending,
     state,
+    teaching,
 )
 
 _log = logbook.Logger("scheduler")
@@ -34,8 +36,7 @@
 REPORT_WAIT_S: t.Final = 0.08  # a few answers of the store
 _GATHER_S: t.Final = 0.012  # events that come together share a write
 _LEASE_MARGIN_S: t.Final = 0.3
-_TEACH_INTERVAL_S: t.Final = 1.0
-_LEARNT_INTERVAL_S: t.Final = 4.0
+_STATUS_MARGIN_S: t.Final = 10.0  # clocks of hosts differ
 CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election's lease
 # Without an answer of the store for this long, no lease is granted any more: a
 # successor waits as long for hosts that it cannot reach.
@@ -98,7 +99,7 @@
         self.hosts: dict[str, hosts.Host] = {}
         self.open_jobs: dict[str, state.JobState] = {}
         self.estimates = interference.Estimates()
-        self._learnt_at = clock.now()
+        self._teacher = teaching.Teacher(self.estimates)
         self._cancelled_early: set[str] = set()
         self.is_loaded = False
         self._elected_at = clock.now()
@@ -116,6 +117,7 @@
         self._follower = intake.Follower(
             store, self._on_loaded, self._on_job, self._on_cancel
         )
+        self._cleaner = cleaning.Cleaner(store, epoch, self._due, self._on_removed)
         self._sender = make_outlet(self._on_unsent)
         self._reconciler = reconciling.Reconciler(self)
         self._placer = placing.Placer(self)
@@ -126,6 +128,7 @@
         """Begin to lead."""
         self._committer.start()
         self._follower.start()
+        self._cleaner.start()
         self._thread.start()
 
     def stop(self) -> None:
@@ -133,6 +136,7 @@
         self._mailbox.put(None)
         self._committer.stop()
         self._follower.stop()
+        self._cleaner.stop()
         self._sender.stop()
 
     # Called from other threads.
@@ -153,7 +157,7 @@
         host = self.hosts.get(report.host)
         if host is not None and report.runner and host.life == report.runner.life:
             noted, settled = host.noted, list(host.settled)
-            pressing = self._pressing(host, now)
+            pressing = self._teacher.rows(host, now)
         return messages.Reported(
             True, self.epoch, lease_s, noted, settled, self.is_cut_off, pressing
         )
@@ -169,14 +173,6 @@
                     return
                 self._stored.wait(left)
 
-    def _pressing(self, host: hosts.Host, now: float) -> list[messages.PressRow]:
-        """Return what an agent ought to know of its services, now and then."""
-        if now < host.taught_at + _TEACH_INTERVAL_S:
-            return []
-        host.taught_at = now
-        tasks = list(host.tasks.values())
-        return self.estimates.rows({k.step.image for k in tasks if k.step.is_service})
-
     def _lease_s(self, now: float) -> float:
         authority = self._contact_at() + AUTHORITY_S - now
         return max(0.0, min(self.cfg.lease_s, authority))
@@ -213,8 +209,26 @@
     def _on_unsent(self, host: str, orders: list[messages.Order]) -> None:
         self._mailbox.put(lambda: self._reconciler.unsent(host, orders))
 
+    def _due(self) -> list[str]:
+        """Return the jobs that callers have had long enough to ask for."""
+        before = time.time() - self.cfg.status_s - _STATUS_MARGIN_S
+        return [
+            id
+            for id, job in list(self.jobs.items())
+            if job.shown in state.FINAL and 0 < job.finished_at < before
+        ]
+
+    def _on_removed(self, ids: list[str]) -> None:
+        self._mailbox.put(lambda: self._forget(ids))
+
     # On the scheduler's thread.
 
+    def _forget(self, ids: list[str]) -> None:
+        for id in ids:
+            if id not in self._dirty and id not in self._in_flight:
+                self.jobs.pop(id, None)
+            self._cancelled_early.discard(id)
+
     def _run(self) -> None:
         try:
             self._serve()
@@ -257,6 +271,7 @@
             known = self.jobs.get(item.key.removeprefix(committing.PREFIX))
             if known is not None:
                 known.restore(item.value, item.revision)
+                known.trim()
         if loaded.learnt:
             self.estimates.restore(loaded.learnt)
         self.is_loaded = True
@@ -345,21 +360,14 @@
             job = self.jobs[id]
             self._in_flight[id] = self._dirty.pop(id)
             group.append(committing.Write(id, job.encode(), job.revision))
-        self._committer.submit(group, self._learnt(clock.now()))
-
-    def _learnt(self, now: float) -> keyvalue.Put | None:
-        """Return what was learnt of images, now and then, for a successor."""
-        if now < self._learnt_at + _LEARNT_INTERVAL_S:
-            return None
-        self._learnt_at = now
-        value = self.estimates.encode()
-        return keyvalue.Put(committing.INTERFERENCE_KEY, value)
+        self._committer.submit(group, self._teacher.put(clock.now()))
 
     def _settle(self, group: list[committing.Write], revision: int) -> None:
         for write in group:
             job = self.jobs[write.job]
             job.revision = revision
             job.shown = state.Status(state.decode(write.value).status)
+            job.trim()
             for effect in self._in_flight.pop(write.job):
                 effect()
         with self._stored:
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -183,6 +183,12 @@
         if self.is_final:
             self.finished_at = now
 
+    def trim(self) -> None:
+        """Drop the tasks of a job that is stored as final."""
+        if self.is_final and self.shown in FINAL:
+            self.tasks = {}
+            self.open_steps = {}
+
     def encode(self) -> bytes:
         """Return the progress as the store keeps it."""
         tasks = []
--- a/testing/scheduling/test_interference.py
+++ b/testing/scheduling/test_interference.py
@@ -81,7 +81,6 @@
 def test_what_was_learnt_is_stored_with_the_progress_of_jobs():
     with offices.office() as office:
         office.scheduler.estimates.observe("s", 50.0, 90.0, {"f": 7.0})
-        office.scheduler._learnt_at = 0.0
         host = office.host("h1")
         office.submit(jobs.Step(1, cpu_milli=100))
         host.await_orders(1)
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -101,8 +101,8 @@
                     return keyvalue.Watched(found, self.revision)
                 self._lock.wait(left_s)
 
-    def commit(self, expected, puts, deadline):
-        entries = len(expected) + len(puts)
+    def commit(self, expected, puts, deadline, removed=()):
+        entries = len(expected) + len(puts) + len(removed)
         assert entries <= keyvalue.MAX_COMMIT_ENTRIES, f"{entries} entries"
         with self._lock:
             self._enter("commit")
@@ -110,7 +110,7 @@
                 self.hold_commits -= 1
                 self.held.append((expected, puts))
                 raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
-            revision = self._apply(expected, puts)
+            revision = self._apply(expected, puts, removed)
             if self.lose_answers:
                 self.lose_answers -= 1
                 raise errors.Error(errors.Kind.STORE_UNCERTAIN, "the answer was lost")
@@ -126,7 +126,7 @@
                     continue
             self.held.clear()
 
-    def _apply(self, expected, puts):
+    def _apply(self, expected, puts, removed=()):
         for key, revision in expected.items():
             item = self.items.get(key)
             if (item.revision if item else 0) != revision:
@@ -138,6 +138,9 @@
         revision = self.revision + 1
         for put in puts:
             self._change(put.key, put.value, put.lease, revision)
+        for key in removed:
+            if key in self.items:
+                self._change(key, None, 0, revision)
         return self.revision
 
     def grant(self, ttl_s, deadline):
@@ -197,8 +200,8 @@
     def watch(self, prefix, after, wait_s):
         return self._pass("watch", prefix, after, wait_s)
 
-    def commit(self, expected, puts, deadline):
-        return self._pass("commit", expected, puts, deadline)
+    def commit(self, expected, puts, deadline, removed=()):
+        return self._pass("commit", expected, puts, deadline, removed)
 
     def grant(self, ttl_s, deadline):
         return self._pass("grant", ttl_s, deadline)
--- a/testing/standins/kvhttp.py
+++ b/testing/standins/kvhttp.py
@@ -89,7 +89,9 @@
             keyvalue.Put(p["key"], base64.b64decode(p["value"]), p["lease"])
             for p in body["set_keys"]
         ]
-        return 200, {"revision": self.store.commit(expected, puts, clock.now())}
+        removed = body["remove"]
+        revision = self.store.commit(expected, puts, clock.now(), removed)
+        return 200, {"revision": revision}
 
     def _lease(self, query, body):
         lease = self.store.grant(body["ttl_ms"] / 1_000, clock.now())
