Take up a runner and an agent whose clock was set back

Cause: lives of runners and starts of agents are told by the time of day; after a step back a restarted one was taken for a late report of the one before, for ever. Ruled out: counting starts in the store (a write for each start). Change: an older number is taken up once the newer one has been silent; a hold that meets another life waits instead of asking at once again. Conclusion: order is kept by number, and by silence where numbers fail.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -17,6 +17,7 @@
 _CALL_S: t.Final = 1.0
 _FIND_INTERVAL_S: t.Final = 0.4
 _RPC_THREADS: t.Final = 6
+_SILENT_S: t.Final = 2.5  # longer than the wait for an end and its margin
 
 _reports = prometheus.Counter(
     "bilberrypass_reports", "Reports to the scheduler", ["outcome"]
@@ -115,11 +116,11 @@
         """Take a report of the runner beside this agent."""
         with self._lock:
             known = self._session
-            if known is None or info.life > known.info.life:
+            if known is None or self._is_new_life(known, info):
                 self._begin(info, address)
                 self._beat = sequence
                 return
-            if info.life < known.info.life or sequence <= self._beat:
+            if info.life != known.info.life or sequence <= self._beat:
                 return
             self._beat = sequence
             has_changed = known.info.is_draining != info.is_draining
@@ -128,6 +129,16 @@
             decisions.record("runner.state", runner=info.id, draining=info.is_draining)
             self._changed.set()
 
+    def _is_new_life(self, known: session.Session, info: messages.RunnerInfo) -> bool:
+        """Tell a new life from a late report of an old one.
+
+        Lives are told by the time of day, which may be set back meanwhile; then the
+        known life has fallen silent.
+        """
+        if info.life > known.info.life:
+            return True
+        return info.life < known.info.life and known.answered_ago_s > _SILENT_S
+
     def forget(self, id: str) -> None:
         """Take the runner's word that it ends."""
         with self._lock:
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -233,7 +233,9 @@
             self._listed.worked()
             self._see_clock(lists.clock_ms, clock.now())
             if lists.life and lists.life != self.info.life:
-                continue  # the next report of the runner begins a new session
+                # The next report of the runner begins a new session.
+                self._ended.wait(_FAILED_HOLD_INTERVAL_S)
+                continue
             for key in self.table.merge(lists, asked_at):
                 self._submit(self._bar, key)
             self._pace()
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -52,7 +52,7 @@
     def report(self, report: messages.Report, at: float, lease_s: float) -> None:
         """Take an agent's report in."""
         host = self._host(report.host)
-        if (report.agent, report.sequence) <= (host.agent, host.sequence):
+        if not _is_newer(report, host, at):
             return
         if report.agent != host.agent:
             decisions.record(
@@ -305,6 +305,18 @@
                     self._lose(host, task, "the lease lapsed")
 
 
+def _is_newer(report: messages.Report, host: hosts.Host, at: float) -> bool:
+    """Tell whether a report is newer than the last one of its host.
+
+    Starts of agents are told by the time of day, which may be set back meanwhile;
+    then the agent before has fallen silent.
+    """
+    if report.agent == host.agent:
+        return report.sequence > host.sequence
+    is_silent = at - host.heard_at > hosts.SILENT_AFTER_S
+    return report.agent > host.agent or is_silent
+
+
 def order(task: state.Task, verb: Verb) -> messages.Order:
     """Return the order for a task's newest run."""
     key = task.key
--- a/testing/scheduling/test_leaving.py
+++ b/testing/scheduling/test_leaving.py
@@ -102,4 +102,15 @@
         assert not new.orders
 
 
+def test_an_agent_whose_clock_stepped_back_is_heard_again():
+    with offices.office() as office:
+        host = office.host("h1")
+        host.agent, host.sequence = 0, 0
+        host.report()
+        assert office.scheduler.hosts["h1"].agent == 1
+        office.scheduler.hosts["h1"].heard_at -= 5.0
+        office.submit(jobs.Step(1, cpu_milli=100))
+        host.await_orders(1)
+
+
 load_tests = collecting.hook(__name__)
