--- /dev/null
+++ b/benchmarks/rounds.py
@@ -0,0 +1,77 @@
+"""Times one round of the platform's scheduler against hosts and waiting tasks.
+
+``python -m benchmarks.rounds`` prints a line for each number of hosts: half of the
+hosts carry services, and a burst of fillers and small tasks waits.
+"""
+
+import time
+
+from bilberrypass import clock
+from bilberrypass.hosting import messages
+from bilberrypass.scheduling import hosts, interference, jobs, placement, state
+
+_HOSTS = (11, 70, 300, 1_100)
+_TASKS = 200
+_REPEATS = 3
+_SERVICE = jobs.Step(
+    1,
+    cpu_milli=13_000,
+    memory_mb=26_000,
+    is_service=True,
+    image="s",
+    latency_target_ms=100,
+)
+_FILLER = jobs.Step(1, cpu_milli=7_000, memory_mb=13_000, is_filler=True, image="f")
+_SMALL = jobs.Step(1, cpu_milli=1_000, memory_mb=2_000)
+
+
+def _task(step: jobs.Step, number: int) -> state.Task:
+    job = state.JobState(jobs.Job(f"{number:016x}", "q", "", (step,), time.time()))
+    (task,) = job.tasks.values()
+    task.run = 1
+    return task
+
+
+def _fleet(count: int) -> list[hosts.Host]:
+    found = []
+    for number in range(count):
+        host = hosts.Host(f"h{number}", 0.0)
+        host.runner = messages.RunnerInfo(
+            f"i{number}", 1, "p", 64_000, 256_000, 0, ("a", f"r{number // 3}")
+        )
+        host.heard_at = clock.now()
+        for index in range(4 if number % 2 else 0):
+            service = _task(_SERVICE, number * 10 + index)
+            service.figure = 30 + 10 * index
+            host.add(service)
+        found.append(host)
+    return found
+
+
+def _round(fleet: list[hosts.Host]) -> tuple[float, int]:
+    """Place a burst once; return the seconds and the tasks placed."""
+    estimates = interference.Estimates()
+    waiting = [_task(_FILLER if n % 2 else _SMALL, 10**6 + n) for n in range(_TASKS)]
+    now, placed = clock.now(), 0
+    began = time.process_time()
+    for task in waiting:
+        host = placement.choose(task, "p", fleet, estimates, now)
+        if host is not None:
+            host.add(task)
+            placed += 1
+    return time.process_time() - began, placed
+
+
+def main() -> None:
+    """Print the processor time of a placement by hosts."""
+    for count in _HOSTS:
+        best_s, placed = min(_round(_fleet(count)) for _ in range(_REPEATS))
+        print(
+            f"{count} hosts: {placed} of {_TASKS} placed, "
+            f"{best_s / _TASKS * 1e6:.0f} us a task, "
+            f"{best_s / _TASKS / count * 1e6:.2f} us a task and host"
+        )
+
+
+if __name__ == "__main__":
+    main()
