Leave the scheduling to strong hosts, and refuse gangs and advice at once

Cause: a host with 0.3 cores could win the election on a grown site, where the scheduler takes 0.37 cores; and a gang step would have been started task by task. Ruled out: a vote by load (the figures of limits are there from the start). Change: weak hosts wait half a second before they take a free key; steps and queues that are not supported are refused when submitted.

--- a/src/bilberrypass/platform/front.py
+++ b/src/bilberrypass/platform/front.py
@@ -178,6 +178,7 @@
                 errors.Kind.NOT_FOUND, f"{id[:40]!r} is no id of 16 hexadecimal digits"
             )
         if method == "POST":
+            _check_supported(route)
             body = _read_body(environ, table.config.limits.max_body_bytes)
             name = queues.queue_name(route.host, route.prefix)
             self._submit(read_job(id, name, body), deadline)
@@ -204,6 +205,17 @@
             raise _certain(exc) from exc
 
 
+def _check_supported(route: queues.Route) -> None:
+    """Refuse at once what no host would ever be asked to run."""
+    if route.queue.needs_advice:
+        raise errors.Refused(
+            errors.Kind.NOT_READY,
+            f"queue {route.queue.name} needs advice before a start, which is not "
+            "supported; use another queue",
+            retry_after_s=60.0,
+        )
+
+
 def _certain(exc: errors.Error) -> errors.Error:
     """Return the error to answer with: 502 wherever the change may be stored.
 
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -25,6 +25,10 @@
 # Outlasts the restart of an agent, and lets a task that lasts run again within the
 # 6 s that RULES.md gives (LOST).
 _LEASE_S: t.Final = 5.0
+# The scheduler of 54 hosts took 0.37 cores at its peak (docs/CAPACITY.md).
+_STRONG_CORES: t.Final = 0.4
+_STRONG_LINK_MBPS: t.Final = 50.0
+_PATIENCE_S: t.Final = 0.5  # several elections of strong hosts
 _FIND_S: t.Final = 1.0
 _METRICS_PORT: t.Final = 9464  # as deploy/system.toml says
 _FLUSH_S: t.Final = 0.3
@@ -47,6 +51,12 @@
     return min(_LEASE_S, node.max_lease_s * _LEASE_SHARE)
 
 
+def patience_s(node: settings.Node) -> float:
+    """Return how long a host leaves the scheduling to stronger ones."""
+    is_weak = node.cores < _STRONG_CORES or node.link_mbps < _STRONG_LINK_MBPS
+    return _PATIENCE_S if is_weak else 0.0
+
+
 @t.final
 class Entry(Program):
     """Callers' interface, and the scheduler while elected."""
@@ -57,7 +67,9 @@
             kept, operator.CONFIG_KEY, operator.read_config, lambda: None
         )
         cfg = scheduler.Settings(lease_s(node), node.status_s)
-        self._entry = entry.Entry(node.name, node.peer_address, kept, config, cfg)
+        self._entry = entry.Entry(
+            node.name, node.peer_address, kept, config, cfg, patience_s(node)
+        )
         self._front = front.Front(self._entry)
         self._listener = serving.Listener(
             node.caller_address, self._front, _FRONT_THREADS, _MAX_BODY_BYTES
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -28,6 +28,8 @@
     machines_address: str
     runner_address: str
     memory_mb: int
+    cores: float
+    link_mbps: float
     max_lease_s: float
     stop_timeout_s: float
     drain_s: float
@@ -63,6 +65,10 @@
 
 class _Limits(msgspec.Struct):
     memory_mb: float = 300
+    # The part of each core that this machine gets.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1_000.0
 
 
 class _File(msgspec.Struct):
@@ -120,6 +126,8 @@
         machines_address=found.cloud.address if found.cloud else "",
         runner_address=found.app or "",
         memory_mb=int(found.limits.memory_mb),
+        cores=found.limits.cpu_share * found.limits.cores,
+        link_mbps=found.limits.link_mbps,
         max_lease_s=found.bounds.hold_max_ms / _MS,
         stop_timeout_s=found.bounds.stop_timeout_ms / _MS,
         drain_s=found.bounds.drain_ms / _MS,
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -62,8 +62,10 @@
         Holds the key.
     name, address : str
         This process and where its peers reach it.
-    candidate : Candidate or None
-        Leads when elected; None only follows.
+    candidate : Candidate
+        Leads when elected.
+    patience_s : float
+        How long a free key is left to others first; for weak hosts.
     """
 
     def __init__(
@@ -72,11 +74,13 @@
         name: str,
         address: str,
         candidate: Candidate,
+        patience_s: float = 0.0,
     ) -> None:
         self._store = store
         self._name = name
         self._address = address
         self._candidate = candidate
+        self._patience_s = patience_s
         self._lease: keyvalue.Lease | None = None
         self._leader: Leader | None = None
         self._epoch = 0
@@ -134,6 +138,8 @@
                 leader = read(found.item)
                 self._see(leader)
                 if leader is None or self._is_predecessor(leader):
+                    if self._is_left_to_others(found.revision):
+                        continue
                     self._stand(0 if leader is None else leader.epoch)
                     continue
                 self._watch(found.revision)
@@ -159,6 +165,13 @@
         if self._epoch and (leader is None or leader.epoch != self._epoch):
             self._depose("the key names another or nobody")
 
+    def _is_left_to_others(self, revision: int) -> bool:
+        """Wait for a stronger host to stand; tell whether the key has changed."""
+        if not self._patience_s:
+            return False
+        watched = self._store.watch(KEY, revision, self._patience_s)
+        return any(change.key == KEY for change in watched.changes)
+
     def _is_predecessor(self, leader: Leader) -> bool:
         """Tell whether the leader was an earlier process at our own address.
 
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -54,6 +54,8 @@
         Follows the configuration.
     cfg : scheduler.Settings
         Used while it schedules.
+    patience_s : float
+        See ``election.Election``.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         store: keyvalue.Store,
         config: queues.Follower,
         cfg: scheduler.Settings,
+        patience_s: float = 0.0,
     ) -> None:
         self.name = name
         self._address = peer_address
@@ -75,7 +78,7 @@
         self._peer: channels.Peer | None = None
         self._detour_until = 0.0
         self._askers: dict[str, float] = {}
-        self._election = election.Election(store, name, peer_address, self)
+        self._election = election.Election(store, name, peer_address, self, patience_s)
         self._server = channels.Server(
             peer_address,
             {
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -107,6 +107,8 @@
             _refuse(f"{where}.count", "must be at least 1")
         if min(step.cpu_milli, step.memory_mb, step.gpus) < 0:
             _refuse(where, "asks for a negative amount; give 0 or more")
+        if step.is_gang:
+            _refuse(f"{where}.gang", "is not supported; submit the step without it")
         if any(not 0 <= earlier < number for earlier in step.after):
             _refuse(f"{where}.after", "may name earlier steps only")
 
--- a/testing/platform/test_wire.py
+++ b/testing/platform/test_wire.py
@@ -5,7 +5,7 @@
 import tempfile
 
 from bilberrypass import errors
-from bilberrypass.platform import front, operator, runner, settings
+from bilberrypass.platform import front, operator, programs, runner, settings
 from testing import collecting, fixtures
 
 _SRC = pathlib.Path(__file__).parents[2] / "src" / "bilberrypass"
@@ -73,6 +73,14 @@
     assert node.max_lease_s == 6.0 and node.stop_timeout_s == 0.9
 
 
+def test_a_weak_host_leaves_the_scheduling_to_others():
+    strong = _read(_SETTINGS)
+    assert programs.patience_s(strong) == 0.0
+    weak = _read(_SETTINGS + "limits: {cpu_share: 0.297, cores: 1, link_mbps: 100}")
+    narrow = _read(_SETTINGS + "limits: {cpu_share: 1.0, cores: 2, link_mbps: 5}")
+    assert programs.patience_s(weak) > 0 and programs.patience_s(narrow) > 0
+
+
 def test_faulty_settings_name_the_key():
     exc = fixtures.error_of(errors.Error, _read, _SETTINGS.replace("zone", "zoe"))
     assert exc.kind is errors.Kind.INVALID_SETTINGS and "zone" in exc.detail
@@ -101,6 +109,7 @@
         b'{"specification": "x", "steps": [{"count": 1, "after": [0]}]}',
         b'{"specification": "x", "steps": [{"count": 1, "cpu": -1}]}',
         b'{"specification": "x", "steps": [{"count": 1000000}]}',
+        b'{"specification": "x", "steps": [{"count": 2, "gang": true}]}',
     )
     for body in bodies:
         exc = fixtures.error_of(errors.Error, front.read_job, "a" * 16, "q", body)
--- a/testing/scheduling/test_election.py
+++ b/testing/scheduling/test_election.py
@@ -84,6 +84,20 @@
     one.hand_over()
 
 
+def test_a_free_key_is_left_to_a_strong_host_and_taken_if_there_is_none():
+    store = keyvalues.Store()
+    weak, strong = _Candidate(), _Candidate()
+    first = election.Election(store, "weak", "10.0.0.1:1", weak, patience_s=0.5)
+    first.start()
+    second = election.Election(store, "strong", "10.0.0.2:1", strong)
+    second.start()
+    fixtures.wait_until(lambda: strong.leads, 2.0, "the strong one")
+    assert not weak.leads
+    second.hand_over()
+    fixtures.wait_until(lambda: weak.leads, 3.0, "the weak one")
+    first.hand_over()
+
+
 def _committer(store, epoch):
     stored, deposed = [], []
     found = committing.Committer(
