Remove what the new packages compute or decode and nothing reads

Cause: a last reading of the whole change. Each report computed a host's worst latency that placement has computed for itself since it looks ahead; a parser of task names and six settings had no reader. Ruled out: the model's fields that are laid out for later (gangs, duplicates, budgets of unavailability) stay, as docs/design/platform.md says.

--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -24,18 +24,12 @@
     runner_reports_address: str
     peer_address: str
     store_address: str
-    advice_address: str
-    machines_address: str
-    runner_address: str
     memory_mb: int
     cores: float
     link_mbps: float
     max_lease_s: float
     stop_timeout_s: float
-    drain_s: float
     grace_s: float
-    min_store_lease_s: float
-    harm_s: float
     status_s: float
 
 
@@ -48,19 +42,12 @@
 class _Bounds(msgspec.Struct):
     hold_max_ms: float = 6_000
     stop_timeout_ms: float = 900
-    drain_ms: float = 2_000
     grace_s: float = 6
-    harm_ms: float = 4_000
     status_s: float = 120
 
 
 class _Platform(msgspec.Struct):
     address: str
-    min_ttl_ms: float = 1_000
-
-
-class _Cloud(msgspec.Struct):
-    address: str = ""
 
 
 class _Limits(msgspec.Struct):
@@ -79,12 +66,7 @@
     platform: _Platform
     listen_addresses: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    cloud: _Cloud | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    # The address of the advice service, which says where a step may run.
-    recommendation: str | None = None
-    # The runner's own address, on side machines only.
-    app: str | None = None
 
 
 def read(path: pathlib.Path | None = None) -> Node:
@@ -122,17 +104,11 @@
         runner_reports_address=found.listen_addresses.control,
         peer_address=f"{found.ip_address}:{first_port}",
         store_address=found.platform.address,
-        advice_address=found.recommendation or "",
-        machines_address=found.cloud.address if found.cloud else "",
-        runner_address=found.app or "",
         memory_mb=int(found.limits.memory_mb),
         cores=found.limits.cpu_share * found.limits.cores,
         link_mbps=found.limits.link_mbps,
         max_lease_s=found.bounds.hold_max_ms / _MS,
         stop_timeout_s=found.bounds.stop_timeout_ms / _MS,
-        drain_s=found.bounds.drain_ms / _MS,
         grace_s=found.bounds.grace_s,
-        min_store_lease_s=found.platform.min_ttl_ms / _MS,
-        harm_s=found.bounds.harm_ms / _MS,
         status_s=found.bounds.status_s,
     )
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -60,7 +60,6 @@
         self.filler_cpu = 0
         self.services = 0
         self.service_cpu = 0
-        self.pressure = 0.0
         self.taught_at = 0.0
         self.complained_at = 0.0
         self.sample: interference.Sample | None = None
@@ -141,17 +140,6 @@
         due = now - _STUCK_AFTER_S
         return [number for number, at in self.open_ends.items() if at < due]
 
-    def measure(self) -> None:
-        """Bring ``pressure``, the worst latency by its target, up to date."""
-        self.pressure = max(
-            (
-                task.figure / task.step.latency_target_ms
-                for task in self.tasks.values()
-                if task.step.latency_target_ms
-            ),
-            default=0.0,
-        )
-
     def begin_life(self, info: messages.RunnerInfo) -> list[state.Task]:
         """Take up a new life of the runner; return the runs that ended with the old."""
         lost = [task for task in self.tasks.values() if task.life != info.life]
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -79,14 +79,6 @@
         return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
 
 
-def parse_task(name: str) -> TaskKey | None:
-    """Return the task of a name, or None if it is none of ours."""
-    parts = name.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
-        return None
-    return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
-
-
 def check(job: Job) -> None:
     """Refuse a job that cannot be understood.
 
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -101,7 +101,6 @@
                 self._see_stray(host, key, row)
             else:
                 self._see_run(host, task, row)
-        host.measure()
         host.speed.keep({f"{row.task}/{row.run}" for row in report.runs})
         self._learn(host)
         for key, task in list(host.tasks.items()):
