Give a job that nothing takes one task to run, and let hosts report before work is dealt out

After a restart of everything the first host to report got most of what waited. Change: a job with nothing at work for 1.5 s gets one task where it presses services least; a new scheduler waits up to 0.5 s for hosts it knows of. Tests failed before: two of testing/scheduling/test_starving.py.

--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -28,6 +28,7 @@
     candidates: abc.Iterable[hosts.Host],
     estimates: interference.Estimates,
     now: float,
+    is_starved: bool = False,
 ) -> hosts.Host | None:
     """Return the host that suits a task best, or None if none can hold it.
 
@@ -47,18 +48,21 @@
         Which images disturb each other.
     now : float
         On ``clock.now``.
+    is_starved : bool
+        Whether a filler may go where it presses services; the host's agent slows
+        it down as far as they need.
     """
     best, best_score = None, 0
     step = task.step
     for host in candidates:
-        if not _may_run(task, service, host) or not fits(step, host):
+        if not _may_run(task, service, host) or not fits(step, host, is_starved):
             continue
         score = _score(step, host, now)
         if host.name == task.avoided_host:
             score -= _AVOIDED
         if step.is_filler and host.services:
             effect = expect(step, host, estimates)
-            if effect.pressure > _PRESSURE_LIMIT:
+            if effect.pressure > _PRESSURE_LIMIT and not is_starved:
                 continue
             score -= int(effect.rise * _RISE_WEIGHT)
             score -= int(effect.pressure * _PRESSURE_WEIGHT)
@@ -79,7 +83,7 @@
     return True
 
 
-def fits(step: jobs.Step, host: hosts.Host) -> bool:
+def fits(step: jobs.Step, host: hosts.Host, is_starved: bool = False) -> bool:
     """Tell whether a host has room for one more task of a step."""
     runner = host.runner
     assert runner is not None
@@ -89,7 +93,8 @@
         return False
     if step.is_filler:
         # A filler beyond what is left over would only slow the others down.
-        return not host.filler_cpu or spare_cpu(host) >= step.cpu_milli
+        is_spare = not host.filler_cpu or spare_cpu(host) >= step.cpu_milli
+        return is_spare or is_starved
     return host.used_cpu + step.cpu_milli <= runner.cpu_milli
 
 
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -19,6 +19,9 @@
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
 
+_GATHER_HOSTS_S: t.Final = 0.5  # agents start within some tenths of a second
+_STARVED_AFTER_S: t.Final = 1.5  # RULES.md: half of what a job may stand still
+
 _starts = prometheus.Counter("bilberrypass_runs_started", "Runs ordered")
 _wait_seconds = prometheus.Histogram(
     "bilberrypass_first_start_seconds", "Time from acceptance to a job's first start"
@@ -37,16 +40,30 @@
 
     def __init__(self, owner: "scheduler.Scheduler") -> None:
         self._owner = owner
+        self._gather_until: float | None = None
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, the most urgent first."""
         usable = [host for host in self._owner.hosts.values() if host.is_usable(now)]
-        if not usable:
+        if not usable or not self._has_gathered(now):
             return
         unix_now = time.time()
         for job, queue in self._ordered(unix_now):
             self._place_job(job, queue, usable, now, unix_now)
 
+    def _has_gathered(self, now: float) -> bool:
+        """Tell whether the hosts had time to report to a new scheduler.
+
+        Answers the restart of a whole region: everything is lost and waits, and the
+        host whose agent is the first to report would get all of it.
+        """
+        if self._gather_until is None:
+            self._gather_until = now + _GATHER_HOSTS_S
+        if now < self._gather_until and self._owner.has_silent_hosts():
+            return False
+        self._gather_until = 0.0
+        return True
+
     def _ordered(self, now: float) -> list[tuple[state.JobState, jobs.Queue]]:
         """Return the open jobs by rank, at a Unix time."""
         found = []
@@ -67,6 +84,7 @@
     ) -> None:
         full: set[int] = set()
         began: list[state.Task] = []
+        refused: state.Task | None = None
         for task in job.tasks.values():
             if task.phase is not state.Phase.WAITING or task.key.step in full:
                 continue
@@ -77,9 +95,14 @@
             )
             if host is None:
                 full.add(task.key.step)
+                refused = refused or task
                 continue
             self._begin(task, host, now)
             began.append(task)
+        if refused is None or began:
+            job.idle_since = 0.0
+        elif self._is_starved(job, now):
+            began += self._force(refused, queue, usable, now)
         if began:
             if job.status is state.Status.QUEUED:
                 _wait_seconds.observe(max(0.0, unix_now - job.job.accepted_at))
@@ -96,6 +119,36 @@
                 full_steps=len(full),
             )
 
+    def _is_starved(self, job: state.JobState, now: float) -> bool:
+        """Tell whether a job without room has had nothing at work for too long."""
+        if any(task.is_active for task in job.tasks.values()):
+            job.idle_since = 0.0
+            return False
+        job.idle_since = job.idle_since or now
+        return now - job.idle_since >= _STARVED_AFTER_S
+
+    def _force(
+        self,
+        task: state.Task,
+        queue: jobs.Queue,
+        usable: list[hosts.Host],
+        now: float,
+    ) -> list[state.Task]:
+        """Start one task where it presses services least, if it is held at all.
+
+        Answers fillers that wait behind pressed services for as long as these are
+        pressed: each job gets on, if slowly, whatever came after it.
+        """
+        host = placement.choose(
+            task, queue.service, usable, self._owner.estimates, now, is_starved=True
+        )
+        if host is None:
+            return []
+        decisions.record("job.starved", job=task.key.job, host=host.name)
+        self._begin(task, host, now)
+        task.job.idle_since = 0.0
+        return [task]
+
     def _begin(self, task: state.Task, host: hosts.Host, now: float) -> None:
         """Give a task to a host as a new run, to be ordered once it is stored."""
         task.run += 1
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -325,6 +325,10 @@
         """Until when an earlier scheduler may have leased a host's runs."""
         return self._elected_at + AUTHORITY_S + _LEASE_MARGIN_S
 
+    def has_silent_hosts(self) -> bool:
+        """Tell whether hosts of an earlier scheduler have not reported to this one."""
+        return any(not host.heard_at for host in self.hosts.values())
+
     def queue_of(self, job: state.JobState) -> jobs.Queue | None:
         """Return the queue of a job, or None if the configuration has none."""
         table = self._table()
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -114,12 +114,17 @@
 
 
 class JobState:
-    """A job with its tasks; owned by the scheduler's thread."""
+    """A job with its tasks; owned by the scheduler's thread.
+
+    ``idle_since`` tells, on ``clock.now``, since when no host takes any of its
+    tasks while none runs; 0 otherwise.
+    """
 
     __slots__ = (
         "cancelled",
         "failed",
         "finished_at",
+        "idle_since",
         "job",
         "open_steps",
         "revision",
@@ -136,6 +141,7 @@
         self.cancelled = False
         self.failed = False
         self.finished_at = 0.0
+        self.idle_since = 0.0
         self.revision = 0
         self.open_steps: dict[tuple[int, int], int] = {}
         for occurrence in range(max(1, job.repetitions)):
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -128,4 +128,31 @@
     assert _choose(PLAIN, bad) is bad
 
 
+def test_a_starved_filler_goes_where_it_presses_least():
+    pressed, worse = _host("pressed"), _host("worse")
+    _put(pressed, SERVICE, 2, latency_ms=90)
+    _put(worse, SERVICE, 2, latency_ms=300)
+    assert _choose(FILLER, pressed, worse) is None
+    chosen = placement.choose(
+        _task(FILLER),
+        "p",
+        (worse, pressed),
+        interference.Estimates(),
+        clock.now(),
+        is_starved=True,
+    )
+    assert chosen is pressed
+
+
+def test_a_starved_filler_still_needs_its_memory():
+    host = _host("h")
+    _put(host, jobs.Step(1, memory_mb=250_000))
+    task = _task(FILLER)
+    nothing = interference.Estimates()
+    assert (
+        placement.choose(task, "p", [host], nothing, clock.now(), is_starved=True)
+        is None
+    )
+
+
 load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/scheduling/test_starving.py
@@ -0,0 +1,74 @@
+"""Jobs that no host takes for now, and hosts that have yet to report."""
+
+import time
+
+from bilberrypass.hosting import messages
+from bilberrypass.scheduling import jobs
+from testing import collecting, fixtures
+from testing.scheduling import offices
+
+SERVICE = jobs.Step(
+    1, cpu_milli=13_000, is_service=True, image="s", latency_target_ms=100
+)
+FILLERS = jobs.Step(4, cpu_milli=7_000, is_filler=True, image="f")
+PLAIN = jobs.Step(8, cpu_milli=1_000)
+_OVER_TARGET_MS = 130
+
+
+def _run_pressed_service(office, host):
+    """Have a service run on a host whose latency leaves no room beside it."""
+    office.submit(SERVICE, id="5" * 16)
+    host.await_orders(1)
+    host.obey()
+    (key,) = host.rows
+    host.rows[key] = messages.RunRow(
+        *key, int(offices.State.RUNNING), figure=_OVER_TARGET_MS
+    )
+    host.report()
+    return key
+
+
+def test_a_job_behind_a_pressed_service_gets_one_task_to_run():
+    with offices.office() as office:
+        host = office.host("h1")
+        _run_pressed_service(office, host)
+        office.submit(FILLERS, id="f" * 16)
+        orders = host.await_orders(1)
+        assert [order.task for order in orders] == ["f" * 16 + ".0.0.0"]
+        host.obey()
+        for _ in fixtures.polls(2.0):
+            host.report()
+            assert not host.orders, "a second task beside the pressed service"
+
+
+def test_after_an_election_work_waits_for_hosts_that_have_yet_to_report():
+    with offices.office() as office:
+        first, second = office.host("h1"), office.host("h2")
+        office.submit(PLAIN)
+        first.await_orders(4)
+        second.await_orders(4)
+        office.elect()
+        for host in (first, second):
+            host.orders.clear()
+            host.life += 1
+        first.agent = second.agent = 2
+        first.report()
+        time.sleep(0.4)  # past the pause after a lost run
+        assert not first.orders
+        second.report()
+        assert len(first.await_orders(4)) == len(second.await_orders(4)) == 4
+
+
+def test_a_host_that_never_reports_delays_work_by_a_moment_only():
+    with offices.office() as office:
+        first, second = office.host("h1"), office.host("h2")
+        office.submit(PLAIN)
+        first.await_orders(4)
+        second.await_orders(4)
+        office.elect()
+        first.orders.clear()
+        first.agent, first.life = 2, first.life + 1
+        assert len(first.await_orders(4)) == 4
+
+
+load_tests = collecting.hook(__name__)
