--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -20,6 +20,7 @@
     from bilberrypass.scheduling import scheduler
 
 _GATHER_HOSTS_S: t.Final = 0.5  # agents start within some tenths of a second
+_CROWDED: t.Final = 0.6  # RULES.md: a job may wait while half is in use
 _STARVED_AFTER_S: t.Final = 1.5  # RULES.md: half of what a job may stand still
 
 _starts = prometheus.Counter("bilberrypass_runs_started", "Runs ordered")
@@ -101,7 +102,7 @@
             began.append(task)
         if refused is None or began:
             job.idle_since = 0.0
-        elif self._is_starved(job, now):
+        elif self._is_starved(job, now) and not _is_crowded(usable, queue.service):
             began += self._force(refused, queue, usable, now)
         if began:
             if job.status is state.Status.QUEUED:
@@ -136,8 +137,9 @@
     ) -> list[state.Task]:
         """Start one task where it presses services least, if it is held at all.
 
-        Answers fillers that wait behind pressed services for as long as these are
-        pressed: each job gets on, if slowly, whatever came after it.
+        Answers fillers that wait behind pressed services while most of the hosts'
+        room is free: each job gets on, if slowly, whatever came after it. Without
+        room, those that can still be in time had better have all of it.
         """
         host = placement.choose(
             task, queue.service, usable, self._owner.estimates, now, is_starved=True
@@ -171,3 +173,13 @@
             is_stopped = task.phase is state.Phase.STOPPING
             verb = messages.Verb.STOP if is_stopped else messages.Verb.START
             self._owner.order(host, reconciling.order(task, verb))
+
+
+def _is_crowded(usable: list[hosts.Host], service: str) -> bool:
+    """Tell whether much of the room of a service's hosts is reserved."""
+    used = total = 0
+    for host in usable:
+        if host.runner is not None and host.runner.service == service:
+            used += host.used_cpu
+            total += host.runner.cpu_milli
+    return used > _CROWDED * total
--- a/testing/scheduling/test_starving.py
+++ b/testing/scheduling/test_starving.py
@@ -41,6 +41,16 @@
             assert not host.orders, "a second task beside the pressed service"
 
 
+def test_a_job_waits_for_pressed_services_while_most_room_is_taken():
+    with offices.office() as office:
+        host = office.host("h1", cpu=20_000)
+        _run_pressed_service(office, host)
+        office.submit(FILLERS, id="f" * 16)
+        for _ in fixtures.polls(2.5):
+            host.report()
+            assert not host.orders, "a task beside the pressed service"
+
+
 def test_after_an_election_work_waits_for_hosts_that_have_yet_to_report():
     with offices.office() as office:
         first, second = office.host("h1"), office.host("h2")
