--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -21,6 +21,7 @@
     interference,
     jobs,
     keyvalue,
+    load,
     moving,
     placing,
     queues,
@@ -122,6 +123,7 @@
         self._reconciler = reconciling.Reconciler(self)
         self._placer = placing.Placer(self)
         self._mover = moving.Mover(self)
+        self._load_log = load.Log()
         self._thread = threading.Thread(target=self._run, name="scheduler", daemon=True)
 
     def start(self) -> None:
@@ -259,6 +261,7 @@
                 next_tick = now + TICK_S
                 self._reconciler.tick(now)
                 self._mover.tick(now)
+                self._load_log.tick(self.open_jobs.values(), self.hosts.values(), now)
                 _depth.set(len(self.open_jobs))
             self._placer.place(now)
             self._write()
