--- /dev/null
+++ b/soak/mutants.py
@@ -0,0 +1,54 @@
+"""The programs with one guard removed, to show that the soak can fail."""
+
+import collections.abc as abc
+import os
+import sys
+import typing as t
+
+from bilberrypass.platform import programs, store
+from bilberrypass.scheduling import election, hosts
+
+
+def _remove_precondition() -> None:
+    """Let a deposed scheduler write."""
+    commit = store.Store.commit
+
+    def without(
+        self: store.Store, expected: dict[str, int], *args: t.Any, **kwargs: t.Any
+    ) -> int:
+        kept = {} if expected.get(election.KEY) else expected
+        return commit(self, kept, *args, **kwargs)
+
+    store.Store.commit = without
+
+
+def _remove_lease_wait() -> None:
+    """Take a host that is silent for a moment for one whose lease has ended."""
+
+    def bound(self: hosts.Host) -> float:
+        return self.heard_at + 0.3
+
+    hosts.Host.granted_until = property(bound, lambda self, value: None)
+
+
+def _note_early() -> None:
+    """Note an end before it is stored."""
+
+    def see_end(self: hosts.Host, number: int) -> None:
+        self.noted = max(self.noted, number)
+
+    hosts.Host.see_end = see_end
+
+
+_MUTATIONS: t.Final[dict[str, abc.Callable[[], None]]] = {
+    "no-precondition": _remove_precondition,
+    "no-lease-wait": _remove_lease_wait,
+    "early-note": _note_early,
+}
+NAMES: t.Final = tuple(_MUTATIONS)
+
+if __name__ == "__main__":
+    _MUTATIONS[sys.argv[1]]()
+    code = programs.run(sys.argv[2])
+    sys.stdout.flush()
+    os._exit(code)
--- a/testing/platform/test_programs.py
+++ b/testing/platform/test_programs.py
@@ -2,20 +2,15 @@
 
 import contextlib
 import json
-import os
-import pathlib
 import signal
-import subprocess
-import sys
 import tempfile
 import threading
 
 import urllib3
 
-from testing import collecting, fixtures
+from testing import collecting, fixtures, programs
 from testing.standins import kvhttp, runhttp
 
-_ROOT = pathlib.Path(__file__).parents[2]
 _CONFIG = {
     "version": 3,
     "routes": [
@@ -29,89 +24,9 @@
     ],
 }
 _JOB = {"specification": "x", "steps": [{"count": 3, "cpu": 100}]}
-_HEADERS = {"Host": "h.example", "Time-Remaining": "3000"}
 _ID = "5c0e7a21d94b36f8"
 
 
-def _ip(number):
-    """Return an address of the loopback that only this test process uses."""
-    pid = os.getpid()
-    return f"127.{1 + (pid >> 8) % 250}.{pid & 255}.{number}"
-
-
-class Program:
-    """One of the two programs as a process."""
-
-    def __init__(self, role, ip, store_address, folder):
-        self.role, self.ip = role, ip
-        self.front = f"{ip}:{fixtures.free_port()}"
-        self.ready = f"{ip}:{fixtures.free_port()}"
-        self.control = f"{ip}:{fixtures.free_port()}"
-        self._inner = fixtures.free_port()
-        self._path = pathlib.Path(folder) / f"{ip}.yaml"
-        self._log = pathlib.Path(folder) / f"{ip}.log"
-        self._path.write_text(json.dumps(self._settings(store_address)))
-        self.process = None
-
-    def _settings(self, store_address):
-        listen = {"control": self.control}
-        if self.role == "entry":
-            listen = {"front": self.front, "ready": self.ready}
-        return {
-            "node_name": f"{self.role}-{self.ip}",
-            "zone": "z",
-            "ip_address": self.ip,
-            "listen_addresses": listen,
-            "internal_port_range": [self._inner, self._inner + 15],
-            "bounds": {"hold_max_ms": 6_000, "grace_s": 6},
-            "platform": {"address": store_address},
-        }
-
-    def start(self):
-        """Start the process."""
-        env = {**os.environ, "BILBERRYPASS_CONFIG": str(self._path)}
-        with open(self._log, "ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "src/bilberrypassd.py", self.role],
-                cwd=_ROOT,
-                env=env,
-                stdout=log,
-                stderr=log,
-            )
-        return self
-
-    def lines(self, event):
-        """Return the lines of its decision log with an event."""
-        found = []
-        for line in self._log.read_text().splitlines():
-            if line.startswith("{") and json.loads(line)["event"] == event:
-                found.append(json.loads(line))
-        return found
-
-    def call(self, method, path, **fields):
-        """Call the callers' interface."""
-        return urllib3.request(
-            method,
-            f"http://{self.front}{path}",
-            headers=_HEADERS,
-            retries=False,
-            **fields,
-        )
-
-    def is_ready(self):
-        """Tell whether the readiness probe is answered with 200."""
-        with contextlib.suppress(urllib3.exceptions.HTTPError):
-            url = f"http://{self.ready}/api/readiness"
-            return urllib3.request("GET", url, retries=False).status == 200
-        return False
-
-    def end(self):
-        """End the process that this test started."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
-
-
 class System:
     """An entry, an agent, a runner and the store."""
 
@@ -161,11 +76,13 @@
     with (
         tempfile.TemporaryDirectory() as folder,
         kvhttp.serve() as (kv, store_address),
-        runhttp.serve("i-1", _ip(3)) as (app, address),
+        runhttp.serve("i-1", programs.loopback(3)) as (app, address),
     ):
         kv.store.put("op/config", json.dumps(_CONFIG).encode())
-        entry = Program("entry", _ip(1), store_address, folder).start()
-        agent = Program("agent", _ip(2), store_address, folder).start()
+        ip = programs.loopback(1)
+        entry = programs.Program("entry", ip, store_address, folder).start()
+        ip = programs.loopback(2)
+        agent = programs.Program("agent", ip, store_address, folder).start()
         found = System(kv.store, entry, agent, app.runner, address)
         try:
             fixtures.wait_until(entry.is_ready, 20.0, "the entry")
@@ -255,7 +172,7 @@
         fixtures.wait_until(lambda: agent.lines("process.started"), 15.0, "the start")
         agent.process.send_signal(signal.SIGHUP)
         fixtures.wait_until(lambda: agent.lines("settings.read"), 5.0, "the line")
-        agent._path.write_text("zone: [")
+        agent.path.write_text("zone: [")
         agent.process.send_signal(signal.SIGHUP)
         fixtures.wait_until(lambda: agent.lines("settings.refused"), 5.0, "the refusal")
         assert agent.process.poll() is None
@@ -272,7 +189,7 @@
 
 def test_faulty_settings_end_the_process_with_a_line():
     with tempfile.TemporaryDirectory() as folder:
-        program = Program("entry", _ip(1), "127.0.0.1:1", folder)
+        program = programs.Program("entry", programs.loopback(1), "127.0.0.1:1", folder)
         program._path.write_text("node_name: 1")
         program.start()
         assert program.process.wait(20) == 2
--- a/testing/standins/link.py
+++ b/testing/standins/link.py
@@ -11,12 +11,17 @@
 
 
 class _Pair:
-    """One relayed connection; ``server`` is None until it is made."""
+    """One relayed connection; ``server`` is None until it is made.
+
+    A ``deaf`` one gets nothing back: the rest of a half answer would be taken for
+    the next one.
+    """
 
     def __init__(self, client: socket.socket, swallowed: bool) -> None:
         self.client = client
         self.server: socket.socket | None = None
         self.swallowed = swallowed
+        self.deaf = False
 
     def close(self) -> None:
         for sock in filter(None, (self.client, self.server)):
@@ -36,6 +41,7 @@
         self._pairs: set[_Pair] = set()
         self._delay_s = 0.0
         self._blackhole = False
+        self._deaf = False
         self._port = port
         self._listener: socket.socket | None = None
         self._listen()
@@ -79,6 +85,10 @@
             self._blackhole = True
         self.swallow()
 
+    def deafen(self) -> None:
+        """Pass on what goes to the target, and swallow what comes back."""
+        self._deaf = True
+
     def delay(self, seconds: float) -> None:
         """Hold each chunk back by at least so long, in each direction."""
         self._delay_s = seconds
@@ -86,7 +96,7 @@
     def heal(self) -> None:
         """Let new connections work; what was swallowed stays swallowed."""
         with self._lock:
-            self._blackhole = False
+            self._blackhole = self._deaf = False
             self._delay_s = 0.0
             listens = self._listener is not None
         if not listens:
@@ -144,6 +154,10 @@
         with contextlib.suppress(OSError):
             while chunk := source.recv(_CHUNK_BYTES):
                 time.sleep(self._delay_s)
+                if source is pair.server and self._deaf:
+                    pair.deaf = True
+                if pair.deaf and source is pair.server:
+                    continue
                 if not pair.swallowed and sink is not None:
                     sink.sendall(chunk)
         with contextlib.suppress(OSError):
