--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,5 +1,6 @@
 """Play seeds: ``python -m soak 1-50``."""
 
+import json
 import pathlib
 import sys
 import time
@@ -13,8 +14,14 @@
 _SIZE: t.Final = seeds.Size()
 
 
+_REGRESSIONS: t.Final = pathlib.Path(__file__).with_name("regressions.json")
+_KEPT: t.Final = "kept"
+
+
 def _numbers(text: str) -> list[int]:
     found: list[int] = []
+    if text == _KEPT:
+        return [row["seed"] for row in json.loads(_REGRESSIONS.read_text())]
     for part in text.split(","):
         first, _, last = part.partition("-")
         found += range(int(first), int(last or first) + 1)
@@ -22,7 +29,7 @@
 
 
 def main(
-    which: t.Annotated[str, typer.Argument(help="seeds, such as 1-50 or 3,7")],
+    which: t.Annotated[str, typer.Argument(help="seeds such as 1-50 or 3,7; or kept")],
     entries: int = _SIZE.entries,
     sides: int = _SIZE.sides,
     duration_s: float = _SIZE.duration_s,
--- a/soak/book.py
+++ b/soak/book.py
@@ -9,7 +9,7 @@
 CANCEL_S: t.Final = 4.0  # cancel_ms and stop_timeout_ms of the platform's pages
 FINAL: t.Final = frozenset({"completed", "failed", "cancelled"})
 _SHOWN_SLACK_S: t.Final = 1.0  # an order may have been under way
-_MOST_CPU: t.Final = 64_000
+HOST_CPU: t.Final = 64_000
 
 
 class Broken(t.NamedTuple):
@@ -147,7 +147,7 @@
     def _count(self, host: str, job: Job, task: str, sign: int) -> None:
         used = self._cpu.get(host, 0) + sign * job.step(task)["cpu"]
         self._cpu[host] = used
-        if sign > 0 and used > _MOST_CPU:
+        if sign > 0 and used > HOST_CPU:
             self._break("LIMIT", f"{host}: {used} after {task}")
 
     def ended(self, host: str, task: str, run: int, how: str) -> None:
@@ -212,6 +212,16 @@
         if most < self._max_attempts:
             self._break("LOST", f"{job.id}: failed after {most} failures")
 
+    def lasting_cpu(self) -> int:
+        """Return what the jobs that last, and are not cancelled, take together."""
+        with self._lock:
+            steps = [
+                job.body["steps"][0]
+                for job in self.jobs.values()
+                if job.lasts and not job.cancelled_at
+            ]
+        return sum(step["count"] * step["cpu"] for step in steps)
+
     def unknown(self, job: Job) -> None:
         """Check an answer that a submission is not known."""
         with self._lock:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 _TRIES: t.Final = 5
 _CANCEL_SHARE: t.Final = 0.15
 _LASTING_SHARE: t.Final = 0.12
+_LASTING_ROOM: t.Final = 0.4  # the rest is left to batch work
 _POISON_SHARE: t.Final = 0.06
 _REFUSALS: t.Final = (429, 503)
 
@@ -71,7 +72,8 @@
         spec = f"spec {self._rng.random()}"
         cpu = self._rng.choice((500, 2_000, 9_000))
         step = {"count": self._rng.randint(1, 6), "cpu": cpu, "task_memory_mb": 100}
-        if draw < _LASTING_SHARE:
+        room = _LASTING_ROOM * book.HOST_CPU * len(self._fleet.sides)
+        if draw < _LASTING_SHARE and self._book.lasting_cpu() < room:
             return {"specification": spec, "steps": [step | {"long_running": True}]}
         if draw < _LASTING_SHARE + _POISON_SHARE:
             spec = f"poison {spec}"
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -216,7 +216,7 @@
             run=row.run,
             host=host.name,
             how=row.outcome,
-            took_s=round(host.heard_at - task.started_at, 2),
+            took_s=_took_s(task, host.heard_at),
             failures=task.failures,
         )
         self._settle_later(host, job, row)
@@ -304,6 +304,11 @@
                     self._lose(host, task, "the lease lapsed")
 
 
+def _took_s(task: state.Task, now: float) -> float | None:
+    """Return how long a run took; unknown if an earlier scheduler ordered it."""
+    return round(now - task.started_at, 2) if task.started_at else None
+
+
 def _is_newer(report: messages.Report, host: hosts.Host, at: float) -> bool:
     """Tell whether a report is newer than the last one of its host.
 
--- a/testing/standins/test_standins.py
+++ b/testing/standins/test_standins.py
@@ -307,6 +307,15 @@
         assert _echoes_afresh(relay)
 
 
+def test_link_deafen_swallows_what_comes_back_for_good():
+    with _linked() as (relay, conn):
+        relay.deafen()
+        assert _goes_silent(conn)
+        relay.heal()
+        assert _goes_silent(conn)
+        assert _echoes_afresh(relay)
+
+
 def test_link_delay_holds_bytes_back():
     with _linked() as (relay, conn):
         relay.delay(0.5)
