--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -18,6 +18,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import channels, messages, reporting, worker
+from bilberrypass.version import work
 from testing.standins import tasks as standin_tasks
 
 _SERVER_THREADS = 8
@@ -39,8 +40,8 @@
         self._lock = threading.Lock()
         self._endpoints = [self._endpoint(n) for n in range(args.endpoints)]
         self._standing = [self._task(n, args.teams) for n in range(args.tasks)]
-        self._runs: dict[worker.TaskId, messages.TaskState] = {}
-        self._ends_at: dict[worker.TaskId, float] = {}
+        self._runs: dict[work.TaskId, messages.TaskState] = {}
+        self._ends_at: dict[work.TaskId, float] = {}
         self.started = 0
         self.revision = 0
         sequences = itertools.count(1)
@@ -57,7 +58,7 @@
 
     def _task(self, number: int, teams: list[str]) -> messages.TaskState:
         team = teams[(self._number + number) % len(teams)]
-        task = worker.TaskId(team, f"plan-{self._number}", number, 1)
+        task = work.TaskId(team, f"plan-{self._number}", number, 1)
         return messages.TaskState(task, "running", _TASK_DEMAND, "step:3")
 
     def report(self, sequence: int) -> messages.Report:
@@ -107,7 +108,7 @@
                 self._start_one(spec)
         return messages.Started([messages.StartOutcome(s.task) for s in req.specs])
 
-    def _start_one(self, spec: worker.Spec) -> None:
+    def _start_one(self, spec: work.Spec) -> None:
         if spec.task in self._runs:
             return
         payload = msgspec.json.decode(spec.payload, type=standin_tasks.Payload)
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -23,9 +23,10 @@
 
 from benchmarks import placement_trace
 from bilberrypass import resources
+from bilberrypass.batch import interference, placement, placing, records
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import fleet, interference, placement, placing, records
-from bilberrypass.version import page
+from bilberrypass.membership import fleet
+from bilberrypass.version import page, work
 
 _STEP_S = 10.0
 _USAGE_LAG_STEPS = 6
@@ -36,7 +37,7 @@
 class Run(t.NamedTuple):
     """A task that runs; ``finish_at`` is in trace seconds."""
 
-    spec: worker.Spec
+    spec: work.Spec
     host: str
     used_cpu_milli: int
     finish_at: float
@@ -123,7 +124,7 @@
         )
         self._observer = interference.Observer(model) if model else None
         self._jobs: records.Jobs = {}
-        self._runs: dict[worker.TaskId, Run] = {}
+        self._runs: dict[work.TaskId, Run] = {}
         self._lagged: collections.deque[dict[str, worker.Usage]] = collections.deque()
         self._inflations: list[tuple[float, float]] = []
         self._waits: list[float] = []
--- a/benchmarks/reports.py
+++ b/benchmarks/reports.py
@@ -15,7 +15,8 @@
 import time
 
 from benchmarks import measuring
-from bilberrypass.connection import etcd, store, worker
+from bilberrypass.connection import etcd, store
+from bilberrypass.version import work
 from testing import fixtures, system
 
 _HOSTS = (50, 200, 600, 1_100)
@@ -34,7 +35,7 @@
 def _foreign_teams() -> list[str]:
     names = [f"team-{n}" for n in range(200)]
     own = range(_OWN_SHARDS)
-    return [n for n in names if worker.shard_of(n, _SHARDS) not in own][:33]
+    return [n for n in names if work.shard_of(n, _SHARDS) not in own][:33]
 
 
 def _give_away_shards(address: str) -> None:
--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -7,8 +7,14 @@
 import time
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages
-from bilberrypass.scheduling import hosts, interference, jobs, placement, state
+from bilberrypass.scheduling import (
+    hosts,
+    interference,
+    jobs,
+    messages,
+    placement,
+    state,
+)
 
 _HOSTS = (11, 70, 300, 1_100)
 _TASKS = 200
--- a/benchmarks/store_calls.py
+++ b/benchmarks/store_calls.py
@@ -13,7 +13,7 @@
 
 from benchmarks import measuring
 from testing import system
-from testing.process import fleets
+from testing.batch import fleets
 
 _ENTRIES = (1, 4, 12)
 _SHARDS = 24
--- a/src/bilberrypass/process/decisions.py
+++ b/src/bilberrypass/batch/decisions.py
@@ -5,7 +5,7 @@
 import time
 import typing as t
 
-from bilberrypass.process import placement
+from bilberrypass.batch import placement
 
 _SUBJECTS: t.Final = 2_000
 _KEPT_EACH: t.Final = 12
--- a/src/bilberrypass/process/displacement.py
+++ b/src/bilberrypass/batch/displacement.py
@@ -4,14 +4,13 @@
 import typing as t
 
 from bilberrypass import resources
-from bilberrypass.connection import worker
-from bilberrypass.process import records
-from bilberrypass.version import page
+from bilberrypass.batch import records
+from bilberrypass.version import page, work
 
 _LEAST_RUN_S: t.Final = 2.0
 
 
-def find_movable(jobs: records.Jobs, found: list[worker.TaskId]) -> list[worker.TaskId]:
+def find_movable(jobs: records.Jobs, found: list[work.TaskId]) -> list[work.TaskId]:
     """Return the batch tasks that have run long enough to be moved."""
     now = time.time()
     victims = []
@@ -28,15 +27,15 @@
     jobs: records.Jobs,
     demand: resources.Demand,
     free: resources.Demand,
-    victims: list[worker.TaskId],
-) -> list[worker.TaskId]:
+    victims: list[work.TaskId],
+) -> list[work.TaskId]:
     """Return the fewest tasks that make room, the latest started first, or none."""
 
-    def order(task: worker.TaskId) -> tuple[int, float]:
+    def order(task: work.TaskId) -> tuple[int, float]:
         job = jobs[task.team, task.job]
         return -job.demand.cpu_milli, -job.tasks[task.index].changed_at
 
-    chosen: list[worker.TaskId] = []
+    chosen: list[work.TaskId] = []
     for task in sorted(victims, key=order):
         if demand.fits(free):
             break
--- a/src/bilberrypass/process/disturbance.py
+++ b/src/bilberrypass/batch/disturbance.py
@@ -6,9 +6,10 @@
 
 import logbook
 
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import interference, placing, records, throttle
-from bilberrypass.version import configuration, page
+from bilberrypass.batch import interference, placing, records
+from bilberrypass.connection import messages
+from bilberrypass.execution import throttle
+from bilberrypass.version import configuration, page, work
 
 _log = logbook.Logger("disturbance")
 
@@ -48,7 +49,7 @@
             self._high_since.setdefault(report.host, time.monotonic())
 
     def move(
-        self, jobs: records.Jobs, on_host: t.Mapping[str, list[worker.TaskId]]
+        self, jobs: records.Jobs, on_host: t.Mapping[str, list[work.TaskId]]
     ) -> None:
         """Evict a task of each host that has been disturbed for long."""
         limit = time.monotonic() - _MOVE_AFTER_S
@@ -64,8 +65,8 @@
         return self._tools.values(subject).throttle_on_disturbance
 
     def _most_disturbing(
-        self, jobs: records.Jobs, host: str, found: list[worker.TaskId]
-    ) -> worker.TaskId | None:
+        self, jobs: records.Jobs, host: str, found: list[work.TaskId]
+    ) -> work.TaskId | None:
         services = self._services[host]
         effects = {}
         for task in found:
@@ -78,7 +79,7 @@
             effects[task] = effect * job.demand.cpu_milli
         return max(effects, key=effects.__getitem__) if effects else None
 
-    def _move_one(self, jobs: records.Jobs, host: str, task: worker.TaskId) -> None:
+    def _move_one(self, jobs: records.Jobs, host: str, task: work.TaskId) -> None:
         with self._lock:
             self._high_since[host] = time.monotonic()
         detail = f"moved from {host}: it disturbed the services there most"
--- a/src/bilberrypass/process/interference.py
+++ b/src/bilberrypass/batch/interference.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from bilberrypass.connection import messages, worker
+from bilberrypass.version import work
 
 _PRIOR: t.Final = 0.3
 _MAX_EFFECT: t.Final = 20.0
@@ -85,7 +86,7 @@
     def __init__(self, model: Model) -> None:
         self._model = model
         self._lock = threading.Lock()
-        self._ran: dict[str, collections.OrderedDict[worker.TaskId, _Known]] = {}
+        self._ran: dict[str, collections.OrderedDict[work.TaskId, _Known]] = {}
         self._last: dict[str, tuple[t.Any, ...]] = {}
 
     def hear(self, report: messages.Report) -> None:
@@ -112,7 +113,7 @@
         self,
         report: messages.Report,
         usage: worker.Usage,
-        ran: t.Mapping[worker.TaskId, _Known],
+        ran: t.Mapping[work.TaskId, _Known],
     ) -> None:
         loads: dict[str, float] = {}
         for task, cpu_milli, _ in usage.tasks:
--- a/src/bilberrypass/process/jobcalls.py
+++ b/src/bilberrypass/batch/jobcalls.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from bilberrypass import errors
+from bilberrypass.batch import decisions, placing, records
 from bilberrypass.connection import messages
-from bilberrypass.process import decisions, ownership, placing, records
+from bilberrypass.membership import ownership
 from bilberrypass.version import page
 
 _SETTLE_S: t.Final = 5.0
--- a/src/bilberrypass/process/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -8,8 +8,10 @@
 import logbook
 
 from bilberrypass import errors
-from bilberrypass.connection import channels, messages, worker
-from bilberrypass.process import fleet, sightings
+from bilberrypass.batch import sightings
+from bilberrypass.connection import channels, messages
+from bilberrypass.membership import fleet
+from bilberrypass.version import work
 
 _log = logbook.Logger("outbox")
 
@@ -30,10 +32,10 @@
 class Outcomes(t.Protocol):
     """Who takes in what became of starts and stops."""
 
-    def started(self, task: worker.TaskId) -> None:
+    def started(self, task: work.TaskId) -> None:
         """Note that a task runs."""
 
-    def refused(self, task: worker.TaskId, detail: str, is_certain: bool) -> None:
+    def refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
         """Note that a start was refused.
 
         The task certainly does not run unless an earlier start of it got lost.
@@ -71,41 +73,41 @@
         self._outcomes = outcomes
         self._lock = threading.Lock()
         self._busy: set[str] = set()
-        self._sent_at: dict[worker.TaskId, float] = {}
-        self._sure: set[worker.TaskId] = set()
+        self._sent_at: dict[work.TaskId, float] = {}
+        self._sure: set[work.TaskId] = set()
         self._pool = pool or futures.ThreadPoolExecutor(
             _THREADS, thread_name_prefix="send"
         )
 
-    def keep(self, tasks: t.Collection[worker.TaskId]) -> None:
+    def keep(self, tasks: t.Collection[work.TaskId]) -> None:
         """Forget when other tasks' starts and stops were sent."""
         kept = set(tasks)
         with self._lock:
             self._sent_at = {k: v for k, v in self._sent_at.items() if k in kept}
             self._sure &= kept
 
-    def expect(self, tasks: t.Collection[worker.TaskId]) -> None:
+    def expect(self, tasks: t.Collection[work.TaskId]) -> None:
         """Note that nobody has sent the starts of these tasks before."""
         with self._lock:
             self._sure.update(tasks)
 
-    def start(self, sender: Sender, name: str, specs: list[worker.Spec]) -> None:
+    def start(self, sender: Sender, name: str, specs: list[work.Spec]) -> None:
         """Send starts to a host, but those sent a moment ago."""
         due = self._due([spec.task for spec in specs])
         chosen = [spec for spec in specs if spec.task in due]
         self._submit(name, list(due), lambda: self._start(sender, name, chosen))
 
-    def stop(self, name: str, tasks: list[worker.TaskId], checkpoint: bool) -> None:
+    def stop(self, name: str, tasks: list[work.TaskId], checkpoint: bool) -> None:
         """Send stops to a host, but those sent a moment ago."""
         due = self._due(tasks)
         self._submit(name, list(due), lambda: self._stop(name, list(due), checkpoint))
 
-    def _due(self, tasks: list[worker.TaskId]) -> set[worker.TaskId]:
+    def _due(self, tasks: list[work.TaskId]) -> set[work.TaskId]:
         limit = time.monotonic() - _RESEND_S
         return {task for task in tasks if self._sent_at.get(task, limit) <= limit}
 
     def _submit(
-        self, name: str, due: list[worker.TaskId], send: t.Callable[[], None]
+        self, name: str, due: list[work.TaskId], send: t.Callable[[], None]
     ) -> None:
         with self._lock:
             if not due or name in self._busy:
@@ -125,7 +127,7 @@
             with self._lock:
                 self._busy.discard(name)
 
-    def _start(self, sender: Sender, name: str, specs: list[worker.Spec]) -> None:
+    def _start(self, sender: Sender, name: str, specs: list[work.Spec]) -> None:
         host = self._hosts.get(name)
         if host is None:
             return
@@ -169,7 +171,7 @@
             with self._lock:
                 self._sure.discard(task)
 
-    def _stop(self, name: str, tasks: list[worker.TaskId], checkpoint: bool) -> None:
+    def _stop(self, name: str, tasks: list[work.TaskId], checkpoint: bool) -> None:
         host = self._hosts.get(name)
         if host is None:
             return
--- a/src/bilberrypass/process/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -6,21 +6,18 @@
 
 import logbook
 
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import (
-    directory,
+from bilberrypass.batch import (
     disturbance,
-    fleet,
-    grouped,
     jobcalls,
-    jobevents,
     outbox,
     placing,
     records,
     sightings,
-    tasks,
 )
-from bilberrypass.version import page
+from bilberrypass.connection import messages
+from bilberrypass.execution import jobevents, tasks
+from bilberrypass.membership import directory, fleet, grouped
+from bilberrypass.version import page, work
 
 _log = logbook.Logger("owner")
 
@@ -33,9 +30,9 @@
     """A shard's part of the answer to a report; see ``messages.Reported``."""
 
     grant: messages.Grant | None = None
-    recorded: list[worker.TaskId] = []
-    stop: list[worker.TaskId] = []
-    evict: list[worker.TaskId] = []
+    recorded: list[work.TaskId] = []
+    stop: list[work.TaskId] = []
+    evict: list[work.TaskId] = []
 
 
 @t.final
@@ -84,8 +81,8 @@
         self._tools = tools
         self._hosts = hosts
         self._calls = jobcalls.Calls(self, self._placing, tools.decisions)
-        self._on_host: dict[str, list[worker.TaskId]] = {}
-        self._placed: dict[str, list[worker.Spec]] = {}
+        self._on_host: dict[str, list[work.TaskId]] = {}
+        self._placed: dict[str, list[work.Spec]] = {}
 
     def empty(self) -> records.Jobs:
         """Return no jobs."""
@@ -155,9 +152,9 @@
             if job.payload and job.state in page.ENDED:
                 jobs[key] = job._replace(payload="")
 
-    def _send(self, host: str, found: list[worker.TaskId]) -> None:
-        starts: list[worker.Spec] = []
-        stops: dict[str, list[worker.TaskId]] = {state: [] for state in _STOPS}
+    def _send(self, host: str, found: list[work.TaskId]) -> None:
+        starts: list[work.Spec] = []
+        stops: dict[str, list[work.TaskId]] = {state: [] for state in _STOPS}
         for task in found:
             job = self.state[task.team, task.job]
             record = job.tasks[task.index]
@@ -176,17 +173,17 @@
             )
             self._outbox.start(sender, host, starts)
 
-    def _recall_overdue(self, task: worker.TaskId, record: page.TaskRecord) -> None:
+    def _recall_overdue(self, task: work.TaskId, record: page.TaskRecord) -> None:
         """Give up a host that reports but does not answer a start."""
         if time.time() > record.changed_at + _LONGEST_PLACED_S:
             detail = f"{record.host} did not answer the start"
             self.submit(lambda jobs: records.recall(jobs, task, detail))
 
-    def started(self, task: worker.TaskId) -> None:
+    def started(self, task: work.TaskId) -> None:
         """Note that a task runs."""
         self._seen.confirm(task)
 
-    def refused(self, task: worker.TaskId, detail: str, is_certain: bool) -> None:
+    def refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
         """Note that a start was refused."""
         _log.info("owner: start of {} refused: {}", task, detail)
         change = records.take_back if is_certain else records.recall
@@ -245,7 +242,7 @@
         for task in self._seen.hear(report, expected):
             self._lose(report.host, task)
 
-    def _lose(self, host: str, task: worker.TaskId) -> None:
+    def _lose(self, host: str, task: work.TaskId) -> None:
         detail = f"{host} no longer runs it"
         _log.info("owner: {} taken back: {}", task, detail)
         self.submit(lambda jobs: records.take_back(jobs, task, detail))
--- a/src/bilberrypass/process/placement.py
+++ b/src/bilberrypass/batch/placement.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass import resources
-from bilberrypass.process import interference
+from bilberrypass.batch import interference
 from bilberrypass.version import page
 
 _SPREAD_WEIGHT: t.Final = 0.1
--- a/src/bilberrypass/process/placing.py
+++ b/src/bilberrypass/batch/placing.py
@@ -5,18 +5,18 @@
 import typing as t
 
 from bilberrypass import resources
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import (
+from bilberrypass.batch import (
     budget,
     decisions,
     displacement,
-    fleet,
     placement,
     quarantine,
     records,
-    tasks,
 )
-from bilberrypass.version import configuration, page
+from bilberrypass.connection import messages
+from bilberrypass.execution import tasks
+from bilberrypass.membership import fleet
+from bilberrypass.version import configuration, page, work
 
 _PATIENCE_S: t.Final = 1_800.0
 
@@ -74,9 +74,9 @@
         self._tools = tools
         self._full: set[t.Any] = set()
 
-    def place(self, jobs: records.Jobs) -> dict[str, list[worker.Spec]]:
+    def place(self, jobs: records.Jobs) -> dict[str, list[work.Spec]]:
         """Give waiting tasks to hosts, and return what is placed by host."""
-        placed: dict[str, list[worker.Spec]] = {}
+        placed: dict[str, list[work.Spec]] = {}
         waiting = _waiting(jobs)
         if not waiting:
             return placed
@@ -99,7 +99,7 @@
         indexes: list[int],
         rooms: dict[str, placement.Room],
         used: dict[str, resources.Demand],
-    ) -> t.Iterator[tuple[worker.Spec, str]]:
+    ) -> t.Iterator[tuple[work.Spec, str]]:
         job = jobs[key]
         quota = self._quota(job.team)
         domains, racks = _spread(job, rooms)
@@ -159,7 +159,7 @@
         jobs: records.Jobs,
         key: records.JobKey,
         rooms: dict[str, placement.Room],
-        on_host: dict[str, list[worker.TaskId]],
+        on_host: dict[str, list[work.TaskId]],
     ) -> None:
         """Evict batch tasks of this shard for an urgent one, within the budget."""
         demand = jobs[key].demand
@@ -188,7 +188,7 @@
         self,
         jobs: records.Jobs,
         name: str,
-        on_host: dict[str, list[worker.TaskId]],
+        on_host: dict[str, list[work.TaskId]],
     ) -> resources.Demand:
         """Return what counts as taken on a host but is on its way out."""
         host = self._hosts.get(name)
@@ -209,7 +209,7 @@
         jobs: records.Jobs,
         key: records.JobKey,
         host: str,
-        chosen: list[worker.TaskId],
+        chosen: list[work.TaskId],
     ) -> bool:
         if not self._tools.budget.spend(len(chosen)):
             self._note(jobs[key], "waits: the budget of evictions is spent")
@@ -222,7 +222,7 @@
         return True
 
     def _rooms(
-        self, jobs: records.Jobs, on_host: dict[str, list[worker.TaskId]]
+        self, jobs: records.Jobs, on_host: dict[str, list[work.TaskId]]
     ) -> dict[str, placement.Room]:
         rooms = {}
         for host in self._hosts.live():
@@ -355,7 +355,7 @@
 
 
 def _used_by_team(
-    jobs: records.Jobs, on_host: dict[str, list[worker.TaskId]]
+    jobs: records.Jobs, on_host: dict[str, list[work.TaskId]]
 ) -> dict[str, resources.Demand]:
     used: dict[str, resources.Demand] = {}
     for found in on_host.values():
--- a/src/bilberrypass/process/records.py
+++ b/src/bilberrypass/batch/records.py
@@ -4,9 +4,9 @@
 import typing as t
 
 from bilberrypass import errors
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import jobevents
-from bilberrypass.version import page
+from bilberrypass.connection import messages
+from bilberrypass.execution import jobevents
+from bilberrypass.version import page, work
 
 JobKey = tuple[str, str]
 Jobs = dict[JobKey, page.JobRecord]
@@ -16,7 +16,7 @@
 _STOPPED: t.Final = "stopped"
 
 
-def find(jobs: Jobs, task: worker.TaskId) -> page.TaskRecord | None:
+def find(jobs: Jobs, task: work.TaskId) -> page.TaskRecord | None:
     """Return the record of a task at this attempt, or None."""
     job = jobs.get((task.team, task.job))
     if job is None or task.index >= len(job.tasks):
@@ -25,7 +25,7 @@
     return record if record.attempt == task.attempt else None
 
 
-def _set(jobs: Jobs, task: worker.TaskId, record: page.TaskRecord) -> None:
+def _set(jobs: Jobs, task: work.TaskId, record: page.TaskRecord) -> None:
     key = (task.team, task.job)
     if record.state in page.ENDED:
         jobevents.ended(jobs[key], task, record.state)
@@ -52,7 +52,7 @@
     return known, False
 
 
-def place(jobs: Jobs, key: JobKey, index: int, host: str) -> worker.Spec:
+def place(jobs: Jobs, key: JobKey, index: int, host: str) -> work.Spec:
     """Give a waiting task to a host, as a new attempt."""
     task = jobs[key].task_id(index)
     record = jobs[key].tasks[index]
@@ -64,7 +64,7 @@
     return jobs[key].spec(index)
 
 
-def take_back(jobs: Jobs, task: worker.TaskId, detail: str) -> bool:
+def take_back(jobs: Jobs, task: work.TaskId, detail: str) -> bool:
     """Let a task wait again that certainly does not run; tell whether it did change."""
     record = find(jobs, task)
     if record is None or record.state not in page.ON_HOST:
@@ -75,7 +75,7 @@
     return True
 
 
-def evict(jobs: Jobs, task: worker.TaskId, detail: str) -> bool:
+def evict(jobs: Jobs, task: work.TaskId, detail: str) -> bool:
     """Begin to move a running task away from its host; tell whether it did change."""
     record = find(jobs, task)
     if record is None or record.state != page.RUNNING:
@@ -86,7 +86,7 @@
     return True
 
 
-def recall(jobs: Jobs, task: worker.TaskId, detail: str) -> bool:
+def recall(jobs: Jobs, task: work.TaskId, detail: str) -> bool:
     """Begin to make sure that a placed task does not run; tell of a change."""
     record = find(jobs, task)
     if record is None or record.state != page.PLACED:
@@ -172,9 +172,9 @@
     _set(jobs, state.task, new)
 
 
-def on_host(jobs: Jobs) -> dict[str, list[worker.TaskId]]:
+def on_host(jobs: Jobs) -> dict[str, list[work.TaskId]]:
     """Return the tasks on each host."""
-    found: dict[str, list[worker.TaskId]] = {}
+    found: dict[str, list[work.TaskId]] = {}
     for job in jobs.values():
         for index, record in enumerate(job.tasks):
             if record.state in page.ON_HOST:
--- a/src/bilberrypass/process/sightings.py
+++ b/src/bilberrypass/batch/sightings.py
@@ -3,8 +3,9 @@
 import threading
 import typing as t
 
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import tasks
+from bilberrypass.connection import messages
+from bilberrypass.execution import tasks
+from bilberrypass.version import work
 
 _MAX_DRIFT: t.Final = 0.01
 _MISSES: t.Final = 2
@@ -36,8 +37,8 @@
         self._lease_s = lease_s
         self._lock = threading.Lock()
         self._answered_at: dict[str, float] = {}
-        self._seen: set[worker.TaskId] = set()
-        self._misses: dict[worker.TaskId, _Miss] = {}
+        self._seen: set[work.TaskId] = set()
+        self._misses: dict[work.TaskId, _Miss] = {}
 
     def answered(self, host: str, at: float) -> None:
         """Note that leases count from a report that was heard by this time."""
@@ -49,17 +50,17 @@
         granted_at = max(self._answered_at.get(host, 0.0), owned_at)
         return granted_at + self._lease_s * (1 + _MAX_DRIFT)
 
-    def confirm(self, task: worker.TaskId) -> None:
+    def confirm(self, task: work.TaskId) -> None:
         """Note that a task is on its host."""
         with self._lock:
             self._seen.add(task)
             self._misses.pop(task, None)
 
-    def is_confirmed(self, task: worker.TaskId) -> bool:
+    def is_confirmed(self, task: work.TaskId) -> bool:
         """Tell whether a task was seen on its host."""
         return task in self._seen
 
-    def keep(self, on_host: t.Collection[worker.TaskId]) -> None:
+    def keep(self, on_host: t.Collection[work.TaskId]) -> None:
         """Forget all other tasks."""
         with self._lock:
             self._seen.intersection_update(on_host)
@@ -67,20 +68,20 @@
             self._misses = {k: v for k, v in self._misses.items() if k in kept}
 
     def hear(
-        self, report: messages.Report, expected: t.Iterable[worker.TaskId]
-    ) -> list[worker.TaskId]:
+        self, report: messages.Report, expected: t.Iterable[work.TaskId]
+    ) -> list[work.TaskId]:
         """Return those expected tasks that the host has lost.
 
         Parameters
         ----------
         report : messages.Report
             The host's report.
-        expected : iterable of worker.TaskId
+        expected : iterable of work.TaskId
             Tasks that were seen there, by this owner or by its predecessor.
 
         Returns
         -------
-        list of worker.TaskId
+        list of work.TaskId
             Tasks that certainly do not run there any more.
         """
         listed = {state.task for state in report.tasks}
@@ -96,7 +97,7 @@
                     lost.append(task)
         return lost
 
-    def _miss(self, report: messages.Report, task: worker.TaskId) -> int:
+    def _miss(self, report: messages.Report, task: work.TaskId) -> int:
         known = self._misses.get(task)
         if known is None or known.incarnation != report.incarnation:
             known = _Miss(report.incarnation, report.sequence, 1)
--- /dev/null
+++ b/src/bilberrypass/claiming/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys; knows shards and their owners, no job."""
--- a/src/bilberrypass/process/claiming.py
+++ b/src/bilberrypass/claiming/claiming.py
@@ -8,8 +8,9 @@
 import logbook
 
 from bilberrypass import errors
+from bilberrypass.claiming import claims
 from bilberrypass.connection import channels, messages
-from bilberrypass.process import claims, directory, owners
+from bilberrypass.membership import directory, owners
 
 _log = logbook.Logger("claiming")
 
--- a/src/bilberrypass/process/claims.py
+++ b/src/bilberrypass/claiming/claims.py
@@ -12,7 +12,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
-from bilberrypass.process import directory, grouped
+from bilberrypass.membership import directory, grouped
 
 _KEY_BYTES: t.Final = 12
 _DIGEST_BYTES: t.Final = 8
--- a/src/bilberrypass/commands/tokens.py
+++ b/src/bilberrypass/commands/tokens.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.commands import options, output
-from bilberrypass.process import tokens
+from bilberrypass.configuration import tokens
 from bilberrypass.version import settings
 
 
--- a/src/bilberrypass/process/configuring.py
+++ b/src/bilberrypass/configuration/configuring.py
@@ -10,7 +10,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
-from bilberrypass.process import directory
+from bilberrypass.membership import directory
 from bilberrypass.version import configuration
 
 _log = logbook.Logger("config")
--- a/src/bilberrypass/process/revisions.py
+++ b/src/bilberrypass/configuration/revisions.py
@@ -10,8 +10,9 @@
 import logbook
 
 from bilberrypass import errors
+from bilberrypass.configuration import configuring
 from bilberrypass.connection import store
-from bilberrypass.process import configuring, directory
+from bilberrypass.membership import directory
 from bilberrypass.version import configuration, schema
 
 _log = logbook.Logger("revisions")
--- a/src/bilberrypass/connection/__init__.py
+++ b/src/bilberrypass/connection/__init__.py
@@ -1,1 +1,1 @@
-"""What lives as long as a connection to another process."""
+"""What lives as long as a connection to another process; knows no request."""
--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -13,7 +13,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
-from bilberrypass.process import metrics
+from bilberrypass.observing import metrics
 
 _log = logbook.Logger("channels")
 
--- a/src/bilberrypass/connection/endpoint.py
+++ b/src/bilberrypass/connection/endpoint.py
@@ -15,7 +15,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages, pool
-from bilberrypass.process import traces
+from bilberrypass.observing import traces
 
 _log = logbook.Logger("endpoint")
 
--- a/src/bilberrypass/connection/httpworker.py
+++ b/src/bilberrypass/connection/httpworker.py
@@ -9,6 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import worker
+from bilberrypass.version import work
 
 GENERATION_HEADER: t.Final = "Worker-Generation"
 
@@ -36,14 +37,14 @@
 class Start(t.NamedTuple):
     """The body of ``POST /start``; the lease expires by the worker's clock."""
 
-    spec: worker.Spec
+    spec: work.Spec
     expiry: float
 
 
 class Throttle(t.NamedTuple):
     """The body of ``POST /throttle``."""
 
-    task: worker.TaskId
+    task: work.TaskId
     share: float
 
 
@@ -93,30 +94,30 @@
         self._clock_ahead_s = found.clock_s - time.monotonic()
         return found
 
-    def start(self, spec: worker.Spec, expiry: float, deadline: float) -> worker.Run:
+    def start(self, spec: work.Spec, expiry: float, deadline: float) -> worker.Run:
         """Start a task under a lease; the same task and attempt starts once."""
         body = Start(spec, expiry + self._clock_ahead_s)
         return self._call("POST", "/start", body, worker.Run, deadline)
 
-    def renew(self, leases: list[tuple[worker.TaskId, float]], deadline: float) -> None:
+    def renew(self, leases: list[tuple[work.TaskId, float]], deadline: float) -> None:
         """Set when the tasks' leases expire."""
         ahead_s = self._clock_ahead_s
         body = [(task, expiry + ahead_s) for task, expiry in leases]
         self._call("POST", "/renew", body, None, deadline)
 
-    def checkpoint(self, task: worker.TaskId, deadline: float) -> str:
+    def checkpoint(self, task: work.TaskId, deadline: float) -> str:
         """Make the task write a checkpoint, and return its reference."""
         return self._call("POST", "/checkpoint", task, str, deadline)
 
-    def throttle(self, task: worker.TaskId, share: float, deadline: float) -> None:
+    def throttle(self, task: work.TaskId, share: float, deadline: float) -> None:
         """Let the task use a share (0 to 1) of its processors."""
         self._call("POST", "/throttle", Throttle(task, share), None, deadline)
 
-    def stop(self, task: worker.TaskId, deadline: float) -> worker.Run | None:
+    def stop(self, task: work.TaskId, deadline: float) -> worker.Run | None:
         """Stop a task and return its end, or None if the worker never had it."""
         return self._call("POST", "/stop", task, worker.Run | None, deadline)
 
-    def forget(self, tasks: list[worker.TaskId], deadline: float) -> None:
+    def forget(self, tasks: list[work.TaskId], deadline: float) -> None:
         """Drop ended runs whose end has been recorded."""
         self._call("POST", "/forget", tasks, None, deadline)
 
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -4,6 +4,7 @@
 
 from bilberrypass import resources
 from bilberrypass.connection import worker
+from bilberrypass.version import work
 
 
 class Empty(t.NamedTuple):
@@ -77,7 +78,7 @@
 class TaskState(t.NamedTuple):
     """A task on a host as its agent sees it."""
 
-    task: worker.TaskId
+    task: work.TaskId
     state: str
     demand: resources.Demand
     checkpoint: str = ""
@@ -141,10 +142,10 @@
     entries: list[str]
     shards: int
     grants: list[Grant]
-    recorded: list[worker.TaskId]
-    stop: list[worker.TaskId]
+    recorded: list[work.TaskId]
+    stop: list[work.TaskId]
     slice: bytes = b""
-    evict: list[worker.TaskId] = []
+    evict: list[work.TaskId] = []
 
 
 class Start(t.NamedTuple):
@@ -160,13 +161,13 @@
     incarnation: int
     sequence: int
     lease_s: float
-    specs: list[worker.Spec]
+    specs: list[work.Spec]
 
 
 class StartOutcome(t.NamedTuple):
     """What became of one start; ``kind`` is empty if the task runs."""
 
-    task: worker.TaskId
+    task: work.TaskId
     kind: str = ""
     detail: str = ""
 
@@ -180,7 +181,7 @@
 class Stop(t.NamedTuple):
     """Tasks that are to stop; ``checkpoint`` asks for one before."""
 
-    tasks: list[worker.TaskId]
+    tasks: list[work.TaskId]
     checkpoint: bool = False
 
 
--- a/src/bilberrypass/request/problems.py
+++ b/src/bilberrypass/connection/problems.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bilberrypass import errors
-from bilberrypass.process import metrics
+from bilberrypass.observing import metrics
 
 CONTENT_TYPE: t.Final = "application/problem+json"
 _DEFAULT_RETRY_S: t.Final = 1.0
--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -11,7 +11,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
-from bilberrypass.process import metrics
+from bilberrypass.observing import metrics
 
 _log = logbook.Logger("reporting")
 
--- a/src/bilberrypass/connection/serving.py
+++ b/src/bilberrypass/connection/serving.py
@@ -8,8 +8,7 @@
 import logbook
 
 from bilberrypass import errors
-from bilberrypass.connection import heads
-from bilberrypass.request import problems
+from bilberrypass.connection import heads, problems
 from bilberrypass.version import settings
 
 _log = logbook.Logger("serving")
--- a/src/bilberrypass/connection/worker.py
+++ b/src/bilberrypass/connection/worker.py
@@ -1,43 +1,10 @@
 """What an agent asks of the worker on its host."""
 
 import abc
-import functools
 import typing as t
-import zlib
 
 from bilberrypass import resources
-
-_KNOWN_TEAMS: t.Final = 4_096
-
-
-class TaskId(t.NamedTuple):
-    """One task of a job, and which attempt at it."""
-
-    team: str
-    job: str
-    index: int
-    attempt: int
-
-
-@functools.lru_cache(_KNOWN_TEAMS)
-def shard_of(team: str, shards: int) -> int:
-    """Return the shard whose pages hold all jobs of a team."""
-    return zlib.crc32(team.encode()) % shards
-
-
-class Spec(t.NamedTuple):
-    """What a worker needs to run a task; ``checkpoint`` is where to resume.
-
-    The demand is the limit that the worker enforces. ``payload`` is the job's
-    own, handed on as it came.
-    """
-
-    task: TaskId
-    demand: resources.Demand
-    payload: str
-    task_class: str = ""
-    checkpoint: str = ""
-    traceparent: str = ""
+from bilberrypass.version import work
 
 
 class Run(t.NamedTuple):
@@ -47,7 +14,7 @@
     (also after a lapsed lease) or ``checkpointed``; ``checkpoint`` is its last one.
     """
 
-    spec: Spec
+    spec: work.Spec
     state: str
     checkpoint: str = ""
     detail: str = ""
@@ -65,7 +32,7 @@
 
     begin_ago_s: float
     end_ago_s: float
-    tasks: list[tuple[TaskId, int, int]]
+    tasks: list[tuple[work.TaskId, int, int]]
     slowdown: list[tuple[str, float]]
 
 
@@ -104,30 +71,30 @@
         """Return the host's capacity and all runs not yet forgotten."""
 
     @abc.abstractmethod
-    def start(self, spec: Spec, expiry: float, deadline: float) -> Run:
+    def start(self, spec: work.Spec, expiry: float, deadline: float) -> Run:
         """Start a task under a lease; the same task and attempt starts once."""
 
     @abc.abstractmethod
-    def renew(self, leases: list[tuple[TaskId, float]], deadline: float) -> None:
+    def renew(self, leases: list[tuple[work.TaskId, float]], deadline: float) -> None:
         """Set when the tasks' leases expire."""
 
     @abc.abstractmethod
-    def checkpoint(self, task: TaskId, deadline: float) -> str:
+    def checkpoint(self, task: work.TaskId, deadline: float) -> str:
         """Make the task write a checkpoint, and return its reference."""
 
     @abc.abstractmethod
-    def throttle(self, task: TaskId, share: float, deadline: float) -> None:
+    def throttle(self, task: work.TaskId, share: float, deadline: float) -> None:
         """Let the task use a share (0 to 1) of its processors."""
 
     @abc.abstractmethod
-    def stop(self, task: TaskId, deadline: float) -> Run | None:
+    def stop(self, task: work.TaskId, deadline: float) -> Run | None:
         """Stop a task and return its end, or None if the worker never had it.
 
         After this the same task and attempt does not start here any more.
         """
 
     @abc.abstractmethod
-    def forget(self, tasks: list[TaskId], deadline: float) -> None:
+    def forget(self, tasks: list[work.TaskId], deadline: float) -> None:
         """Drop ended runs whose end has been recorded."""
 
     @abc.abstractmethod
--- a/src/bilberrypass/daemon.py
+++ b/src/bilberrypass/daemon.py
@@ -114,7 +114,7 @@
 
 
 def _observe(cfg: settings.Entry | settings.Agent, role: str) -> None:
-    from bilberrypass.process import logs, metrics, traces
+    from bilberrypass.observing import logs, metrics, traces
 
     logs.install(cfg["logs"])
     metrics.install(cfg["metrics"], role, cfg["id"])
--- a/src/bilberrypass/process/jobevents.py
+++ b/src/bilberrypass/execution/jobevents.py
@@ -1,11 +1,10 @@
 """What metrics and traces tell of tasks."""
 
-from bilberrypass.connection import worker
-from bilberrypass.process import metrics, traces
-from bilberrypass.version import page
+from bilberrypass.observing import metrics, traces
+from bilberrypass.version import page, work
 
 
-def placed(host: str, specs: list[worker.Spec]) -> None:
+def placed(host: str, specs: list[work.Spec]) -> None:
     """Tell that the store holds the placement of tasks on a host."""
     metrics.count(metrics.Name.TASKS_PLACED, number=len(specs))
     for spec in specs:
@@ -15,7 +14,7 @@
         )
 
 
-def started(host: str, spec: worker.Spec) -> None:
+def started(host: str, spec: work.Spec) -> None:
     """Tell that a host's worker took a task."""
     task = spec.task
     metrics.count(metrics.Name.TASKS_STARTED)
@@ -29,7 +28,7 @@
     )
 
 
-def ended(job: page.JobRecord, task: worker.TaskId, state: str) -> None:
+def ended(job: page.JobRecord, task: work.TaskId, state: str) -> None:
     """Tell that a task is recorded as ended."""
     metrics.count(metrics.Name.TASKS_ENDED, state)
     traces.event(f"job {state}", job.traceparent, job=job.id, task=task.index)
--- a/src/bilberrypass/process/ledger.py
+++ b/src/bilberrypass/execution/ledger.py
@@ -4,7 +4,7 @@
 import typing as t
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import worker
+from bilberrypass.version import work
 
 
 @t.final
@@ -23,7 +23,7 @@
         self._host = host
         self._lock = threading.Lock()
         self._capacity = capacity
-        self._held: dict[worker.TaskId, resources.Demand] = {}
+        self._held: dict[work.TaskId, resources.Demand] = {}
 
     @property
     def capacity(self) -> resources.Demand:
@@ -39,8 +39,8 @@
     def rebuild(
         self,
         capacity: resources.Demand,
-        held: t.Mapping[worker.TaskId, resources.Demand],
-        unsettled: t.Collection[worker.TaskId] = (),
+        held: t.Mapping[work.TaskId, resources.Demand],
+        unsettled: t.Collection[work.TaskId] = (),
     ) -> None:
         """Take over what the worker itself says that it runs.
 
@@ -48,9 +48,9 @@
         ----------
         capacity : resources.Demand
             What the host holds.
-        held : mapping of worker.TaskId to resources.Demand
+        held : mapping of work.TaskId to resources.Demand
             The tasks that run.
-        unsettled : collection of worker.TaskId, optional
+        unsettled : collection of work.TaskId, optional
             Tasks whose starts the worker may yet take; they keep their room.
         """
         with self._lock:
@@ -58,12 +58,12 @@
             self._capacity = capacity
             self._held = kept | dict(held)
 
-    def hold(self, task: worker.TaskId, demand: resources.Demand) -> None:
+    def hold(self, task: work.TaskId, demand: resources.Demand) -> None:
         """Count a task that the worker runs already, whether it fits or not."""
         with self._lock:
             self._held[task] = demand
 
-    def admit(self, task: worker.TaskId, demand: resources.Demand) -> None:
+    def admit(self, task: work.TaskId, demand: resources.Demand) -> None:
         """Hold room for a task; once more for the same task changes nothing.
 
         Raises
@@ -83,7 +83,7 @@
                 )
             self._held[task] = demand
 
-    def release(self, task: worker.TaskId) -> None:
+    def release(self, task: work.TaskId) -> None:
         """Give back what was held for a task, if anything was."""
         with self._lock:
             self._held.pop(task, None)
--- a/src/bilberrypass/process/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -9,7 +9,8 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import jobevents, ledger, throttle
+from bilberrypass.execution import jobevents, ledger, throttle
+from bilberrypass.version import work
 
 _log = logbook.Logger("tasks")
 
@@ -26,8 +27,8 @@
 class _Seen(t.NamedTuple):
     """What was known before the worker was asked for its inventory."""
 
-    runs: frozenset[worker.TaskId]
-    uncertain: frozenset[worker.TaskId]
+    runs: frozenset[work.TaskId]
+    uncertain: frozenset[work.TaskId]
 
 
 @t.final
@@ -57,13 +58,13 @@
         self._driver = driver
         self._incarnation = incarnation
         self._lock = threading.Lock()
-        self._runs: dict[worker.TaskId, worker.Run] = {}
-        self._expiries: dict[worker.TaskId, float] = {}
+        self._runs: dict[work.TaskId, worker.Run] = {}
+        self._expiries: dict[work.TaskId, float] = {}
         self._lease_s: float = 0.0
         self._epochs: dict[int, int] = {}
-        self._starting: set[worker.TaskId] = set()
-        self._uncertain: set[worker.TaskId] = set()
-        self._stopped: collections.OrderedDict[worker.TaskId, None] = (
+        self._starting: set[work.TaskId] = set()
+        self._uncertain: set[work.TaskId] = set()
+        self._stopped: collections.OrderedDict[work.TaskId, None] = (
             collections.OrderedDict()
         )
         self._usage: worker.Usage | None = None
@@ -109,7 +110,7 @@
         outcomes = [self._try_start(spec, expiry) for spec in req.specs]
         return messages.Started(outcomes)
 
-    def _try_start(self, spec: worker.Spec, expiry: float) -> messages.StartOutcome:
+    def _try_start(self, spec: work.Spec, expiry: float) -> messages.StartOutcome:
         try:
             self._begin_start(spec.task, expiry)
             try:
@@ -123,7 +124,7 @@
         jobevents.started(self._host, spec)
         return messages.StartOutcome(spec.task)
 
-    def _begin_start(self, task: worker.TaskId, expiry: float) -> None:
+    def _begin_start(self, task: work.TaskId, expiry: float) -> None:
         if time.monotonic() >= expiry:
             raise errors.Refused(
                 errors.Kind.STALE, f"the lease of {task} lapsed before its start"
@@ -140,7 +141,7 @@
                 )
             self._starting.add(task)
 
-    def _start_admitted(self, spec: worker.Spec, expiry: float) -> None:
+    def _start_admitted(self, spec: work.Spec, expiry: float) -> None:
         try:
             run = self._driver.start(spec, expiry, time.monotonic() + _CALL_S)
         except errors.Error as exc:
@@ -155,7 +156,7 @@
                 known = self._expiries.get(spec.task, 0.0)
                 self._expiries[spec.task] = max(known, expiry)
 
-    def _finish_start(self, task: worker.TaskId) -> None:
+    def _finish_start(self, task: work.TaskId) -> None:
         with self._lock:
             self._starting.discard(task)
             run = self._runs.get(task)
@@ -178,7 +179,7 @@
         with self._lock:
             self._lease_s = grant.lease_s
             for task in self._runs:
-                if worker.shard_of(task.team, shards) == grant.shard:
+                if work.shard_of(task.team, shards) == grant.shard:
                     known = self._expiries.get(task, 0.0)
                     self._expiries[task] = max(known, expiry)
 
@@ -196,7 +197,7 @@
             _log.warning("tasks: {} ends: its lease was not renewed", task)
         self.stop(lapsing, checkpoint=True)
 
-    def forget(self, recorded: list[worker.TaskId]) -> None:
+    def forget(self, recorded: list[work.TaskId]) -> None:
         """Drop tasks whose ends the store holds."""
         with self._lock:
             ended = [
@@ -216,7 +217,7 @@
                 self._runs.pop(task, None)
                 self._expiries.pop(task, None)
 
-    def stop(self, tasks: list[worker.TaskId], checkpoint: bool) -> messages.Stopped:
+    def stop(self, tasks: list[work.TaskId], checkpoint: bool) -> messages.Stopped:
         """Stop tasks, after a checkpoint if one is asked for.
 
         A task that cannot be stopped now is left out of the answer.
@@ -229,19 +230,19 @@
                 _log.warning("tasks: {} not stopped yet: {}", task, exc.detail)
         return messages.Stopped(ends)
 
-    def _stop_one(self, task: worker.TaskId, checkpoint: bool) -> messages.TaskState:
+    def _stop_one(self, task: work.TaskId, checkpoint: bool) -> messages.TaskState:
         if checkpoint:
             self._try_checkpoint(task)
         run = self._driver.stop(task, time.monotonic() + _CALL_S)
         if run is None:
             run = worker.Run(
-                worker.Spec(task, resources.Demand(), ""), "stopped", "", "never ran"
+                work.Spec(task, resources.Demand(), ""), "stopped", "", "never ran"
             )
         with self._lock:
             self._note_stopped(task, run)
         return _state(run)
 
-    def _note_stopped(self, task: worker.TaskId, run: worker.Run) -> None:
+    def _note_stopped(self, task: work.TaskId, run: worker.Run) -> None:
         self._runs[task] = run
         self._uncertain.discard(task)
         # The worker may lose its own memory of the stop with a restart.
@@ -251,13 +252,13 @@
         if task not in self._starting:
             self.ledger.release(task)
 
-    def _try_checkpoint(self, task: worker.TaskId) -> None:
+    def _try_checkpoint(self, task: work.TaskId) -> None:
         try:
             self._driver.checkpoint(task, time.monotonic() + _CALL_S)
         except errors.Error as exc:
             _log.info("tasks: no checkpoint of {}: {}", task, exc.detail)
 
-    def throttle(self, throttles: list[tuple[worker.TaskId, float]]) -> None:
+    def throttle(self, throttles: list[tuple[work.TaskId, float]]) -> None:
         """Give tasks a share of their processors, where they have another now."""
         for task, share in throttles:
             run = self._runs.get(task)
@@ -333,7 +334,7 @@
                 self._drop(task)
         return ended
 
-    def _drop(self, task: worker.TaskId) -> None:
+    def _drop(self, task: work.TaskId) -> None:
         """Take back the room of a task that the worker has lost."""
         _log.warning("tasks: the worker of {} no longer has {}", self._host, task)
         del self._runs[task]
--- a/src/bilberrypass/hosting/__init__.py
+++ b/src/bilberrypass/hosting/__init__.py
@@ -1,1 +1,1 @@
-"""One host: the agent's part beside its runner; knows no wire format."""
+"""One host of the platform: the agent beside its runner; knows no wire format."""
--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -9,8 +9,9 @@
 
 from bilberrypass import clock, errors
 from bilberrypass.connection import channels
-from bilberrypass.hosting import messages, runner, session
+from bilberrypass.hosting import runner, session
 from bilberrypass.observing import decisions
+from bilberrypass.scheduling import messages
 
 _REPORT_INTERVAL_S: t.Final = 0.5
 _GATHER_S: t.Final = 0.015  # ends that come together share a report
--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -4,7 +4,8 @@
 import threading
 import typing as t
 
-from bilberrypass.hosting import messages, runner
+from bilberrypass.hosting import runner
+from bilberrypass.scheduling import messages
 
 State = messages.RunState
 FINAL: t.Final = (State.ENDED, State.REJECTED, State.GONE)
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -6,8 +6,9 @@
 import typing as t
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import messages, pacing, runner, runs
+from bilberrypass.hosting import pacing, runner, runs
 from bilberrypass.observing import decisions
+from bilberrypass.scheduling import messages
 
 _ORDER_TIMEOUT_S: t.Final = 0.7  # a runner on the same machine answers in ms
 _RETRY_INTERVAL_S: t.Final = 0.2
--- /dev/null
+++ b/src/bilberrypass/interface/__init__.py
@@ -0,0 +1,1 @@
+"""What callers, operators and endpoints call over HTTP; decides nothing itself."""
--- a/src/bilberrypass/process/announcements.py
+++ b/src/bilberrypass/interface/announcements.py
@@ -8,8 +8,7 @@
 import typing_extensions as te
 
 from bilberrypass import errors
-from bilberrypass.connection import endpoint
-from bilberrypass.request import problems
+from bilberrypass.connection import endpoint, problems
 from bilberrypass.version import settings
 
 _MAX_ANNOUNCEMENT_BYTES: t.Final = 4096
--- a/src/bilberrypass/process/jobs.py
+++ b/src/bilberrypass/interface/jobs.py
@@ -7,9 +7,12 @@
 import msgspec
 
 from bilberrypass import errors
-from bilberrypass.connection import channels, messages, worker
-from bilberrypass.process import directory, owner, owners, traces, web
-from bilberrypass.version import page, settings
+from bilberrypass.batch import owner
+from bilberrypass.connection import channels, messages
+from bilberrypass.interface import web
+from bilberrypass.membership import directory, owners
+from bilberrypass.observing import traces
+from bilberrypass.version import page, settings, work
 
 _CALL_S: t.Final = 8.0
 
@@ -49,7 +52,7 @@
     def find(self, verb: str, team: str, id: str) -> messages.JobAnswer:
         """Have the owner answer that has the job; without a team all are asked."""
         count = len(self._shards)
-        numbers = [worker.shard_of(team, count)] if team else list(range(count))
+        numbers = [work.shard_of(team, count)] if team else list(range(count))
         missing: errors.Error | None = None
         for number in numbers:
             try:
@@ -64,7 +67,7 @@
     def list(self, team: str) -> list[t.Any]:
         """Return the descriptions of a team's jobs, or of all."""
         count = len(self._shards)
-        numbers = [worker.shard_of(team, count)] if team else list(range(count))
+        numbers = [work.shard_of(team, count)] if team else list(range(count))
         found: list[t.Any] = []
         for number in numbers:
             answer = self.call(messages.JobCall(number, "list", team, ""))
@@ -97,7 +100,7 @@
         body = web.read_body(self._cfg["max_body_bytes"])
         parent = traces.clean(cherrypy.request.headers.get("Traceparent", ""))
         job = page.parse_job(id, body, time.time(), parent)
-        shard = worker.shard_of(job.team, self._cfg["shards"])
+        shard = work.shard_of(job.team, self._cfg["shards"])
         with traces.span("job submitted", parent, job=id) as trace:
             answer = self._router.call(
                 messages.JobCall(shard, "put", job.team, id, body, trace)
--- a/src/bilberrypass/process/operators.py
+++ b/src/bilberrypass/interface/operators.py
@@ -8,17 +8,11 @@
 import msgspec
 
 from bilberrypass import errors
+from bilberrypass.batch import decisions
+from bilberrypass.configuration import configuring, revisions, tokens
 from bilberrypass.connection import messages
-from bilberrypass.process import (
-    configuring,
-    decisions,
-    directory,
-    fleet,
-    grouped,
-    revisions,
-    tokens,
-    web,
-)
+from bilberrypass.interface import web
+from bilberrypass.membership import directory, fleet, grouped
 from bilberrypass.version import configuration
 
 MAX_BODY_BYTES: t.Final = 1 << 20
--- a/src/bilberrypass/process/web.py
+++ b/src/bilberrypass/interface/web.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bilberrypass import errors
-from bilberrypass.request import problems
+from bilberrypass.connection import problems
 
 _log = logbook.Logger("web")
 
--- /dev/null
+++ b/src/bilberrypass/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries and hosts live, and who owns what; knows no job and no request."""
--- a/src/bilberrypass/process/directory.py
+++ b/src/bilberrypass/membership/directory.py
@@ -10,7 +10,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import store
-from bilberrypass.process import membership
+from bilberrypass.membership import membership
 
 _log = logbook.Logger("directory")
 
--- a/src/bilberrypass/process/grouped.py
+++ b/src/bilberrypass/membership/grouped.py
@@ -12,7 +12,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import store
-from bilberrypass.process import directory, ownership
+from bilberrypass.membership import directory, ownership
 
 _log = logbook.Logger("grouped")
 
--- a/src/bilberrypass/process/introductions.py
+++ b/src/bilberrypass/membership/introductions.py
@@ -10,7 +10,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages, store
-from bilberrypass.process import directory, fleet
+from bilberrypass.membership import directory, fleet
 
 _log = logbook.Logger("introductions")
 
--- a/src/bilberrypass/process/metered.py
+++ b/src/bilberrypass/membership/metered.py
@@ -7,7 +7,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import store
-from bilberrypass.process import metrics
+from bilberrypass.observing import metrics
 
 
 def metered(kv: store.Store) -> store.Store:
--- a/src/bilberrypass/process/owners.py
+++ b/src/bilberrypass/membership/owners.py
@@ -5,7 +5,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels
-from bilberrypass.process import directory
+from bilberrypass.membership import directory
 
 _RETRY_S: t.Final = 1.0
 
--- a/src/bilberrypass/process/ownership.py
+++ b/src/bilberrypass/membership/ownership.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import store
-from bilberrypass.process import directory
+from bilberrypass.membership import directory
 
 _log = logbook.Logger("ownership")
 
--- a/src/bilberrypass/observing/__init__.py
+++ b/src/bilberrypass/observing/__init__.py
@@ -1,1 +1,1 @@
-"""Decision logs and metrics of a process; knows nothing of what it records."""
+"""Logs, metrics and traces of a process; knows nothing of what it records."""
--- a/src/bilberrypass/platform/beats.py
+++ b/src/bilberrypass/platform/beats.py
@@ -3,10 +3,10 @@
 import typing as t
 
 from bilberrypass import errors
+from bilberrypass.connection import problems
 from bilberrypass.hosting import agent
 from bilberrypass.observing import decisions
 from bilberrypass.platform import runner
-from bilberrypass.request import problems
 
 _PREFIX: t.Final = "/api/instances/"
 _MAX_BYTES: t.Final = 4 << 20  # PROTOCOL.md: a report is at most 4 MiB
--- a/src/bilberrypass/platform/front.py
+++ b/src/bilberrypass/platform/front.py
@@ -9,7 +9,7 @@
 import prometheus_client as prometheus
 
 from bilberrypass import clock, errors
-from bilberrypass.request import problems
+from bilberrypass.connection import problems
 from bilberrypass.scheduling import entry, jobs, queues
 
 _log = logbook.Logger("front")
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import messages, runner
+from bilberrypass.hosting import runner
 from bilberrypass.platform import http
+from bilberrypass.scheduling import messages
 
 _MS: t.Final = 1_000
 _HOLD_MARGIN_S: t.Final = 1.0  # beyond its wait, a call without answer is given up
--- a/src/bilberrypass/process/__init__.py
+++ b/src/bilberrypass/process/__init__.py
@@ -1,1 +1,1 @@
-"""What lives as long as a process of the system."""
+"""The programs, put together from all other packages."""
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -9,6 +9,7 @@
 import logbook
 
 from bilberrypass import errors, resources
+from bilberrypass.configuration import configuring
 from bilberrypass.connection import (
     channels,
     endpoint,
@@ -17,16 +18,11 @@
     serving,
     worker,
 )
-from bilberrypass.process import (
-    announcements,
-    configuring,
-    metrics,
-    reporters,
-    tasks,
-    traces,
-)
+from bilberrypass.execution import reporters, tasks
+from bilberrypass.interface import announcements
+from bilberrypass.observing import metrics, traces
 from bilberrypass.request import attempts
-from bilberrypass.version import configuration, settings
+from bilberrypass.version import configuration, settings, work
 
 _log = logbook.Logger("agent")
 
@@ -137,7 +133,7 @@
         """Have the owners of ended tasks hear of them now."""
         states = self.tasks.states() if self.tasks else []
         shards = {
-            worker.shard_of(state.task.team, self._shards)
+            work.shard_of(state.task.team, self._shards)
             for state in states
             if state.state not in ("running", "checkpointed")
         }
--- a/src/bilberrypass/process/entry.py
+++ b/src/bilberrypass/process/entry.py
@@ -9,29 +9,15 @@
 import logbook
 
 from bilberrypass import errors
-from bilberrypass.connection import channels, etcd, messages, serving, store, worker
-from bilberrypass.process import (
-    claiming,
-    claims,
-    configuring,
-    directory,
-    disturbance,
-    fleet,
-    interference,
-    introductions,
-    jobs,
-    metered,
-    metrics,
-    operators,
-    owner,
-    placement,
-    placing,
-    revisions,
-    tokens,
-    web,
-)
+from bilberrypass.batch import disturbance, interference, owner, placement, placing
+from bilberrypass.claiming import claiming, claims
+from bilberrypass.configuration import configuring, revisions, tokens
+from bilberrypass.connection import channels, etcd, messages, serving, store
+from bilberrypass.interface import jobs, operators, web
+from bilberrypass.membership import directory, fleet, introductions, metered
+from bilberrypass.observing import metrics
 from bilberrypass.request import callers, dispatch, routing
-from bilberrypass.version import configuration, settings
+from bilberrypass.version import configuration, settings, work
 
 _log = logbook.Logger("entry")
 
@@ -229,7 +215,7 @@
         self._mover.hear(report)
         by_shard: dict[int, list[messages.TaskState]] = {}
         for state in report.tasks:
-            number = worker.shard_of(state.task.team, len(self.shards))
+            number = work.shard_of(state.task.team, len(self.shards))
             by_shard.setdefault(number, []).append(state)
         heard = [
             shard.hear(report._replace(tasks=by_shard.get(shard.number, [])))
--- a/src/bilberrypass/process/local.py
+++ b/src/bilberrypass/process/local.py
@@ -2,8 +2,9 @@
 
 import typing as t
 
+from bilberrypass.configuration import tokens
 from bilberrypass.connection import memory
-from bilberrypass.process import agent, entry, sample, tokens
+from bilberrypass.process import agent, entry, sample
 from bilberrypass.version import settings
 
 _LOOPBACK: t.Final = "127.0.0.1"
--- a/src/bilberrypass/process/sample.py
+++ b/src/bilberrypass/process/sample.py
@@ -9,6 +9,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import endpoint, serving, worker
+from bilberrypass.version import work
 
 _log = logbook.Logger("sample")
 
@@ -84,8 +85,8 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._tasks: dict[worker.TaskId, _Task] = {}
-        self._tombstones: set[worker.TaskId] = set()
+        self._tasks: dict[work.TaskId, _Task] = {}
+        self._tombstones: set[work.TaskId] = set()
 
     def attach(self, deadline: float, incarnation: int = 0) -> worker.Inventory:
         """Return all runs; there is one agent only."""
@@ -112,7 +113,7 @@
                 run = task.run._replace(state="stopped", detail="the lease lapsed")
                 self._tasks[id] = task._replace(run=run)
 
-    def start(self, spec: worker.Spec, expiry: float, deadline: float) -> worker.Run:
+    def start(self, spec: work.Spec, expiry: float, deadline: float) -> worker.Run:
         """Start a task once."""
         now = time.monotonic()
         with self._lock:
@@ -124,23 +125,23 @@
                 self._tasks[spec.task] = _Task(run, ends_at, expiry)
             return self._tasks[spec.task].run
 
-    def renew(self, leases: list[tuple[worker.TaskId, float]], deadline: float) -> None:
+    def renew(self, leases: list[tuple[work.TaskId, float]], deadline: float) -> None:
         """Set when the leases expire."""
         with self._lock:
             for id, expiry in leases:
                 if id in self._tasks:
                     self._tasks[id] = self._tasks[id]._replace(expiry=expiry)
 
-    def checkpoint(self, task: worker.TaskId, deadline: float) -> str:
+    def checkpoint(self, task: work.TaskId, deadline: float) -> str:
         """Refuse: a wait has nothing to keep."""
         raise errors.Refused(
             errors.Kind.NOT_FOUND, "the sample worker keeps no checkpoints"
         )
 
-    def throttle(self, task: worker.TaskId, share: float, deadline: float) -> None:
+    def throttle(self, task: work.TaskId, share: float, deadline: float) -> None:
         """Change nothing: a wait uses no processor."""
 
-    def stop(self, task: worker.TaskId, deadline: float) -> worker.Run | None:
+    def stop(self, task: work.TaskId, deadline: float) -> worker.Run | None:
         """Stop a task for good."""
         with self._lock:
             self._tombstones.add(task)
@@ -152,7 +153,7 @@
                 self._tasks[task] = known._replace(run=run)
             return self._tasks[task].run
 
-    def forget(self, tasks: list[worker.TaskId], deadline: float) -> None:
+    def forget(self, tasks: list[work.TaskId], deadline: float) -> None:
         """Drop ended runs."""
         with self._lock:
             for task in tasks:
--- a/src/bilberrypass/request/callers.py
+++ b/src/bilberrypass/request/callers.py
@@ -11,9 +11,10 @@
 import logbook
 
 from bilberrypass import errors
-from bilberrypass.connection import endpoint, messages
-from bilberrypass.process import claiming, claims, metrics, traces
-from bilberrypass.request import dispatch, limits, problems
+from bilberrypass.claiming import claiming, claims
+from bilberrypass.connection import endpoint, messages, problems
+from bilberrypass.observing import metrics, traces
+from bilberrypass.request import dispatch, limits
 from bilberrypass.request import headers as steering_headers
 from bilberrypass.version import settings
 
--- a/src/bilberrypass/request/dispatch.py
+++ b/src/bilberrypass/request/dispatch.py
@@ -8,7 +8,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
-from bilberrypass.process import fleet
+from bilberrypass.membership import fleet
 from bilberrypass.request import health, limits, routing
 
 _log = logbook.Logger("dispatch")
--- a/src/bilberrypass/request/health.py
+++ b/src/bilberrypass/request/health.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from bilberrypass.process import fleet
+from bilberrypass.membership import fleet
 from bilberrypass.request import routing
 
 _log = logbook.Logger("health")
--- a/src/bilberrypass/request/routing.py
+++ b/src/bilberrypass/request/routing.py
@@ -5,7 +5,7 @@
 import random
 import typing as t
 
-from bilberrypass.process import fleet
+from bilberrypass.membership import fleet
 
 _CANDIDATES: t.Final = 2
 _FULL: t.Final = 1.0
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -9,13 +9,13 @@
 
 from bilberrypass import clock, errors
 from bilberrypass.connection import channels
-from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     election,
     intake,
     jobs,
     keyvalue,
+    messages,
     queues,
     scheduler,
     sending,
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -2,8 +2,7 @@
 
 import typing as t
 
-from bilberrypass.hosting import messages
-from bilberrypass.scheduling import interference, jobs, state, stragglers
+from bilberrypass.scheduling import interference, jobs, messages, state, stragglers
 
 _ASIDE_S = 1.0  # after one failure, which sound hosts see too
 _MAX_ASIDE_S = 8.0
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bilberrypass.hosting import messages
+from bilberrypass.scheduling import messages
 
 # Before anything is known: a filler of 7 cores adds a seventh to the latency.
 _PRIOR: t.Final = 0.02
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -5,11 +5,11 @@
 
 import prometheus_client as prometheus
 
-from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     hosts,
     jobs,
+    messages,
     ordering,
     placement,
     reconciling,
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -5,9 +5,8 @@
 import prometheus_client as prometheus
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, interference, state
+from bilberrypass.scheduling import hosts, interference, messages, state
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -11,7 +11,6 @@
 import prometheus_client as prometheus
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     cleaning,
@@ -22,6 +21,7 @@
     jobs,
     keyvalue,
     load,
+    messages,
     moving,
     placing,
     queues,
--- a/src/bilberrypass/scheduling/sending.py
+++ b/src/bilberrypass/scheduling/sending.py
@@ -9,8 +9,8 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels
-from bilberrypass.hosting import messages
 from bilberrypass.observing import decisions
+from bilberrypass.scheduling import messages
 
 _THREADS: t.Final = 12
 _CALL_S: t.Final = 1.0  # a round trip within a region takes milliseconds
--- a/src/bilberrypass/scheduling/teaching.py
+++ b/src/bilberrypass/scheduling/teaching.py
@@ -2,8 +2,7 @@
 
 import typing as t
 
-from bilberrypass.hosting import messages
-from bilberrypass.scheduling import committing, hosts, interference, keyvalue
+from bilberrypass.scheduling import committing, hosts, interference, keyvalue, messages
 
 _TEACH_INTERVAL_S: t.Final = 1.0
 _STORE_INTERVAL_S: t.Final = 4.0
--- a/src/bilberrypass/version/__init__.py
+++ b/src/bilberrypass/version/__init__.py
@@ -1,1 +1,1 @@
-"""What lives as long as one version of shared data: settings, configuration, pages."""
+"""What lives as long as one version of shared data; knows no connection."""
--- a/src/bilberrypass/version/page.py
+++ b/src/bilberrypass/version/page.py
@@ -11,8 +11,7 @@
 import typing_extensions as te
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import worker
-from bilberrypass.version import settings
+from bilberrypass.version import settings, work
 
 WAITING: t.Final = "waiting"
 PLACED: t.Final = "placed"
@@ -142,11 +141,11 @@
         tasks[index] = record
         return self._replace(tasks=tasks)
 
-    def spec(self, index: int) -> worker.Spec:
+    def spec(self, index: int) -> work.Spec:
         """Return what a worker needs for a task's present attempt."""
         record = self.tasks[index]
         task = self.task_id(index)
-        return worker.Spec(
+        return work.Spec(
             task,
             self.demand,
             self.payload,
@@ -155,9 +154,9 @@
             self.traceparent,
         )
 
-    def task_id(self, index: int) -> worker.TaskId:
+    def task_id(self, index: int) -> work.TaskId:
         """Return the identity of a task's present attempt."""
-        return worker.TaskId(self.team, self.id, index, self.tasks[index].attempt)
+        return work.TaskId(self.team, self.id, index, self.tasks[index].attempt)
 
 
 def outlived(jobs: abc.Iterable[JobRecord], now: float) -> list[JobRecord]:
--- a/testing/process/test_disturbance.py
+++ b/testing/batch/test_disturbance.py
@@ -4,15 +4,9 @@
 import unittest.mock
 
 from bilberrypass import resources
+from bilberrypass.batch import disturbance, interference, placement, placing, records
 from bilberrypass.connection import messages, worker
-from bilberrypass.process import (
-    disturbance,
-    interference,
-    placement,
-    placing,
-    records,
-    throttle,
-)
+from bilberrypass.execution import throttle
 from bilberrypass.version import page
 from testing import collecting, fakes
 
--- a/testing/process/test_model.py
+++ b/testing/batch/test_model.py
@@ -16,18 +16,10 @@
 from hypothesis import strategies as st
 
 from bilberrypass import errors, resources
+from bilberrypass.batch import outbox, owner, placement, placing, records
 from bilberrypass.connection import channels, memory, store
-from bilberrypass.process import (
-    directory,
-    fleet,
-    grouped,
-    outbox,
-    owner,
-    placement,
-    placing,
-    records,
-    tasks,
-)
+from bilberrypass.execution import tasks
+from bilberrypass.membership import directory, fleet, grouped
 from bilberrypass.version import page
 from testing import collecting, fakes
 
--- a/testing/process/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -4,8 +4,10 @@
 import typing as t
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import fleet, outbox, sightings
+from bilberrypass.batch import outbox, sightings
+from bilberrypass.connection import messages
+from bilberrypass.membership import fleet
+from bilberrypass.version import work
 from testing import collecting, fakes
 
 _SENDER = outbox.Sender("e", 0, 1, 60.0)
@@ -39,7 +41,7 @@
 
 
 def _spec():
-    return worker.Spec(worker.TaskId("t", "j", 0, 1), resources.Demand(1, 1), "")
+    return work.Spec(work.TaskId("t", "j", 0, 1), resources.Demand(1, 1), "")
 
 
 def _send(answers, is_fresh=True):
--- a/testing/process/test_placement.py
+++ b/testing/batch/test_placement.py
@@ -5,15 +5,9 @@
 import typing as t
 
 from bilberrypass import errors, resources
+from bilberrypass.batch import interference, placement, placing, quarantine, records
 from bilberrypass.connection import messages
-from bilberrypass.process import (
-    fleet,
-    interference,
-    placement,
-    placing,
-    quarantine,
-    records,
-)
+from bilberrypass.membership import fleet
 from bilberrypass.version import configuration, page
 from testing import collecting, fakes, fixtures
 
--- a/testing/process/test_configuring.py
+++ b/testing/configuration/test_configuring.py
@@ -6,10 +6,10 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from bilberrypass.process import configuring
+from bilberrypass.configuration import configuring
 from bilberrypass.version import configuration
 from testing import collecting, fixtures, system
-from testing.process import fleets
+from testing.batch import fleets
 
 
 def test_change_reaches_all_though_watches_are_silent():
--- a/testing/connection/test_httpworker.py
+++ b/testing/connection/test_httpworker.py
@@ -8,7 +8,8 @@
 import time
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import httpworker, worker
+from bilberrypass.connection import httpworker
+from bilberrypass.version import work
 from testing import collecting, fixtures
 from testing.standins import link, serving
 
@@ -22,9 +23,9 @@
 
 
 def _spec(index=0, attempt=1, checkpoint="", cpu_milli=1000, **payload):
-    task = worker.TaskId("planners", "plan-1", index, attempt)
+    task = work.TaskId("planners", "plan-1", index, attempt)
     demand = resources.Demand(cpu_milli, resources.MIB, 0)
-    return worker.Spec(task, demand, json.dumps(payload), "batch", checkpoint)
+    return work.Spec(task, demand, json.dumps(payload), "batch", checkpoint)
 
 
 def _client(address):
@@ -414,7 +415,7 @@
         _start(client, spec)
         with _raises(errors.Kind.BAD_REQUEST, errors.Ran.NO):
             client.checkpoint(spec.task, _deadline())
-        unknown = worker.TaskId("planners", "plan-1", 7, 1)
+        unknown = work.TaskId("planners", "plan-1", 7, 1)
         with _raises(errors.Kind.NOT_FOUND, errors.Ran.NO):
             client.checkpoint(unknown, _deadline())
 
--- a/testing/process/test_pacing.py
+++ b/testing/execution/test_pacing.py
@@ -5,7 +5,8 @@
 import time
 
 from bilberrypass.connection import messages, reporting
-from bilberrypass.process import agent, fleet
+from bilberrypass.membership import fleet
+from bilberrypass.process import agent
 from bilberrypass.version import settings
 from testing import collecting, fakes, fixtures, system
 
--- a/testing/process/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -4,8 +4,9 @@
 import time
 
 from bilberrypass import errors, resources
-from bilberrypass.connection import messages, worker
-from bilberrypass.process import tasks
+from bilberrypass.connection import messages
+from bilberrypass.execution import tasks
+from bilberrypass.version import work
 from testing import collecting, fakes, fixtures
 
 _LEASE_S = 60.0
@@ -20,8 +21,8 @@
 
 
 def _spec(index=0, attempt=1, cpu_milli=2):
-    task = worker.TaskId("t", "j", index, attempt)
-    return worker.Spec(task, resources.Demand(cpu_milli, 1, 0), "")
+    task = work.TaskId("t", "j", index, attempt)
+    return work.Spec(task, resources.Demand(cpu_milli, 1, 0), "")
 
 
 def _start(own, *specs, sent_at=None, lease_s=_LEASE_S):
--- a/testing/hosting/sessions.py
+++ b/testing/hosting/sessions.py
@@ -4,7 +4,8 @@
 import threading
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages, session
+from bilberrypass.hosting import session
+from bilberrypass.scheduling import messages
 from testing import fixtures
 
 TASK = "a" * 16 + ".0.0.0"
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -3,7 +3,7 @@
 import time
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages
+from bilberrypass.scheduling import messages
 from testing import collecting, fixtures
 from testing.hosting import sessions
 from testing.standins import runners
--- a/testing/process/test_operators.py
+++ b/testing/interface/test_operators.py
@@ -6,7 +6,7 @@
 import socket
 import time
 
-from bilberrypass.process import tokens
+from bilberrypass.configuration import tokens
 from testing import collecting, fixtures, system
 
 _ANSWER_S = 10.0
--- a/testing/process/test_directory.py
+++ b/testing/membership/test_directory.py
@@ -7,9 +7,9 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import memory, store
-from bilberrypass.process import directory, ownership
+from bilberrypass.membership import directory, ownership
 from testing import collecting, fixtures, system
-from testing.process import fleets
+from testing.batch import fleets
 
 _SHARDS = 12
 _LONG_TTL_S = 60
--- a/testing/process/test_grouped.py
+++ b/testing/membership/test_grouped.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bilberrypass.connection import memory
-from bilberrypass.process import directory, grouped
+from bilberrypass.membership import directory, grouped
 from testing import collecting, fixtures
 
 _CALLERS = 8
--- a/testing/process/test_handover.py
+++ b/testing/membership/test_handover.py
@@ -6,7 +6,7 @@
 import threading
 
 from testing import collecting, fixtures, system
-from testing.process import fleets
+from testing.batch import fleets
 
 _TEAMS = 5
 _PAUSE_S = 0.1
--- a/testing/process/test_metrics.py
+++ b/testing/observing/test_metrics.py
@@ -8,7 +8,7 @@
 import sys
 import threading
 
-from bilberrypass.process import metrics
+from bilberrypass.observing import metrics
 from testing import collecting, fixtures, system
 
 _PAGE = pathlib.Path(__file__).parent.parent.parent / "docs/METRICS.md"
@@ -47,6 +47,11 @@
             reader.join()
 
 
+def _submit(run):
+    url = run.callers() + "/jobs/j1"
+    return fixtures.http("PUT", url, system.job_body()).status < 300
+
+
 def test_page_lists_every_name():
     assert set(_ROW.findall(_PAGE.read_text())) == {name.value for name in metrics.Name}
 
@@ -58,7 +63,7 @@
             url = run.callers() + "/services/echo/x"
             fixtures.wait_ok(url, 10, "the path")
             fixtures.http("GET", run.callers() + "/services/no/x")
-            fixtures.http("PUT", run.callers() + "/jobs/j1", system.job_body())
+            fixtures.wait_until(lambda: _submit(run), 10, "an owner of the job's shard")
             expected = {f"bp.entry.e0.{name}" for name in _ENTRY_NAMES.split()}
             expected |= {f"bp.agent.h0.{name}" for name in _AGENT_NAMES.split()}
             fixtures.wait_until(lambda: expected <= names, 15, "all names")
@@ -75,7 +80,8 @@
 
 def test_metrics_and_traces_load_nothing_while_off():
     probe = (
-        "import sys; from bilberrypass.process import entry, agent, metrics, traces; "
+        "import sys; from bilberrypass.observing import metrics, traces; "
+        "from bilberrypass.process import entry, agent; "
         "metrics.install({'prefix': 'bp'}, 'entry', 'e0'); "
         "traces.install({'exporter': 'none'}, 'entry', 'e0'); "
         "metrics.count(metrics.Name.REQUESTS); "
--- a/testing/process/test_traces.py
+++ b/testing/observing/test_traces.py
@@ -2,7 +2,7 @@
 
 import json
 
-from bilberrypass.process import traces
+from bilberrypass.observing import traces
 from testing import collecting, fixtures, system
 
 _TRACE = "0af7651916cd43dd8448eb211c80319c"
--- a/testing/platform/test_programs.py
+++ b/testing/platform/test_programs.py
@@ -190,7 +190,7 @@
 def test_faulty_settings_end_the_process_with_a_line():
     with tempfile.TemporaryDirectory() as folder:
         program = programs.Program("entry", programs.loopback(1), "127.0.0.1:1", folder)
-        program._path.write_text("node_name: 1")
+        program.path.write_text("node_name: 1")
         program.start()
         assert program.process.wait(20) == 2
         assert program.lines("process.refused")
--- a/testing/process/test_capacity.py
+++ b/testing/process/test_capacity.py
@@ -3,7 +3,7 @@
 import concurrent.futures as futures
 import contextlib
 
-from bilberrypass.connection import worker
+from bilberrypass.version import work
 from testing import collecting, fixtures, judge, system
 
 _TASKS = 24
@@ -46,7 +46,7 @@
     # Between two reports neither owner can know what the other has placed.
     with system.system(entries=2, agent_changes={"report_interval_s": 1.0}) as run:
         fixtures.wait_ok(f"{run.callers()}/jobs", 15, "owners of all shards")
-        shards = {worker.shard_of(team, 2) for team in _TEAMS}
+        shards = {work.shard_of(team, 2) for team in _TEAMS}
         assert len(shards) == 2, "the two teams must belong to different shards"
         with futures.ThreadPoolExecutor() as pool:
             urls = list(pool.map(lambda team: _submit_fill(run, team), _TEAMS))
--- a/testing/process/test_races.py
+++ b/testing/process/test_races.py
@@ -8,7 +8,7 @@
 
 from bilberrypass.connection import etcd
 from testing import collecting, fixtures, system
-from testing.process import fleets
+from testing.batch import fleets
 
 _SEED = 20261203
 _CHANGES_EACH = 100
--- a/testing/request/test_dispatch.py
+++ b/testing/request/test_dispatch.py
@@ -5,7 +5,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import channels, messages
-from bilberrypass.process import fleet
+from bilberrypass.membership import fleet
 from bilberrypass.request import dispatch, routing
 from testing import collecting
 from testing.request import test_limits
--- a/testing/request/test_limits.py
+++ b/testing/request/test_limits.py
@@ -5,7 +5,7 @@
 
 from bilberrypass import errors
 from bilberrypass.connection import messages
-from bilberrypass.process import fleet
+from bilberrypass.membership import fleet
 from bilberrypass.request import health, limits, routing
 from testing import collecting, fakes, fixtures
 
--- a/testing/scheduling/offices.py
+++ b/testing/scheduling/offices.py
@@ -5,11 +5,11 @@
 import time
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages
 from bilberrypass.scheduling import (
     election,
     intake,
     jobs,
+    messages,
     queues,
     scheduler,
     sending,
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -3,8 +3,14 @@
 import time
 
 from bilberrypass import clock
-from bilberrypass.hosting import messages
-from bilberrypass.scheduling import hosts, interference, jobs, placement, state
+from bilberrypass.scheduling import (
+    hosts,
+    interference,
+    jobs,
+    messages,
+    placement,
+    state,
+)
 from testing import collecting
 
 FILLER = jobs.Step(1, cpu_milli=7_000, memory_mb=13_000, is_filler=True, image="f")
--- a/testing/scheduling/test_starving.py
+++ b/testing/scheduling/test_starving.py
@@ -2,8 +2,7 @@
 
 import time
 
-from bilberrypass.hosting import messages
-from bilberrypass.scheduling import jobs
+from bilberrypass.scheduling import jobs, messages
 from testing import collecting, fixtures
 from testing.scheduling import offices
 
--- a/testing/standins/tasks.py
+++ b/testing/standins/tasks.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bilberrypass.connection import worker
+from bilberrypass.version import work
 
 
 class Payload(msgspec.Struct):
@@ -19,7 +20,7 @@
 class Task:
     """A run and its progress; times are monotonic seconds of this process."""
 
-    def __init__(self, spec: worker.Spec, generation: int, now: float) -> None:
+    def __init__(self, spec: work.Spec, generation: int, now: float) -> None:
         self.spec = spec
         self.payload = msgspec.json.decode(spec.payload or "{}", type=Payload)
         self.generation = generation
@@ -79,7 +80,7 @@
     return int(checkpoint.removeprefix("step:")) if checkpoint else 0
 
 
-def usage_of(task: Task, share: float) -> tuple[worker.TaskId, int, int]:
+def usage_of(task: Task, share: float) -> tuple[work.TaskId, int, int]:
     demand, payload = task.spec.demand, task.payload
     cpu = demand.cpu_milli if payload.cpu_milli is None else payload.cpu_milli
     memory = payload.memory_bytes
--- a/testing/standins/worker.py
+++ b/testing/standins/worker.py
@@ -12,6 +12,7 @@
 
 from bilberrypass import resources
 from bilberrypass.connection import httpworker, worker
+from bilberrypass.version import work
 from testing.standins import serving, tasks
 
 _USAGE_INTERVAL_S = 1.0
@@ -46,9 +47,9 @@
         # A worker that restarts must not repeat a generation.
         self._generation = time.time_ns() // 1_000_000
         self._incarnation = 0
-        self._tasks: dict[worker.TaskId, tasks.Task] = {}
+        self._tasks: dict[work.TaskId, tasks.Task] = {}
         self._all: list[tasks.Task] = []
-        self._tombstones: set[worker.TaskId] = set()
+        self._tombstones: set[work.TaskId] = set()
         self._highest = resources.Demand()
         self._slowdowns: list[tuple[float, dict[str, float]]] = [(0.0, {})]
         threading.Thread(target=self._keep_time, daemon=True).start()
@@ -126,7 +127,7 @@
     def _running(self) -> list[tasks.Task]:
         return [task for task in self._tasks.values() if task.state == "running"]
 
-    def _known(self, ident: worker.TaskId) -> tasks.Task:
+    def _known(self, ident: work.TaskId) -> tasks.Task:
         if ident not in self._tasks:
             raise _Rejected(404, "NOT_FOUND", f"no task {ident}")
         return self._tasks[ident]
@@ -165,12 +166,12 @@
             task.end("failed", now, "this worker fails everything")
         return task.run()
 
-    def renew(self, leases: list[tuple[worker.TaskId, float]]) -> None:
+    def renew(self, leases: list[tuple[work.TaskId, float]]) -> None:
         for ident, expiry in leases:
             if ident in self._tasks:
                 self._tasks[ident].lease_deadline = expiry
 
-    def checkpoint(self, ident: worker.TaskId) -> str:
+    def checkpoint(self, ident: work.TaskId) -> str:
         task = self._known(ident)
         if task.state != "running" or not task.payload.checkpointable:
             detail = f"task {ident} is {task.state} or can't write a checkpoint"
@@ -182,7 +183,7 @@
         # A share of 0 would put the end of the run beyond any clock.
         self._known(body.task).throttle = max(body.share, 1e-6)
 
-    def stop(self, ident: worker.TaskId) -> worker.Run | None:
+    def stop(self, ident: work.TaskId) -> worker.Run | None:
         if ident not in self._tasks:
             self._tombstones.add(ident)
             return None
@@ -191,7 +192,7 @@
             task.end("stopped", time.monotonic(), "it was told to stop")
         return task.run()
 
-    def forget(self, idents: list[worker.TaskId]) -> None:
+    def forget(self, idents: list[work.TaskId]) -> None:
         for ident in idents:
             if ident in self._tasks and self._tasks[ident].state != "running":
                 del self._tasks[ident]
@@ -228,11 +229,11 @@
     "POST /attach": (httpworker.Attach, Standin.attach),
     "GET /inventory": (None, Standin.inventory),
     "POST /start": (httpworker.Start, Standin.start),
-    "POST /renew": (list[tuple[worker.TaskId, float]], Standin.renew),
-    "POST /checkpoint": (worker.TaskId, Standin.checkpoint),
+    "POST /renew": (list[tuple[work.TaskId, float]], Standin.renew),
+    "POST /checkpoint": (work.TaskId, Standin.checkpoint),
     "POST /throttle": (httpworker.Throttle, Standin.throttle),
-    "POST /stop": (worker.TaskId, Standin.stop),
-    "POST /forget": (list[worker.TaskId], Standin.forget),
+    "POST /stop": (work.TaskId, Standin.stop),
+    "POST /forget": (list[work.TaskId], Standin.forget),
     "GET /usage": (None, Standin.usage),
 }
 
--- a/testing/system.py
+++ b/testing/system.py
@@ -4,7 +4,7 @@
 import json
 import typing as t
 
-from bilberrypass.process import tokens
+from bilberrypass.configuration import tokens
 from testing import fixtures
 
 DAEMON = "bilberrypass.daemon"
--- a/testing/test_imports.py
+++ b/testing/test_imports.py
@@ -38,7 +38,7 @@
     allowed = {"bilberrypass.__version__"}
     found = [
         f"{path.relative_to(_ROOT)}:{line}: {name}"
-        for path, text in _modules("src", "testing", "benchmarks")
+        for path, text in _modules("src", "testing", "benchmarks", "soak")
         for line, name in _imported_names(ast.parse(text))
         if name not in allowed
     ]
@@ -46,7 +46,7 @@
 
 
 def test_every_module_has_a_docstring():
-    for path, text in _modules("src", "testing", "benchmarks"):
+    for path, text in _modules("src", "testing", "benchmarks", "soak"):
         is_marker = path.is_relative_to(_ROOT / "testing") and not text
         assert is_marker or ast.get_docstring(ast.parse(text)), path
 
@@ -59,10 +59,45 @@
 
 def test_no_module_carries_a_notice():
     marks = ("licen" + "se", "copy" + "right", "SP" + "DX", "auth" + "ors:")
-    for path, text in _modules("src", "testing", "benchmarks"):
+    for path, text in _modules("src", "testing", "benchmarks", "soak"):
         head = text[:400].lower()
         for mark in marks:
             assert mark.lower() not in head, f"{path}: {mark}"
 
 
+# From the lowest up; a package imports only from those before it.
+_LAYERS = (
+    "version observing connection membership claiming configuration execution batch "
+    "request interface process scheduling hosting platform commands"
+).split()
+
+
+def _packages(tree):
+    """Yield line and package of each import from the product's packages."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module.startswith("bilberrypass"):
+            parts = node.module.split(".")[1:]
+            names = [parts[0]] if parts else [alias.name for alias in node.names]
+            yield from ((node.lineno, name) for name in names if name in _LAYERS)
+
+
+def test_packages_import_one_way():
+    source = _ROOT / "src/bilberrypass"
+    found = [
+        f"{path.relative_to(source)}:{line}: {name}"
+        for path, text in _modules("src/bilberrypass")
+        for own in [path.relative_to(source).parts[0]]
+        if own in _LAYERS
+        for line, name in _packages(ast.parse(text))
+        if _LAYERS.index(name) > _LAYERS.index(own)
+    ]
+    assert not found, found
+
+
+def test_every_package_has_its_layer():
+    source = _ROOT / "src/bilberrypass"
+    packages = {path.parent.name for path in source.glob("*/__init__.py")}
+    assert packages == set(_LAYERS)
+
+
 load_tests = collecting.hook(__name__)
