Refuse at once while the store is silent, with nothing sent

Ruled out: weak entries (their processes used under 0.02 cores). Change: while the newest calls lack an answer, one read goes ahead; what comes meanwhile is refused as not stored, with when to come back. A store that is 60 times slower than usual is not taken for silent. Tests failed before: four of testing/scheduling/test_reach.py.

--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import clock, errors
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import committing, jobs, keyvalue, state
+from bilberrypass.scheduling import committing, jobs, keyvalue, reach, state
 
 PREFIX: t.Final = "intake/"
 JOB_PREFIX: t.Final = "intake/job/"
@@ -31,6 +31,7 @@
 
     def __init__(self, store: keyvalue.Store) -> None:
         self._store = store
+        self._reach = reach.Reach(store)
 
     def submit(self, job: jobs.Job, deadline: float) -> bool:
         """Store a job and tell whether it is new; the same id is the same job.
@@ -47,17 +48,11 @@
 
         A create that takes effect late finds the key there and changes nothing.
         """
+        self._reach.require(deadline)
         lost: errors.Error | None = None
         while True:
             try:
-                self._store.commit(
-                    {key: 0},
-                    [keyvalue.Put(key, value)],
-                    min(deadline, clock.now() + _TRY_S),
-                )
-                return True
-            except keyvalue.PreconditionFailed:
-                return False
+                return self._try(key, value, min(deadline, clock.now() + _TRY_S))
             except errors.Error as exc:
                 decisions.record("create.failed", key=key, why=str(exc))
                 if exc.kind is errors.Kind.STORE_UNCERTAIN:
@@ -68,18 +63,31 @@
             if clock.now() >= deadline:
                 raise lost
 
+    def _try(self, key: str, value: bytes, deadline: float) -> bool:
+        with self._reach.call():
+            try:
+                self._store.commit({key: 0}, [keyvalue.Put(key, value)], deadline)
+            except keyvalue.PreconditionFailed:
+                return False
+        return True
+
+    def _read(self, key: str, deadline: float) -> keyvalue.Item | None:
+        self._reach.require(deadline)
+        with self._reach.call():
+            return self._store.get(key, deadline).item
+
     def cancel(self, id: str, deadline: float) -> bool:
         """Store a cancellation; False if there is no such job."""
-        if self._store.get(JOB_PREFIX + id, deadline).item is None:
+        if self._read(JOB_PREFIX + id, deadline) is None:
             return False
         self._create(CANCEL_PREFIX + id, b"", deadline)
         return True
 
     def read_status(self, id: str, deadline: float) -> str:
         """Return a job's status as the store has it; empty if there is none."""
-        if self._store.get(JOB_PREFIX + id, deadline).item is None:
+        if self._read(JOB_PREFIX + id, deadline) is None:
             return ""
-        item = self._store.get(committing.PREFIX + id, deadline).item
+        item = self._read(committing.PREFIX + id, deadline)
         return state.Status.QUEUED if item is None else state.decode(item.value).status
 
 
--- /dev/null
+++ b/src/bilberrypass/scheduling/reach.py
@@ -0,0 +1,97 @@
+"""Whether the store answers this process at the moment."""
+
+import collections.abc as abc
+import contextlib
+import itertools
+import threading
+import typing as t
+
+from bilberrypass import clock, errors
+from bilberrypass.observing import decisions
+from bilberrypass.scheduling import election, keyvalue
+
+# Beyond the 240 ms that a store takes which is 60 times slower than usual.
+_SUSPECT_AFTER_S: t.Final = 0.35
+_ASK_S: t.Final = 0.5
+_ASK_INTERVAL_S: t.Final = 0.25
+
+
+@t.final
+class Reach:
+    """Refuses writes at once while the store is silent.
+
+    Answers outages in which the store takes calls and never answers. A write that
+    is sent then may take effect later, so its caller can only be told that nothing
+    is known, after all of its time. A read is harmless: while the newest calls lack
+    an answer, one read is sent ahead, and writes follow only if it is answered.
+
+    Parameters
+    ----------
+    store : keyvalue.Store
+        Asked with reads.
+    """
+
+    def __init__(self, store: keyvalue.Store) -> None:
+        self._store = store
+        self._numbers = itertools.count()
+        self._pending: dict[int, float] = {}
+        self._is_lost = False
+        self._asked_at = 0.0
+        self._lock = threading.Lock()
+
+    @contextlib.contextmanager
+    def call(self) -> abc.Iterator[None]:
+        """Follow one call to the store.
+
+        Raises
+        ------
+        errors.Error
+            What the call raises.
+        """
+        number = next(self._numbers)
+        self._pending[number] = clock.now()
+        try:
+            yield
+        except errors.Error as exc:
+            if exc.kind is errors.Kind.STORE_UNCERTAIN:
+                self._is_lost = True
+            raise
+        else:
+            self._is_lost = False
+        finally:
+            del self._pending[number]
+
+    def _is_suspect(self) -> bool:
+        sent_at = min(list(self._pending.values()), default=clock.now())
+        return self._is_lost or clock.now() - sent_at > _SUSPECT_AFTER_S
+
+    def require(self, deadline: float) -> None:
+        """Make sure that the store answers, if the newest calls lack an answer.
+
+        Raises
+        ------
+        errors.Error
+            STORE_DOWN; nothing was written.
+        """
+        if not self._is_suspect():
+            return
+        with self._lock:
+            if clock.now() - self._asked_at < _ASK_INTERVAL_S:
+                raise _silent("it did not answer a moment ago")
+            if not self._is_suspect():
+                return
+            try:
+                self._store.get(election.KEY, min(deadline, clock.now() + _ASK_S))
+            except errors.Error as exc:
+                self._asked_at = clock.now()
+                decisions.record("store.silent", why=str(exc))
+                raise _silent(str(exc)) from exc
+            self._is_lost = False
+
+
+def _silent(why: str) -> errors.Error:
+    return errors.Error(
+        errors.Kind.STORE_DOWN,
+        f"the store is silent ({why}); come back",
+        ran=errors.Ran.NO,
+    )
--- /dev/null
+++ b/testing/scheduling/test_reach.py
@@ -0,0 +1,114 @@
+"""A store that takes calls and does not answer."""
+
+import threading
+import time
+
+from bilberrypass import clock, errors
+from bilberrypass.scheduling import intake, jobs
+from testing import collecting, fixtures
+from testing.standins import keyvalues
+
+_CALLER_S = 1.5
+
+
+class Silent(keyvalues.Store):
+    """Answers nothing while ``is_silent``; callers wait for their deadlines."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_silent = False
+
+    def _wait(self, deadline):
+        if self.is_silent:
+            time.sleep(max(0.0, deadline - clock.now()))
+            raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
+
+    def get(self, key, deadline):
+        self._wait(deadline)
+        return super().get(key, deadline)
+
+    def commit(self, expected, puts, deadline, removed=()):
+        self._wait(deadline)
+        return super().commit(expected, puts, deadline, removed)
+
+
+def _job(number):
+    return jobs.Job(f"{number:016x}", "h/q/", "s", (jobs.Step(1),), time.time())
+
+
+def _submit(found, number):
+    """Return how a submission ended, and how long its caller waited."""
+    began = clock.now()
+    try:
+        found.submit(_job(number), began + _CALLER_S)
+        kind = None
+    except errors.Error as exc:
+        kind = exc.kind
+    return kind, clock.now() - began
+
+
+def test_submissions_to_a_silent_store_are_refused_at_once_and_certainly():
+    store = Silent()
+    found = intake.Submissions(store)
+    store.is_silent = True
+    first = threading.Thread(target=_submit, args=(found, 0))
+    first.start()
+    time.sleep(0.5)
+    outcomes = [_submit(found, number) for number in range(1, 20)]
+    assert {kind for kind, _ in outcomes} == {errors.Kind.STORE_DOWN}
+    waits = [wait_s for _, wait_s in outcomes]
+    assert max(waits) < _CALLER_S and sum(waits) < _CALLER_S * 4, waits
+    first.join()
+
+
+def test_a_refused_submission_was_not_stored():
+    store = Silent()
+    found = intake.Submissions(store)
+    store.is_silent = True
+    assert _submit(found, 0)[0] is errors.Kind.STORE_UNCERTAIN
+    assert _submit(found, 1)[0] is errors.Kind.STORE_DOWN
+    assert "commit" not in store.calls
+
+
+def test_submissions_go_on_once_the_store_answers_again():
+    store = Silent()
+    found = intake.Submissions(store)
+    store.is_silent = True
+    assert _submit(found, 0)[0] is errors.Kind.STORE_UNCERTAIN
+    assert _submit(found, 1)[0] is errors.Kind.STORE_DOWN
+    store.is_silent = False
+    fixtures.wait_until(lambda: _submit(found, 2)[0] is None, 2.0, "a submission")
+
+
+def test_states_and_cancellations_are_refused_at_once_too():
+    store = Silent()
+    found = intake.Submissions(store)
+    found.submit(_job(1), clock.now() + 1)
+    store.is_silent = True
+    assert _submit(found, 2)[0] is errors.Kind.STORE_UNCERTAIN
+    for call in (found.cancel, found.read_status):
+        began = clock.now()
+        exc = fixtures.error_of(errors.Error, call, _job(1).id, began + _CALLER_S)
+        assert exc.kind is errors.Kind.STORE_DOWN
+        assert clock.now() - began < 1.0
+
+
+def test_a_slow_store_is_not_taken_for_a_silent_one():
+    store = Silent()
+    get, commit = store.get, store.commit
+    store.get = lambda *args: (time.sleep(0.24), get(*args))[1]
+    store.commit = lambda *args: (time.sleep(0.24), commit(*args))[1]
+    found = intake.Submissions(store)
+    outcomes = []
+    threads = [
+        threading.Thread(target=lambda n=n: outcomes.append(_submit(found, n)[0]))
+        for n in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert outcomes == [None] * 8
+
+
+load_tests = collecting.hook(__name__)
