Refuse a change that cannot be answered in the time that is left

Ruled out: a leader that does not answer (the calls had under 10 ms). Test failed before: test_what_cannot_be_answered_in_time_is_not_written.

--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -17,6 +17,7 @@
     keyvalue,
     messages,
     queues,
+    reach,
     scheduler,
     sending,
 )
@@ -186,6 +187,8 @@
             tries = [lambda: there(peer, first), lambda: here(deadline)]
         lost: errors.Error | None = None
         for attempt in tries:
+            if lost is not None and deadline - clock.now() < reach.LEAST_S:
+                break
             try:
                 return attempt()
             except errors.Error as exc:
--- a/src/bilberrypass/scheduling/reach.py
+++ b/src/bilberrypass/scheduling/reach.py
@@ -13,6 +13,7 @@
 # Beyond the 240 ms that a store takes which is 60 times slower than usual.
 _SUSPECT_AFTER_S: t.Final = 0.35
 _ASK_S: t.Final = 0.5
+LEAST_S: t.Final = 0.05  # for a write and its answer; a store takes 4 ms
 _ASK_INTERVAL_S: t.Final = 0.25
 
 
@@ -66,18 +67,20 @@
         return self._is_lost or clock.now() - sent_at > _SUSPECT_AFTER_S
 
     def require(self, deadline: float) -> None:
-        """Make sure that the store answers, if the newest calls lack an answer.
+        """Make sure that a write can be answered by a deadline.
 
         Raises
         ------
         errors.Error
             STORE_DOWN; nothing was written.
         """
+        if deadline - clock.now() < LEAST_S:
+            raise _refusal("too little time is left to store anything")
         if not self._is_suspect():
             return
         with self._lock:
             if clock.now() - self._asked_at < _ASK_INTERVAL_S:
-                raise _silent("it did not answer a moment ago")
+                raise _refusal("the store did not answer a moment ago")
             if not self._is_suspect():
                 return
             try:
@@ -85,13 +88,9 @@
             except errors.Error as exc:
                 self._asked_at = clock.now()
                 decisions.record("store.silent", why=str(exc))
-                raise _silent(str(exc)) from exc
+                raise _refusal(f"the store is silent: {exc}") from exc
             self._is_lost = False
 
 
-def _silent(why: str) -> errors.Error:
-    return errors.Error(
-        errors.Kind.STORE_DOWN,
-        f"the store is silent ({why}); come back",
-        ran=errors.Ran.NO,
-    )
+def _refusal(why: str) -> errors.Error:
+    return errors.Error(errors.Kind.STORE_DOWN, f"{why}; come back", ran=errors.Ran.NO)
--- a/testing/scheduling/test_reach.py
+++ b/testing/scheduling/test_reach.py
@@ -4,7 +4,7 @@
 import time
 
 from bilberrypass import clock, errors
-from bilberrypass.scheduling import intake, jobs
+from bilberrypass.scheduling import intake, jobs, reach
 from testing import collecting, fixtures
 from testing.standins import keyvalues
 
@@ -93,6 +93,16 @@
         assert clock.now() - began < 1.0
 
 
+def test_what_cannot_be_answered_in_time_is_not_written():
+    store = Silent()
+    found = intake.Submissions(store)
+    exc = fixtures.error_of(
+        errors.Error, found.submit, _job(1), clock.now() + reach.LEAST_S / 2
+    )
+    assert exc.kind is errors.Kind.STORE_DOWN and exc.ran is errors.Ran.NO
+    assert "commit" not in store.calls
+
+
 def test_a_slow_store_is_not_taken_for_a_silent_one():
     store = Silent()
     get, commit = store.get, store.commit
