--- a/src/bilberrypass/tool.py
+++ b/src/bilberrypass/tool.py
@@ -6,7 +6,15 @@
 import typer
 
 from bilberrypass import __version__, errors
-from bilberrypass.commands import client, config, fleet, jobs, output, tokens
+from bilberrypass.commands import (
+    client,
+    config,
+    fleet,
+    jobs,
+    output,
+    report,
+    tokens,
+)
 
 _EXIT_CODES: t.Final = """
 Exit codes: 0 done; 1 refused, the code tells why; 2 wrong usage or file;
@@ -29,6 +37,7 @@
 APP.command()(fleet.hosts)
 APP.command()(fleet.drain)
 APP.command()(tokens.token)
+APP.command()(report.report)
 
 
 def _show_version(wanted: bool) -> None:
--- /dev/null
+++ b/testing/commands/test_report.py
@@ -0,0 +1,87 @@
+"""The page that is drawn from logs and metrics."""
+
+import contextlib
+import json
+import pathlib
+import tempfile
+
+from bilberrypass import errors
+from bilberrypass.commands import readings, report
+from testing import collecting, fixtures
+
+LINES = [
+    {"at": 10.0, "event": "process.started", "node": "e1", "role": "entry"},
+    {"at": 10.5, "event": "store.lost", "node": "e1", "why": "no answer"},
+    {
+        "at": 11.0,
+        "event": "job.ended",
+        "node": "e1",
+        "status": "completed",
+        "took_s": 2.5,
+    },
+    {
+        "at": 12.0,
+        "event": "scheduler.load",
+        "node": "e1",
+        "jobs": 7,
+        "cores_fillers": 9,
+    },
+]
+METRICS = """# HELP x_seconds Time
+# TYPE x_seconds histogram
+x_seconds_bucket{call="get",le="0.1"} 3.0
+x_seconds_bucket{call="get",le="+Inf"} 5.0
+x_seconds_count{call="get"} 5.0
+x_seconds_sum{call="get"} 1.0
+"""
+
+
+@contextlib.contextmanager
+def _folder(**texts):
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        for stem, text in texts.items():
+            (folder / stem).write_text(text)
+        yield folder
+
+
+def _log():
+    return "\n".join(json.dumps(line) for line in LINES)
+
+
+def test_a_page_holds_timeline_load_durations_and_histograms():
+    with _folder(log=_log(), metrics=METRICS) as folder:
+        out = folder / "page.html"
+        report.report([folder / "log"], [folder / "metrics"], out)
+        text = out.read_text()
+    for part in ("process.started", "store.lost", "Queue and hosts", "x_seconds"):
+        assert part in text, part
+    assert "job.ended completed" in text
+    assert '<script src="http' not in text, "the page must need nothing else"
+
+
+def test_lines_of_others_and_prefixes_are_left_out():
+    text = "starting\n 10.1 e1 " + json.dumps(LINES[0]) + '\n{"at": 1}\n{"event": 2'
+    with _folder(log=text) as folder:
+        (line,) = readings.read_log(folder / "log")
+    assert (line.at, line.node, line.event) == (10.0, "e1", "process.started")
+
+
+def test_buckets_are_read_by_name_and_labels():
+    with _folder(metrics=METRICS) as folder:
+        found = readings.read_histograms(folder / "metrics")
+    assert found["x_seconds (call=get)"] == [(0.1, 3.0), (float("inf"), 5.0)]
+
+
+def test_files_that_hold_nothing_are_refused_by_name():
+    with _folder(log="nothing here", metrics='x{le="a"') as folder:
+        for read, name in (
+            (readings.read_log, "log"),
+            (readings.read_log, "missing"),
+            (readings.read_histograms, "metrics"),
+        ):
+            exc = fixtures.error_of(errors.Error, read, folder / name)
+            assert exc.kind is errors.Kind.INVALID_SETTINGS and name in exc.detail
+
+
+load_tests = collecting.hook(__name__)
