Ask a quiet store with a read before a write

Change: without an answer in the last 0.25 s one read goes ahead of the write. Test failed before: test_an_outage_is_noticed_before_the_first_write.

--- a/src/bilberrypass/scheduling/reach.py
+++ b/src/bilberrypass/scheduling/reach.py
@@ -12,6 +12,7 @@
 
 # Beyond the 240 ms that a store takes which is 60 times slower than usual.
 _SUSPECT_AFTER_S: t.Final = 0.35
+_FRESH_S: t.Final = 0.25  # an outage that is younger may still cost a lost answer
 _ASK_S: t.Final = 0.5
 LEAST_S: t.Final = 0.05  # for a write and its answer; a store takes 4 ms
 _ASK_INTERVAL_S: t.Final = 0.25
@@ -23,8 +24,8 @@
 
     Answers outages in which the store takes calls and never answers. A write that
     is sent then may take effect later, so its caller can only be told that nothing
-    is known, after all of its time. A read is harmless: while the newest calls lack
-    an answer, one read is sent ahead, and writes follow only if it is answered.
+    is known, after all of its time. A read is harmless: without a fresh answer of
+    the store, one read is sent ahead, and writes follow only if it is answered.
 
     Parameters
     ----------
@@ -37,6 +38,7 @@
         self._numbers = itertools.count()
         self._pending: dict[int, float] = {}
         self._is_lost = False
+        self._answered_at = 0.0
         self._asked_at = 0.0
         self._lock = threading.Lock()
 
@@ -58,11 +60,16 @@
                 self._is_lost = True
             raise
         else:
-            self._is_lost = False
+            self._answer()
         finally:
             del self._pending[number]
 
+    def _answer(self) -> None:
+        self._is_lost, self._answered_at = False, clock.now()
+
     def _is_suspect(self) -> bool:
+        if clock.now() - self._answered_at > _FRESH_S:
+            return True
         sent_at = min(list(self._pending.values()), default=clock.now())
         return self._is_lost or clock.now() - sent_at > _SUSPECT_AFTER_S
 
@@ -89,7 +96,7 @@
                 self._asked_at = clock.now()
                 decisions.record("store.silent", why=str(exc))
                 raise _refusal(f"the store is silent: {exc}") from exc
-            self._is_lost = False
+            self._answer()
 
 
 def _refusal(why: str) -> errors.Error:
