--- a/src/bilberrypass/scheduling/reach.py
+++ b/src/bilberrypass/scheduling/reach.py
@@ -85,18 +85,27 @@
             raise _refusal("too little time is left to store anything")
         if not self._is_suspect():
             return
-        with self._lock:
-            if clock.now() - self._asked_at < _ASK_INTERVAL_S:
-                raise _refusal("the store did not answer a moment ago")
-            if not self._is_suspect():
-                return
-            try:
-                self._store.get(election.KEY, min(deadline, clock.now() + _ASK_S))
-            except errors.Error as exc:
-                self._asked_at = clock.now()
-                decisions.record("store.silent", why=str(exc))
-                raise _refusal(f"the store is silent: {exc}") from exc
-            self._answer()
+        if not self._lock.acquire(timeout=deadline - clock.now()):
+            raise _refusal("the store is silent so far")
+        try:
+            self._ask(deadline)
+        finally:
+            self._lock.release()
+
+    def _ask(self, deadline: float) -> None:
+        if clock.now() - self._asked_at < _ASK_INTERVAL_S:
+            raise _refusal("the store did not answer a moment ago")
+        if not self._is_suspect():
+            return
+        if deadline - clock.now() < LEAST_S:
+            raise _refusal("too little time is left to store anything")
+        try:
+            self._store.get(election.KEY, min(deadline, clock.now() + _ASK_S))
+        except errors.Error as exc:
+            self._asked_at = clock.now()
+            decisions.record("store.silent", why=str(exc))
+            raise _refusal(f"the store is silent: {exc}") from exc
+        self._answer()
 
 
 def _refusal(why: str) -> errors.Error:
--- a/testing/scheduling/test_reach.py
+++ b/testing/scheduling/test_reach.py
@@ -120,6 +120,21 @@
     assert "commit" not in store.calls
 
 
+def test_nobody_waits_for_another_callers_question_beyond_the_own_time():
+    store = Silent()
+    found = intake.Submissions(store)
+    _go_silent(store, found)
+    time.sleep(0.3)  # no answer is fresh any more
+    asking = threading.Thread(target=_submit, args=(found, 1))
+    asking.start()
+    time.sleep(0.05)
+    began = clock.now()
+    exc = fixtures.error_of(errors.Error, found.submit, _job(2), began + 0.1)
+    assert exc.kind is errors.Kind.STORE_DOWN
+    assert asking.is_alive(), "it waited for the other's answer"
+    asking.join()
+
+
 def test_a_slow_store_is_not_taken_for_a_silent_one():
     store = Silent()
     get, commit = store.get, store.commit
