--- a/src/bilberrypass/scheduling/reach.py
+++ b/src/bilberrypass/scheduling/reach.py
@@ -39,7 +39,7 @@
         self._pending: dict[int, float] = {}
         self._is_lost = False
         self._answered_at = 0.0
-        self._asked_at = 0.0
+        self._unanswered_at = 0.0
         self._lock = threading.Lock()
 
     @contextlib.contextmanager
@@ -93,7 +93,7 @@
             self._lock.release()
 
     def _ask(self, deadline: float) -> None:
-        if clock.now() - self._asked_at < _ASK_INTERVAL_S:
+        if clock.now() - self._unanswered_at < _ASK_INTERVAL_S:
             raise _refusal("the store did not answer a moment ago")
         if not self._is_suspect():
             return
@@ -102,7 +102,7 @@
         try:
             self._store.get(election.KEY, min(deadline, clock.now() + _ASK_S))
         except errors.Error as exc:
-            self._asked_at = clock.now()
+            self._unanswered_at = clock.now()
             decisions.record("store.silent", why=str(exc))
             raise _refusal(f"the store is silent: {exc}") from exc
         self._answer()
