--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -260,7 +260,6 @@
             host.heal()
             host.restart()
         for side in self.sides:
-            side.runner.is_silent = side._is_down
             side.runner.lose = 0
             side.revive()
 
