Mend what a second reading of the change found

Cause: written again, derivable, or read by nobody. Left: the three follow loops over watches differ in what they do with errors; the wire's step and the product's list the same fields on purpose.

--- a/soak/book.py
+++ b/soak/book.py
@@ -8,7 +8,6 @@
 
 CANCEL_S: t.Final = 4.0  # cancel_ms and stop_timeout_ms of the platform's pages
 FINAL: t.Final = frozenset({"completed", "failed", "cancelled"})
-_SHOWN_SLACK_S: t.Final = 1.0  # an order may have been under way
 HOST_CPU: t.Final = 64_000
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -60,7 +60,7 @@
             elif draw < 0.45 + 0.08:
                 self._resubmit(self._rng.choice(self._mine))
             elif draw < 0.45 + _CANCEL_SHARE:
-                self.cancel(self._rng.choice(self._mine))
+                cancel(self._book, self._entry(), self._rng.choice(self._mine))
             else:
                 ask(self._book, self._entry(), self._rng.choice(self._mine))
 
@@ -100,18 +100,7 @@
                 return
 
     def _resubmit(self, job: book.Job) -> None:
-        answer = call(self._entry(), "POST", f"/q/{job.id}", job.body)
-        if answer is not None and answer.status in _REFUSALS:
-            return
-
-    def cancel(self, job: book.Job) -> bool:
-        """Cancel a job, and tell whether that was acknowledged."""
-        job.cancel_sent = True
-        answer = call(self._entry(), "DELETE", f"/q/{job.id}")
-        if answer is None or answer.status not in (200, 410):
-            return False
-        job.cancelled_at = job.cancelled_at or self._book.now()
-        return True
+        call(self._entry(), "POST", f"/q/{job.id}", job.body)
 
     def stop(self) -> None:
         """Submit nothing more."""
@@ -119,6 +108,16 @@
         self._thread.join(30)
 
 
+def cancel(seen: book.Book, entry: hosts.Entry, job: book.Job) -> bool:
+    """Cancel a job, and tell whether that was acknowledged."""
+    job.cancel_sent = True
+    answer = call(entry, "DELETE", f"/q/{job.id}")
+    if answer is None or answer.status not in (200, 410):
+        return False
+    job.cancelled_at = job.cancelled_at or seen.now()
+    return True
+
+
 def ask(seen: book.Book, entry: hosts.Entry, job: book.Job) -> str:
     """Ask for a job's state, check it, and return it; empty if there is no answer."""
     answer = call(entry, "GET", f"/q/{job.id}")
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -1,11 +1,11 @@
 """The programs with one guard removed, to show that the soak can fail."""
 
 import collections.abc as abc
-import os
+import runpy
 import sys
 import typing as t
 
-from bilberrypass.platform import programs, store
+from bilberrypass.platform import store
 from bilberrypass.scheduling import election, hosts
 
 
@@ -48,7 +48,5 @@
 NAMES: t.Final = tuple(_MUTATIONS)
 
 if __name__ == "__main__":
-    _MUTATIONS[sys.argv[1]]()
-    code = programs.run(sys.argv[2])
-    sys.stdout.flush()
-    os._exit(code)
+    _MUTATIONS[sys.argv.pop(1)]()
+    runpy.run_path("src/bilberrypassd.py", run_name="__main__")
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -91,10 +91,8 @@
     _await(seen, fleet, accepted, _is_settled)
     for job in accepted:
         if job.lasts and not job.cancelled_at:
-            job.cancel_sent = True
-            if not any(_cancel(entry, job) for entry in fleet.entries):
+            if not any(callers.cancel(seen, entry, job) for entry in fleet.entries):
                 seen.miss("LOST", f"{job.id}: no entry takes its cancellation")
-            job.cancelled_at = seen.now()
     lasting = [job for job in accepted if job.lasts]
     _await(seen, fleet, lasting, _is_gone)
     for job in accepted:
@@ -102,11 +100,6 @@
             callers.ask(seen, entry, job)
 
 
-def _cancel(entry: hosts.Entry, job: book.Job) -> bool:
-    answer = callers.call(entry, "DELETE", f"/q/{job.id}")
-    return answer is not None and answer.status in (200, 410)
-
-
 Check = t.Callable[[book.Book, hosts.Fleet, book.Job], bool]
 
 
--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -4,6 +4,8 @@
 import math
 import typing as t
 
+from bilberrypass.scheduling import interference
+
 FULL: t.Final = 100
 
 _ACT_INTERVAL_S: t.Final = 0.55  # a figure covers half a second
@@ -14,7 +16,6 @@
 _OVERSHOOT: t.Final = 1.2  # cuts go a little further than the estimate asks
 _RISE_SHARE: t.Final = 0.6  # of the headroom that one step may use
 _MIN_RISE: t.Final = 10  # percent points
-_PRIOR_PER_CORE: t.Final = 0.02  # as the scheduler's before it has learnt
 
 
 class Served(t.NamedTuple):
@@ -107,7 +108,7 @@
 
 def _press(pressing: Pressing, service: Served, filler: Filler) -> float:
     """Return the rise that a filler causes at full speed."""
-    per_core = pressing.get((service.image, filler.image), _PRIOR_PER_CORE)
+    per_core = pressing.get((service.image, filler.image), interference.PRIOR_PER_CORE)
     return per_core * filler.cores
 
 
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -51,7 +51,6 @@
         self.info = info
         self.table = runs.Table(changed)
         self._client = client
-        self._changed = changed
         self._epoch = 0
         self._granted_until = 0.0
         self._leased_until = lease_end
--- a/src/bilberrypass/platform/front.py
+++ b/src/bilberrypass/platform/front.py
@@ -1,5 +1,6 @@
 """The platform's callers' interface: submissions, their states, cancellations."""
 
+import collections.abc as abc
 import re
 import time
 import typing as t
@@ -181,28 +182,27 @@
             _check_supported(route)
             body = _read_body(environ, table.config.limits.max_body_bytes)
             name = queues.queue_name(route.host, route.prefix)
-            self._submit(read_job(id, name, body), deadline)
+            _change(self._entry.submit, read_job(id, name, body), deadline)
             return _json(200, {})
         if method == "GET":
             status = self._entry.status(id, deadline)
             return _json(200, {"state": status}) if status else _json(410, {})
         if method == "DELETE":
-            return _json(200 if self._cancel(id, deadline) else 410, {})
+            return _json(200 if _change(self._entry.cancel, id, deadline) else 410, {})
         raise errors.Refused(
             errors.Kind.METHOD_NOT_ALLOWED, f"{method}: use POST, GET or DELETE"
         )
 
-    def _submit(self, job: jobs.Job, deadline: float) -> None:
-        try:
-            self._entry.submit(job, deadline)
-        except errors.Error as exc:
-            raise _certain(exc) from exc
 
-    def _cancel(self, id: str, deadline: float) -> bool:
-        try:
-            return self._entry.cancel(id, deadline)
-        except errors.Error as exc:
-            raise _certain(exc) from exc
+T = t.TypeVar("T")
+
+
+def _change(call: abc.Callable[..., T], *args: t.Any) -> T:
+    """Make a change; an error tells whether it may be stored."""
+    try:
+        return call(*args)
+    except errors.Error as exc:
+        raise _certain(exc) from exc
 
 
 def _check_supported(route: queues.Route) -> None:
--- a/src/bilberrypass/platform/http.py
+++ b/src/bilberrypass/platform/http.py
@@ -6,6 +6,7 @@
 import urllib3
 
 from bilberrypass import clock, errors
+from bilberrypass.version import settings
 
 _CONNECT_S: t.Final = 0.5  # a few times the longest round trip between zones
 _MIN_TIMEOUT_S: t.Final = 0.01
@@ -54,9 +55,9 @@
 
     def __init__(self, address: str, connections: int) -> None:
         self.address = address
-        host, _, port = address.rpartition(":")
+        host, port = settings.split_address(address)
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections, block=False, retries=False
+            host, port, maxsize=connections, block=False, retries=False
         )
 
     def call(
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -63,9 +63,7 @@
 
     def __init__(self, node: settings.Node) -> None:
         kept = store.Store(node.store_address)
-        config = queues.Follower(
-            kept, operator.CONFIG_KEY, operator.read_config, lambda: None
-        )
+        config = queues.Follower(kept, operator.CONFIG_KEY, operator.read_config)
         cfg = scheduler.Settings(lease_s(node), node.status_s)
         self._entry = entry.Entry(
             node.name, node.peer_address, kept, config, cfg, patience_s(node)
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -113,17 +113,14 @@
         self._stopping.set()
         lease = self._lease
         if self._epoch and lease is not None:
-            self._depose("leaving")
+            self.depose("leaving")
             try:
                 self._store.revoke(lease.id, clock.now() + _CALL_S)
             except errors.Error as exc:
                 decisions.record("election.revoke_failed", why=str(exc))
 
     def depose(self, why: str) -> None:
-        """Stop leading, since the store has shown that another may lead."""
-        self._depose(why)
-
-    def _depose(self, why: str) -> None:
+        """Stop leading, since another may lead."""
         epoch, self._epoch = self._epoch, 0
         self._lease = None
         if epoch:
@@ -163,7 +160,7 @@
             self._leader = leader
             decisions.record("election.seen", leader=leader and leader._asdict())
         if self._epoch and (leader is None or leader.epoch != self._epoch):
-            self._depose("the key names another or nobody")
+            self.depose("the key names another or nobody")
 
     def _is_left_to_others(self, revision: int) -> bool:
         """Wait for a stronger host to stand; tell whether the key has changed."""
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -141,12 +141,8 @@
         try:
             is_new = self._through_store(
                 lambda until: self._submissions.submit(job, until),
-                lambda peer, until: (
-                    peer.call(
-                        messages.SUBMIT,
-                        messages.SubmitAsk(job, until - clock.now()),
-                        time.monotonic() + until - clock.now(),
-                    ).is_new
+                lambda peer, left_s: (
+                    _ask(peer, messages.SUBMIT, messages.SubmitAsk(job, left_s)).is_new
                 ),
                 deadline,
             )
@@ -180,11 +176,14 @@
         own_deadline = clock.now() + (deadline - clock.now()) * _OWN_SHARE
         tries: list[abc.Callable[[], T]] = [
             lambda: here(own_deadline),
-            lambda: there(peer, deadline),
+            lambda: there(peer, deadline - clock.now()),
         ]
         if clock.now() < self._detour_until:
             first = min(deadline, clock.now() + _DETOUR_CALL_S)
-            tries = [lambda: there(peer, first), lambda: here(deadline)]
+            tries = [
+                lambda: there(peer, first - clock.now()),
+                lambda: here(deadline),
+            ]
         lost: errors.Error | None = None
         for attempt in tries:
             if lost is not None and deadline - clock.now() < reach.LEAST_S:
@@ -208,12 +207,8 @@
         """Store a cancellation; False if there is no such job."""
         is_known = self._through_store(
             lambda until: self._submissions.cancel(id, until),
-            lambda peer, until: (
-                peer.call(
-                    messages.CANCEL,
-                    messages.CancelAsk(id, until - clock.now()),
-                    time.monotonic() + until - clock.now(),
-                ).is_known
+            lambda peer, left_s: (
+                _ask(peer, messages.CANCEL, messages.CancelAsk(id, left_s)).is_known
             ),
             deadline,
         )
@@ -344,6 +339,15 @@
         return messages.WaitingTold(True, found.waiting(ask.queue))
 
 
+def _ask(
+    peer: channels.Peer,
+    method: channels.Method,
+    ask: messages.SubmitAsk | messages.CancelAsk,
+) -> t.Any:
+    """Have another entry make a change within the time that it is told."""
+    return peer.call(method, ask, time.monotonic() + ask.time_left_s)
+
+
 def _is_certain(exc: errors.Error) -> bool:
     """Tell whether a change that failed certainly had no effect."""
     if exc.kind is errors.Kind.STORE_UNCERTAIN:
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -9,7 +9,7 @@
 from bilberrypass.scheduling import messages
 
 # Before anything is known: a filler of 7 cores adds a seventh to the latency.
-_PRIOR: t.Final = 0.02
+PRIOR_PER_CORE: t.Final = 0.02
 _PRIOR_SD: t.Final = 0.03
 _NOISE_SD: t.Final = 0.15  # a service's own load moves its latency in half a second
 _DRIFT_SD: t.Final = 0.002  # a sample; images change their ways slowly
@@ -45,7 +45,7 @@
     def per_core(self, service: str, filler: str) -> float:
         """Return the expected rise for each core, never zero."""
         found = self._pairs.get((service, filler))
-        return _PRIOR if found is None else min(_MAX, max(_MIN, found.mean))
+        return PRIOR_PER_CORE if found is None else min(_MAX, max(_MIN, found.mean))
 
     def observe(
         self, service: str, before_ms: float, after_ms: float, cores: dict[str, float]
@@ -64,7 +64,7 @@
         changed = {image: x for image, x in cores.items() if abs(x) > 0.2}
         if not changed or before_ms <= 0 or after_ms <= 0:
             return
-        prior = Estimate(_PRIOR, _PRIOR_SD**2)
+        prior = Estimate(PRIOR_PER_CORE, _PRIOR_SD**2)
         known = {f: self._pairs.get((service, f), prior) for f in changed}
         expected = sum(known[f].mean * x for f, x in changed.items())
         error = math.log(after_ms / before_ms) - expected
--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -37,7 +37,7 @@
         waiting = [t for t in job.tasks.values() if t.phase is state.Phase.WAITING]
         fillers += sum(task.step.is_filler for task in waiting)
         others += sum(not task.step.is_filler for task in waiting)
-        idle += not any(task.is_active for task in job.tasks.values())
+        idle += not job.has_runs
     return {
         "jobs": len(jobs),
         "jobs_idle": idle,
--- a/src/bilberrypass/scheduling/moving.py
+++ b/src/bilberrypass/scheduling/moving.py
@@ -35,7 +35,7 @@
     def tick(self, now: float) -> None:
         """Stop a few runs that another host would take at once."""
         moves = 0
-        usable = [host for host in self._owner.hosts.values() if host.is_usable(now)]
+        usable = self._owner.usable_hosts(now)
         self._judge(now)
         for host in self._owner.hosts.values():
             if now - host.heard_at > hosts.SILENT_AFTER_S:
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -45,7 +45,7 @@
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, the most urgent first."""
-        usable = [host for host in self._owner.hosts.values() if host.is_usable(now)]
+        usable = self._owner.usable_hosts(now)
         if not usable or not self._has_gathered(now):
             return
         unix_now = time.time()
@@ -122,7 +122,7 @@
 
     def _is_starved(self, job: state.JobState, now: float) -> bool:
         """Tell whether a job without room has had nothing at work for too long."""
-        if any(task.is_active for task in job.tasks.values()):
+        if job.has_runs:
             job.idle_since = 0.0
             return False
         job.idle_since = job.idle_since or now
--- a/src/bilberrypass/scheduling/queues.py
+++ b/src/bilberrypass/scheduling/queues.py
@@ -85,8 +85,6 @@
         The configuration's key.
     decode : callable
         Reads its value; raises ``errors.Error`` if that cannot be read.
-    on_change : callable
-        Called after each change, on the follower's thread.
     """
 
     def __init__(
@@ -94,15 +92,12 @@
         store: keyvalue.Store,
         key: str,
         decode: Decode,
-        on_change: abc.Callable[[], None],
     ) -> None:
         self._store = store
         self._key = key
         self._decode = decode
-        self._on_change = on_change
         self._table: Table | None = None
         self._revision = 0
-        self._checked_at = 0.0
         self._confirmed = decisions.Dependency("config.store")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="config", daemon=True)
@@ -120,11 +115,6 @@
         """The configuration in force; None before the first was read."""
         return self._table
 
-    @property
-    def age_s(self) -> float:
-        """How long ago the store last confirmed the configuration."""
-        return clock.now() - self._checked_at
-
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -132,7 +122,6 @@
                 found = self._store.get(self._key, asked_at + _CALL_S)
                 if found.item is not None:
                     self._take(found.item.value, found.item.revision)
-                self._checked_at = asked_at
                 self._confirmed.worked()
                 self._watch(found.revision, asked_at + _READ_INTERVAL_S)
             except errors.Error as exc:
@@ -168,4 +157,3 @@
         decisions.record(
             "config.in_force", version=config.version, routes=len(config.routes)
         )
-        self._on_change()
--- a/src/bilberrypass/scheduling/reach.py
+++ b/src/bilberrypass/scheduling/reach.py
@@ -37,7 +37,6 @@
         self._store = store
         self._numbers = itertools.count()
         self._pending: dict[int, float] = {}
-        self._is_lost = False
         self._answered_at = 0.0
         self._unanswered_at = 0.0
         self._lock = threading.Lock()
@@ -57,21 +56,18 @@
             yield
         except errors.Error as exc:
             if exc.kind is errors.Kind.STORE_UNCERTAIN:
-                self._is_lost = True
+                self._answered_at = 0.0  # whatever came before it is not fresh
             raise
         else:
-            self._answer()
+            self._answered_at = clock.now()
         finally:
             del self._pending[number]
 
-    def _answer(self) -> None:
-        self._is_lost, self._answered_at = False, clock.now()
-
     def _is_suspect(self) -> bool:
         if clock.now() - self._answered_at > _FRESH_S:
             return True
         sent_at = min(list(self._pending.values()), default=clock.now())
-        return self._is_lost or clock.now() - sent_at > _SUSPECT_AFTER_S
+        return clock.now() - sent_at > _SUSPECT_AFTER_S
 
     def require(self, deadline: float) -> None:
         """Make sure that a write can be answered by a deadline.
@@ -81,11 +77,12 @@
         errors.Error
             STORE_DOWN; nothing was written.
         """
-        if deadline - clock.now() < LEAST_S:
+        spare_s = deadline - LEAST_S - clock.now()
+        if spare_s < 0:
             raise _refusal("too little time is left to store anything")
         if not self._is_suspect():
             return
-        if not self._lock.acquire(timeout=deadline - clock.now()):
+        if not self._lock.acquire(timeout=spare_s):
             raise _refusal("the store is silent so far")
         try:
             self._ask(deadline)
@@ -97,15 +94,13 @@
             raise _refusal("the store did not answer a moment ago")
         if not self._is_suspect():
             return
-        if deadline - clock.now() < LEAST_S:
-            raise _refusal("too little time is left to store anything")
         try:
             self._store.get(election.KEY, min(deadline, clock.now() + _ASK_S))
         except errors.Error as exc:
             self._unanswered_at = clock.now()
             decisions.record("store.silent", why=str(exc))
             raise _refusal(f"the store is silent: {exc}") from exc
-        self._answer()
+        self._answered_at = clock.now()
 
 
 def _refusal(why: str) -> errors.Error:
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -328,6 +328,10 @@
         """Until when an earlier scheduler may have leased a host's runs."""
         return self._elected_at + AUTHORITY_S + _LEASE_MARGIN_S
 
+    def usable_hosts(self, now: float) -> list[hosts.Host]:
+        """Return the hosts to which new runs may be sent."""
+        return [host for host in self.hosts.values() if host.is_usable(now)]
+
     def has_silent_hosts(self) -> bool:
         """Tell whether hosts of an earlier scheduler have not reported to this one."""
         return any(not host.heard_at for host in self.hosts.values())
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -156,6 +156,11 @@
         """Tell whether nothing changes any more."""
         return self.status in FINAL
 
+    @property
+    def has_runs(self) -> bool:
+        """Tell whether a run of any task may be on a host."""
+        return any(task.is_active for task in self.tasks.values())
+
     def is_eligible(self, task: Task, now: float) -> bool:
         """Tell whether a waiting task's turn has come, at a Unix time."""
         if self.cancelled or self.failed or task.phase is not Phase.WAITING:
@@ -178,7 +183,7 @@
         if self.is_final:
             return
         if self.cancelled or self.failed:
-            if not any(task.is_active for task in self.tasks.values()):
+            if not self.has_runs:
                 self.status = Status.CANCELLED if self.cancelled else Status.FAILED
         elif not any(self.open_steps.values()):
             self.status = Status.COMPLETED
--- a/testing/observing/test_metrics.py
+++ b/testing/observing/test_metrics.py
@@ -47,11 +47,6 @@
             reader.join()
 
 
-def _submit(run):
-    url = run.callers() + "/jobs/j1"
-    return fixtures.http("PUT", url, system.job_body()).status < 300
-
-
 def test_page_lists_every_name():
     assert set(_ROW.findall(_PAGE.read_text())) == {name.value for name in metrics.Name}
 
@@ -63,7 +58,7 @@
             url = run.callers() + "/services/echo/x"
             fixtures.wait_ok(url, 10, "the path")
             fixtures.http("GET", run.callers() + "/services/no/x")
-            fixtures.wait_until(lambda: _submit(run), 10, "an owner of the job's shard")
+            system.put_job(run.callers() + "/jobs/j1")
             expected = {f"bp.entry.e0.{name}" for name in _ENTRY_NAMES.split()}
             expected |= {f"bp.agent.h0.{name}" for name in _AGENT_NAMES.split()}
             fixtures.wait_until(lambda: expected <= names, 15, "all names")
--- a/testing/observing/test_traces.py
+++ b/testing/observing/test_traces.py
@@ -72,6 +72,8 @@
 
 def test_job_has_its_four_spans_of_one_trace():
     with system.system(entry_changes=_ON, agent_changes=_ON) as run:
+        # The team's shard has an owner once another job of it was taken.
+        system.put_job(run.callers() + "/jobs/j0")
         answer = fixtures.http(
             "PUT",
             run.callers() + "/jobs/j1",
--- a/testing/scheduling/offices.py
+++ b/testing/scheduling/offices.py
@@ -167,6 +167,13 @@
         self.submissions.submit(job, clock.now() + 2)
         return job
 
+    def run_task(self, host):
+        """Have a job of one task run on a host; returns the order to start it."""
+        self.submit(jobs.Step(1, cpu_milli=100))
+        host.await_orders(1)
+        (order,) = host.obey()
+        return order
+
     def status(self, id="a" * 16):
         return self.scheduler.status(id)
 
--- a/testing/scheduling/test_ends.py
+++ b/testing/scheduling/test_ends.py
@@ -10,9 +10,7 @@
     # end was under way, and the end was noted though the store never had it.
     with offices.office() as office:
         host = office.host("h1")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        host.await_orders(1)
-        (order,) = host.obey()
+        order = office.run_task(host)
         office.store.hold_commits = 1_000_000
         number = host.end((order.task, order.run), "done")
         for _ in range(3):
@@ -24,9 +22,7 @@
 def test_a_done_task_is_not_started_again_by_a_successor():
     with offices.office() as office:
         host = office.host("h1")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        host.await_orders(1)
-        (order,) = host.obey()
+        order = office.run_task(host)
         office.store.hold_commits = 1_000_000
         host.end((order.task, order.run), "done")
         for _ in range(3):
@@ -40,9 +36,7 @@
 def test_an_end_is_noted_once_it_is_stored():
     with offices.office() as office:
         host = office.host("h1")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        host.await_orders(1)
-        (order,) = host.obey()
+        order = office.run_task(host)
         number = host.end((order.task, order.run), "done")
         fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "the note")
         assert office.stored().status == "completed"
@@ -69,9 +63,7 @@
 def test_an_end_that_comes_after_a_run_was_given_up_is_noted():
     with offices.office() as office:
         host = office.host("h1")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        host.await_orders(1)
-        (order,) = host.obey()
+        order = office.run_task(host)
         host.report()
         key = order.task, order.run
         host.rows[key] = host.rows[key]._replace(state=int(offices.State.GONE))
--- a/testing/scheduling/test_entry.py
+++ b/testing/scheduling/test_entry.py
@@ -18,7 +18,7 @@
     ways, found = [], []
     for name in ("e1", "e2"):
         way = keyvalues.Way(store)
-        config = queues.Follower(way, "op/config", lambda v: None, lambda: None)
+        config = queues.Follower(way, "op/config", lambda v: None)
         address = f"127.0.0.1:{fixtures.free_port()}"
         one = entry.Entry(name, address, way, config, _CFG)
         one.start()
--- a/testing/scheduling/test_leaving.py
+++ b/testing/scheduling/test_leaving.py
@@ -41,9 +41,7 @@
 def test_what_ran_on_a_host_that_left_starts_elsewhere_at_once():
     with offices.office() as office:
         old = office.host("old")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        old.await_orders(1)
-        old.obey()
+        office.run_task(old)
         new = office.host("new")
         old.is_draining = True
         (key,) = old.rows
@@ -60,9 +58,7 @@
     # after a takeover, and their services stood still for 12 s.
     with offices.office() as office:
         old = office.host("old")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        old.await_orders(1)
-        old.obey()
+        office.run_task(old)
         old.report()
         office.elect()
         old.leased_s = 2.0  # beyond the time after which a host counts as silent
@@ -75,9 +71,7 @@
 def test_a_successor_restarts_nothing_while_an_agent_may_hold_its_lease():
     with offices.office() as office:
         old = office.host("old")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        old.await_orders(1)
-        old.obey()
+        office.run_task(old)
         old.report()
         office.elect()
         old.leased_s = 30.0
@@ -91,9 +85,7 @@
 def test_a_host_that_a_successor_never_heard_keeps_its_runs():
     with offices.office() as office:
         old = office.host("old")
-        office.submit(jobs.Step(1, cpu_milli=100))
-        old.await_orders(1)
-        old.obey()
+        office.run_task(old)
         old.report()
         office.elect()
         new = office.host("new")
--- a/testing/scheduling/test_queues.py
+++ b/testing/scheduling/test_queues.py
@@ -20,9 +20,7 @@
 def _follower():
     store = keyvalues.Store()
     way = keyvalues.Way(store)
-    found = queues.Follower(
-        way, operator.CONFIG_KEY, operator.read_config, lambda: None
-    )
+    found = queues.Follower(way, operator.CONFIG_KEY, operator.read_config)
     found.start()
     try:
         yield found, store, way
--- a/testing/scheduling/test_starving.py
+++ b/testing/scheduling/test_starving.py
@@ -50,12 +50,18 @@
             assert not host.orders, "a task beside the pressed service"
 
 
+def _fill_two_hosts(office):
+    """Have a job of eight tasks ordered, four on each of two hosts."""
+    first, second = office.host("h1"), office.host("h2")
+    office.submit(PLAIN)
+    first.await_orders(4)
+    second.await_orders(4)
+    return first, second
+
+
 def test_after_an_election_work_waits_for_hosts_that_have_yet_to_report():
     with offices.office() as office:
-        first, second = office.host("h1"), office.host("h2")
-        office.submit(PLAIN)
-        first.await_orders(4)
-        second.await_orders(4)
+        first, second = _fill_two_hosts(office)
         office.elect()
         for host in (first, second):
             host.orders.clear()
@@ -70,10 +76,7 @@
 
 def test_a_host_that_never_reports_delays_work_by_a_moment_only():
     with offices.office() as office:
-        first, second = office.host("h1"), office.host("h2")
-        office.submit(PLAIN)
-        first.await_orders(4)
-        second.await_orders(4)
+        first, second = _fill_two_hosts(office)
         office.elect()
         first.orders.clear()
         first.agent, first.life = 2, first.life + 1
--- a/testing/standins/kvhttp.py
+++ b/testing/standins/kvhttp.py
@@ -2,13 +2,12 @@
 
 import base64
 import contextlib
-import json
 import urllib.parse
 
 from bilberrypass import clock, errors
 from bilberrypass.connection import serving
 from bilberrypass.scheduling import keyvalue
-from testing.standins import keyvalues
+from testing.standins import jsonhttp, keyvalues
 
 
 def _item(item):
@@ -21,7 +20,7 @@
     }
 
 
-class Server:
+class Server(jsonhttp.App):
     """A WSGI application over a store in memory.
 
     ``refuse_with`` is a status that every call gets. ``page`` bounds a listing.
@@ -32,19 +31,12 @@
         self.refuse_with = 0
         self.page = 500
 
-    def __call__(self, environ, start):
-        status, body = self._serve(environ)
-        content = json.dumps(body).encode()
-        start(f"{status} X", [("Content-Length", str(len(content)))])
-        return [content]
-
     def _serve(self, environ):
         if self.refuse_with:
             return self.refuse_with, {}
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
         name = environ["PATH_INFO"].removeprefix("/api/kv-").split("/")
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = json.loads(environ["wsgi.input"].read(length) or b"{}")
+        body = jsonhttp.read(environ)
         call = getattr(self, f"_{name[0].replace('-', '_')}")
         try:
             return call(query, body, *name[1:])
--- a/testing/standins/runhttp.py
+++ b/testing/standins/runhttp.py
@@ -1,17 +1,16 @@
 """The stand-in for a runner, over its HTTP interface."""
 
 import contextlib
-import json
 
 import urllib3
 
 from bilberrypass import errors
 from bilberrypass.connection import serving
 from bilberrypass.hosting import runner
-from testing.standins import runners
+from testing.standins import jsonhttp, runners
 
 
-class Server:
+class Server(jsonhttp.App):
     """A WSGI application over a runner in memory, which ends its runs by itself.
 
     Parameters
@@ -26,17 +25,10 @@
         self.id = id
         self.runner = found
 
-    def __call__(self, environ, start):
-        status, body = self._serve(environ)
-        content = json.dumps(body).encode()
-        start(f"{status} X", [("Content-Length", str(len(content)))])
-        return [content]
-
     def _serve(self, environ):
         if environ.get("HTTP_EXPECTED_INSTANCE") != self.id:
             return 421, {}
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = json.loads(environ["wsgi.input"].read(length))
+        body = jsonhttp.read(environ)
         path = environ["PATH_INFO"].removeprefix("/api/")
         try:
             if path == "hold":
--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -33,7 +33,6 @@
         self.barred: dict[str, int] = {}
         self.ended: list[runner.Ended] = []
         self.started: list[tuple[str, int]] = []
-        self.most_at_once: dict[str, int] = {}
         self.paces: dict[tuple[str, int], int] = {}
         self.figures: dict[tuple[str, int], int] = {}
         self.lease_end_ms = 0
