Record how a run came to a host and when its start succeeded

A start that succeeded left no line, nor did a run that the runner listed though the session had not started it, and no line of a start or stop named the life. Change: new events start.delayed (several attempts, or after the run was lost, with the runner's clock), run.found (once for each run that the session did not know, listed as active or as ended) and session.ended (live runs, at most ten by name); start.unanswered and stop.unanswered have life and ran, start.rejected has life; counter bilberrypass_runs_found. An ordinary start, run and end records nothing. No decision changes.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -70,6 +70,17 @@
         )
 
 
+class Unexpected(t.NamedTuple):
+    """Runs in a snapshot of the runner that the table did not expect there.
+
+    ``found`` maps the runs that were not in the table to their outcome, empty while
+    they are active. ``strays`` are final in the table but still present.
+    """
+
+    found: dict[RunKey, str]
+    strays: list[RunKey]
+
+
 @t.final
 class RunTable:
     """The runs of one life of the runner; its methods are thread-safe.
@@ -142,7 +153,7 @@
 
     def apply_snapshot(
         self, snapshot: runner.RunnerSnapshot, requested_at: float
-    ) -> list[RunKey]:
+    ) -> Unexpected:
         """Update the table from a snapshot of the runner.
 
         Parameters
@@ -154,10 +165,11 @@
 
         Returns
         -------
-        list of RunKey
-            Runs that are final in the table but still present on the runner.
+        Unexpected
+            Runs that the table did not know, or that should not be present any more.
         """
         present = {(row.task, row.run): row for row in snapshot.running}
+        found: dict[RunKey, str] = {}
         strays = []
         with self._lock:
             for key, row in present.items():
@@ -165,29 +177,34 @@
                 if run is None:
                     run = self._runs[key] = Run(key, State.RUNNING)
                     run.answered_at = requested_at
+                    found[key] = ""
                     self._changed.set()
                 elif run.is_final and run.state is not State.ENDED:
                     strays.append(key)
                 run.checkpoint = row.checkpoint
                 run.progress, run.figure = row.progress, row.figure
             for end in snapshot.ended:
-                self._record_end(end)
+                if self._record_end(end):
+                    found[end.task, end.run] = end.outcome
             for run in self._runs.values():
                 self._check_missing(run, present, requested_at)
-        return strays
+        return Unexpected(found, strays)
 
-    def _record_end(self, end: runner.EndedRun) -> None:
+    def _record_end(self, end: runner.EndedRun) -> bool:
+        """Record a listed end, and return whether its run was not in the table."""
         if end.number <= self._acknowledged_end:
-            return
+            return False
         key = (end.task, end.run)
         run = self._runs.get(key)
+        is_new = run is None
         if run is None:
             run = self._runs[key] = Run(key, State.ENDED)
         elif run.end_number == end.number:
-            return
+            return False
         run.state, run.outcome = State.ENDED, end.outcome
         run.end_number, run.checkpoint = end.number, end.checkpoint
         self._changed.set()
+        return is_new
 
     def _check_missing(
         self, run: Run, present: abc.Container[RunKey], requested_at: float
@@ -201,13 +218,16 @@
             run.state, run.outcome = State.GONE, "missing"
             self._changed.set()
 
-    def mark_all_gone(self, outcome: str) -> None:
-        """Set all runs that are not final to GONE, with this outcome."""
+    def mark_all_gone(self, outcome: str) -> dict[RunKey, messages.RunState]:
+        """Set all runs that are not final to GONE, and return their earlier states."""
+        live = {}
         with self._lock:
             for run in self._runs.values():
                 if not run.is_final:
+                    live[run.key] = run.state
                     run.state, run.outcome = State.GONE, outcome
         self._changed.set()
+        return live
 
     def remove_acknowledged(
         self, acknowledged_end: int, settled: abc.Iterable[RunKey]
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import pacing, runner, runs
+from bilberrypass.hosting import pacing, run_events, runner, runs
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
@@ -80,9 +80,12 @@
 
     def end(self, outcome: str) -> None:
         """End the session and set all live runs to GONE with this outcome."""
+        was_ended = self._ended.is_set()
         self._ended.set()
         self._wakeup.set()
-        self.table.mark_all_gone(outcome)
+        live = self.table.mark_all_gone(outcome)
+        if not was_ended:
+            run_events.record_session_end(self.info, outcome, live)
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     @property
@@ -117,7 +120,7 @@
                 continue
             run = self.table.apply_order(order)
             if run is not None and run.state is runs.State.STARTING:
-                self._execute_async(self._start_run, run, order)
+                self._execute_async(self._start_run, run, order, clock.now())
             elif run is not None:
                 self._execute_async(self._stop_run, run)
 
@@ -151,12 +154,15 @@
         if clock_ms:
             self._clock_ms, self._clock_at = clock_ms, at
 
-    def _start_run(self, run: runs.Run, order: messages.Order) -> None:
+    def _start_run(
+        self, run: runs.Run, order: messages.Order, received_at: float
+    ) -> None:
         spec = runner.RunSpec(
             order.task, order.run, order.spec, order.checkpoint, order.ticket
         )
         # An order that was sent before may have been executed, or may still be.
         is_uncertain = order.is_repeated
+        attempts = 0
         reject_at = clock.now() + _LEASE_GRANT_TIMEOUT_S
         while not self._ended.is_set() and not run.is_final:
             if run.is_stop_wanted:
@@ -170,18 +176,23 @@
                 self._ended.wait(_RETRY_INTERVAL_S)
                 continue
             deadline = clock.now() + _ORDER_TIMEOUT_S
+            attempts += 1
             try:
                 answer = self._client.start(spec, lease_end_ms, self._epoch, deadline)
             except errors.Error as exc:
                 is_uncertain = is_uncertain or exc.ran is not errors.Ran.NO
-                decisions.record(
-                    "start.unanswered", task=order.task, run=order.run, why=exc.detail
+                run_events.record_unanswered(
+                    "start.unanswered", run, self.info.life, exc
                 )
                 self._ended.wait(_RETRY_INTERVAL_S)
                 continue
             self._update_clock(answer.clock_ms, clock.now())
             if not answer.reason:
                 self.table.record_obeyed(run, clock.now())
+                if attempts > 1 or run.state is runs.State.GONE:
+                    run_events.record_delayed_start(
+                        run, self.info.life, attempts, received_at, answer
+                    )
             elif is_uncertain:
                 self._stop_run(run)
             else:
@@ -190,7 +201,11 @@
 
     def _reject(self, run: runs.Run, reason: str) -> None:
         decisions.record(
-            "start.rejected", task=run.key[0], run=run.key[1], reason=reason
+            "start.rejected",
+            task=run.key[0],
+            run=run.key[1],
+            life=self.info.life,
+            reason=reason,
         )
         self.table.record_rejection(run, reason)
 
@@ -203,8 +218,8 @@
             try:
                 answer = self._client.stop(*run.key, self._epoch, deadline)
             except errors.Error as exc:
-                decisions.record(
-                    "stop.unanswered", task=run.key[0], run=run.key[1], why=exc.detail
+                run_events.record_unanswered(
+                    "stop.unanswered", run, self.info.life, exc
                 )
                 self._ended.wait(_RETRY_INTERVAL_S)
                 continue
@@ -249,7 +264,9 @@
                 # The next report of the runner starts a new session.
                 self._ended.wait(_POLL_RETRY_INTERVAL_S)
                 continue
-            for key in self.table.apply_snapshot(snapshot, requested_at):
+            unexpected = self.table.apply_snapshot(snapshot, requested_at)
+            run_events.record_found(self.info, unexpected.found)
+            for key in unexpected.strays:
                 self._execute_async(self._stop_stray, key)
             self._adjust_paces()
             if self.table.has_unacknowledged_ends():
