Name the lives of the runner in the scheduler's lines on lost runs

Cause: run.lost and run.unwanted did not say which life of the runner a run was ordered for and in which it was found, so a start that crossed a restart looked like any other lost run. Change: run.lost has life and host_life, run.unwanted has life and the row's state, host.new_life has earlier_life; counter bilberrypass_runs_unwanted. No decision changes.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -17,6 +17,9 @@
 _STUCK_ENDS_LOG_INTERVAL_S: t.Final = 2.0
 
 _ends = prometheus.Counter("bilberrypass_runs_ended", "Runs that ended", ["how"])
+_unwanted_runs = prometheus.Counter(
+    "bilberrypass_runs_unwanted", "Stops of runs that the scheduler does not track"
+)
 
 State = messages.RunState
 Verb = messages.Verb
@@ -88,9 +91,14 @@
         host.runner = info
         if info.life == host.life:
             return
+        earlier_life = host.life
         lost = host.begin_life(info)
         decisions.record(
-            "host.new_life", host=host.name, life=info.life, lost=len(lost)
+            "host.new_life",
+            host=host.name,
+            life=info.life,
+            earlier_life=earlier_life,
+            lost=len(lost),
         )
         for task in lost:
             self._requeue(host, task, "the runner started anew")
@@ -148,7 +156,15 @@
             host.settle(key, row.end)
             return
         if row.state != State.STOPPING:
-            decisions.record("run.unwanted", task=row.task, run=row.run, host=host.name)
+            _unwanted_runs.inc()
+            decisions.record(
+                "run.unwanted",
+                task=row.task,
+                run=row.run,
+                host=host.name,
+                life=host.life,
+                state=State(row.state).name,
+            )
             self._scheduler.queue_order(
                 host, messages.Order(Verb.STOP, row.task, row.run, host.life)
             )
@@ -277,7 +293,13 @@
         task.phase = state.Phase.WAITING
         task.not_before = clock.now() + _LOST_TASK_RETRY_DELAY_S
         decisions.record(
-            "run.lost", task=str(task.key), run=task.run, host=host.name, why=why
+            "run.lost",
+            task=str(task.key),
+            run=task.run,
+            host=host.name,
+            why=why,
+            life=task.life,
+            host_life=host.life,
         )
         if row is None:
             self._scheduler.write_progress(task.job)
--- /dev/null
+++ b/testing/scheduling/test_reconciling.py
@@ -0,0 +1,46 @@
+"""Log events that tell why a run is not where the scheduler expected it."""
+
+from bilberrypass.scheduling import messages, reconciling
+from testing import collecting, events
+from testing.scheduling import clusters
+
+
+def test_lost_run_is_recorded_with_the_lives_of_its_host():
+    with clusters.running_cluster() as cluster, events.recorded() as found:
+        host = cluster.add_host("h1")
+        order = cluster.run_task(host)
+        host.report()
+        host.life, host.rows = 2_000, {}
+        host.report()
+        assert [line["earlier_life"] for line in found.named("host.new_life")] == [
+            0,
+            1_000,
+        ]
+        (lost,) = found.named("run.lost")
+        assert lost == {
+            "task": order.task,
+            "run": 1,
+            "host": "h1",
+            "why": "the runner started anew",
+            "life": 1_000,
+            "host_life": 2_000,
+        }
+
+
+def test_unwanted_run_is_recorded_with_life_and_state():
+    with clusters.running_cluster() as cluster, events.recorded() as found:
+        host = cluster.add_host("h1")
+        task = "b" * 16 + ".0.0.0"
+        running = messages.RunRow(task, 1, int(clusters.State.RUNNING))
+        host.rows[task, 1] = running
+        before = reconciling._unwanted_runs._value.get()
+        host.report()
+        host.rows[task, 1] = running._replace(state=int(clusters.State.STOPPING))
+        host.report()
+        assert found.named("run.unwanted") == [
+            {"task": task, "run": 1, "host": "h1", "life": 1_000, "state": "RUNNING"}
+        ]
+        assert reconciling._unwanted_runs._value.get() - before == 1
+
+
+load_tests = collecting.hook(__name__)
