Let the HTTP stand-in of a runner crash and start again under its id

The stand-in had one life. Change: runhttp.RunnerProcess closes its connections and refuses new ones while it is down. Each life has its own listener and its own relay on the same port, so that the stand-in itself never hands a request for one life to another.

--- a/testing/standins/runhttp.py
+++ b/testing/standins/runhttp.py
@@ -7,7 +7,11 @@
 from bilberrypass import errors
 from bilberrypass.connection import serving
 from bilberrypass.hosting import runner
-from testing.standins import jsonhttp, runners
+from testing import fixtures
+from testing.standins import jsonhttp, link, runners
+
+_THREADS = 8
+_MAX_BODY_BYTES = 4 << 20
 
 
 class RunnerApplication(jsonhttp.JsonApplication):
@@ -90,9 +94,54 @@
 def serve(id, ip):
     """Serve a new runner; yield the application and its address."""
     app = RunnerApplication(id, runners.Runner())
-    listener = serving.Listener(f"{ip}:0", app, 8, 4 << 20)
+    listener = serving.Listener(f"{ip}:0", app, _THREADS, _MAX_BODY_BYTES)
     listener.start()
     try:
         yield app, listener.address
     finally:
         listener.stop()
+
+
+class RunnerProcess:
+    """A runner at a fixed address that can crash and start again under its id.
+
+    ``runner`` is its latest life. Each life has a listener of its own, so that a
+    request sent to one life is never executed by another.
+    """
+
+    def __init__(self, id, life=1_000):
+        self._id = id
+        self._port = fixtures.free_port()
+        self.address = f"127.0.0.1:{self._port}"
+        self._listeners = []
+        self._link = None
+        self.runner = None
+        self.start(life)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.crash()
+        for listener in self._listeners:
+            listener.stop()
+
+    def start(self, life):
+        """Start a life, which knows nothing of earlier ones, and return its runner."""
+        self.runner = runners.Runner(life)
+        app = RunnerApplication(self._id, self.runner)
+        listener = serving.Listener("127.0.0.1:0", app, _THREADS, _MAX_BODY_BYTES)
+        listener.start()
+        self._listeners.append(listener)
+        self._link = link.Link(listener.address, self._port)
+        return self.runner
+
+    def crash(self):
+        """Close all open connections and refuse new ones."""
+        self._link.refuse()
+        self._link.cut()
+
+    def restart(self, life):
+        """Crash, then start another life, and return its runner."""
+        self.crash()
+        return self.start(life)
