Reproduce calls that cross a restart of a runner under its id

The client of one life of a runner is fenced by the id only, so a runner that starts again under its id executes what was meant for its earlier life. testing/platform/test_runner.py shows it for each call over HTTP, testing/hosting/test_restart.py with an agent, and with an agent and a scheduler. Not in the tests: a call that life 1 received and did not answer; PROTOCOL.md does not say that a later life could execute it.

No product code changes here.

--- /dev/null
+++ b/testing/hosting/test_restart.py
@@ -0,0 +1,138 @@
+"""A runner that starts again under its id, with an agent and a scheduler."""
+
+import contextlib
+import time
+
+from bilberrypass.connection import channels
+from bilberrypass.hosting import agent
+from bilberrypass.platform import programs
+from bilberrypass.scheduling import jobs, messages
+from testing import collecting, fixtures
+from testing.hosting import sessions
+from testing.scheduling import clusters
+from testing.standins import runhttp
+
+_LIFE, _NEXT_LIFE = 1_000, 2_000
+_RETRIES_S = 1.0  # several intervals at which an agent repeats a start
+State = messages.RunState
+
+
+class _LeaderLocator(agent.LeaderLocator):
+    def __init__(self, address, epoch):
+        self._leader = address, epoch
+
+    def find(self):
+        return self._leader
+
+
+class _Host:
+    """A host with an agent and a runner; the test delivers the orders for it."""
+
+    def __init__(self, cluster, process):
+        self.orders: list[messages.Order] = []
+        self.reports: list[messages.Report] = []
+        self.process = process
+        self._cluster = cluster
+        self._server = channels.Server(
+            "127.0.0.1:0", {messages.REPORT: self._serve_report}, threads=4
+        )
+        identity = agent.Identity("h1", "z", f"127.0.0.1:{fixtures.free_port()}")
+        self._agent = agent.Agent(
+            identity,
+            _LeaderLocator(self._server.address, cluster.epoch),
+            programs._RunnerConnector(),
+            lease_s=1.0,
+        )
+        self._peer = channels.Peer(identity.peer_address)
+        self._server.start()
+        self._agent.start()
+
+    def _serve_report(self, report):
+        self.reports.append(report)
+        return self._cluster.scheduler.report(report)
+
+    def begin_life(self, life):
+        """Let the runner report its life to the agent."""
+        self._agent.handle_runner_report(sessions.info(life), self.process.address, 1)
+
+    def await_orders(self):
+        """Wait for orders of the scheduler, and return them."""
+        fixtures.wait_until(lambda: self.orders, 5.0, "an order")
+        return list(self.orders)
+
+    def deliver(self, orders):
+        """Deliver orders to the agent."""
+        req = messages.Orders(self._cluster.epoch, self._server.address, orders)
+        self._peer.call(messages.ORDERS, req, time.monotonic() + 2.0)
+
+    def await_report(self, life):
+        """Wait for the first report of a life, and return it."""
+
+        def found():
+            return [r for r in self.reports if r.runner and r.runner.life == life]
+
+        return fixtures.wait_until(found, 5.0, f"a report of life {life}")[0]
+
+    def stop(self):
+        self._agent.stop()
+        if self._agent._session is not None:
+            self._agent._session.end("the test is over")
+        self._peer.close()
+        self._server.stop(0)
+
+
+@contextlib.contextmanager
+def _system():
+    """Run a scheduler, an agent and a runner that renews its lease."""
+    with (
+        clusters.running_cluster() as cluster,
+        runhttp.RunnerProcess(sessions.info().id, _LIFE) as process,
+    ):
+        host = cluster.hosts["h1"] = _Host(cluster, process)
+        try:
+            host.begin_life(_LIFE)
+            fixtures.wait_until(lambda: process.runner.lease_end_ms, 5.0, "a lease")
+            yield cluster, host, process
+        finally:
+            host.stop()
+
+
+def _cross_restart(cluster, host, process):
+    """Deliver a start while the runner is down, and return the next life."""
+    cluster.submit(jobs.Step(1, cpu_milli=100))
+    orders = host.await_orders()
+    process.crash()
+    host.deliver(orders)
+    current = process.start(_NEXT_LIFE)
+    for _ in fixtures.polls(_RETRIES_S):
+        if current.started:
+            break
+    host.begin_life(_NEXT_LIFE)
+    return current
+
+
+def test_run_of_an_earlier_life_is_not_on_the_next_one_unreported():
+    with _system() as (cluster, host, process):
+        current = _cross_restart(cluster, host, process)
+        report = host.await_report(_NEXT_LIFE)
+        present = list(current.running)
+        states = {(row.task, row.run): row.state for row in report.runs}
+        unreported = [k for k in present if states.get(k, State.GONE) == State.GONE]
+        assert not unreported, (unreported, report.runs)
+
+
+def test_start_that_crosses_a_restart_of_the_runner_does_not_run_a_task_twice():
+    with _system() as (cluster, host, process):
+        current = _cross_restart(cluster, host, process)
+        other = cluster.add_host("h2")
+
+        def second_starts():
+            other.report()
+            orders = [*other.orders, *host.orders]
+            return [o for o in orders if o.verb == messages.Verb.START and o.run == 2]
+
+        (second,) = fixtures.wait_until(second_starts, 5.0, "the order of run 2")
+        assert (second.task, 1) not in current.running, current.running
+
+
+load_tests = collecting.hook(__name__)
--- /dev/null
+++ b/testing/platform/test_runner.py
@@ -0,0 +1,116 @@
+"""The client of a runner: calls for one life are never executed by another."""
+
+import contextlib
+
+from bilberrypass import clock, errors
+from bilberrypass.hosting import runner
+from bilberrypass.platform import runner as runner_client
+from testing import collecting, fixtures
+from testing.standins import runhttp
+
+_ID = "i-1"
+_LIFE, _NEXT_LIFE = 1_000, 2_000
+_TASK = "a" * 16 + ".0.0.0"
+_RUN = runner.RunSpec(_TASK, 1, "spec", "", "")
+_EPOCH = 7
+_LEASE_END_MS = 1_006_000
+_NO_WAIT_S = 0.0
+
+
+def _client(process, life):
+    return runner_client.Runner(_ID, process.address)
+
+
+def _deadline():
+    return clock.now() + 2.0
+
+
+def _start(client, run=_RUN):
+    return client.start(run, _LEASE_END_MS, _EPOCH, _deadline())
+
+
+def _poll(client, acknowledged_end=0, lease_end_ms=None):
+    return client.poll(acknowledged_end, lease_end_ms, _EPOCH, _NO_WAIT_S)
+
+
+def _assert_not_executed(call, *args):
+    exc = fixtures.error_of(errors.Error, call, *args)
+    assert exc.ran is errors.Ran.NO, exc
+
+
+def test_start_for_an_earlier_life_is_not_executed_by_the_next_one():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        process.crash()
+        _assert_not_executed(_start, client)
+        current = process.start(_NEXT_LIFE)
+        _assert_not_executed(_start, client)
+        assert not current.started, current.started
+
+
+def test_start_on_connections_of_an_earlier_life_is_not_executed_by_the_next_one():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        assert _poll(client).life == _LIFE
+        assert not _start(client).reason
+        process.crash()
+        second_run = _RUN._replace(run=2)
+        _assert_not_executed(_start, client, second_run)
+        current = process.start(_NEXT_LIFE)
+        _assert_not_executed(_start, client, second_run)
+        assert not current.started, current.started
+
+
+def test_stop_for_an_earlier_life_is_not_executed_by_the_next_one():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        assert not _start(client).reason
+        current = process.restart(_NEXT_LIFE)
+        _assert_not_executed(client.stop, _TASK, 1, _EPOCH, _deadline())
+        assert not current.highest_ended, current.highest_ended
+
+
+def test_pace_for_an_earlier_life_is_not_set_by_the_next_one():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        assert not _start(client).reason
+        current = process.restart(_NEXT_LIFE)
+        _assert_not_executed(client.set_pace, _TASK, 1, 50, _EPOCH, _deadline())
+        assert not current.paces, current.paces
+
+
+def test_acknowledged_end_of_an_earlier_life_discards_no_end_of_the_next_one():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        assert _poll(client).life == _LIFE
+        current = process.restart(_NEXT_LIFE)
+        next_client = _client(process, _NEXT_LIFE)
+        assert not _start(next_client).reason
+        current.end_run(_TASK, 1)
+        with contextlib.suppress(errors.Error):
+            _poll(client, acknowledged_end=17)
+        ended = _poll(next_client).ended
+        assert [(end.number, end.task) for end in ended] == [(1, _TASK)], ended
+
+
+def test_lease_of_an_earlier_life_is_not_taken_by_the_next_one():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        assert _poll(client, lease_end_ms=_LEASE_END_MS).life == _LIFE
+        current = process.restart(_NEXT_LIFE)
+        with contextlib.suppress(errors.Error):
+            _poll(client, lease_end_ms=_LEASE_END_MS)
+        assert current.lease_end_ms == 0, current.lease_end_ms
+
+
+def test_client_of_the_next_life_reaches_it_at_the_same_address():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        assert not _start(_client(process, _LIFE)).reason
+        current = process.restart(_NEXT_LIFE)
+        client = _client(process, _NEXT_LIFE)
+        assert not _start(client).reason
+        assert _poll(client).life == _NEXT_LIFE
+        assert current.started == [(_TASK, 1)]
+
+
+load_tests = collecting.hook(__name__)
