Reproduce a next life that is never accepted after a clock step back

Cause: a life with a smaller "born" counts as new only while the current life does not answer (Agent._is_new_life), and the next life answers the polls of the earlier one's client.

--- a/testing/hosting/test_restart.py
+++ b/testing/hosting/test_restart.py
@@ -13,6 +13,7 @@
 from testing.standins import runhttp
 
 _LIFE, _NEXT_LIFE = 1_000, 2_000
+_LIFE_AFTER_CLOCK_STEP = 500
 _RETRIES_S = 1.0  # several intervals at which an agent repeats a start
 State = messages.RunState
 
@@ -135,4 +136,15 @@
         assert (second.task, 1) not in current.running, current.running
 
 
+def test_next_life_after_clock_step_back_is_accepted_although_it_answers():
+    with _system() as (_, host, process):
+        process.restart(_LIFE_AFTER_CLOCK_STEP)
+
+        def has_begun():
+            host.begin_life(_LIFE_AFTER_CLOCK_STEP)
+            return host.reports[-1].runner.life == _LIFE_AFTER_CLOCK_STEP
+
+        fixtures.wait_until(has_begun, 6.0, "a session with the next life")
+
+
 load_tests = collecting.hook(__name__)
