Use a connection to a runner only after it has stated its life

Cause: a client of one life of a runner named only the runner's id in its calls, and a runner may start again under its id. An agent repeated a start, every 0.2 s, while the runner was down; the next life took it before its first report reached the agent. That report ended the agent's session, and the scheduler took the new life as proof that no run of the earlier one exists, so it ordered the next run elsewhere. Polls crossed in the same way: with the earlier life's numbers of ends, which discarded ends that nobody had stored, and with its lease end, which gave the next life a longer lease than granted.

Change: a connection ends with the process that accepted it. Each new connection is used only after the runner has listed its runs on it and stated the life that the client is for; otherwise the call counts as not sent. So a call for one life reaches no other one, and a new life does prove that nothing of an earlier one runs or can still start.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -44,8 +44,8 @@
     """Creates clients of runners."""
 
     @abc.abstractmethod
-    def connect(self, id: str, address: str) -> runner.Runner:
-        """Return a client of the runner with this id at this address."""
+    def connect(self, id: str, life: int, address: str) -> runner.Runner:
+        """Return a client of one life of the runner with this id and address."""
 
 
 class Identity(t.NamedTuple):
@@ -176,7 +176,7 @@
             self._session.end("the runner started anew")
         self._session = session.RunnerSession(
             info,
-            self._connector.connect(info.id, address),
+            self._connector.connect(info.id, info.life, address),
             self._report_due,
             self._started_at + self._lease_s,
         )
--- a/src/bilberrypass/platform/http.py
+++ b/src/bilberrypass/platform/http.py
@@ -1,5 +1,7 @@
 """JSON over HTTP/1.1, with separate errors for calls certainly not executed."""
 
+import collections.abc as abc
+import http.client
 import typing as t
 
 import msgspec
@@ -42,6 +44,44 @@
         super().__init__(errors.Kind.ANSWER_LOST, f"{request}: {exc}")
 
 
+Connection = http.client.HTTPConnection
+PeerCheck = abc.Callable[[Connection], None]
+
+
+@t.final
+class _CheckedConnection(urllib3.connection.HTTPConnection):
+    """A connection that checks its peer before it sends the first request."""
+
+    def __init__(
+        self, *args: t.Any, check_peer: PeerCheck | None = None, **kwargs: t.Any
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self._check_peer = check_peer
+
+    def connect(self) -> None:
+        super().connect()
+        if self._check_peer is None:
+            return
+        # This object is already in the middle of the request that made it connect.
+        conn = Connection(self.host, self.port)
+        conn.sock = self.sock
+        try:
+            self._check_peer(conn)
+        except (errors.Error, http.client.HTTPException, OSError) as exc:
+            self.close()
+            raise urllib3.exceptions.NewConnectionError(self, str(exc)) from exc
+        if conn.sock is None:
+            self.close()
+            raise urllib3.exceptions.NewConnectionError(
+                self, "the peer closed the connection after the check"
+            )
+
+
+@t.final
+class _CheckedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _CheckedConnection
+
+
 @t.final
 class Client:
     """A client of one address that reuses its connections.
@@ -52,13 +92,23 @@
         IP address and port.
     connections : int
         Connections that are kept for reuse; further concurrent calls open more.
+    check_peer : callable, optional
+        Called with each new connection before the first request is sent on it;
+        raises an error if the peer is not the intended one.
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, check_peer: PeerCheck | None = None
+    ) -> None:
         self.address = address
         host, port = settings.split_address(address)
-        self._pool = urllib3.HTTPConnectionPool(
-            host, port, maxsize=connections, block=False, retries=False
+        self._pool = _CheckedPool(
+            host,
+            port,
+            maxsize=connections,
+            block=False,
+            retries=False,
+            check_peer=check_peer,
         )
 
     def call(
@@ -74,7 +124,7 @@
         Raises
         ------
         NotSent
-            No connection could be made.
+            No connection could be made, or its peer is not the intended one.
         NoAnswer
             The connection broke, or the deadline on ``clock.now`` passed.
         """
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -113,8 +113,8 @@
 
 @t.final
 class _RunnerConnector(agent.Connector):
-    def connect(self, id: str, address: str) -> runner.Runner:
-        return runner_client.Runner(id, address)
+    def connect(self, id: str, life: int, address: str) -> runner.Runner:
+        return runner_client.Runner(id, life, address)
 
 
 @t.final
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -10,6 +10,7 @@
 from bilberrypass.scheduling import messages
 
 _MS: t.Final = 1_000
+_POLL_PATH: t.Final = "/api/hold"
 _POLL_MARGIN_S: t.Final = 1.0  # a long poll times out this long after its wait
 _WRONG_LIFE_STATUS: t.Final = 421
 _STATUS_REASONS: t.Final = {400: "invalid", 421: "life", 429: "busy", 503: "busy"}
@@ -91,22 +92,52 @@
 class Runner(runner.Runner):
     """A client of one life of the runner.
 
+    The runner may start again under its id, which is all that a call can name. A
+    connection ends with the process that accepted it, so each new connection is used
+    only after the runner has stated its life on it.
+
     Parameters
     ----------
     id : str
         The runner's id; a different runner at the address refuses all calls.
+    life : int
+        The start time of the runner in Unix milliseconds; 0 if it states none.
     address : str
         IP address and port.
     """
 
-    def __init__(self, id: str, address: str) -> None:
-        self._client = http.Client(address, connections=8)
+    def __init__(self, id: str, life: int, address: str) -> None:
+        self._life = life
+        self._epoch = 0
+        self._client = http.Client(
+            address, connections=8, check_peer=self._check_life if life else None
+        )
         self._headers = {"Expected-Instance": id}
 
-    def _call(self, path: str, body: t.Any, deadline: float) -> http.Response:
+    def _check_life(self, conn: http.Connection) -> None:
+        body = msgspec.json.encode({"fencing_token": self._epoch, "last_seen": 0})
+        headers = {"Content-Type": "application/json"} | self._headers
+        conn.request("POST", _POLL_PATH, body, headers)
+        response = conn.getresponse()
+        payload = response.read()
+        if response.status != 200:
+            raise _make_poll_error(response.status, payload)
+        life = _read_snapshot(payload).life
+        if life != self._life:
+            raise errors.Error(
+                errors.Kind.STALE,
+                f"the runner started anew: its life is {life}, not {self._life}",
+            )
+
+    def _call(
+        self, path: str, body: dict[str, t.Any], deadline: float
+    ) -> http.Response:
+        self._epoch = max(self._epoch, body["fencing_token"])
         return self._client.call("POST", path, deadline, body, self._headers)
 
-    def _call_order(self, path: str, body: t.Any, deadline: float) -> runner.Answer:
+    def _call_order(
+        self, path: str, body: dict[str, t.Any], deadline: float
+    ) -> runner.Answer:
         found = self._call(path, body, deadline)
         answer = _Answer()
         if found.body:
@@ -167,18 +198,22 @@
             body["wait_ms"] = int(wait_s * _MS)
         if lease_end_ms is not None:
             body["deadline_ms"] = lease_end_ms
-        found = self._call("/api/hold", body, clock.now() + wait_s + _POLL_MARGIN_S)
+        found = self._call(_POLL_PATH, body, clock.now() + wait_s + _POLL_MARGIN_S)
         if found.status != 200:
-            why = _STATUS_REASONS.get(found.status, str(found.status))
-            raise errors.Error(
-                errors.Kind.STALE
-                if found.status == _WRONG_LIFE_STATUS
-                else errors.Kind.ENDPOINT_UNREACHABLE,
-                f"the runner refused to list its runs: {why} {found.body[:80]!r}",
-            )
+            raise _make_poll_error(found.status, found.body)
         return _read_snapshot(found.body)
 
 
+def _make_poll_error(status: int, body: bytes) -> errors.Error:
+    why = _STATUS_REASONS.get(status, str(status))
+    return errors.Error(
+        errors.Kind.STALE
+        if status == _WRONG_LIFE_STATUS
+        else errors.Kind.ENDPOINT_UNREACHABLE,
+        f"the runner refused to list its runs: {why} {body[:80]!r}",
+    )
+
+
 def _read_snapshot(body: bytes) -> runner.RunnerSnapshot:
     try:
         lists = msgspec.json.decode(body, type=_RunLists)
--- a/testing/hosting/test_agent.py
+++ b/testing/hosting/test_agent.py
@@ -17,7 +17,7 @@
     def __init__(self):
         self.runners = {}
 
-    def connect(self, id, address):
+    def connect(self, id, life, address):
         return self.runners[address]
 
 
--- a/testing/platform/test_runner.py
+++ b/testing/platform/test_runner.py
@@ -18,7 +18,7 @@
 
 
 def _client(process, life):
-    return runner_client.Runner(_ID, process.address)
+    return runner_client.Runner(_ID, life, process.address)
 
 
 def _deadline():
