Guard the lease of a runner by a lock

Seen in no deployment.

Cause: the threads of a session read and wrote the runner's clock, the time of that reading and the end of the lease without a lock. A renewal could pair an older time with a newer reading of the clock, which makes the lease outlast the scheduler's grant by the time between the two, up to one long poll; and of two concurrent renewals the earlier end could be the one remembered, so that the agent gives runs up while their lease lasts.

Change: the grant, the clock and the end of the lease are one object, hosting/leases.py, and each of its methods holds its lock.

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import pacing, run_events, runner, runs
+from bilberrypass.hosting import leases, pacing, run_events, runner, runs
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
@@ -20,9 +20,6 @@
 _ACK_WAIT_S: t.Final = 0.3
 _POLL_RETRY_INTERVAL_S: t.Final = 0.3
 _ORDER_THREADS: t.Final = 6
-# The runner's clock may run slow by 2% (PROTOCOL.md); half a percent is added as a
-# safety margin.
-_MIN_CLOCK_RATE: t.Final = 0.975
 _MS: t.Final = 1_000
 # Refusals after which the run is not on the runner and cannot start there.
 _BARRED_REASONS: t.Final = ("old",)
@@ -55,12 +52,8 @@
         self.table = runs.RunTable(changed)
         self._client = client
         self._epoch = 0
-        self._granted_until = 0.0
-        self._leased_until = lease_end
-        self._clock_ms = 0
-        self._clock_at = 0.0
+        self._lease = leases.RunnerLease(lease_end)
         self._answered_at = clock.now()
-        self._is_unresponsive = False
         self._runner_calls = decisions.Dependency("runner")
         self._pacer = pacing.Pacer()
         self._interference_estimates: dict[tuple[str, str], float] = {}
@@ -96,11 +89,11 @@
     @property
     def leased_until(self) -> float:
         """The latest time, on ``clock.now``, at which the runner's lease may end."""
-        return max(self._leased_until, self._granted_until)
+        return self._lease.latest_end
 
     def grant_lease(self, epoch: int, until: float) -> None:
         """Allow lease renewals up to this time on ``clock.now``."""
-        self._granted_until = max(self._granted_until, until)
+        self._lease.grant(until)
         if epoch > self._epoch:
             self._epoch = epoch
             self._wakeup.set()
@@ -132,27 +125,9 @@
                 "order.dropped", runner=self.info.id, why="the session has ended"
             )
 
-    def _lease_end_ms(self) -> int | None:
-        """Return the end of the granted lease in ms on the runner's clock.
-
-        Returns None if the runner's clock is unknown or the grant has expired.
-        The runner read its clock no later than its answer arrived, and the time
-        left is reduced for a slow clock, so the lease never outlasts the grant.
-        The lease of a runner that does not answer is not extended: an unanswered
-        call may still renew it, and its runs would never be declared lost.
-        """
-        until = self._leased_until if self._is_unresponsive else self._granted_until
-        if not self._clock_at or until <= clock.now():
-            return None
-        left_s = until - self._clock_at
-        self._leased_until = max(self._leased_until, until)
-        return self._clock_ms + int(left_s * _MIN_CLOCK_RATE * _MS)
-
     def _update_clock(self, clock_ms: int, at: float) -> None:
         self._answered_at = at
-        self._is_unresponsive = False
-        if clock_ms:
-            self._clock_ms, self._clock_at = clock_ms, at
+        self._lease.record_answer(clock_ms, at)
 
     def _start_run(
         self, run: runs.Run, order: messages.Order, received_at: float
@@ -168,7 +143,7 @@
             if run.is_stop_wanted:
                 self._stop_run(run)
                 return
-            lease_end_ms = self._lease_end_ms()
+            lease_end_ms = self._lease.renew()
             if lease_end_ms is None:
                 if clock.now() > reject_at and not is_uncertain:
                     self._reject(run, "no_lease")
@@ -250,7 +225,7 @@
             try:
                 snapshot = self._client.poll(
                     self.table.acknowledged_end,
-                    self._lease_end_ms(),
+                    self._lease.renew(),
                     self._epoch,
                     wait_s,
                 )
@@ -329,6 +304,6 @@
 
     def _on_poll_failure(self, exc: errors.Error) -> None:
         self._runner_calls.failed(exc)
-        self._is_unresponsive = True
-        if clock.now() > self._leased_until:
+        self._lease.record_failure()
+        if clock.now() > self._lease.end:
             self.table.mark_all_gone("lapsed")
