Keep a silent runner's session until its lease is over

Cause: after 2.5 s without an answer the agent took a report with a lower start time, or with none, for a new life: the clock may have been set back. A report of an earlier life that was delayed, or one from another writer, then ended the session of a runner that was only silent; its runs counted as gone and were started elsewhere while their lease lasted, up to 5 s.

Change: such a report counts only once the lease that was set on the runner is over as well, so that none of its runs is left; a report that states no life never counts. After a step of the clock a restarted runner is taken up after at most the longest lease.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -147,14 +147,16 @@
         """Return whether a report is of a new life, not a late report of an old one.
 
         A life is identified by the time of day of its start. The clock may be set
-        back between two lives; a smaller value therefore counts as a new life if
-        the current life no longer answers.
+        back between two lives; a smaller value therefore counts as a new life once
+        the current life no longer answers and its lease is over, so that none of
+        its runs is left. A report without a life is no report of a new one.
         """
         if info.life > current.info.life:
             return True
         return (
-            info.life < current.info.life
+            0 < info.life < current.info.life
             and current.answered_ago_s > _RUNNER_SILENCE_TIMEOUT_S
+            and clock.now() > current.lease_end
         )
 
     def handle_runner_exit(self, id: str) -> None:
