Ignore the exit of a runner that does not drain

Cause: an exit (DELETE of a runner's entry) names the runner's id, not its life, and a runner may start again under its id.

Change: a runner reports that it is draining before it exits, so an exit counts only for a life that has done so; any other is logged as runner.exit_ignored.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -160,14 +160,21 @@
         )
 
     def handle_runner_exit(self, id: str) -> None:
-        """Mark all runs as gone after the runner has announced its exit."""
+        """Mark all runs as gone after the runner has announced its exit.
+
+        An exit names no life, and a runner reports that it is draining before it
+        exits: the exit of a runner that does not drain is of an earlier life.
+        """
         with self._lock:
             current = self._session
             if current is None or current.info.id != id:
                 return
-            # The session is kept, so that the next reports to the scheduler list
-            # all of its runs as gone.
-            current.info = current.info._replace(is_draining=True)
+            is_draining = current.info.is_draining
+        if not is_draining:
+            decisions.record("runner.exit_ignored", runner=id, life=current.info.life)
+            return
+        # The session is kept, so that the next reports to the scheduler list all of
+        # its runs as gone.
         decisions.record("runner.left", runner=id)
         current.end("left")
         self._report_due.set()
--- a/testing/hosting/test_agent.py
+++ b/testing/hosting/test_agent.py
@@ -113,9 +113,26 @@
         running_agent._session.table.apply_order(sessions.order(0))
         running_agent.handle_runner_exit("i-other")
         assert not running_agent._session.info.is_draining
+        running_agent.handle_runner_report(
+            sessions.info(1_000)._replace(is_draining=True), "a:1", 2
+        )
         running_agent.handle_runner_exit("i-1")
         assert running_agent._session.info.is_draining
         assert running_agent._session.table.rows()[0].state == sessions.State.GONE
 
 
+def test_late_exit_of_an_earlier_life_does_not_mark_runs_of_the_next_one_gone():
+    with _agent() as (running_agent, runners_by_address):
+        runners_by_address["a:1"] = runners.Runner(2_000)
+        running_agent.handle_runner_report(
+            sessions.info(1_000)._replace(is_draining=True), "a:1", 7
+        )
+        _report(running_agent, 2_000, 1)
+        session = running_agent._session
+        session.table.apply_order(sessions.order(0, life=2_000))
+        running_agent.handle_runner_exit("i-1")
+        assert not session.info.is_draining
+        assert session.table.rows()[0].state != sessions.State.GONE
+
+
 load_tests = collecting.hook(__name__)
