--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -44,8 +44,8 @@
     """Creates clients of runners."""
 
     @abc.abstractmethod
-    def connect(self, id: str, address: str) -> runner.Runner:
-        """Return a client of the runner with this id at this address."""
+    def connect(self, id: str, life: int, address: str) -> runner.Runner:
+        """Return a client of one life of the runner with this id and address."""
 
 
 class Identity(t.NamedTuple):
@@ -147,25 +147,34 @@
         """Return whether a report is of a new life, not a late report of an old one.
 
         A life is identified by the time of day of its start. The clock may be set
-        back between two lives; a smaller value therefore counts as a new life if
-        the current life no longer answers.
+        back between two lives; a smaller value therefore counts as a new life once
+        the current life no longer answers and its lease is over, so that none of
+        its runs is left. A report without a life is no report of a new one.
         """
         if info.life > current.info.life:
             return True
         return (
-            info.life < current.info.life
+            0 < info.life < current.info.life
             and current.answered_ago_s > _RUNNER_SILENCE_TIMEOUT_S
+            and clock.now() > current.lease_end
         )
 
     def handle_runner_exit(self, id: str) -> None:
-        """Mark all runs as gone after the runner has announced its exit."""
+        """Mark all runs as gone after the runner has announced its exit.
+
+        An exit names no life, and a runner reports that it is draining before it
+        exits: the exit of a runner that does not drain is of an earlier life.
+        """
         with self._lock:
             current = self._session
             if current is None or current.info.id != id:
                 return
-            # The session is kept, so that the next reports to the scheduler list
-            # all of its runs as gone.
-            current.info = current.info._replace(is_draining=True)
+            is_draining = current.info.is_draining
+        if not is_draining:
+            decisions.record("runner.exit_ignored", runner=id, life=current.info.life)
+            return
+        # The session is kept, so that the next reports to the scheduler list all of
+        # its runs as gone.
         decisions.record("runner.left", runner=id)
         current.end("left")
         self._report_due.set()
@@ -176,7 +185,7 @@
             self._session.end("the runner started anew")
         self._session = session.RunnerSession(
             info,
-            self._connector.connect(info.id, address),
+            self._connector.connect(info.id, info.life, address),
             self._report_due,
             self._started_at + self._lease_s,
         )
