Ask for the runs of a new session without waiting for an end

Cause: the first poll of a session was a long one, held by the runner for 1.0 s unless a run ends. Until it returned the session knew neither the runner's clock, without which no start can be given a lease, nor the runs that are there already. The stand-in for the runner held a poll for at most 0.1 s, so no test and no soak saw it, and a run that had crossed was found ten times as early there as on the users' machines.

Change: the first poll does not wait. The stand-in holds a poll as long as it is asked to, and its clock begins at 1 ms, since 0 stands for a clock that is not known.

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -220,13 +220,17 @@
         decisions.record("run.stray", task=key[0], run=key[1], why=answer.reason)
 
     def _poll_repeatedly(self) -> None:
+        # The first snapshot is due at once: starts need the runner's clock, and the
+        # runner may have runs of an earlier agent.
+        has_snapshot = False
         while not self._ended.is_set():
             if not self._epoch:
                 self._wakeup.wait(_ACK_WAIT_S)
                 self._wakeup.clear()
                 continue
             requested_at = clock.now()
-            wait_s = 0.0 if self.table.has_unacknowledged_ends() else self._poll_wait_s
+            is_due = not has_snapshot or self.table.has_unacknowledged_ends()
+            wait_s = 0.0 if is_due else self._poll_wait_s
             try:
                 snapshot = self._client.poll(
                     self.table.acknowledged_end,
@@ -244,6 +248,7 @@
                 # The next report of the runner starts a new session.
                 self._ended.wait(_POLL_RETRY_INTERVAL_S)
                 continue
+            has_snapshot = True
             unexpected = self.table.apply_snapshot(snapshot, requested_at)
             run_events.record_found(self.info, unexpected.found)
             for key in unexpected.strays:
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -42,6 +42,27 @@
         sessions.await_state(current, State.RUNNING)
 
 
+class _RecordingRunner(runners.Runner):
+    """Records the times for which polls wait for an end."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits_s = []
+
+    def poll(self, acknowledged_end, lease_end_ms, epoch, wait_s):
+        self.waits_s.append(wait_s)
+        return super().poll(acknowledged_end, lease_end_ms, epoch, wait_s)
+
+
+def test_first_start_of_a_session_does_not_wait_for_a_long_poll():
+    runner = _RecordingRunner()
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        sessions.await_state(current, State.RUNNING)
+        assert runner.waits_s[0] == 0.0, runner.waits_s
+        fixtures.wait_until(lambda: any(runner.waits_s), 5.0, "a long poll")
+
+
 def test_lost_start_is_retried_and_runs_once():
     runner = runners.Runner()
     runner.orders_to_lose, runner.lost_order_delay_s = 1, 0.5
--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -6,6 +6,7 @@
 from bilberrypass.hosting import runner
 
 _MS_PER_S = 1_000
+_TURN_INTERVAL_S = 0.05
 
 
 class _DelayedOrder:
@@ -49,7 +50,8 @@
 
     @property
     def clock_ms(self):
-        return int((clock.now() - self._started_at) * self._clock_rate * _MS_PER_S)
+        elapsed_s = (clock.now() - self._started_at) * self._clock_rate
+        return 1 + int(elapsed_s * _MS_PER_S)  # 0 stands for a clock that is not known
 
     def _turn(self):
         """Execute delayed orders that are due, and end all runs after lease expiry."""
@@ -139,9 +141,12 @@
             self.epoch = epoch
             self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0)
             self.ended = [end for end in self.ended if end.number > acknowledged_end]
-            if not self.ended and wait_s:
-                self._lock.wait(min(wait_s, 0.1))
+            deadline = clock.now() + wait_s
+            while not self.ended and clock.now() < deadline:
+                self._lock.wait(_TURN_INTERVAL_S)
                 self._turn()
+                if self.is_silent:
+                    raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
             running = [
                 runner.ActiveRun(*key, checkpoint, 50, self.figures.get(key, 0))
                 for key, checkpoint in self.running.items()
