Restart the soak's runners under their old id, as the platform does

The soak gave each life of a runner a new id, kept its listener and connections over a crash, and reported up to 0.3 s after the start. So it never played what PROTOCOL.md says ("a runner may start again under the id that it had"): an agent that repeats a start while the runner's address refuses connections, until the next life accepts it before the agent has heard of that life.

A life is now a process as its agent sees it: its own listener, clock, numbers of ends and of reports, and `born` in Unix milliseconds. Behind the link, a runner that is down refuses connections and closes the open ones, also after a link fault heals. Nine lives in ten keep the id; the first report is sent within 60 ms, later in 15%. Leases are capped at hold_max_ms and polls wait as long as asked.

Short crashes of up to three runners at once, repeated, with the agent killed around a fifth of them, come beside the other faults from a generator of their own, so the other faults of earlier seeds are as before. `--crash-interval-s` and `--agent-kill-share` set the mix. `history.log` beside the programs' logs has what runners and faults did, in Unix time.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from soak import mutants, seeds
+from soak import faults, mutants, seeds
 
 _PROGRAM: t.Final = ("src/bilberrypassd.py",)
 _DEFAULT_SIZE: t.Final = seeds.Size()
@@ -18,14 +18,31 @@
 _REGRESSIONS_ARGUMENT: t.Final = "kept"
 
 
-def _parse_seeds(text: str) -> list[int]:
-    seeds_found: list[int] = []
+class _Case(t.NamedTuple):
+    """A seed with the size and the mix of crashes that it is run with."""
+
+    seed: int
+    size: seeds.Size
+    crash_mix: faults.CrashMix
+
+
+def _parse_cases(
+    text: str, size: seeds.Size, crash_mix: faults.CrashMix
+) -> list[_Case]:
     if text == _REGRESSIONS_ARGUMENT:
-        return [row["seed"] for row in json.loads(_REGRESSIONS.read_text())]
+        return [
+            _Case(
+                row["seed"],
+                size._replace(**row.get("size", {})),
+                crash_mix._replace(**row.get("crashes", {})),
+            )
+            for row in json.loads(_REGRESSIONS.read_text())
+        ]
+    seeds_found: list[int] = []
     for part in text.split(","):
         first, _, last = part.partition("-")
         seeds_found += range(int(first), int(last or first) + 1)
-    return seeds_found
+    return [_Case(seed, size, crash_mix) for seed in seeds_found]
 
 
 def main(
@@ -36,6 +53,12 @@
     entries: int = _DEFAULT_SIZE.entries,
     sides: int = _DEFAULT_SIZE.agent_hosts,
     duration_s: float = _DEFAULT_SIZE.duration_s,
+    crash_interval_s: t.Annotated[
+        float, typer.Option(help="mean time between short crashes of runners")
+    ] = seeds.DEFAULT_CRASH_MIX.interval_s,
+    agent_kill_share: t.Annotated[
+        float, typer.Option(help="share of these around which the agent is killed")
+    ] = seeds.DEFAULT_CRASH_MIX.agent_kill_share,
     mutation: t.Annotated[
         str, typer.Option(help=f"remove a guard: {', '.join(mutants.NAMES)}")
     ] = "",
@@ -47,14 +70,17 @@
     """Run seeds and print the result of each; exit with 1 on any violation."""
     command = ("-m", "soak.mutants", mutation) if mutation else _PROGRAM
     size = seeds.Size(entries, sides, duration_s)
+    crash_mix = faults.CrashMix(crash_interval_s, agent_kill_share)
     has_violations = False
-    for seed in _parse_seeds(which):
+    for case in _parse_cases(which, size, crash_mix):
         started_at = time.monotonic()
-        log_folder = logs / str(seed) if logs else None
-        result = seeds.run_seed(seed, size, command, log_folder)
+        log_folder = logs / str(case.seed) if logs else None
+        result = seeds.run_seed(
+            case.seed, case.size, command, log_folder, case.crash_mix
+        )
         took_s = time.monotonic() - started_at
         print(
-            f"seed {seed}: {result.jobs} jobs, {result.starts} starts, "
+            f"seed {case.seed}: {result.jobs} jobs, {result.starts} starts, "
             f"{len(result.violations)} broken, {took_s:.0f} s",
             flush=True,
         )
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -86,6 +86,7 @@
     def __init__(self, max_attempts: int) -> None:
         self.jobs: dict[str, Job] = {}
         self.violations: list[Violation] = []
+        self.history: list[str] = []
         self.start_count = 0
         self.faults_ended_at: float | None = None
         self._max_attempts = max_attempts
@@ -100,6 +101,11 @@
 
     def _record(self, rule: str, detail: str) -> None:
         self.violations.append(Violation(rule, round(self.now(), 2), detail))
+        self.log(f"VIOLATION {rule} {detail}")
+
+    def log(self, event: str) -> None:
+        """Add an event to the history, with its time in Unix seconds."""
+        self.history.append(f"{time.time():.3f} {event}")
 
     def add_job(self, job: Job) -> None:
         """Record a job before it is submitted."""
@@ -118,6 +124,7 @@
         with self._lock:
             self.start_count += 1
             what = f"{task} run {run} on {host}"
+            self.log(f"start {what}")
             job = self.jobs.get(task.split(".")[0])
             if job is None or spec != job.body["specification"]:
                 self._record(
@@ -180,6 +187,7 @@
             state = self._tasks[task]
             if state.active.pop(run, None) is None:
                 return
+            self.log(f"end {task} run {run} on {host}: {outcome}")
             self._add_cpu_use(host, self.jobs[task.split(".")[0]], task, -1)
             if outcome == "done":
                 state.done[run] = self.now()
@@ -189,6 +197,7 @@
         """Check and record that the scheduler acknowledged an end."""
         with self._lock:
             state = self._tasks[task]
+            self.log(f"acknowledged {task} run {run}: {outcome}")
             if outcome == "failed":
                 state.failures_acknowledged += 1
             if outcome != "done" or state.is_done_acknowledged:
@@ -356,3 +365,4 @@
             self._delayed_orders.clear()
             self._invariants.on_runner_crashed(self._host, list(self.running))
             self.running.clear()
+            self._lock.notify_all()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -151,6 +151,61 @@
 ]
 _MEAN_INTERVAL_S: t.Final = 0.9
 _MAX_FAULT_S: t.Final = 6.0
+_MIN_CRASH_S: t.Final = 0.3
+_MAX_CRASH_S: t.Final = 1.5
+_MAX_CRASH_OFFSET_S: t.Final = 0.2
+_MAX_UPTIME_S: t.Final = 1.5
+_CRASH_REPEATS: t.Final = (1, 1, 1, 2, 3)
+_MAX_KILL_OFFSET_S: t.Final = 0.5
+
+
+class CrashMix(t.NamedTuple):
+    """How often runners crash for a short time, beside the other faults.
+
+    ``interval_s`` is the mean time between the crashes of one or several runners;
+    ``agent_kill_share`` is the share of the crashes around which the agent is killed.
+    """
+
+    interval_s: float = 4.0
+    agent_kill_share: float = 0.2
+
+
+def _draw_crash(
+    agent_host: hosts.AgentHost, rng: random.Random, at: float, mix: CrashMix
+) -> list[Event]:
+    """Return the events of one crash and its repetitions, the first about at ``at``."""
+    name = agent_host.name
+    events: list[Event] = []
+    for _ in range(rng.choice(_CRASH_REPEATS)):
+        at += rng.uniform(0.0, _MAX_CRASH_OFFSET_S)
+        back_at = at + rng.uniform(_MIN_CRASH_S, _MAX_CRASH_S)
+        events += [
+            Event(at, f"short crash of {name}'s runner", agent_host.crash_runner),
+            Event(back_at, f"restart of {name}'s runner", agent_host.restart_runner),
+        ]
+        if rng.random() < mix.agent_kill_share:
+            kill_at = rng.uniform(at - _MAX_KILL_OFFSET_S, back_at + _MAX_KILL_OFFSET_S)
+            restart_at = kill_at + rng.uniform(_MIN_CRASH_S, _MAX_CRASH_S)
+            events += [
+                Event(max(0.0, kill_at), f"kill {name} with it", agent_host.kill),
+                Event(restart_at, f"restart {name}", agent_host.restart),
+            ]
+        at = back_at + rng.uniform(0.0, _MAX_UPTIME_S)
+    return events
+
+
+def draw_crashes(
+    fleet: hosts.Fleet, rng: random.Random, duration_s: float, mix: CrashMix
+) -> list[Event]:
+    """Draw short crashes of one or several runners at once; return their events."""
+    events: list[Event] = []
+    at = rng.expovariate(1 / mix.interval_s)
+    while at < duration_s:
+        count = min(rng.choice((1, 1, 2, 3)), len(fleet.agent_hosts))
+        for agent_host in rng.sample(fleet.agent_hosts, count):
+            events += _draw_crash(agent_host, rng, at, mix)
+        at += rng.expovariate(1 / mix.interval_s)
+    return [event._replace(at=min(duration_s, event.at)) for event in events]
 
 
 def draw_events(
@@ -172,4 +227,9 @@
             Event(end_at, f"end of {description}", undo),
         ]
         at += rng.expovariate(1 / _MEAN_INTERVAL_S)
+    return sort_events(events)
+
+
+def sort_events(events: abc.Iterable[Event]) -> list[Event]:
+    """Return events in order of time."""
     return sorted(events, key=lambda event: event.at)
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -10,23 +10,17 @@
 import time
 import typing as t
 
-import urllib3
-
 from bilberrypass.connection import serving
-from soak import checker
+from soak import checker, lives
 from testing import programs
-from testing.standins import keyvalues, kvhttp, link, runhttp
+from testing.standins import keyvalues, kvhttp, link
 
 CONFIG_KEY: t.Final = "op/config"
 MAX_ATTEMPTS: t.Final = 3
 _STORE_THREADS: t.Final = 200  # each watch of each entry occupies one
-_RUNNER_THREADS: t.Final = 8
 _MAX_BODY_BYTES: t.Final = 4 << 20
-_REPORT_INTERVAL_S: t.Final = 0.3
 _RUNNER_STEP_S: t.Final = 0.01
-_CLOCK_RATE: t.Final = 0.98  # as slow as runners' clocks may be
 _FAILURE_SHARE: t.Final = 0.05
-_life_numbers = itertools.count(1_000)
 
 
 class Store(kvhttp.StoreApplication):
@@ -155,60 +149,62 @@
         Receives the runner's observations.
     rng : random.Random
         Draws durations and outcomes of runs.
+    life_rng : random.Random
+        Draws how the lives of the runner begin.
     """
 
     def __init__(
-        self, invariants: checker.InvariantChecker, rng: random.Random, *args: t.Any
+        self,
+        invariants: checker.InvariantChecker,
+        rng: random.Random,
+        life_rng: random.Random,
+        *args: t.Any,
     ) -> None:
         super().__init__("agent", *args)
         self._invariants = invariants
         self._rng = rng
-        self._planned_ends: dict[tuple[str, int], tuple[float, str]] = {}
+        self._life_rng = life_rng
         self._stopping = threading.Event()
-        self._app = runhttp.RunnerApplication("", None)
-        self._listener = serving.Listener(
-            f"{self.ip}:0", self._app, _RUNNER_THREADS, _MAX_BODY_BYTES
-        )
-        self._listener.start()
-        self.runner_link = link.Link(self._listener.address)
+        self._life = self._create_life(f"{self.name}-0")
+        self.runner_link = link.Link(self._life.address)
         self.links.append(self.runner_link)
-        self._is_crashed = False
-        self._report_sequence = 0
-        self.start_runner()
-        self._threads = [
-            threading.Thread(target=target, daemon=True)
-            for target in (self._run_runner, self._send_reports)
-        ]
-        for thread in self._threads:
-            thread.start()
-
-    def start_runner(self) -> None:
-        """Start a new life of the runner."""
-        self.life = next(_life_numbers) * 1_000
-        self.runner = checker.ObservedRunner(
-            self._invariants, self.name, life=self.life, clock_rate=_CLOCK_RATE
-        )
-        self._app.id = f"{self.name}-{self.life}"
-        self._app.runner = self.runner
-        self._is_crashed = False
+        self._life.start_reports(self.program.control, self.runner_link)
+        self._thread = threading.Thread(target=self._run_runner, daemon=True)
+        self._thread.start()
+
+    @property
+    def runner(self) -> checker.ObservedRunner:
+        """The runner in its latest life."""
+        return self._life.runner
+
+    def _create_life(self, last_id: str) -> lives.Life:
+        start = lives.draw_start(self._life_rng, last_id)
+        life = lives.Life(start, self._invariants, self.name, self.ip)
+        self._invariants.log(f"{self.name}: runner {life.id} born {life.born}")
+        return life
 
     def crash_runner(self) -> None:
         """Crash the runner; all of its runs are lost."""
-        self._is_crashed = True
-        self.runner.crash()
+        if not self._life.has_ended:
+            self._invariants.log(f"{self.name}: runner crashes")
+            self.runner_link.take_target_down()
+            self._life.crash()
 
     def restart_runner(self) -> None:
         """Start a new life of the runner if it has crashed."""
-        if self._is_crashed:
-            self.start_runner()
+        if self._life.has_ended:
+            self._life = self._create_life(self._life.id)
+            self.runner_link.bring_target_up(self._life.address)
+            self._life.start_reports(self.program.control, self.runner_link)
 
     def _run_runner(self) -> None:
         while not self._stopping.wait(_RUNNER_STEP_S):
-            runner = self.runner
+            life = self._life
+            runner = life.runner
             runner.advance()
             now = time.monotonic()
             for key in list(runner.running):
-                at, outcome = self._planned_ends.setdefault(
+                at, outcome = life.planned_ends.setdefault(
                     key, self._draw_end(key[0], now)
                 )
                 if now >= at:
@@ -224,27 +220,12 @@
         is_failing = is_always_failing or self._rng.random() < _FAILURE_SHARE
         return now + self._rng.uniform(0.1, 1.6), "failed" if is_failing else "done"
 
-    def _send_reports(self) -> None:
-        while not self._stopping.wait(_REPORT_INTERVAL_S):
-            self._report_sequence += 1
-            if self._is_crashed:
-                continue
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                runhttp.send_report(
-                    self.program.control,
-                    self._app.id,
-                    self.runner_link.address,
-                    self.life,
-                    self._report_sequence,
-                )
-
     def stop(self) -> None:
-        """Stop the threads, the process, its links and the runner's listener."""
+        """Stop the threads, the process, its links and the runner."""
         self._stopping.set()
         super().stop()
-        for thread in self._threads:
-            thread.join(2)
-        self._listener.stop()
+        self._thread.join(2)
+        self.crash_runner()
 
 
 class Fleet(t.NamedTuple):
@@ -303,6 +284,7 @@
             AgentHost(
                 invariants,
                 random.Random(seed * 1_000 + n),
+                random.Random(f"{seed} lives {n}"),
                 next(host_numbers),
                 *common_args,
             )
--- /dev/null
+++ b/soak/lives.py
@@ -0,0 +1,121 @@
+"""The lives of a soak's runner: each is a process of its own, as its agent sees it."""
+
+import contextlib
+import random
+import threading
+import time
+import typing as t
+
+import urllib3
+
+from bilberrypass.connection import serving
+from soak import checker
+from testing.standins import link, runhttp
+
+MAX_LEASE_MS: t.Final = 6_000  # hold_max_ms, as in the programs' settings
+_MAX_POLL_WAIT_S: t.Final = 2.0  # the longest wait_ms of the platform's pages
+_THREADS: t.Final = 10
+_MAX_BODY_BYTES: t.Final = 4 << 20
+_REPORT_INTERVAL_S: t.Final = 0.3
+_REPORT_TIMEOUT_S: t.Final = 1.0
+_CLOCK_RATE: t.Final = 0.98  # as slow as runners' clocks may be
+_NEW_ID_SHARE: t.Final = 0.1
+_LATE_REPORT_SHARE: t.Final = 0.15
+_MAX_REPORT_DELAY_S: t.Final = 0.06
+_MAX_LATE_REPORT_DELAY_S: t.Final = 0.5
+
+
+class Start(t.NamedTuple):
+    """How a life begins: under which id, and when it first reports."""
+
+    id: str
+    report_delay_s: float
+
+
+def draw_start(rng: random.Random, id: str) -> Start:
+    """Draw how the life that follows the one under this id begins."""
+    name, _, number = id.rpartition("-")
+    if rng.random() < _NEW_ID_SHARE:
+        id = f"{name}-{int(number) + 1}"
+    if rng.random() < _LATE_REPORT_SHARE:
+        return Start(id, rng.uniform(_MAX_REPORT_DELAY_S, _MAX_LATE_REPORT_DELAY_S))
+    return Start(id, rng.uniform(0.0, _MAX_REPORT_DELAY_S))
+
+
+@t.final
+class Life:
+    """One life of a runner, from its start to its crash.
+
+    Parameters
+    ----------
+    start : Start
+        The runner's id, and the time from its start to its first report.
+    invariants : checker.InvariantChecker
+        Receives the runner's observations.
+    host : str
+        Name of the runner's host.
+    ip : str
+        IP address of the runner's host.
+    """
+
+    def __init__(
+        self, start: Start, invariants: checker.InvariantChecker, host: str, ip: str
+    ) -> None:
+        self.id = start.id
+        self.born = time.time_ns() // 1_000_000
+        self.planned_ends: dict[tuple[str, int], tuple[float, str]] = {}
+        self.runner = checker.ObservedRunner(
+            invariants,
+            host,
+            life=self.born,
+            clock_rate=_CLOCK_RATE,
+            max_lease_ms=MAX_LEASE_MS,
+            max_poll_wait_s=_MAX_POLL_WAIT_S,
+        )
+        self._report_delay_s = start.report_delay_s
+        self._ended = threading.Event()
+        self._listener = serving.Listener(
+            f"{ip}:0",
+            runhttp.RunnerApplication(self.id, self.runner),
+            _THREADS,
+            _MAX_BODY_BYTES,
+        )
+        self._listener.start()
+        self.address = self._listener.address
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether this life has ended."""
+        return self._ended.is_set()
+
+    def start_reports(self, to: str, runner_link: link.Link) -> None:
+        """Report to the agent at ``to`` until the end of this life.
+
+        The agent reaches the runner through ``runner_link``.
+        """
+        threading.Thread(
+            target=self._send_reports, args=(to, runner_link), daemon=True
+        ).start()
+
+    def _send_reports(self, to: str, runner_link: link.Link) -> None:
+        sequence = 0
+        delay_s = self._report_delay_s
+        while not self._ended.wait(delay_s):
+            sequence += 1
+            delay_s = _REPORT_INTERVAL_S
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                runhttp.send_report(
+                    to,
+                    self.id,
+                    runner_link.address,
+                    self.born,
+                    sequence,
+                    timeout=_REPORT_TIMEOUT_S,
+                    retries=False,
+                )
+
+    def crash(self) -> None:
+        """End this life at once; all of its runs are lost."""
+        self._ended.set()
+        self.runner.crash()
+        threading.Thread(target=self._listener.stop, daemon=True).start()
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -13,6 +13,8 @@
 _SETTLE_TIMEOUT_S: t.Final = 40.0  # covers the longest lease and the accumulated work
 _POLL_INTERVAL_S: t.Final = 0.2
 _CALLER_COUNT: t.Final = 3
+HISTORY: t.Final = "history.log"
+DEFAULT_CRASH_MIX: t.Final = faults.CrashMix()
 
 
 class Size(t.NamedTuple):
@@ -38,6 +40,7 @@
     size: Size,
     command: tuple[str, ...],
     log_folder: pathlib.Path | None = None,
+    crash_mix: faults.CrashMix = DEFAULT_CRASH_MIX,
 ) -> Result:
     """Run one seed and return its result.
 
@@ -50,7 +53,9 @@
     command : tuple of str
         Arguments of the Python interpreter that start a program, before its role.
     log_folder : pathlib.Path
-        Folder for the programs' logs; None keeps no logs.
+        Folder for the programs' logs and the history; None keeps no logs.
+    crash_mix : faults.CrashMix
+        How often runners crash for a short time.
     """
     with tempfile.TemporaryDirectory() as scratch:
         folder = log_folder or pathlib.Path(scratch)
@@ -60,20 +65,30 @@
             invariants, seed, size.entries, size.agent_hosts, folder, command
         )
         try:
-            return _inject_faults(seed, size, invariants, fleet)
+            return _inject_faults(seed, size, crash_mix, invariants, fleet)
         finally:
             fleet.stop()
+            (folder / HISTORY).write_text("\n".join([*invariants.history, ""]))
 
 
 def _inject_faults(
-    seed: int, size: Size, invariants: checker.InvariantChecker, fleet: hosts.Fleet
+    seed: int,
+    size: Size,
+    crash_mix: faults.CrashMix,
+    invariants: checker.InvariantChecker,
+    fleet: hosts.Fleet,
 ) -> Result:
     rng = random.Random(seed)
     for entry in fleet.entries:
         fixtures.wait_until(
             entry.program.is_ready, _READY_TIMEOUT_S, f"{entry.name} to serve"
         )
-    events = faults.draw_events(fleet, rng, size.duration_s)
+    crashes = faults.draw_crashes(
+        fleet, random.Random(f"{seed} crashes"), size.duration_s, crash_mix
+    )
+    events = faults.sort_events(
+        [*faults.draw_events(fleet, rng, size.duration_s), *crashes]
+    )
     fleet_callers = [
         callers.Caller(invariants, fleet, random.Random(f"{seed} {n}"))
         for n in range(_CALLER_COUNT)
@@ -81,6 +96,7 @@
     started_at = time.monotonic()
     for event in events:
         time.sleep(max(0.0, started_at + event.at - time.monotonic()))
+        invariants.log(f"fault: {event.description}")
         event.action()
     for caller in fleet_callers:
         caller.stop()
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -1,10 +1,20 @@
 """Tests of the soak test: one short seed, and the checks of its invariants."""
 
-from soak import checker, seeds
-from testing import collecting, programs
+import contextlib
+import json
+import random
+import types
+
+from bilberrypass import clock, errors
+from bilberrypass.hosting import runner
+from bilberrypass.platform import runner as platform_runner
+from soak import checker, faults, hosts, lives, seeds
+from testing import collecting, fixtures, programs
+from testing.standins import link, serving
 
 SHORT = seeds.Size(entries=2, agent_hosts=2, duration_s=6.0)
 SEED = 1
+_WAIT_TIMEOUT_S = 10.0
 
 
 def _job(**fields):
@@ -22,6 +32,40 @@
     return f"{job * 16}.0.{step}.{index}"
 
 
+@contextlib.contextmanager
+def _restarted_runner(reports):
+    """Start a run on a runner, crash it, and yield a client of its next life.
+
+    The bodies of the runner's reports are added to ``reports``.
+    """
+
+    def receive_report(req):
+        reports.append(json.loads(req.body))
+        return serving.json_reply({})
+
+    start = lives.Start("h1-0", report_delay_s=0.0)
+    invariants = _checker()
+    first = lives.Life(start, invariants, "h1", "127.0.0.1")
+    with serving.listening(receive_report) as to, link.Link(first.address) as relay:
+        client = platform_runner.Runner(start.id, relay.address)
+        first.start_reports(to, relay)
+        fixtures.wait_until(lambda: reports, _WAIT_TIMEOUT_S, "a report")
+        assert not _start_run(client).reason
+        relay.take_target_down()
+        first.crash()
+        assert fixtures.error_of(errors.Error, _start_run, client).ran is errors.Ran.NO
+        second = lives.Life(start, invariants, "h1", "127.0.0.1")
+        relay.bring_target_up(second.address)
+        second.start_reports(to, relay)
+        yield client
+        second.crash()
+
+
+def _start_run(client):
+    run = runner.RunSpec(_task(), 1, "s", "", "")
+    return client.start(run, 5_000, 1, clock.now() + _WAIT_TIMEOUT_S)
+
+
 def _rules(invariants):
     return [violation.rule for violation in invariants.violations]
 
@@ -98,4 +142,39 @@
     assert _rules(invariants) == ["BUDGET"]
 
 
+def test_restarted_runner_knows_nothing_of_its_earlier_life():
+    """A runner that kept its state would not play the restart of the platform's."""
+    reports = []
+    with _restarted_runner(reports) as client:
+        snapshot = client.poll(0, None, 1, 0.0)
+        assert not snapshot.running and not snapshot.ended
+        has_reported = lambda: reports[-1]["born"] == snapshot.life
+        fixtures.wait_until(has_reported, _WAIT_TIMEOUT_S, "a report")
+    first, last = reports[0], reports[-1]
+    assert first["address"] == last["address"]
+    assert first["born"] < last["born"]
+    assert [report["sequence"] for report in (first, last)] == [1, 1]
+
+
+def test_restarted_runner_accepts_calls_for_its_id():
+    """Only ``born`` tells two lives under one id apart."""
+    with _restarted_runner([]) as client:
+        assert not _start_run(client).reason
+
+
+def test_crashes_depend_only_on_the_seed():
+    agent_hosts = [
+        types.SimpleNamespace(
+            name=name, crash_runner=1, restart_runner=2, kill=3, restart=4
+        )
+        for name in ("agent1", "agent2")
+    ]
+    fleet = hosts.Fleet(None, [], agent_hosts)
+    mix = faults.CrashMix(interval_s=1.0, agent_kill_share=0.5)
+    first, second = (
+        faults.draw_crashes(fleet, random.Random(1), 20.0, mix) for _ in range(2)
+    )
+    assert first == second and first
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/standins/link.py
+++ b/testing/standins/link.py
@@ -42,6 +42,8 @@
         self._delay_s = 0.0
         self._blackhole = False
         self._discards_responses = False
+        self._is_refusing = False
+        self._is_target_down = False
         self._port = port
         self._listener: socket.socket | None = None
         self._listen()
@@ -66,6 +68,26 @@
 
     def refuse(self) -> None:
         """Refuse new connections; open connections keep working."""
+        with self._lock:
+            self._is_refusing = True
+        self._stop_listening()
+
+    def take_target_down(self) -> None:
+        """Behave as if the target's process had ended, also after ``heal``."""
+        with self._lock:
+            self._is_target_down = True
+        self._stop_listening()
+        self.cut()
+
+    def bring_target_up(self, target: str) -> None:
+        """Relay to a new process of the target, at ``ip:port``."""
+        host, _, port = target.rpartition(":")
+        with self._lock:
+            self._target = (host, int(port))
+            self._is_target_down = False
+        self._listen_if_reachable()
+
+    def _stop_listening(self) -> None:
         with self._lock:
             listener, self._listener = self._listener, None
         if listener is not None:
@@ -97,9 +119,16 @@
         """Accept and relay new connections; discarding ones keep discarding."""
         with self._lock:
             self._blackhole = self._discards_responses = False
+            self._is_refusing = False
             self._delay_s = 0.0
-            is_listening = self._listener is not None
-        if not is_listening:
+        self._listen_if_reachable()
+
+    def _listen_if_reachable(self) -> None:
+        with self._lock:
+            is_due = self._listener is None and not (
+                self._is_refusing or self._is_target_down
+            )
+        if is_due:
             self._listen()
 
     def _listen(self) -> None:
@@ -120,6 +149,9 @@
                 return
             client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self._lock:
+                if self._listener is not listener:
+                    client.close()
+                    return
                 pair = _Pair(client, discards_all=self._blackhole)
                 self._pairs.add(pair)
             threading.Thread(target=self._relay, args=(pair,), daemon=True).start()
--- a/testing/standins/runhttp.py
+++ b/testing/standins/runhttp.py
@@ -70,8 +70,11 @@
         }
 
 
-def send_report(to, id, address, life, sequence, state="ready"):
-    """Send a runner's report to the agent at ``to``, and return the HTTP status."""
+def send_report(to, id, address, life, sequence, state="ready", **options):
+    """Send a runner's report to the agent at ``to``, and return the HTTP status.
+
+    ``options`` go to urllib3.
+    """
     body = {
         "service": "planner",
         "address": address,
@@ -82,7 +85,9 @@
         "capacity": {"cpu": 64_000, "task_memory_mb": 256_000, "gpu": 0},
         "labels": ["a", "r1"],
     }
-    resp = urllib3.request("PUT", f"http://{to}/api/instances/{id}", json=body)
+    resp = urllib3.request(
+        "PUT", f"http://{to}/api/instances/{id}", json=body, **options
+    )
     return resp.status
 
 
--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -22,14 +22,24 @@
     ``orders_to_lose`` is the number of coming orders that get no answer; they are
     executed ``lost_order_delay_s`` seconds later, or never if that is None. While
     ``is_silent`` is set, no call is answered or executed. ``max_runs`` is the maximum
-    number of concurrent runs.
+    number of concurrent runs. Longer leases than ``max_lease_ms`` are shortened to it,
+    and a poll waits at most ``max_poll_wait_s`` seconds for an end.
     ``highest_ended`` holds for each task the highest run number that has ended or was
     stopped; runs up to it may not start again.
     """
 
-    def __init__(self, life=1_000, max_runs=100, clock_rate=1.0):
+    def __init__(
+        self,
+        life=1_000,
+        max_runs=100,
+        clock_rate=1.0,
+        max_lease_ms=None,
+        max_poll_wait_s=0.1,
+    ):
         self.life = life
         self.max_runs = max_runs
+        self.max_lease_ms = max_lease_ms
+        self.max_poll_wait_s = max_poll_wait_s
         self.orders_to_lose = 0
         self.lost_order_delay_s = None
         self.is_silent = False
@@ -105,11 +115,16 @@
             return "late"
         if len(self.running) >= self.max_runs:
             return "room"
-        self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
+        self._extend_lease(lease_end_ms)
         self.running[key] = run.checkpoint
         self.started.append(key)
         return ""
 
+    def _extend_lease(self, lease_end_ms):
+        if self.max_lease_ms is not None:
+            lease_end_ms = min(lease_end_ms, self.clock_ms + self.max_lease_ms)
+        self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
+
     def stop(self, task, run, epoch, deadline):
         return self._execute(lambda: self._stop(task, run, epoch))
 
@@ -137,10 +152,10 @@
             if epoch < self.epoch:
                 raise errors.Error(errors.Kind.ENDPOINT_UNREACHABLE, "fence")
             self.epoch = epoch
-            self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0)
+            self._extend_lease(lease_end_ms or 0)
             self.ended = [end for end in self.ended if end.number > acknowledged_end]
             if not self.ended and wait_s:
-                self._lock.wait(min(wait_s, 0.1))
+                self._lock.wait(min(wait_s, self.max_poll_wait_s))
                 self._turn()
             running = [
                 runner.ActiveRun(*key, checkpoint, 50, self.figures.get(key, 0))
--- a/testing/standins/test_standins.py
+++ b/testing/standins/test_standins.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from testing import collecting, fixtures
-from testing.standins import link, serving
+from testing.standins import link, runners, serving
 
 _WAIT_TIMEOUT_S = 10.0
 
@@ -290,6 +290,35 @@
         assert _new_connection_echoes(relay)
 
 
+def test_link_to_a_target_that_is_down_closes_and_refuses_connections():
+    with _link_to_echo_server() as (relay, conn), _echo_server() as another:
+        relay.take_target_down()
+        assert conn.recv(4) == b""
+        relay.heal()
+        with _raises(ConnectionRefusedError):
+            _connect(relay)
+        relay.bring_target_up(another)
+        assert _new_connection_echoes(relay)
+
+
+def test_link_refuses_until_healed_although_its_target_is_back():
+    with _link_to_echo_server() as (relay, _), _echo_server() as another:
+        relay.refuse()
+        relay.take_target_down()
+        relay.bring_target_up(another)
+        with _raises(ConnectionRefusedError):
+            _connect(relay)
+        relay.heal()
+        assert _new_connection_echoes(relay)
+
+
+def test_runner_shortens_a_lease_that_is_too_long():
+    """The end of a lease on an earlier life's clock may be hours away on a new one."""
+    standin = runners.Runner(max_lease_ms=6_000)
+    standin.poll(0, 3_600_000, 1, 0.0)
+    assert standin.lease_end_ms <= standin.clock_ms + 6_000
+
+
 def test_link_swallow_is_permanent_for_open_connections():
     with _link_to_echo_server() as (relay, conn):
         relay.discard_open()
