Restart a program of the soak that shuts down beyond the faults' end

A program that was sent SIGTERM just before the faults ended was still finishing its requests when all programs were to be restarted, was not, and stayed down. If it was entry 1, which is asked for the states of all jobs, each of them counted as LOST.

Ruled out: jobs without progress, the other entry logs their ends.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -20,6 +20,7 @@
 _STORE_THREADS: t.Final = 200  # each watch of each entry occupies one
 _MAX_BODY_BYTES: t.Final = 4 << 20
 _RUNNER_STEP_S: t.Final = 0.01
+_SHUTDOWN_TIMEOUT_S: t.Final = 15.0  # more than twice the programs' grace_s
 _FAILURE_SHARE: t.Final = 0.05
 
 
@@ -81,6 +82,7 @@
         )
         self.links = [self.store_link]
         self._is_paused = False
+        self._is_terminating = False
         self.program.start()
 
     def kill(self) -> None:
@@ -90,8 +92,14 @@
 
     def terminate(self) -> None:
         """Request an orderly shutdown of the process (SIGTERM)."""
+        self._is_terminating = True
         self._signal(signal.SIGTERM)
 
+    def wait_for_shutdown(self) -> None:
+        """Wait until the process has ended if it was requested to shut down."""
+        if self._is_terminating:
+            self.program.process.wait(_SHUTDOWN_TIMEOUT_S)
+
     def reload(self) -> None:
         """Request that the process reloads its settings file (SIGHUP)."""
         self._signal(signal.SIGHUP)
@@ -114,6 +122,7 @@
     def restart(self) -> None:
         """Start the process again if it has ended."""
         if self.program.process.poll() is not None:
+            self._is_terminating = False
             self.program.start()
 
     def heal(self) -> None:
@@ -247,6 +256,8 @@
         for host in self.hosts:
             host.resume()
             host.heal()
+        for host in self.hosts:
+            host.wait_for_shutdown()
             host.restart()
         for agent_host in self.agent_hosts:
             agent_host.runner.orders_to_lose = 0
