--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -23,14 +23,21 @@
     ``orders_to_lose`` is the number of coming orders that get no answer; they are
     executed ``lost_order_delay_s`` seconds later, or never if that is None. While
     ``is_silent`` is set, no call is answered or executed. ``max_runs`` is the maximum
-    number of concurrent runs.
+    number of concurrent runs. Longer leases than ``max_lease_ms`` are shortened to it.
     ``highest_ended`` holds for each task the highest run number that has ended or was
     stopped; runs up to it may not start again.
     """
 
-    def __init__(self, life=1_000, max_runs=100, clock_rate=1.0):
+    def __init__(
+        self,
+        life=1_000,
+        max_runs=100,
+        clock_rate=1.0,
+        max_lease_ms=None,
+    ):
         self.life = life
         self.max_runs = max_runs
+        self.max_lease_ms = max_lease_ms
         self.orders_to_lose = 0
         self.lost_order_delay_s = None
         self.is_silent = False
@@ -107,11 +114,16 @@
             return "late"
         if len(self.running) >= self.max_runs:
             return "room"
-        self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
+        self._extend_lease(lease_end_ms)
         self.running[key] = run.checkpoint
         self.started.append(key)
         return ""
 
+    def _extend_lease(self, lease_end_ms):
+        if self.max_lease_ms is not None:
+            lease_end_ms = min(lease_end_ms, self.clock_ms + self.max_lease_ms)
+        self.lease_end_ms = max(self.lease_end_ms, lease_end_ms)
+
     def stop(self, task, run, epoch, deadline):
         return self._execute(lambda: self._stop(task, run, epoch))
 
@@ -139,7 +151,7 @@
             if epoch < self.epoch:
                 raise errors.Error(errors.Kind.ENDPOINT_UNREACHABLE, "fence")
             self.epoch = epoch
-            self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0)
+            self._extend_lease(lease_end_ms or 0)
             self.ended = [end for end in self.ended if end.number > acknowledged_end]
             deadline = clock.now() + wait_s
             while not self.ended and clock.now() < deadline:
