Execute a stop that arrives during the call of a start

What a caller would see: a cancelled job's task that runs on, or a run that the scheduler has given up works on beside the next one (UNASKED, TWICE).

Cause: the thread that executes a start is to execute a stop that arrives meanwhile, but it looked for one only before each call. A stop that arrived during the call that succeeded was never sent, and each repetition of it was taken for one in progress.

Change: the thread looks once more after the start. Recording the start and the stop hold the table's lock, so one of the two threads always sees the stop.

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -173,6 +173,9 @@
                     run_events.record_delayed_start(
                         run, self.info.life, attempts, received_at, answer
                     )
+                # A stop that arrived during the call was left to this thread.
+                if run.is_stop_wanted:
+                    self._stop_run(run)
             elif is_uncertain:
                 self._stop_run(run)
             else:
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -1,5 +1,6 @@
 """Lost, late and repeated orders: a run that may still start never counts as gone."""
 
+import threading
 import time
 
 from bilberrypass import clock
@@ -124,4 +125,26 @@
         assert clock.now() + left_ms / 980 <= granted_until + 0.05
 
 
+def test_stop_that_arrives_during_a_start_is_executed():
+    runner = runners.Runner()
+    start, called, may_answer = runner.start, threading.Event(), threading.Event()
+
+    def start_slowly(*args):
+        called.set()
+        may_answer.wait(2.0)
+        return start(*args)
+
+    runner.start = start_slowly
+    stop = sessions.order(Verb.STOP)
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        assert called.wait(2.0)
+        current.execute_orders(sessions.EPOCH, [stop])
+        may_answer.set()
+        time.sleep(0.5)
+        current.execute_orders(sessions.EPOCH, [stop._replace(is_repeated=True)])
+        time.sleep(0.5)
+        assert not runner.running, sessions.row(current)
+
+
 load_tests = collecting.hook(__name__)
