Renew no lease of a runner without a grant

Cause: while the runner does not answer, a session renewed its lease up to the latest end that had been set. At the start of a session that end is an upper bound for what an earlier agent may have set, which the present scheduler need not have granted: the lease could outlast what the scheduler waits for.

Change: no renewal goes beyond the grant.

--- a/src/bilberrypass/hosting/leases.py
+++ b/src/bilberrypass/hosting/leases.py
@@ -59,7 +59,9 @@
         call may still renew it, and its runs would never be declared lost.
         """
         with self._lock:
-            until = self._end if self._is_unresponsive else self._granted_until
+            until = self._granted_until
+            if self._is_unresponsive:
+                until = min(until, self._end)
             if not self._clock_at or until <= clock.now():
                 return None
             self._end = max(self._end, until)
--- a/testing/hosting/test_leases.py
+++ b/testing/hosting/test_leases.py
@@ -71,4 +71,12 @@
     assert lease.renew() > first
 
 
+def test_lease_that_an_earlier_agent_may_have_set_is_not_renewed_without_a_grant():
+    lease = leases.RunnerLease(clock.now() + 5.0)
+    lease.record_answer(1_000, clock.now())
+    assert lease.renew() is None
+    lease.record_failure()
+    assert lease.renew() is None
+
+
 load_tests = collecting.hook(__name__)
