Take no run for missing while a runner's list of ends is incomplete

Cause: a runner lists its ends 500 at a time (PROTOCOL.md). With more ends than that waiting to be acknowledged, as after a long outage of the store, a run that had ended was in neither list, counted as missing after 1.0 s and was started again, although it may have ended done.

--- a/src/bilberrypass/hosting/runner.py
+++ b/src/bilberrypass/hosting/runner.py
@@ -30,12 +30,16 @@
 
 
 class RunnerSnapshot(t.NamedTuple):
-    """The runs of a runner, active and ended, and its clock in ms when it answered."""
+    """The runs of a runner, active and ended, and its clock in ms when it answered.
+
+    ``has_all_ends`` is False if further ends wait until these are acknowledged.
+    """
 
     running: list[ActiveRun]
     ended: list[EndedRun]
     clock_ms: int
     life: int
+    has_all_ends: bool = True
 
 
 class Answer(t.NamedTuple):
--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -186,8 +186,9 @@
             for end in snapshot.ended:
                 if self._record_end(end):
                     found[end.task, end.run] = end.outcome
-            for run in self._runs.values():
-                self._check_missing(run, present, requested_at)
+            if snapshot.has_all_ends:
+                for run in self._runs.values():
+                    self._check_missing(run, present, requested_at)
         return Unexpected(found, strays)
 
     def _record_end(self, end: runner.EndedRun) -> bool:
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -12,6 +12,7 @@
 _MS: t.Final = 1_000
 _POLL_PATH: t.Final = "/api/hold"
 _POLL_MARGIN_S: t.Final = 1.0  # a long poll times out this long after its wait
+_MAX_LISTED_ENDS: t.Final = 500  # PROTOCOL.md
 _WRONG_LIFE_STATUS: t.Final = 421
 _STATUS_REASONS: t.Final = {400: "invalid", 421: "life", 429: "busy", 503: "busy"}
 
@@ -229,4 +230,6 @@
             f"the run lists of the runner are unreadable: {exc}",
         ) from exc
     ended = [runner.EndedRun(*row) for row in lists.ended_runs]
-    return runner.RunnerSnapshot(running, ended, lists.clock_ms, lists.born)
+    return runner.RunnerSnapshot(
+        running, ended, lists.clock_ms, lists.born, len(ended) < _MAX_LISTED_ENDS
+    )
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -4,6 +4,8 @@
 import time
 
 from bilberrypass import clock
+from bilberrypass.hosting import runner as runner_client
+from bilberrypass.hosting import runs
 from bilberrypass.scheduling import messages
 from testing import collecting, fixtures
 from testing.hosting import sessions
@@ -147,4 +149,18 @@
         assert not runner.running, sessions.row(current)
 
 
+def test_run_whose_end_is_not_listed_yet_is_not_missing():
+    table = runs.RunTable(threading.Event())
+    order = sessions.order(Verb.START)
+    table.record_obeyed(table.apply_order(order), 10.0)
+    ended = [runner_client.EndedRun(1, "b" * 16 + ".0.0.0", 1, "done", "")]
+    snapshot = runner_client.RunnerSnapshot([], ended, 1, 1_000, has_all_ends=False)
+    table.apply_snapshot(snapshot, 20.0)
+    rows = {(row.task, row.run): row for row in table.rows()}
+    assert rows[order.task, order.run].state != State.GONE
+    table.apply_snapshot(snapshot._replace(has_all_ends=True), 20.0)
+    rows = {(row.task, row.run): row for row in table.rows()}
+    assert rows[order.task, order.run].state == State.GONE
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/platform/test_runner.py
+++ b/testing/platform/test_runner.py
@@ -113,4 +113,14 @@
         assert current.started == [(_TASK, 1)]
 
 
+def test_full_page_of_ends_is_no_complete_list():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        process.runner.ended = [
+            runner.EndedRun(n, f"{n:016x}.0.0.0", 1, "done", "") for n in range(1, 501)
+        ]
+        assert not _poll(client).has_all_ends
+        assert _poll(client, acknowledged_end=1).has_all_ends
+
+
 load_tests = collecting.hook(__name__)
