Reject no run that the runner lists

The scheduler took the rejection as proof that the run is gone and ordered the next one, while the agent only began to stop the listed run.

Evidence: test_run_on_the_runner_is_not_rejected_for_want_of_a_lease failed before (run 1 ended stopped), the 11 other tests of hosting.test_orders passed; after: 12 passed.

Change: a listed run counts as started, and a start that is refused while its run is listed or being stopped is barred instead of rejected.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -181,6 +181,8 @@
                     self._changed.set()
                 elif run.is_final and run.state is not State.ENDED:
                     strays.append(key)
+                elif run.state is State.STARTING:
+                    run.state, run.answered_at = State.RUNNING, requested_at
                 run.checkpoint = row.checkpoint
                 run.progress, run.figure = row.progress, row.figure
             for end in snapshot.ended:
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -145,9 +145,13 @@
         attempts = 0
         reject_at = clock.now() + _LEASE_GRANT_TIMEOUT_S
         while not self._ended.is_set() and not run.is_final:
+            # Read before the wish to stop: later stops are left to other threads.
+            is_listed = run.state is runs.State.RUNNING
             if run.is_stop_wanted:
                 self._stop_run(run)
                 return
+            if is_listed:
+                return
             lease_end_ms = self._lease.renew()
             if lease_end_ms is None:
                 if clock.now() > reject_at and not is_uncertain:
@@ -176,7 +180,7 @@
                 # A stop that arrived during the call was left to this thread.
                 if run.is_stop_wanted:
                     self._stop_run(run)
-            elif is_uncertain:
+            elif is_uncertain or run.state is not runs.State.STARTING:
                 self._stop_run(run)
             else:
                 self._reject(run, answer.reason)
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -163,4 +163,15 @@
     assert rows[order.task, order.run].state == State.GONE
 
 
+def test_run_on_the_runner_is_not_rejected_for_want_of_a_lease():
+    runner = runners.Runner()
+    runner.lease_end_ms = 60_000
+    runner.running[sessions.TASK, 1] = ""
+    with sessions.session_with(runner, lease_s=0.0) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        for _ in fixtures.polls(4.0):
+            # A rejected run that is still listed is stopped.
+            assert not runner.ended, runner.ended
+
+
 load_tests = collecting.hook(__name__)
