Start a running task's run again where a restarted agent does not list it

Cause: the first report of a new agent process lists no runs, since its session has had no list of the runner yet. The scheduler took that for runs that are missing and sent STOP for those that were running, which it then started elsewhere.

Change: START of the same run is sent again, as for one that was only ordered. A runner that has the run answers 200, one that has ended or stopped it refuses, and then the agent bars it; no second run number is involved.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -217,7 +217,7 @@
         key = str(task.key), task.run
         if not task.is_stored or not host.is_order_lost(key, host.reported_at):
             return
-        is_wanted = task.phase is state.Phase.ORDERED and not task.job.cancelled
+        is_wanted = task.phase is not state.Phase.STOPPING and not task.job.cancelled
         self._resend(host, task, Verb.START if is_wanted else Verb.STOP)
 
     def _resend(self, host: hosts.Host, task: state.Task, verb: Verb) -> None:
--- a/testing/scheduling/test_order_delivery.py
+++ b/testing/scheduling/test_order_delivery.py
@@ -77,4 +77,17 @@
         assert old is cluster.scheduler and not host.orders
 
 
+def test_first_report_of_a_restarted_agent_does_not_stop_a_running_task():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.run_task(host)
+        host.report()
+        time.sleep(0.1)
+        host.orders.clear()
+        host.agent, host.rows = 2, {}
+        host.report()
+        time.sleep(0.3)
+        assert not host.orders or host.orders[0].verb != Verb.STOP, host.orders
+
+
 load_tests = collecting.hook(__name__)
