Reach no runner that states a life under a session for none

Cause: a client made from a report without a start time checked no connection, since some runners state none. If such a report was the first one, its starts reached whatever life answered, and the next proper report gave these runs up.

Evidence: test_client_of_a_life_that_is_not_known_does_not_reach_one_that_is_stated failed before (Answer(reason='')), the 9 other tests of platform.test_runner passed; after: 10 passed.

--- a/testing/platform/test_runner.py
+++ b/testing/platform/test_runner.py
@@ -123,4 +123,15 @@
         assert _poll(client, acknowledged_end=1).has_all_ends
 
 
+def test_client_of_a_life_that_is_not_known_does_not_reach_one_that_is_stated():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        _assert_not_executed(_start, _client(process, 0))
+        assert not process.runner.started
+
+
+def test_runner_that_states_no_life_is_reached():
+    with runhttp.RunnerProcess(_ID, 0) as process:
+        assert not _start(_client(process, 0)).reason
+
+
 load_tests = collecting.hook(__name__)
