Begin a session only with a life that the runner itself states

Cause: the agent took a report with a higher start time for a new life, and one with a lower start time after a silence of the runner and the end of its lease.

Change: before it replaces a session the agent asks the runner for its runs under the life of the report. Only a connection to that life answers. The comparison of times, the wait for silence and for the end of the lease go.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -18,8 +18,6 @@
 _REPORT_TIMEOUT_S: t.Final = 1.0
 _LEADER_LOOKUP_INTERVAL_S: t.Final = 0.4
 _RPC_THREADS: t.Final = 6
-# Longer than one long poll for ended runs, including its margin.
-_RUNNER_SILENCE_TIMEOUT_S: t.Final = 2.5
 
 _reports = prometheus.Counter(
     "bilberrypass_reports", "Reports to the scheduler", ["outcome"]
@@ -125,39 +123,48 @@
     def handle_runner_report(
         self, info: messages.RunnerInfo, address: str, sequence: int
     ) -> None:
-        """Process a report of the runner; ignore reports that arrive out of order."""
+        """Process a report of the runner; ignore one that is late or out of order."""
         with self._lock:
             current = self._session
-            if current is None or self._is_new_life(current, info):
-                self._start_session(info, address)
-                self._runner_sequence = sequence
-                return
-            if info.life != current.info.life or sequence <= self._runner_sequence:
+            if current is not None and info.life == current.info.life:
+                if sequence > self._runner_sequence:
+                    self._runner_sequence = sequence
+                    self._update_info(current, info)
                 return
-            self._runner_sequence = sequence
-            has_changed = current.info.is_draining != info.is_draining
-            current.info = info
+        client = self._connector.connect(info.id, info.life, address)
+        if current is not None and not self._is_present(info, client):
+            return
+        with self._lock:
+            if self._session is current:
+                self._start_session(info, address, client)
+                self._runner_sequence = sequence
+
+    def _update_info(
+        self, current: session.RunnerSession, info: messages.RunnerInfo
+    ) -> None:
+        has_changed = current.info.is_draining != info.is_draining
+        current.info = info
         if has_changed:
             decisions.record("runner.state", runner=info.id, draining=info.is_draining)
             self._report_due.set()
 
-    def _is_new_life(
-        self, current: session.RunnerSession, info: messages.RunnerInfo
-    ) -> bool:
-        """Return whether a report is of a new life, not a late report of an old one.
+    def _is_present(self, info: messages.RunnerInfo, client: runner.Runner) -> bool:
+        """Return whether the runner itself states the life of a report.
 
-        A life is identified by the time of day of its start. The clock may be set
-        back between two lives; a smaller value therefore counts as a new life once
-        the current life no longer answers and its lease is over, so that none of
-        its runs is left. A report without a life is no report of a new one.
+        The report may be a late one of an earlier life. The times of their starts do
+        not tell which life is the later one: the clock may have been set back.
         """
-        if info.life > current.info.life:
-            return True
-        return (
-            0 < info.life < current.info.life
-            and current.answered_ago_s > _RUNNER_SILENCE_TIMEOUT_S
-            and clock.now() > current.lease_end
-        )
+        try:
+            life = client.poll(0, None, self._epoch, 0.0).life
+        except errors.Error as exc:
+            why = str(exc)
+        else:
+            why = "" if life == info.life else f"the runner states life {life}"
+        if why:
+            decisions.record(
+                "runner.report_ignored", runner=info.id, life=info.life, why=why
+            )
+        return not why
 
     def handle_runner_exit(self, id: str) -> None:
         """Mark all runs as gone after the runner has announced its exit.
@@ -179,15 +186,14 @@
         current.end("left")
         self._report_due.set()
 
-    def _start_session(self, info: messages.RunnerInfo, address: str) -> None:
+    def _start_session(
+        self, info: messages.RunnerInfo, address: str, client: runner.Runner
+    ) -> None:
         decisions.record("runner.new_life", address=address, **info._asdict())
         if self._session is not None:
             self._session.end("the runner started anew")
         self._session = session.RunnerSession(
-            info,
-            self._connector.connect(info.id, info.life, address),
-            self._report_due,
-            self._started_at + self._lease_s,
+            info, client, self._report_due, self._started_at + self._lease_s
         )
         self._session.start()
         self._report_due.set()
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -91,11 +91,6 @@
         """The latest time, on ``clock.now``, at which the runner's lease may end."""
         return self._lease.latest_end
 
-    @property
-    def lease_end(self) -> float:
-        """The latest end, on ``clock.now``, of a lease that was set on the runner."""
-        return self._lease.end
-
     def grant_lease(self, epoch: int, until: float) -> None:
         """Allow lease renewals up to this time on ``clock.now``."""
         self._lease.grant(until)
