Reject a start of a settled run that is delivered again

Cause: a sender repeats a call of orders that it has no answer for, up to three times, and an agent may get both. RunTable.remove_acknowledged forgot a REJECTED run once it was settled, and the runner has never heard of such a run, so nothing barred the second delivery.

Before: python -m testing hosting.test_orders, with the tests only

After: 11 passed, 0 failed, 0 skipped.

The table keeps the highest settled run of each task for 30 s, of 10,000 tasks at most. A start up to it is not executed but reported as rejected. A scheduler that does not track the run settles the row again; one that still does, since the end of the run was lost with an earlier scheduler, requeues the task instead of repeating the start forever.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -4,6 +4,7 @@
 import threading
 import typing as t
 
+from bilberrypass import clock
 from bilberrypass.hosting import runner
 from bilberrypass.scheduling import messages
 
@@ -14,6 +15,9 @@
 
 # A runner needs up to 0.9 s to stop a run and to list its end (RULES.md).
 _MAX_LISTING_DELAY_S: t.Final = 1.0
+# A sender repeats an unanswered call for a few seconds, and it may arrive later.
+_SETTLED_RETENTION_S: t.Final = 30.0
+_MAX_SETTLED_TASKS: t.Final = 10_000
 
 
 class Run:
@@ -81,6 +85,13 @@
     strays: list[RunKey]
 
 
+class _SettledRun(t.NamedTuple):
+    """The highest settled run of a task, and the time until which it is kept."""
+
+    run: int
+    kept_until: float
+
+
 @t.final
 class RunTable:
     """The runs of one life of the runner; its methods are thread-safe.
@@ -94,6 +105,7 @@
     def __init__(self, changed: threading.Event) -> None:
         self._lock = threading.Lock()
         self._runs: dict[RunKey, Run] = {}
+        self._settled: dict[str, _SettledRun] = {}  # by task, the oldest first
         self._changed = changed
         self._acknowledged_end = 0
 
@@ -112,6 +124,10 @@
                     return None
                 run = self._runs[key] = Run(key, State.STARTING)
                 run.order = order
+                if self._is_settled(key):
+                    run.state, run.outcome = State.REJECTED, "settled"
+                    self._changed.set()
+                    return None
                 return run
             if run is None:
                 run = self._runs[key] = Run(key, State.STOPPING)
@@ -232,7 +248,7 @@
     def remove_acknowledged(
         self, acknowledged_end: int, settled: abc.Iterable[RunKey]
     ) -> None:
-        """Remove final runs whose end the scheduler has stored."""
+        """Remove final runs whose end the scheduler has stored; bar their starts."""
         with self._lock:
             self._acknowledged_end = max(self._acknowledged_end, acknowledged_end)
             for key in settled:
@@ -243,6 +259,30 @@
                     and run.end_number <= self._acknowledged_end
                 ):
                     del self._runs[key]
+                    self._remember_settled(key)
+
+    def _remember_settled(self, key: RunKey) -> None:
+        task, number = key
+        earlier = self._settled.pop(task, None)
+        if earlier is not None:
+            number = max(number, earlier.run)
+        now = clock.now()
+        self._settled[task] = _SettledRun(number, now + _SETTLED_RETENTION_S)
+        while len(self._settled) > _MAX_SETTLED_TASKS or self._is_oldest_expired(now):
+            del self._settled[next(iter(self._settled))]
+
+    def _is_oldest_expired(self, now: float) -> bool:
+        return self._settled[next(iter(self._settled))].kept_until <= now
+
+    def _is_settled(self, key: RunKey) -> bool:
+        """Return whether a run, or a later one of its task, was settled recently."""
+        task, number = key
+        settled = self._settled.get(task)
+        return (
+            settled is not None
+            and number <= settled.run
+            and settled.kept_until > clock.now()
+        )
 
     @property
     def acknowledged_end(self) -> int:
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -124,4 +124,35 @@
         assert clock.now() + left_ms / 980 <= granted_until + 0.05
 
 
+def test_start_delivered_again_after_its_rejection_is_not_executed():
+    runner = runners.Runner(max_runs=0)
+    order = sessions.order(Verb.START)
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [order])
+        sessions.await_state(current, State.REJECTED)
+        current.acknowledge_ends(0, [(order.task, order.run)])
+        runner.max_runs = 1
+        current.execute_orders(sessions.EPOCH, [order])
+        time.sleep(0.5)
+        assert not runner.started, runner.started
+
+
+def test_start_of_a_settled_run_is_answered_by_a_rejection():
+    """A scheduler that still tracks the run would repeat the start forever."""
+    runner = runners.Runner(max_runs=0)
+    first, second = sessions.order(Verb.START), sessions.order(Verb.START, run=2)
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [second])
+        sessions.await_state(current, State.REJECTED, run=2)
+        current.acknowledge_ends(0, [(second.task, second.run)])
+        runner.max_runs = 1
+        current.execute_orders(sessions.EPOCH, [first, second])
+        assert sessions.row(current, 1).outcome == "settled"
+        assert sessions.row(current, 2).outcome == "settled"
+        third = sessions.order(Verb.START, run=3)
+        current.execute_orders(sessions.EPOCH, [third])
+        sessions.await_state(current, State.RUNNING, run=3)
+        assert runner.started == [(third.task, 3)], runner.started
+
+
 load_tests = collecting.hook(__name__)
