Execute no start that was ordered before a gap of the agent's grant

Cause: when no report of a host arrives for longer than its lease, the scheduler gives the host's runs up and starts their tasks elsewhere. The agent did not notice: a start that it repeated, or that waited for a lease, was executed once the next grant arrived.

A grant that arrives after the end of the earlier one ends a gap. The agent counts over all sessions, and from its start plus one lease, since its reports claim a lease until then and no host is given up before that. Starts received before the end of the gap are barred by a stop, because an earlier attempt may have been executed or may still be.

Orders name the agent's start and its newest report that the scheduler had applied. The agent refuses those that follow an older report than the one whose response ended the gap. A host is given up only while none of its reports arrives, so it was given up before that report, and what is ordered after it names it or a later one. The scheduler forgets that refused orders were sent, and sends what it still wants after the next report. Orders that a sender merges name the report that the oldest of them follows.

Without a gap nothing is refused: an order that overtakes the response to its report names a later report than the last gap.

The check and the order, and the grant and the end of a gap, are each one step under the agent's lock, so that no outdated start counts as received after the gap.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -86,6 +86,9 @@
         self._lease_s = lease_s
         self._incarnation = time.time_ns() // 1_000
         self._sequence = 0
+        # A scheduler gives no run up before this time, even if no response arrives.
+        self._granted_until = self._started_at + lease_s
+        self._resumed_sequence = 0
         self._lock = threading.Lock()
         self._session: session.RunnerSession | None = None
         self._runner_sequence = -1
@@ -196,12 +199,23 @@
         if req.epoch < self._epoch:
             return messages.OrdersResponse(False, self._epoch)
         self._set_scheduler(req.address, req.epoch)
-        current = self._session
-        if current is None:
-            return messages.OrdersResponse(False, self._epoch)
-        current.execute_orders(req.epoch, req.orders)
+        with self._lock:
+            current = self._session
+            if current is None or self._is_outdated(req):
+                return messages.OrdersResponse(False, self._epoch)
+            current.execute_orders(req.epoch, req.orders)
         return messages.OrdersResponse(True, self._epoch)
 
+    def _is_outdated(self, req: messages.Orders) -> bool:
+        """Return whether orders were issued before this agent's grant had a gap.
+
+        The scheduler gives runs up only while no report of the host arrives, hence
+        before the report whose response ended the gap.
+        """
+        if not req.agent:
+            return False
+        return req.agent != self._incarnation or req.sequence < self._resumed_sequence
+
     def _set_scheduler(self, address: str, epoch: int) -> None:
         with self._lock:
             if epoch < self._epoch or address == self._scheduler_address:
@@ -279,8 +293,15 @@
         _reports.labels("told").inc()
         self._epoch = response.epoch
         self._is_lookup_due = response.is_cut_off
+        granted_until = sent_at + response.lease_s
+        with self._lock:
+            has_lapsed = clock.now() > self._granted_until
+            if has_lapsed:
+                self._resumed_sequence = report.sequence
+            self._granted_until = max(self._granted_until, granted_until)
+            if current is not None and current is self._session:
+                current.grant_lease(response.epoch, granted_until, has_lapsed)
         if current is not None and current is self._session:
-            current.grant_lease(response.epoch, sent_at + response.lease_s)
             current.update_interference(response.pressing)
             current.acknowledge_ends(
                 response.noted, [tuple(key) for key in response.settled]
--- a/src/bilberrypass/hosting/leases.py
+++ b/src/bilberrypass/hosting/leases.py
@@ -27,14 +27,22 @@
     def __init__(self, end: float) -> None:
         self._lock = threading.Lock()
         self._granted_until = 0.0
+        self._resumed_at = 0.0
         self._end = end
         self._clock_ms = 0
         self._clock_at = 0.0
         self._is_unresponsive = False
 
-    def grant(self, until: float) -> None:
-        """Allow renewals up to this time on ``clock.now``."""
+    def grant(self, until: float, has_lapsed: bool = False) -> None:
+        """Allow renewals up to this time on ``clock.now``.
+
+        ``has_lapsed`` says that the agent's grant had expired before. The first grant
+        of a session may also end such a gap, if the session began in it.
+        """
         with self._lock:
+            now = clock.now()
+            if has_lapsed or 0.0 < self._granted_until < now:
+                self._resumed_at = now
             self._granted_until = max(self._granted_until, until)
 
     def record_answer(self, clock_ms: int, at: float) -> None:
@@ -66,6 +74,12 @@
             left_s = until - self._clock_at
             return self._clock_ms + int(left_s * _MIN_CLOCK_RATE * _MS)
 
+    @property
+    def resumed_at(self) -> float:
+        """When the latest grant arrived that found the earlier one expired, or 0."""
+        with self._lock:
+            return self._resumed_at
+
     @property
     def end(self) -> float:
         """The latest end of a lease that was set so far, on ``clock.now``."""
--- a/src/bilberrypass/hosting/run_events.py
+++ b/src/bilberrypass/hosting/run_events.py
@@ -58,6 +58,11 @@
     )
 
 
+def record_barred(run: runs.Run, life: int) -> None:
+    """Record a start that is not executed, because its agent's grant had a gap."""
+    decisions.record("start.barred", task=run.key[0], run=run.key[1], life=life)
+
+
 def record_found(info: messages.RunnerInfo, found: dict[runs.RunKey, str]) -> None:
     """Record runs, with their outcomes, that a session did not know."""
     _found_runs.inc(len(found))
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -96,9 +96,13 @@
         """The latest end, on ``clock.now``, of a lease that was set on the runner."""
         return self._lease.end
 
-    def grant_lease(self, epoch: int, until: float) -> None:
-        """Allow lease renewals up to this time on ``clock.now``."""
-        self._lease.grant(until)
+    def grant_lease(self, epoch: int, until: float, has_lapsed: bool = False) -> None:
+        """Allow lease renewals up to this time on ``clock.now``.
+
+        Starts that were ordered before are barred if ``has_lapsed`` is set or the
+        session's earlier grant has expired: the scheduler may have given them up.
+        """
+        self._lease.grant(until, has_lapsed)
         if epoch > self._epoch:
             self._epoch = epoch
             self._wakeup.set()
@@ -149,6 +153,10 @@
                 self._stop_run(run)
                 return
             lease_end_ms = self._lease.renew()
+            if received_at < self._lease.resumed_at:
+                run_events.record_barred(run, self.info.life)
+                self._stop_run(run)
+                return
             if lease_end_ms is None:
                 if clock.now() > reject_at and not is_uncertain:
                     self._reject(run, "no_lease")
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -37,11 +37,17 @@
 
 
 class Orders(t.NamedTuple):
-    """Orders of a scheduler; agents accept only the highest epoch they have seen."""
+    """Orders of a scheduler; agents accept only the highest epoch they have seen.
+
+    ``agent`` and ``sequence`` identify the host's newest report that the scheduler had
+    applied when it issued the orders; ``agent`` is 0 if they are not known.
+    """
 
     epoch: int
     address: str
     orders: list[Order]
+    agent: int = 0
+    sequence: int = 0
 
 
 class OrdersResponse(t.NamedTuple):
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -390,7 +390,7 @@
         for name, orders in self._orders.items():
             host = self.hosts[name]
             if host.address:
-                self._sender.send(name, host.address, orders)
+                self._sender.send(name, host.address, orders, host.agent, host.sequence)
         self._orders.clear()
 
 
--- a/src/bilberrypass/scheduling/sending.py
+++ b/src/bilberrypass/scheduling/sending.py
@@ -24,8 +24,18 @@
     """Interface through which a scheduler sends its orders."""
 
     @abc.abstractmethod
-    def send(self, host: str, address: str, orders: list[messages.Order]) -> None:
-        """Queue orders for the agent of a host; does not block."""
+    def send(
+        self,
+        host: str,
+        address: str,
+        orders: list[messages.Order],
+        agent: int,
+        sequence: int,
+    ) -> None:
+        """Queue orders for the agent of a host; does not block.
+
+        ``agent`` and ``sequence`` identify the host's newest report.
+        """
 
     @abc.abstractmethod
     def stop(self) -> None:
@@ -35,6 +45,14 @@
         """
 
 
+class _Queue(t.NamedTuple):
+    """Orders for one host, and the report that the oldest of them followed."""
+
+    agent: int
+    sequence: int
+    orders: list[messages.Order]
+
+
 @t.final
 class PeerOrderSender(OrderSender):
     """Sends orders with one queue and at most one call in progress per host.
@@ -60,16 +78,27 @@
         self._on_failed = on_failed
         self._lock = threading.Lock()
         self._peers: dict[str, channels.Peer] = {}
-        self._queued: dict[str, list[messages.Order]] = {}
+        self._queued: dict[str, _Queue] = {}
         self._sending_hosts: set[str] = set()
         self._pool = futures.ThreadPoolExecutor(
             _MAX_CONCURRENT_CALLS, thread_name_prefix="send"
         )
 
-    def send(self, host: str, address: str, orders: list[messages.Order]) -> None:
-        """Queue orders for the agent of a host; does not block."""
+    def send(
+        self,
+        host: str,
+        address: str,
+        orders: list[messages.Order],
+        agent: int,
+        sequence: int,
+    ) -> None:
+        """Queue orders for the agent of a host; does not block.
+
+        ``agent`` and ``sequence`` identify the host's newest report.
+        """
         with self._lock:
-            self._queued.setdefault(host, []).extend(orders)
+            queued = self._queued.setdefault(host, _Queue(agent, sequence, []))
+            queued.orders.extend(orders)
             if host in self._sending_hosts:
                 return
             self._sending_hosts.add(host)
@@ -99,15 +128,18 @@
     def _send_queued(self, host: str, address: str) -> None:
         while True:
             with self._lock:
-                orders = self._queued.pop(host, [])
-                if not orders:
+                queued = self._queued.pop(host, None)
+                if queued is None:
                     self._sending_hosts.discard(host)
                     return
-            if not self._try_send(host, address, orders):
-                self._on_failed(host, orders)
+            if not self._try_send(host, address, queued):
+                self._on_failed(host, queued.orders)
 
-    def _try_send(self, host: str, address: str, orders: list[messages.Order]) -> bool:
-        message = messages.Orders(self._epoch, self._address, orders)
+    def _try_send(self, host: str, address: str, queued: _Queue) -> bool:
+        orders = queued.orders
+        message = messages.Orders(
+            self._epoch, self._address, orders, queued.agent, queued.sequence
+        )
         for _ in range(_MAX_ATTEMPTS):
             deadline = time.monotonic() + _CALL_TIMEOUT_S
             try:
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -155,4 +155,16 @@
         assert runner.started == [(third.task, 3)], runner.started
 
 
+def test_start_is_not_repeated_once_the_lease_has_lapsed():
+    runner = runners.Runner()
+    runner.orders_to_lose = 1_000
+    with sessions.session_with(runner, lease_s=0.6) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        time.sleep(1.2)  # the scheduler declares the run lost by now
+        runner.orders_to_lose = 0
+        current.grant_lease(sessions.EPOCH, clock.now() + 5.0)
+        time.sleep(0.6)
+        assert not runner.started, runner.started
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -31,8 +31,9 @@
     def __init__(self, cluster):
         self._cluster = cluster
 
-    def send(self, host, address, orders):
+    def send(self, host, address, orders, agent, sequence):
         self._cluster.hosts[host].orders.extend(orders)
+        self._cluster.followed.append((host, agent, sequence))
 
     def stop(self):
         pass
@@ -127,6 +128,7 @@
         self.table = table
         self.hosts: dict[str, FakeHost] = {}
         self.lost_leadership: list[str] = []
+        self.followed: list[tuple[str, int, int]] = []  # host, agent, report of orders
         self._end_numbers = itertools.count(1)
         self.epoch = 0
         self.last_contact_at = clock.now()
--- a/testing/scheduling/test_order_delivery.py
+++ b/testing/scheduling/test_order_delivery.py
@@ -1,9 +1,11 @@
 """Delivery of orders: lost ones are resent, and none precedes its stored start."""
 
+import threading
 import time
 
 from bilberrypass import clock
-from bilberrypass.scheduling import jobs
+from bilberrypass.connection import channels
+from bilberrypass.scheduling import jobs, messages, sending
 from testing import collecting, fixtures
 from testing.scheduling import clusters
 
@@ -77,4 +79,38 @@
         assert old is cluster.scheduler and not host.orders
 
 
+def test_orders_name_the_newest_report_that_they_follow():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        host.report()
+        cluster.submit(jobs.Step(1, cpu_milli=100))
+        fixtures.wait_until(lambda: host.orders, 5.0, "an order")
+        assert cluster.followed == [("h1", host.agent, host.sequence)]
+
+
+def test_orders_sent_together_name_the_report_that_the_oldest_follows():
+    received, may_answer = [], threading.Event()
+
+    def serve(req):
+        received.append((req.agent, req.sequence, len(req.orders)))
+        may_answer.wait(0.9)
+        return messages.OrdersResponse(True, 1)
+
+    server = channels.Server("127.0.0.1:0", {messages.ORDERS: serve}, threads=1)
+    server.start()
+    sender = sending.PeerOrderSender(1, "s:1", lambda *_: None)
+    order = messages.Order(Verb.START, "a.0.0.0", 1, 1)
+    try:
+        sender.send("h1", server.address, [order], 5, 1)
+        fixtures.wait_until(lambda: received, 5.0, "the first call")
+        sender.send("h1", server.address, [order], 5, 2)
+        sender.send("h1", server.address, [order], 5, 3)
+        may_answer.set()
+        fixtures.wait_until(lambda: len(received) == 2, 5.0, "the second call")
+        assert received == [(5, 1, 1), (5, 2, 2)], received
+    finally:
+        sender.stop()
+        server.stop(0)
+
+
 load_tests = collecting.hook(__name__)
