--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -91,14 +91,13 @@
         """The latest time, on ``clock.now``, at which the runner's lease may end."""
         return self._lease.latest_end
 
-    @property
-    def lease_end(self) -> float:
-        """The latest end, on ``clock.now``, of a lease that was set on the runner."""
-        return self._lease.end
+    def grant_lease(self, epoch: int, until: float, has_lapsed: bool = False) -> None:
+        """Allow lease renewals up to this time on ``clock.now``.
 
-    def grant_lease(self, epoch: int, until: float) -> None:
-        """Allow lease renewals up to this time on ``clock.now``."""
-        self._lease.grant(until)
+        Starts that were ordered before are barred if ``has_lapsed`` is set or the
+        session's earlier grant has expired: the scheduler may have given them up.
+        """
+        self._lease.grant(until, has_lapsed)
         if epoch > self._epoch:
             self._epoch = epoch
             self._wakeup.set()
@@ -145,10 +144,18 @@
         attempts = 0
         reject_at = clock.now() + _LEASE_GRANT_TIMEOUT_S
         while not self._ended.is_set() and not run.is_final:
+            # Read before the wish to stop: later stops are left to other threads.
+            is_listed = run.state is runs.State.RUNNING
             if run.is_stop_wanted:
                 self._stop_run(run)
                 return
+            if is_listed:
+                return
             lease_end_ms = self._lease.renew()
+            if received_at < self._lease.resumed_at:
+                run_events.record_barred(run, self.info.life)
+                self._stop_run(run)
+                return
             if lease_end_ms is None:
                 if clock.now() > reject_at and not is_uncertain:
                     self._reject(run, "no_lease")
@@ -173,7 +180,10 @@
                     run_events.record_delayed_start(
                         run, self.info.life, attempts, received_at, answer
                     )
-            elif is_uncertain:
+                # A stop that arrived during the call was left to this thread.
+                if run.is_stop_wanted:
+                    self._stop_run(run)
+            elif is_uncertain or run.state is not runs.State.STARTING:
                 self._stop_run(run)
             else:
                 self._reject(run, answer.reason)
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -12,6 +12,7 @@
 _MS: t.Final = 1_000
 _POLL_PATH: t.Final = "/api/hold"
 _POLL_MARGIN_S: t.Final = 1.0  # a long poll times out this long after its wait
+_MAX_LISTED_ENDS: t.Final = 500  # PROTOCOL.md
 _WRONG_LIFE_STATUS: t.Final = 421
 _STATUS_REASONS: t.Final = {400: "invalid", 421: "life", 429: "busy", 503: "busy"}
 
@@ -109,9 +110,7 @@
     def __init__(self, id: str, life: int, address: str) -> None:
         self._life = life
         self._epoch = 0
-        self._client = http.Client(
-            address, connections=8, check_peer=self._check_life if life else None
-        )
+        self._client = http.Client(address, connections=8, check_peer=self._check_life)
         self._headers = {"Expected-Instance": id}
 
     def _check_life(self, conn: http.Connection) -> None:
@@ -229,4 +228,6 @@
             f"the run lists of the runner are unreadable: {exc}",
         ) from exc
     ended = [runner.EndedRun(*row) for row in lists.ended_runs]
-    return runner.RunnerSnapshot(running, ended, lists.clock_ms, lists.born)
+    return runner.RunnerSnapshot(
+        running, ended, lists.clock_ms, lists.born, len(ended) < _MAX_LISTED_ENDS
+    )
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -47,7 +47,7 @@
     def _get_host(self, name: str) -> hosts.Host:
         host = self._scheduler.hosts.get(name)
         if host is None:
-            host = hosts.Host(name, self._scheduler.earlier_leases_end_by())
+            host = hosts.Host(name, self._scheduler.unknown_leases_end)
             self._scheduler.hosts[name] = host
         return host
 
@@ -217,7 +217,7 @@
         key = str(task.key), task.run
         if not task.is_stored or not host.is_order_lost(key, host.reported_at):
             return
-        is_wanted = task.phase is state.Phase.ORDERED and not task.job.cancelled
+        is_wanted = task.phase is not state.Phase.STOPPING and not task.job.cancelled
         self._resend(host, task, Verb.START if is_wanted else Verb.STOP)
 
     def _resend(self, host: hosts.Host, task: state.Task, verb: Verb) -> None:
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -1,8 +1,11 @@
 """Lost, late and repeated orders: a run that may still start never counts as gone."""
 
+import threading
 import time
 
 from bilberrypass import clock
+from bilberrypass.hosting import runner as runner_client
+from bilberrypass.hosting import runs
 from bilberrypass.scheduling import messages
 from testing import collecting, fixtures
 from testing.hosting import sessions
@@ -124,4 +127,94 @@
         assert clock.now() + left_ms / 980 <= granted_until + 0.05
 
 
+def test_stop_that_arrives_during_a_start_is_executed():
+    runner = runners.Runner()
+    start, called, may_answer = runner.start, threading.Event(), threading.Event()
+
+    def start_slowly(*args):
+        called.set()
+        may_answer.wait(2.0)
+        return start(*args)
+
+    runner.start = start_slowly
+    stop = sessions.order(Verb.STOP)
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        assert called.wait(2.0)
+        current.execute_orders(sessions.EPOCH, [stop])
+        may_answer.set()
+        time.sleep(0.5)
+        current.execute_orders(sessions.EPOCH, [stop._replace(is_repeated=True)])
+        time.sleep(0.5)
+        assert not runner.running, sessions.row(current)
+
+
+def test_run_whose_end_is_not_listed_yet_is_not_missing():
+    table = runs.RunTable(threading.Event())
+    order = sessions.order(Verb.START)
+    table.record_obeyed(table.apply_order(order), 10.0)
+    ended = [runner_client.EndedRun(1, "b" * 16 + ".0.0.0", 1, "done", "")]
+    snapshot = runner_client.RunnerSnapshot([], ended, 1, 1_000, has_all_ends=False)
+    table.apply_snapshot(snapshot, 20.0)
+    rows = {(row.task, row.run): row for row in table.rows()}
+    assert rows[order.task, order.run].state != State.GONE
+    table.apply_snapshot(snapshot._replace(has_all_ends=True), 20.0)
+    rows = {(row.task, row.run): row for row in table.rows()}
+    assert rows[order.task, order.run].state == State.GONE
+
+
+def test_run_on_the_runner_is_not_rejected_for_want_of_a_lease():
+    runner = runners.Runner()
+    runner.lease_end_ms = 60_000
+    runner.running[sessions.TASK, 1] = ""
+    with sessions.session_with(runner, lease_s=0.0) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        for _ in fixtures.polls(4.0):
+            # A rejected run that is still listed is stopped.
+            assert not runner.ended, runner.ended
+
+
+def test_start_delivered_again_after_its_rejection_is_not_executed():
+    runner = runners.Runner(max_runs=0)
+    order = sessions.order(Verb.START)
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [order])
+        sessions.await_state(current, State.REJECTED)
+        current.acknowledge_ends(0, [(order.task, order.run)])
+        runner.max_runs = 1
+        current.execute_orders(sessions.EPOCH, [order])
+        time.sleep(0.5)
+        assert not runner.started, runner.started
+
+
+def test_start_of_a_settled_run_is_answered_by_a_rejection():
+    """A scheduler that still tracks the run would repeat the start forever."""
+    runner = runners.Runner(max_runs=0)
+    first, second = sessions.order(Verb.START), sessions.order(Verb.START, run=2)
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [second])
+        sessions.await_state(current, State.REJECTED, run=2)
+        current.acknowledge_ends(0, [(second.task, second.run)])
+        runner.max_runs = 1
+        current.execute_orders(sessions.EPOCH, [first, second])
+        assert sessions.row(current, 1).outcome == "settled"
+        assert sessions.row(current, 2).outcome == "settled"
+        third = sessions.order(Verb.START, run=3)
+        current.execute_orders(sessions.EPOCH, [third])
+        sessions.await_state(current, State.RUNNING, run=3)
+        assert runner.started == [(third.task, 3)], runner.started
+
+
+def test_start_is_not_repeated_once_the_lease_has_lapsed():
+    runner = runners.Runner()
+    runner.orders_to_lose = 1_000
+    with sessions.session_with(runner, lease_s=0.6) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        time.sleep(1.2)  # the scheduler declares the run lost by now
+        runner.orders_to_lose = 0
+        current.grant_lease(sessions.EPOCH, clock.now() + 5.0)
+        time.sleep(0.6)
+        assert not runner.started, runner.started
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/platform/test_runner.py
+++ b/testing/platform/test_runner.py
@@ -113,4 +113,25 @@
         assert current.started == [(_TASK, 1)]
 
 
+def test_full_page_of_ends_is_no_complete_list():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        client = _client(process, _LIFE)
+        process.runner.ended = [
+            runner.EndedRun(n, f"{n:016x}.0.0.0", 1, "done", "") for n in range(1, 501)
+        ]
+        assert not _poll(client).has_all_ends
+        assert _poll(client, acknowledged_end=1).has_all_ends
+
+
+def test_client_of_a_life_that_is_not_known_does_not_reach_one_that_is_stated():
+    with runhttp.RunnerProcess(_ID, _LIFE) as process:
+        _assert_not_executed(_start, _client(process, 0))
+        assert not process.runner.started
+
+
+def test_runner_that_states_no_life_is_reached():
+    with runhttp.RunnerProcess(_ID, 0) as process:
+        assert not _start(_client(process, 0)).reason
+
+
 load_tests = collecting.hook(__name__)
