--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.execution import ledger, task_events, throttle
+from bilberrypass.execution import epochs, ledger, task_events, throttle
 from bilberrypass.version import work
 
 _log = logbook.Logger("tasks")
@@ -61,7 +61,6 @@
         self._runs: dict[work.TaskId, worker.Run] = {}
         self._expiries: dict[work.TaskId, float] = {}
         self._lease_s: float = 0.0
-        self._epochs: dict[int, int] = {}
         self._starting: set[work.TaskId] = set()
         self._uncertain: set[work.TaskId] = set()
         self._stopped: collections.OrderedDict[work.TaskId, None] = (
@@ -72,6 +71,7 @@
         self._throttle = throttle.Throttle()
         self._polled_at = 0.0
         self.is_fenced = False
+        self.epochs = epochs.ShardEpochs()
         self.ledger = ledger.Ledger(host, resources.Demand())
 
     def attach(self) -> None:
@@ -94,23 +94,11 @@
         unsettled = self._starting | self._uncertain
         self.ledger.rebuild(found.capacity, held, unsettled)
 
-    def check_epoch(self, shard: int, epoch: int) -> None:
-        """Raise STALE if a newer owner of the shard is known; else record the epoch."""
-        with self._lock:
-            newest = max(epoch, self._epochs.get(shard, 0))
-            self._epochs[shard] = newest
-        if epoch < newest:
-            raise errors.Refused(
-                errors.Kind.STALE,
-                f"shard {shard} has a newer owner (epoch {newest}, not {epoch}); "
-                "stop acting as its owner",
-            )
-
     def start(
         self, req: messages.StartRequest, sent_at: float
     ) -> messages.StartResponse:
         """Start tasks with leases counted from the time a report was sent."""
-        self.check_epoch(req.shard, req.epoch)
+        self.epochs.check(req.shard, req.epoch)
         expiry = sent_at + req.lease_s
         outcomes = [self._start_one(spec, expiry) for spec in req.specs]
         return messages.StartResponse(outcomes)
@@ -175,7 +163,7 @@
         """Renew the leases of all tasks of the granted shards."""
         for grant in grants:
             try:
-                self.check_epoch(grant.shard, grant.epoch)
+                self.epochs.check(grant.shard, grant.epoch)
             except errors.Refused as exc:
                 _log.warning("tasks: lease renewal ignored: {}", exc.detail)
                 continue
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -92,7 +92,7 @@
 
 def test_older_owner_is_refused():
     with _agent() as (_, host_tasks):
-        host_tasks.check_epoch(0, 5)
+        host_tasks.epochs.check(0, 5)
         exc = fixtures.error_of(errors.Refused, _start, host_tasks, _spec())
         assert exc.kind is errors.Kind.STALE, exc
 
