Keep a run that starts while its agent attaches

Cause: an inventory was taken as proof that a run does not exist, although the run may have started after the inventory was compiled. Tasks.attach replaced the known runs by the inventory of the attach response. From the moment the client has the new generation, other threads start tasks under it; such a run was dropped from the list together with its reservation, until the next poll (0.5 s).

Sequence: the worker is replaced; the agent attaches (inventory: empty); another thread starts task 0, which the worker accepts and the owner hears of; the agent adopts the empty inventory. Reports then lack a confirmed run while the inventory counts as current: two of them make the owner place the task elsewhere (batch/liveness.py; by reading). The room of the run is given away as well.

Change: a run that was not known when the attach was sent is kept, as a poll does it already (_Known). If the worker does not have it, the next poll removes it.

Before: execution.test_tasks failed 1 of 10: test_run_started_during_attach_is_not_dropped assert [state.task for state in host_tasks.states()] == [_spec(0).task] AssertionError After: 10 passed; batch.test_model passed.

--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -77,20 +77,28 @@
     def attach(self) -> None:
         """Attach as the worker's newest agent and adopt its running tasks."""
         started_at = time.monotonic()
+        with self._lock:
+            known_before = frozenset(self._runs)
         found = self._driver.attach(started_at + _CALL_TIMEOUT_S, self._incarnation)
         with self._lock:
-            self._adopt(found)
+            self._adopt(found, known_before)
             self._polled_at = started_at
         _log.info(
             "tasks: attached to worker of {} with {} tasks", self._host, len(found.runs)
         )
 
-    def _adopt(self, found: worker.Inventory) -> None:
-        ends = {k: run for k, run in self._runs.items() if run.state not in LIVE_STATES}
-        self._runs = ends | {run.spec.task: run for run in found.runs}
-        held = {
-            r.spec.task: r.spec.demand for r in found.runs if r.state in LIVE_STATES
+    def _adopt(
+        self, found: worker.Inventory, known_before: frozenset[work.TaskId]
+    ) -> None:
+        # A run may have started after the worker compiled its inventory.
+        kept = {
+            task: run
+            for task, run in self._runs.items()
+            if task not in known_before or run.state not in LIVE_STATES
         }
+        self._runs = kept | {run.spec.task: run for run in found.runs}
+        live = [run for run in self._runs.values() if run.state in LIVE_STATES]
+        held = {run.spec.task: run.spec.demand for run in live}
         unsettled = self._starting | self._uncertain
         self.ledger.rebuild(found.capacity, held, unsettled)
 
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -82,6 +82,23 @@
         assert _start(host_tasks, _spec(1, cpu_milli=4)) == [""]
 
 
+def test_run_started_during_attach_is_not_dropped():
+    with _agent() as (fake, host_tasks):
+        driver = host_tasks._driver
+        attach = driver.attach
+
+        def attach_then_start(*args):
+            found = attach(*args)
+            assert _start(host_tasks, _spec(0, cpu_milli=4)) == [""]
+            return found
+
+        driver.attach = attach_then_start
+        host_tasks._attach_again()
+        assert [state.task for state in host_tasks.states()] == [_spec(0).task]
+        assert _start(host_tasks, _spec(1)) == [errors.Kind.NO_ROOM]
+        assert len(fake.running_runs()) == 1
+
+
 def test_task_with_expiring_lease_is_checkpointed_and_stopped():
     with _agent() as (fake, host_tasks):
         _start(host_tasks, _spec(), lease_s=0.9)
