Refuse a start of an attempt that ended before the worker restarted

Cause: the worker alone kept an attempt from starting twice on its host, and a restarted worker knows neither the runs nor the tombstones of its earlier life. The agent barred only the attempts that it had stopped itself. A start that names a recent report of the agent passes all checks (epoch, incarnation, sequence, lease), so a resent or delayed one ran the attempt once more.

Sequences, each with a start that arrives twice around a restart of the worker: - the run is lost with the worker's earlier life; two reports lack it, the owner places the task elsewhere; the late start runs it here too; - the same after an inventory without the run; - the run finished, its end is stored and forgotten; the late start runs it again; - the answer of the first start was lost, the run finished; the owner resends the start, the next life runs the task again, and the end that nobody stored is overwritten.

Change: the agent bars each attempt that was lost or forgotten here. The start of a run whose end is known but not stored yet is confirmed without a call, as the worker's earlier life would have done.

Before: execution.test_tasks failed 4 of 14: test_late_start_does_not_repeat_a_run_lost_by_a_restarted_worker test_late_start_does_not_repeat_a_run_lost_by_the_worker test_late_start_does_not_repeat_a_forgotten_run_on_a_restarted_worker assert _start(host_tasks, _spec()) == [errors.Kind.STALE] test_resent_start_does_not_repeat_a_finished_run_on_a_restarted_worker assert not fake.running_runs() After: 14 passed; batch.test_model passed.

--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -1,6 +1,5 @@
 """Lifecycle of the tasks on one host: start, lease renewal, stop and end."""
 
-import collections
 import threading
 import time
 import typing as t
@@ -9,7 +8,7 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.execution import epochs, ledger, task_events, throttle
+from bilberrypass.execution import barred, epochs, ledger, task_events, throttle
 from bilberrypass.version import work
 
 _log = logbook.Logger("tasks")
@@ -19,7 +18,6 @@
 _MAX_INVENTORY_AGE_S: t.Final = 3.0
 _MIN_STOP_MARGIN_S: t.Final = 1.0
 _STOP_MARGIN_LEASE_SHARE: t.Final = 0.1
-_MAX_REMEMBERED_STOPS: t.Final = 4_096
 
 LIVE_STATES: t.Final = frozenset({"running", "checkpointed"})
 
@@ -63,9 +61,7 @@
         self._lease_s: float = 0.0
         self._starting: set[work.TaskId] = set()
         self._uncertain: set[work.TaskId] = set()
-        self._stopped: collections.OrderedDict[work.TaskId, None] = (
-            collections.OrderedDict()
-        )
+        self._barred = barred.BarredAttempts()
         self._usage: worker.Usage | None = None
         self._may_throttle = may_throttle
         self._throttle = throttle.Throttle()
@@ -96,7 +92,10 @@
             for task, run in self._runs.items()
             if task not in known_before or run.state not in LIVE_STATES
         }
-        self._runs = kept | {run.spec.task: run for run in found.runs}
+        listed = {run.spec.task: run for run in found.runs}
+        for task in self._runs.keys() - kept.keys() - listed.keys():
+            self._remove_lost(task)
+        self._runs = kept | listed
         live = [run for run in self._runs.values() if run.state in LIVE_STATES]
         held = {run.spec.task: run.spec.demand for run in live}
         unsettled = self._starting | self._uncertain
@@ -113,7 +112,8 @@
 
     def _start_one(self, spec: work.Spec, expiry: float) -> messages.StartOutcome:
         try:
-            self._begin_start(spec.task, expiry)
+            if not self._begin_start(spec.task, expiry):
+                return messages.StartOutcome(spec.task)
             try:
                 self.ledger.admit(spec.task, spec.demand)
                 self._start_admitted(spec, expiry)
@@ -125,7 +125,8 @@
         task_events.record_start(self._host, spec)
         return messages.StartOutcome(spec.task)
 
-    def _begin_start(self, task: work.TaskId, expiry: float) -> None:
+    def _begin_start(self, task: work.TaskId, expiry: float) -> bool:
+        """Return whether to start the task, False if its run has ended already."""
         if time.monotonic() >= expiry:
             raise errors.Refused(
                 errors.Kind.STALE, f"the lease of {task} expired before its start"
@@ -136,11 +137,15 @@
                     errors.Kind.KEY_IN_USE,
                     f"the start of {task} is in progress; retry later",
                 )
-            if task in self._stopped:
+            if task in self._barred:
                 raise errors.Refused(
-                    errors.Kind.STALE, f"{task} was stopped here; place a new attempt"
+                    errors.Kind.STALE, f"{task} has ended here; place a new attempt"
                 )
+            known = self._runs.get(task)
+            if known is not None and known.state not in LIVE_STATES:
+                return False
             self._starting.add(task)
+            return True
 
     def _start_admitted(self, spec: work.Spec, expiry: float) -> None:
         try:
@@ -152,7 +157,7 @@
             raise
         with self._lock:
             self._uncertain.discard(spec.task)
-            if spec.task not in self._stopped:
+            if spec.task not in self._barred:
                 self._runs[spec.task] = run
                 known = self._expiries.get(spec.task, 0.0)
                 self._expiries[spec.task] = max(known, expiry)
@@ -223,6 +228,7 @@
             for task in ended:
                 self._runs.pop(task, None)
                 self._expiries.pop(task, None)
+                self._barred.add(task)
 
     def stop(self, tasks: list[work.TaskId], checkpoint: bool) -> messages.StopResponse:
         """Stop tasks, after a checkpoint if requested.
@@ -252,10 +258,7 @@
     def _record_stop(self, task: work.TaskId, run: worker.Run) -> None:
         self._runs[task] = run
         self._uncertain.discard(task)
-        # The worker may forget the stop when it restarts.
-        self._stopped[task] = None
-        while len(self._stopped) > _MAX_REMEMBERED_STOPS:
-            self._stopped.popitem(last=False)
+        self._barred.add(task)
         if task not in self._starting:
             self.ledger.release(task)
 
@@ -346,7 +349,9 @@
         _log.warning("tasks: the worker of {} has lost {}", self._host, task)
         del self._runs[task]
         self._expiries.pop(task, None)
-        self.ledger.release(task)
+        self._barred.add(task)
+        if task not in self._starting:
+            self.ledger.release(task)
 
     def _stop_missed_starts(
         self, found: worker.Inventory, known_before: _Known
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -25,6 +25,13 @@
     return work.Spec(task, resources.Demand(cpu_milli, 1, 0), "")
 
 
+def _restart_worker(fake, host_tasks):
+    fake.runs.clear()
+    fake.tombstones.clear()
+    fake.generation += 1
+    host_tasks._attach_again()
+
+
 def _start(host_tasks, *specs, sent_at=None, lease_s=_LEASE_S):
     req = messages.StartRequest("e", 0, 1, 1, 1, lease_s, list(specs))
     sent_at = time.monotonic() if sent_at is None else sent_at
@@ -99,6 +106,48 @@
         assert len(fake.running_runs()) == 1
 
 
+def test_late_start_does_not_repeat_a_run_lost_by_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        _start(host_tasks, _spec())
+        _restart_worker(fake, host_tasks)
+        assert host_tasks.states() == []
+        assert _start(host_tasks, _spec()) == [errors.Kind.STALE]
+        assert not fake.running_runs()
+
+
+def test_late_start_does_not_repeat_a_run_lost_by_the_worker():
+    with _agent() as (fake, host_tasks):
+        _start(host_tasks, _spec())
+        fake.runs.clear()
+        host_tasks.poll()
+        assert _start(host_tasks, _spec()) == [errors.Kind.STALE]
+        assert not fake.running_runs()
+
+
+def test_late_start_does_not_repeat_a_forgotten_run_on_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        _finish(fake, host_tasks)
+        host_tasks.forget([_spec().task])
+        _restart_worker(fake, host_tasks)
+        assert _start(host_tasks, _spec()) == [errors.Kind.STALE]
+        assert not fake.running_runs()
+
+
+def test_resent_start_does_not_repeat_a_finished_run_on_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        _finish(fake, host_tasks)
+        _restart_worker(fake, host_tasks)
+        assert _start(host_tasks, _spec()) == [""]
+        assert not fake.running_runs()
+        assert [state.state for state in host_tasks.states()] == ["finished"]
+
+
+def _finish(fake, host_tasks):
+    _start(host_tasks, _spec())
+    fake.end_run(_spec().task, "finished")
+    host_tasks.poll()
+
+
 def test_task_with_expiring_lease_is_checkpointed_and_stopped():
     with _agent() as (fake, host_tasks):
         _start(host_tasks, _spec(), lease_s=0.9)
