Keep the known end of a run when a restarted worker does not have it

Cause: a worker that answers a stop with 'no such run' was taken as proof that the task never ran. A restarted worker has forgotten all runs, also those whose end the agent knows but no owner has stored yet; the end was overwritten with 'stopped, never ran'.

Sequence: a run finishes; the worker restarts; an eviction or a cancellation of the task reaches the agent before its end is stored. The owner stores 'stopped' and, for an eviction, runs the finished task again.

Change: the agent answers with the end that it knows.

Before: execution.test_tasks failed 1 of 15: test_stop_after_worker_restart_keeps_the_finished_run assert end.state == 'finished', end AssertionError: TaskState(... state='stopped' ... detail='never ran' ...) After: 15 passed; batch.test_model passed.

--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -8,7 +8,14 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.execution import barred, epochs, ledger, task_events, throttle
+from bilberrypass.execution import (
+    barred,
+    epochs,
+    ledger,
+    states,
+    task_events,
+    throttle,
+)
 from bilberrypass.version import work
 
 _log = logbook.Logger("tasks")
@@ -141,12 +148,16 @@
                 raise errors.Refused(
                     errors.Kind.STALE, f"{task} has ended here; place a new attempt"
                 )
-            known = self._runs.get(task)
-            if known is not None and known.state not in LIVE_STATES:
+            if self._find_end(task):
                 return False
             self._starting.add(task)
             return True
 
+    def _find_end(self, task: work.TaskId) -> worker.Run | None:
+        """Return the run of a task if it has ended and its end is not stored yet."""
+        run = self._runs.get(task)
+        return run if run is not None and run.state not in LIVE_STATES else None
+
     def _start_admitted(self, spec: work.Spec, expiry: float) -> None:
         try:
             run = self._driver.start(spec, expiry, time.monotonic() + _CALL_TIMEOUT_S)
@@ -247,13 +258,12 @@
         if checkpoint:
             self._try_checkpoint(task)
         run = self._driver.stop(task, time.monotonic() + _CALL_TIMEOUT_S)
-        if run is None:
-            run = worker.Run(
-                work.Spec(task, resources.Demand(), ""), "stopped", "", "never ran"
-            )
         with self._lock:
+            if run is None:
+                # A restarted worker has forgotten the runs that ended.
+                run = self._find_end(task) or states.never_ran(task)
             self._record_stop(task, run)
-        return _task_state(run)
+        return states.task_state(run)
 
     def _record_stop(self, task: work.TaskId, run: worker.Run) -> None:
         self._runs[task] = run
@@ -282,7 +292,7 @@
     def states(self) -> list[messages.TaskState]:
         """Return the states of all known tasks, including ended ones."""
         with self._lock:
-            return [_task_state(run) for run in self._runs.values()]
+            return [states.task_state(run) for run in self._runs.values()]
 
     @property
     def usage(self) -> worker.Usage | None:
@@ -384,14 +394,3 @@
                 self._host,
                 exc.detail,
             )
-
-
-def _task_state(run: worker.Run) -> messages.TaskState:
-    return messages.TaskState(
-        run.spec.task,
-        run.state,
-        run.spec.demand,
-        run.checkpoint,
-        run.detail,
-        task_class=run.spec.task_class,
-    )
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -148,6 +148,15 @@
     host_tasks.poll()
 
 
+def test_stop_after_worker_restart_keeps_the_finished_run():
+    with _agent() as (fake, host_tasks):
+        _finish(fake, host_tasks)
+        _restart_worker(fake, host_tasks)
+        (end,) = host_tasks.stop([_spec().task], checkpoint=True).ends
+        assert end.state == "finished", end
+        assert [state.state for state in host_tasks.states()] == ["finished"]
+
+
 def test_task_with_expiring_lease_is_checkpointed_and_stopped():
     with _agent() as (fake, host_tasks):
         _start(host_tasks, _spec(), lease_s=0.9)
