Stop a start that its own stop overtook on a restarted worker

Cause: a stop bars an attempt at the worker's present life only. A start that the agent had admitted before takes the generation of the client when it is sent, so after a restart the next life executes it. The agent then kept the end 'stopped', which it had reported, and ignored the run in each later inventory: the task ran here, unreported and without a reservation, until its lease ended, and elsewhere as a new attempt.

Sequence: start admitted; stop answered 'never ran'; worker restarts; agent attaches; start sent with the new generation and accepted.

Change: a start whose attempt was barred meanwhile is stopped at once.

What remains: the run exists for the time of one call, and up to its lease if that stop is lost. A start bound to the generation under which it was admitted would not run at all; it needs a parameter of worker.Worker.start.

--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -168,10 +168,13 @@
             raise
         with self._lock:
             self._uncertain.discard(spec.task)
-            if spec.task not in self._barred:
+            is_barred = spec.task in self._barred
+            if not is_barred:
                 self._runs[spec.task] = run
                 known = self._expiries.get(spec.task, 0.0)
                 self._expiries[spec.task] = max(known, expiry)
+        if is_barred and run.state in LIVE_STATES:
+            self._stop_one(spec.task, checkpoint=False)
 
     def _finish_start(self, task: work.TaskId) -> None:
         with self._lock:
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -157,6 +157,22 @@
         assert [state.state for state in host_tasks.states()] == ["finished"]
 
 
+def test_start_overtaken_by_its_stop_does_not_run_on_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        driver = host_tasks._driver
+        start = driver.start
+
+        def stop_and_restart_first(*args):
+            host_tasks.stop([_spec().task], checkpoint=False)
+            _restart_worker(fake, host_tasks)
+            return start(*args)
+
+        driver.start = stop_and_restart_first
+        _start(host_tasks, _spec())
+        assert not fake.running_runs()
+        assert [state.state for state in host_tasks.states()] == ["stopped"]
+
+
 def test_task_with_expiring_lease_is_checkpointed_and_stopped():
     with _agent() as (fake, host_tasks):
         _start(host_tasks, _spec(), lease_s=0.9)
