Send no start after the shard has changed its owner

Cause: the ownership of a shard was checked before its starts were queued, and not again when they were sent. A start quotes the newest report of its host at the time of the call, so one that was queued before a pause gets a lease that begins after the pause. That leases count from the agent's own report protects only if the report arrived while the shard was owned.

Sequence: an owner places a task on h0 and queues the start; the process is paused past its lease; the next owner, which h0 does not reach, waits until h0's lease is over and places the task on h1; the first owner wakes up, h0 reports to it, and the queued start quotes that report. h0 has not heard of the newer epoch and accepts.

Change: the ownership, in the epoch of the start, is checked after the report has been read. The lease then counts from a moment at which the shard was owned, which the next owner allows for (LivenessTracker.lease_expiry, owned_at), however late the start arrives.

--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -32,6 +32,9 @@
 class OutcomeListener(t.Protocol):
     """Receives the outcomes of starts and stops; called on the sending thread."""
 
+    def is_owner(self, epoch: int) -> bool:
+        """Return whether the shard certainly still has the owner of this epoch."""
+
     def on_started(self, task: work.TaskId) -> None:
         """Handle the confirmation that a task was started."""
 
@@ -146,6 +149,10 @@
         if host is None:
             return
         report = host.report
+        # The leases count from this report, so they begin while the shard is owned.
+        if not self._listener.is_owner(sender.epoch):
+            _log.info("outbox: starts on {} dropped: owner replaced", host_id)
+            return
         req = messages.StartRequest(
             entry=sender.entry,
             shard=sender.shard,
--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -184,6 +184,10 @@
             detail = f"{record.host} did not answer the start"
             self.submit(lambda jobs: records.revoke_placement(jobs, task, detail))
 
+    def is_owner(self, epoch: int) -> bool:
+        """Return whether this entry certainly still owns the shard in this epoch."""
+        return self.ownership.is_held and self.ownership.epoch == epoch
+
     def on_started(self, task: work.TaskId) -> None:
         """Record that a host has confirmed the start of a task."""
         self._liveness.confirm(task)
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -1,5 +1,6 @@
 """Starts sent by an owner, and the certainty of a refusal after a resend."""
 
+import concurrent.futures as futures
 import time
 import typing as t
 
@@ -32,6 +33,10 @@
 class _Listener:
     def __init__(self):
         self.calls = []
+        self.epoch = _SENDER.epoch
+
+    def is_owner(self, epoch):
+        return epoch == self.epoch
 
     def on_started(self, task):
         self.calls.append("started")
@@ -81,4 +86,22 @@
     assert _send([stale, ""]) == ["started"]
 
 
+class _DeferringExecutor(futures.Executor):
+    def __init__(self):
+        self.calls = []
+
+    def submit(self, fn, /, *args, **kwargs):
+        self.calls.append(lambda: fn(*args, **kwargs))
+
+
+def test_start_queued_before_the_shard_changed_its_owner_is_not_sent():
+    listener, pool, hosts = _Listener(), _DeferringExecutor(), _Hosts([""])
+    sender = outbox.Outbox(hosts, liveness.LivenessTracker(60.0), listener, pool)
+    sender.start(_SENDER, "h0", [_spec()])
+    listener.epoch = _SENDER.epoch + 1
+    pool.calls.pop()()
+    assert hosts.answers == [""], "the start was sent"
+    assert listener.calls == []
+
+
 load_tests = collecting.hook(__name__)
