Take no refusal as certain after the shard had another owner

Cause: a refused start counted as proof that the task does not run if this entry had placed it and had never sent it. The mark survived the loss of the shard. Another owner may have sent the start in between.

Sequence: entry 1 stores a placement on h0 and loses the shard before it sends the start; entry 2 sends it, h0 runs the task; the shard moves back to entry 1, which sends the start before the next report of h0; h0 is leaving by now and refuses. Entry 1 takes the refusal as certain and places the task elsewhere while it runs on h0.

Change: the mark names the epoch in which the task was placed, and counts for a start of that epoch only. A later refusal leads to a stop, which the host has to confirm.

Before (with the new parameter accepted and ignored): batch.test_outbox failed 1 of 6: test_refusal_is_not_certain_after_the_shard_had_another_owner assert listener.calls == ['refused, certain: False'] After: 6 passed; batch.test_model passed.

--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -78,7 +78,7 @@
         self._lock = threading.Lock()
         self._hosts_in_call: set[str] = set()
         self._sent_at: dict[work.TaskId, float] = {}
-        self._first_sends: set[work.TaskId] = set()
+        self._first_sends: dict[work.TaskId, int] = {}
         self._pool = pool or futures.ThreadPoolExecutor(
             _SEND_THREADS, thread_name_prefix="send"
         )
@@ -88,15 +88,18 @@
         kept = set(tasks)
         with self._lock:
             self._sent_at = {k: v for k, v in self._sent_at.items() if k in kept}
-            self._first_sends &= kept
+            self._first_sends = {
+                k: v for k, v in self._first_sends.items() if k in kept
+            }
 
-    def mark_first_send(self, tasks: t.Collection[work.TaskId]) -> None:
+    def mark_first_send(self, tasks: t.Collection[work.TaskId], epoch: int) -> None:
         """Mark these tasks as never sent before, by this or any other owner.
 
-        A refusal of such a start is certain.
+        A refusal of such a start is certain if it is sent in the same epoch; otherwise
+        another owner may have sent it in between.
         """
         with self._lock:
-            self._first_sends.update(tasks)
+            self._first_sends.update(dict.fromkeys(tasks, epoch))
 
     def start(
         self, sender: SenderIdentity, host_id: str, specs: list[work.Spec]
@@ -164,7 +167,7 @@
         )
         self._liveness.record_lease_renewal(host_id, host.reported_at)
         for outcome in self._call_start(host, req):
-            self._handle_outcome(outcome)
+            self._handle_outcome(outcome, sender.epoch)
 
     def _call_start(
         self, host: fleet.Host, req: messages.StartRequest
@@ -181,12 +184,13 @@
                 messages.StartOutcome(spec.task, kind, exc.detail) for spec in req.specs
             ]
 
-    def _handle_outcome(self, outcome: messages.StartOutcome) -> None:
+    def _handle_outcome(self, outcome: messages.StartOutcome, epoch: int) -> None:
         task = outcome.task
         if not outcome.kind:
             self._listener.on_started(task)
         elif errors.RESPONSES[errors.Kind(outcome.kind)].ran is errors.Ran.NO:
-            self._listener.on_refused(task, outcome.detail, task in self._first_sends)
+            is_certain = self._first_sends.get(task) == epoch
+            self._listener.on_refused(task, outcome.detail, is_certain)
         else:
             _log.warning(
                 "outbox: outcome of the start of task {} unknown: {}",
@@ -194,7 +198,7 @@
                 outcome.detail,
             )
             with self._lock:
-                self._first_sends.discard(task)
+                self._first_sends.pop(task, None)
 
     def _stop(self, host_id: str, tasks: list[work.TaskId], checkpoint: bool) -> None:
         host = self._hosts.get(host_id)
--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -122,7 +122,8 @@
         self._outbox.retain(kept)
         for host, specs in self._placed.items():
             task_events.record_placement(host, specs)
-            self._outbox.mark_first_send([spec.task for spec in specs])
+            placed = [spec.task for spec in specs]
+            self._outbox.mark_first_send(placed, self.ownership.epoch)
         self._placed = {}
         for host, found in self._on_host.items():
             self._send(host, found)
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -58,7 +58,7 @@
         fakes.InlineExecutor(),
     )
     if is_first_send:
-        sender.mark_first_send([_spec().task])
+        sender.mark_first_send([_spec().task], _SENDER.epoch)
     for _ in answers:
         sender._sent_at.clear()
         sender.start(_SENDER, "h0", [_spec()])
@@ -104,4 +104,18 @@
     assert listener.calls == []
 
 
+def test_refusal_is_not_certain_after_the_shard_had_another_owner():
+    listener = _Listener()
+    sender = outbox.Outbox(
+        _Hosts([errors.Kind.LEAVING]),
+        liveness.LivenessTracker(60.0),
+        listener,
+        fakes.InlineExecutor(),
+    )
+    sender.mark_first_send([_spec().task], _SENDER.epoch)
+    listener.epoch = _SENDER.epoch + 2
+    sender.start(_SENDER._replace(epoch=listener.epoch), "h0", [_spec()])
+    assert listener.calls == ["refused, certain: False"]
+
+
 load_tests = collecting.hook(__name__)
