Compute a worker's leases by the clock of the generation that gets them

Cause: the client kept the worker's generation and the difference of the clocks in two attributes. Other threads start and renew while one attaches, and could take the new generation with the clock of the worker's earlier life: the start passes the fence, and its lease ends at a time of the earlier clock. Where a restarted worker's clock begins anew, the lease outlasts the one that the owner allows for by the whole difference.

Sequences: attach sets the generation; a start reads it with the earlier difference; attach sets the difference. Or: a start computes its expiry; attach completes; the start reads the new generation.

Change: both values are one tuple, read once for each start and renewal and set under the lock; the command carries the generation by which its expiry was computed, so a worker that has restarted since rejects it.

--- a/src/bilberrypass/connection/http_worker.py
+++ b/src/bilberrypass/connection/http_worker.py
@@ -48,6 +48,13 @@
     share: float
 
 
+class _Attachment(t.NamedTuple):
+    """A generation, and how far the worker's clock was ahead of this one's then."""
+
+    generation: int = _NO_GENERATION
+    clock_ahead_s: float = 0.0
+
+
 class Problem(t.TypedDict, total=False):
     """The fields of a problem document that a worker sets in an error response."""
 
@@ -71,39 +78,47 @@
         self._host = host
         self._port = port
         self._lock = threading.Lock()
-        self._generation = _NO_GENERATION
-        self._clock_ahead_s = 0.0
+        self._attachment = _Attachment()
         self._pool = self._new_pool()
 
     def attach(self, deadline: float, incarnation: int = 0) -> worker.Inventory:
         """Become the newest agent; return the capacity and all runs not forgotten."""
         body = AttachRequest(incarnation)
         attached = self._call("POST", "/attach", body, AttachResponse, deadline)
+        newest = _Attachment(attached.generation, _clock_ahead_s(attached.inventory))
         with self._lock:
-            self._generation = max(self._generation, attached.generation)
-        return self._read_clock(attached.inventory)
+            if newest.generation >= self._attachment.generation:
+                self._attachment = newest
+        return attached.inventory
 
     def inventory(self, deadline: float) -> worker.Inventory:
         """Return the host's capacity and all runs not forgotten."""
-        found = self._call("GET", "/inventory", None, worker.Inventory, deadline)
-        return self._read_clock(found)
-
-    def _read_clock(self, found: worker.Inventory) -> worker.Inventory:
-        # The response was in transit for some time, so this is at most the
-        # difference of the clocks, and a lease never outlasts its expiry.
-        self._clock_ahead_s = found.clock_s - time.monotonic()
+        attachment = self._get_attachment()
+        found = self._call(
+            "GET", "/inventory", None, worker.Inventory, deadline, attachment
+        )
+        with self._lock:
+            if self._attachment.generation == attachment.generation:
+                self._attachment = attachment._replace(
+                    clock_ahead_s=_clock_ahead_s(found)
+                )
         return found
 
+    def _get_attachment(self) -> _Attachment:
+        with self._lock:
+            return self._attachment
+
     def start(self, spec: work.Spec, expiry: float, deadline: float) -> worker.Run:
         """Start a task under a lease; the same task and attempt starts only once."""
-        body = StartRequest(spec, expiry + self._clock_ahead_s)
-        return self._call("POST", "/start", body, worker.Run, deadline)
+        attachment = self._get_attachment()
+        body = StartRequest(spec, expiry + attachment.clock_ahead_s)
+        return self._call("POST", "/start", body, worker.Run, deadline, attachment)
 
     def renew(self, leases: list[tuple[work.TaskId, float]], deadline: float) -> None:
         """Set the expiry of the tasks' leases (monotonic seconds)."""
-        ahead_s = self._clock_ahead_s
-        body = [(task, expiry + ahead_s) for task, expiry in leases]
-        self._call("POST", "/renew", body, None, deadline)
+        attachment = self._get_attachment()
+        body = [(task, expiry + attachment.clock_ahead_s) for task, expiry in leases]
+        self._call("POST", "/renew", body, None, deadline, attachment)
 
     def checkpoint(self, task: work.TaskId, deadline: float) -> str:
         """Have the task write a checkpoint and return its reference."""
@@ -136,12 +151,22 @@
         )
 
     def _call(
-        self, method: str, path: str, body: t.Any, kind: t.Any, deadline: float
+        self,
+        method: str,
+        path: str,
+        body: t.Any,
+        kind: t.Any,
+        deadline: float,
+        attachment: _Attachment | None = None,
     ) -> t.Any:
-        """Send one command and return its response decoded as ``kind``."""
+        """Send one command and return its response decoded as ``kind``.
+
+        A command with a time on the worker's clock passes the attachment by which it
+        was computed; a worker that has restarted since rejects it.
+        """
         with self._lock:
             pool = self._pool
-            generation = self._generation
+            generation = (attachment or self._attachment).generation
         headers = {"Content-Type": "application/json"}
         if generation != _NO_GENERATION:
             headers[GENERATION_HEADER] = str(generation)
@@ -230,6 +255,12 @@
         return f"{self._host}:{self._port}"
 
 
+def _clock_ahead_s(found: worker.Inventory) -> float:
+    # The response was in transit for some time, so this is at most the difference of
+    # the clocks, and a lease never outlasts its expiry.
+    return found.clock_s - time.monotonic()
+
+
 def _read_body(resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
     """Return the body; each read is limited to the time left before the deadline."""
     chunks = []
--- a/testing/connection/test_http_worker.py
+++ b/testing/connection/test_http_worker.py
@@ -190,6 +190,92 @@
     client.close()
 
 
+class _HookedLock:
+    """A lock that calls ``hook`` before and after each time that it is held."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self.hook = lambda: None
+
+    def __enter__(self):
+        self.hook()
+        self._lock.acquire()
+
+    def __exit__(self, *exc_info):
+        self._lock.release()
+        self.hook()
+
+
+class _RestartingWorker:
+    """A worker whose clock starts anew with each generation."""
+
+    def __init__(self):
+        self.generation = 0
+        self.started_at = 0.0
+        self.lease_times = []
+
+    def handle(self, req):
+        now = time.monotonic() - self.started_at
+        if req.path == "/attach":
+            inventory = [[1, 1, 0], [], now]
+            return serving.json_reply([self.generation, inventory])
+        if req.headers[http_worker.GENERATION_HEADER.lower()] != str(self.generation):
+            return serving.problem_reply(409, "STALE", "attach again")
+        body = json.loads(req.body)
+        self.lease_times.append(body[1] - now)
+        return serving.json_reply([body[0], "running"])
+
+    def restart(self):
+        self.generation += 1
+        self.started_at = time.monotonic()
+
+
+@contextlib.contextmanager
+def _restarting():
+    worker = _RestartingWorker()
+    worker.generation = 1
+    with serving.listening(worker.handle) as address:
+        with contextlib.closing(_client(address)) as client:
+            client._lock = _HookedLock()
+            client.attach(_deadline())
+            worker.restart()
+            yield worker, client
+
+
+def _run_once(call):
+    """Return a hook that runs ``call`` the first time, but not within itself."""
+    calls = [call]
+
+    def hook():
+        if calls:
+            calls.pop()()
+
+    return hook
+
+
+def test_start_during_attach_gets_no_lease_by_the_clock_of_the_earlier_worker():
+    with _restarting() as (worker, client):
+
+        def start_with_new_generation():
+            client._lock.hook = lambda: None
+            with contextlib.suppress(errors.Error):
+                _start(client, _spec())
+            if not worker.lease_times:
+                client._lock.hook = start_with_new_generation
+
+        client._lock.hook = start_with_new_generation
+        client.attach(_deadline())
+        assert len(worker.lease_times) == 1
+        assert worker.lease_times[0] < _LEASE_S + 1.0, worker.lease_times
+
+
+def test_attach_during_start_gives_no_lease_by_the_clock_of_the_earlier_worker():
+    with _restarting() as (worker, client):
+        client._lock.hook = _run_once(lambda: client.attach(_deadline()))
+        _start(client, _spec())
+        assert worker.lease_times[0] < _LEASE_S + 1.0, worker.lease_times
+
+
 def test_lost_response_is_unknown_and_not_retried():
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
