Let a replaced agent's reports not prove a task lost

Cause: two reports of one agent that lack a confirmed task prove that the host has lost it. They need not come from the agent that runs it: an older one whose report arrives while the newer one is silent is accepted by the fleet, and until its next poll it does not know that it was replaced. Its inventory may be from before the task's start.

Sequence: the older agent polls its worker and is paused; a newer agent attaches, starts the task, reports it, and is cut off for longer than silence_s; the older one wakes up within 3 s of its poll (is_current) and reports twice before its poll is refused. The owner runs the task elsewhere, within the lease that the newer agent renewed.

Change: reports of a lower incarnation do not count until the leases that the newest agent renewed have expired. After that they count, so that a host whose clock was set back does not keep its lost tasks for ever.

--- a/src/bilberrypass/batch/liveness.py
+++ b/src/bilberrypass/batch/liveness.py
@@ -1,6 +1,7 @@
 """Liveness of tasks and their leases, derived from host reports."""
 
 import threading
+import time
 import typing as t
 
 from bilberrypass.connection import messages
@@ -19,6 +20,13 @@
     count: int
 
 
+class _Agent(t.NamedTuple):
+    """The newest agent of a host, and when the leases that it renewed have expired."""
+
+    incarnation: int
+    lease_expiry: float
+
+
 @t.final
 class LivenessTracker:
     """Finds tasks that certainly no longer run.
@@ -26,7 +34,8 @@
     All tasks on a host are lost when its lease has expired, with a margin for clock
     drift. A single task that was confirmed on a host is lost when two consecutive
     reports lack it; one is not enough, since it may have been sent before the task
-    was confirmed.
+    was confirmed. Reports of an agent that was replaced do not count until the leases
+    of the newer one have expired.
 
     Parameters
     ----------
@@ -40,6 +49,7 @@
         self._renewed_at: dict[str, float] = {}
         self._confirmed: set[work.TaskId] = set()
         self._misses: dict[work.TaskId, _Miss] = {}
+        self._agents: dict[str, _Agent] = {}
 
     def record_lease_renewal(self, host: str, at: float) -> None:
         """Record that the leases on a host were renewed.
@@ -55,7 +65,9 @@
         Includes a margin for clock drift. ``owned_at`` is the monotonic time when
         this owner acquired the shard; its predecessor may have renewed until then.
         """
-        renewed_at = max(self._renewed_at.get(host, 0.0), owned_at)
+        return self._expiry(max(self._renewed_at.get(host, 0.0), owned_at))
+
+    def _expiry(self, renewed_at: float) -> float:
         return renewed_at + self._lease_s * (1 + _MAX_CLOCK_DRIFT)
 
     def confirm(self, task: work.TaskId) -> None:
@@ -95,6 +107,7 @@
         listed = {state.task for state in report.tasks}
         lost = []
         with self._lock:
+            is_newest = self._update_agent(report)
             for state in report.tasks:
                 if state.state in tasks.LIVE_STATES:
                     self._confirmed.add(state.task)
@@ -102,12 +115,23 @@
                 if task in listed:
                     self._misses.pop(task, None)
                 elif (
-                    report.is_current
+                    is_newest
+                    and report.is_current
                     and self._count_miss(report, task) >= _MISSES_UNTIL_LOST
                 ):
                     lost.append(task)
         return lost
 
+    def _update_agent(self, report: messages.Report) -> bool:
+        """Return whether a report is from the newest agent of its host."""
+        now = time.monotonic()
+        known = self._agents.get(report.host)
+        if known is not None and report.incarnation < known.incarnation:
+            if now <= known.lease_expiry:
+                return False
+        self._agents[report.host] = _Agent(report.incarnation, self._expiry(now))
+        return True
+
     def _count_miss(self, report: messages.Report, task: work.TaskId) -> int:
         miss = self._misses.get(task)
         if miss is None or miss.incarnation != report.incarnation:
