Ignore reports from before a start when looking for its task

Cause: two reports that lack a confirmed task prove that its host has lost it. Both may have been created before the task started: a report is repeated after 2 s without an answer, and the answer to a start comes by another connection. Sequence numbers were compared among the misses only, not with the start.

Sequence: the connection from agent to entry stalls; the agent creates report 7, gives up after 2 s, creates report 8; the start arrives by the entry's connection and is confirmed; reports 7 and 8 are handled. The owner runs the task elsewhere too. The same happens if two reports are handled after a later one that lists the task.

Change: the answer to a start holds a number of the agent's sequence that was drawn after the start; a report of that agent up to it, or up to the latest one that listed the task, is no miss. An agent of an earlier version sends 0, which changes nothing.

What remains: an owner that took the shard over knows no such number for a task that its predecessor confirmed, until a report lists it.

Before (with the new parameter accepted and ignored): batch.test_liveness failed 2 of 6: test_reports_sent_before_a_start_do_not_prove_its_task_lost assert tracker.find_lost(_report(1, 8), [_TASK]) == [] test_reports_handled_late_do_not_prove_a_task_lost assert found == [[], [], []] After: 6 passed; batch.test_outbox (6), batch.test_model (1), batch.test_eviction (4), execution.test_leases (6) and process.test_capacity (4) passed.

--- a/src/bilberrypass/batch/liveness.py
+++ b/src/bilberrypass/batch/liveness.py
@@ -20,6 +20,13 @@
     count: int
 
 
+class Position(t.NamedTuple):
+    """A position in the sequence of an agent's reports."""
+
+    incarnation: int
+    sequence: int
+
+
 class _Agent(t.NamedTuple):
     """The newest agent of a host, and when the leases that it renewed have expired."""
 
@@ -33,9 +40,9 @@
 
     All tasks on a host are lost when its lease has expired, with a margin for clock
     drift. A single task that was confirmed on a host is lost when two consecutive
-    reports lack it; one is not enough, since it may have been sent before the task
-    was confirmed. Reports of an agent that was replaced do not count until the leases
-    of the newer one have expired.
+    reports lack it; one is not enough, since it may have been created before the task
+    was confirmed. Reports that were certainly created before do not count, nor do
+    those of a replaced agent until the leases of the newer one have expired.
 
     Parameters
     ----------
@@ -47,7 +54,7 @@
         self._lease_s = lease_s
         self._lock = threading.Lock()
         self._renewed_at: dict[str, float] = {}
-        self._confirmed: set[work.TaskId] = set()
+        self._confirmed: dict[work.TaskId, Position] = {}
         self._misses: dict[work.TaskId, _Miss] = {}
         self._agents: dict[str, _Agent] = {}
 
@@ -70,12 +77,18 @@
     def _expiry(self, renewed_at: float) -> float:
         return renewed_at + self._lease_s * (1 + _MAX_CLOCK_DRIFT)
 
-    def confirm(self, task: work.TaskId) -> None:
-        """Record that a task is on its host."""
+    def confirm(self, task: work.TaskId, position: Position) -> None:
+        """Record that a task is on its host.
+
+        Reports of the same agent up to ``position`` may have been created before.
+        """
         with self._lock:
-            self._confirmed.add(task)
+            self._set_confirmed(task, position)
             self._misses.pop(task, None)
 
+    def _set_confirmed(self, task: work.TaskId, position: Position) -> None:
+        self._confirmed[task] = max(position, self._confirmed.get(task, position))
+
     def is_confirmed(self, task: work.TaskId) -> bool:
         """Return whether a task was confirmed on its host."""
         return task in self._confirmed
@@ -83,8 +96,8 @@
     def retain(self, on_host: t.Collection[work.TaskId]) -> None:
         """Drop all tasks but these."""
         with self._lock:
-            self._confirmed.intersection_update(on_host)
             kept = set(on_host)
+            self._confirmed = {k: v for k, v in self._confirmed.items() if k in kept}
             self._misses = {k: v for k, v in self._misses.items() if k in kept}
 
     def find_lost(
@@ -106,11 +119,12 @@
         """
         listed = {state.task for state in report.tasks}
         lost = []
+        position = Position(report.incarnation, report.sequence)
         with self._lock:
             is_newest = self._update_agent(report)
             for state in report.tasks:
                 if state.state in tasks.LIVE_STATES:
-                    self._confirmed.add(state.task)
+                    self._set_confirmed(state.task, position)
             for task in expected:
                 if task in listed:
                     self._misses.pop(task, None)
@@ -133,6 +147,13 @@
         return True
 
     def _count_miss(self, report: messages.Report, task: work.TaskId) -> int:
+        confirmed = self._confirmed.get(task)
+        if (
+            confirmed is not None
+            and report.incarnation == confirmed.incarnation
+            and report.sequence <= confirmed.sequence
+        ):
+            return 0
         miss = self._misses.get(task)
         if miss is None or miss.incarnation != report.incarnation:
             miss = _Miss(report.incarnation, report.sequence, 1)
--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -35,8 +35,11 @@
     def is_owner(self, epoch: int) -> bool:
         """Return whether the shard certainly still has the owner of this epoch."""
 
-    def on_started(self, task: work.TaskId) -> None:
-        """Handle the confirmation that a task was started."""
+    def on_started(self, task: work.TaskId, position: liveness.Position) -> None:
+        """Handle the confirmation that a task was started.
+
+        ``position`` is that of the agent's reports after the start.
+        """
 
     def on_refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
         """Handle the refusal of a start.
@@ -166,28 +169,33 @@
             specs=specs,
         )
         self._liveness.record_lease_renewal(host_id, host.reported_at)
-        for outcome in self._call_start(host, req):
-            self._handle_outcome(outcome, sender.epoch)
+        response = self._call_start(host, req)
+        position = liveness.Position(report.incarnation, response.sequence)
+        for outcome in response.outcomes:
+            self._handle_outcome(outcome, sender.epoch, position)
 
     def _call_start(
         self, host: fleet.Host, req: messages.StartRequest
-    ) -> list[messages.StartOutcome]:
+    ) -> messages.StartResponse:
         try:
             deadline = time.monotonic() + _CALL_TIMEOUT_S
-            return host.peer.call(channels.START, req, deadline).outcomes
+            return host.peer.call(channels.START, req, deadline)
         except errors.Error as exc:
             if exc.ran is errors.Ran.NO and exc.kind is errors.Kind.STALE:
                 # The agent has sent a newer report, which the next attempt quotes.
-                return []
+                return messages.StartResponse([])
             kind = exc.kind if exc.ran is errors.Ran.NO else errors.Kind.ANSWER_LOST
-            return [
+            outcomes = [
                 messages.StartOutcome(spec.task, kind, exc.detail) for spec in req.specs
             ]
+            return messages.StartResponse(outcomes)
 
-    def _handle_outcome(self, outcome: messages.StartOutcome, epoch: int) -> None:
+    def _handle_outcome(
+        self, outcome: messages.StartOutcome, epoch: int, position: liveness.Position
+    ) -> None:
         task = outcome.task
         if not outcome.kind:
-            self._listener.on_started(task)
+            self._listener.on_started(task, position)
         elif errors.RESPONSES[errors.Kind(outcome.kind)].ran is errors.Ran.NO:
             is_certain = self._first_sends.get(task) == epoch
             self._listener.on_refused(task, outcome.detail, is_certain)
--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -189,9 +189,9 @@
         """Return whether this entry certainly still owns the shard in this epoch."""
         return self.ownership.is_held and self.ownership.epoch == epoch
 
-    def on_started(self, task: work.TaskId) -> None:
+    def on_started(self, task: work.TaskId, position: liveness.Position) -> None:
         """Record that a host has confirmed the start of a task."""
-        self._liveness.confirm(task)
+        self._liveness.confirm(task, position)
 
     def on_refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
         """Requeue a task whose start was refused.
--- a/src/bilberrypass/connection/messages.py
+++ b/src/bilberrypass/connection/messages.py
@@ -176,9 +176,13 @@
 
 
 class StartResponse(t.NamedTuple):
-    """The outcomes of a ``StartRequest``, in the order of its tasks."""
+    """The outcomes of a ``StartRequest``, in the order of its tasks.
+
+    Reports with a higher sequence than ``sequence`` were created after the starts.
+    """
 
     outcomes: list[StartOutcome]
+    sequence: int = 0
 
 
 class StopRequest(t.NamedTuple):
--- a/src/bilberrypass/execution/reporters.py
+++ b/src/bilberrypass/execution/reporters.py
@@ -125,6 +125,10 @@
             if reporter.entry == entry:
                 reporter.report_now()
 
+    def draw_sequence(self) -> int:
+        """Return a number that is lower than those of all reports created later."""
+        return next(self._sequences)
+
     def find_sent_at(self, entry: str, sequence: int) -> float | None:
         """Return the monotonic time at which a recent report was sent, or None."""
         for reporter in self.all():
--- a/src/bilberrypass/process/agent.py
+++ b/src/bilberrypass/process/agent.py
@@ -322,6 +322,7 @@
                 f"{self.host} accepts no tasks; place them on another host",
             )
         started = self.tasks.start(req, self._get_report_sent_at(req))
+        started = started._replace(sequence=self._reporters.draw_sequence())
         self._reporters.report_now_to_entry(req.entry)
         return started
 
--- a/testing/batch/test_liveness.py
+++ b/testing/batch/test_liveness.py
@@ -47,4 +47,18 @@
     assert tracker.find_lost(_report(1, 9), [_TASK]) == [_TASK]
 
 
+def test_reports_sent_before_a_start_do_not_prove_its_task_lost():
+    tracker = liveness.LivenessTracker(60.0)
+    tracker.confirm(_TASK, liveness.Position(1, 9))
+    assert tracker.find_lost(_report(1, 7), [_TASK]) == []
+    assert tracker.find_lost(_report(1, 8), [_TASK]) == []
+    tracker.find_lost(_report(1, 10), [_TASK])
+    assert tracker.find_lost(_report(1, 11), [_TASK]) == [_TASK]
+
+
+def test_reports_handled_late_do_not_prove_a_task_lost():
+    found = _find_lost(_report(1, 9, True), _report(1, 7), _report(1, 8))
+    assert found == [[], [], []]
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -38,7 +38,7 @@
     def is_owner(self, epoch):
         return epoch == self.epoch
 
-    def on_started(self, task):
+    def on_started(self, task, position):
         self.calls.append("started")
 
     def on_refused(self, task, detail, is_certain):
