--- a/testing/batch/test_model.py
+++ b/testing/batch/test_model.py
@@ -324,12 +324,33 @@
         self.no_task_finishes_twice()
 
 
-def test_random_operations_violate_no_invariant():
+@contextlib.contextmanager
+def _without_intervals():
     with (
         unittest.mock.patch.object(outbox, "_RESEND_INTERVAL_S", 0.0),
         unittest.mock.patch.object(owned_shard.OwnedShard, "min_write_interval_s", 0.0),
     ):
+        yield
+
+
+def test_random_operations_violate_no_invariant():
+    with _without_intervals():
         stateful.run_state_machine_as_test(_Machine)
 
 
+def test_start_that_arrives_after_a_worker_restart_runs_no_task_twice():
+    with _without_intervals():
+        machine = _Machine()
+        machine.submit("t", 1, 1, 1, ["late"])
+        machine.pass_once("t", [])
+        machine.report("h0", False)
+        machine.worker_is_replaced("h0")
+        for _ in range(3):
+            machine.report("h0", False)
+        machine.pass_once("t", [])
+        assert machine.workers["h0"].running_runs()[0].spec.task.attempt == 2
+        machine.late_message_arrives()
+        machine.no_task_runs_twice_at_once()
+
+
 load_tests = collecting.hook(__name__)
