Bind a start to the generation under which it was admitted

Change: the agent reads the generation before the checks and passes it to the worker's client, which refuses the start as STALE (certainly not executed) if it has attached anew since. A worker that has restarted refuses the generation itself.

--- a/src/bilberrypass/connection/http_worker.py
+++ b/src/bilberrypass/connection/http_worker.py
@@ -81,6 +81,11 @@
         self._attachment = _Attachment()
         self._pool = self._new_pool()
 
+    @property
+    def generation(self) -> int:
+        """The generation assigned by the latest ``attach``, 0 if there is none."""
+        return self._get_attachment().generation
+
     def attach(self, deadline: float, incarnation: int = 0) -> worker.Inventory:
         """Become the newest agent; return the capacity and all runs not forgotten."""
         body = AttachRequest(incarnation)
@@ -108,9 +113,21 @@
         with self._lock:
             return self._attachment
 
-    def start(self, spec: work.Spec, expiry: float, deadline: float) -> worker.Run:
+    def start(
+        self,
+        spec: work.Spec,
+        expiry: float,
+        deadline: float,
+        generation: int | None = None,
+    ) -> worker.Run:
         """Start a task under a lease; the same task and attempt starts only once."""
         attachment = self._get_attachment()
+        if generation not in (None, attachment.generation):
+            raise errors.Refused(
+                errors.Kind.STALE,
+                f"worker {self._address()} was attached to anew before the start of "
+                f"{spec.task}; send it again",
+            )
         body = StartRequest(spec, expiry + attachment.clock_ahead_s)
         return self._call("POST", "/start", body, worker.Run, deadline, attachment)
 
--- a/src/bilberrypass/connection/worker.py
+++ b/src/bilberrypass/connection/worker.py
@@ -59,6 +59,11 @@
     that reaches the worker late, because the caller was paused, must not extend it.
     """
 
+    @property
+    def generation(self) -> int:
+        """The generation assigned by the latest ``attach``, 0 if there is none."""
+        return 0
+
     @abc.abstractmethod
     def attach(self, deadline: float, incarnation: int = 0) -> Inventory:
         """Become the newest agent; return the capacity and all runs not forgotten.
@@ -71,8 +76,17 @@
         """Return the host's capacity and all runs not forgotten."""
 
     @abc.abstractmethod
-    def start(self, spec: work.Spec, expiry: float, deadline: float) -> Run:
-        """Start a task under a lease; the same task and attempt starts only once."""
+    def start(
+        self,
+        spec: work.Spec,
+        expiry: float,
+        deadline: float,
+        generation: int | None = None,
+    ) -> Run:
+        """Start a task under a lease; the same task and attempt starts only once.
+
+        Rejected with STALE if ``generation`` is given and no longer the present one.
+        """
 
     @abc.abstractmethod
     def renew(self, leases: list[tuple[work.TaskId, float]], deadline: float) -> None:
--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -105,8 +105,7 @@
         self._runs = kept | listed
         live = [run for run in self._runs.values() if run.state in LIVE_STATES]
         held = {run.spec.task: run.spec.demand for run in live}
-        unsettled = self._starting | self._uncertain
-        self.ledger.rebuild(found.capacity, held, unsettled)
+        self.ledger.rebuild(found.capacity, held, self._starting | self._uncertain)
 
     def start(
         self, req: messages.StartRequest, sent_at: float
@@ -119,11 +118,12 @@
 
     def _start_one(self, spec: work.Spec, expiry: float) -> messages.StartOutcome:
         try:
+            generation = self._driver.generation
             if not self._begin_start(spec.task, expiry):
                 return messages.StartOutcome(spec.task)
             try:
                 self.ledger.admit(spec.task, spec.demand)
-                self._start_admitted(spec, expiry)
+                self._start_admitted(spec, expiry, generation)
             finally:
                 self._finish_start(spec.task)
         except errors.Error as exc:
@@ -158,9 +158,10 @@
         run = self._runs.get(task)
         return run if run is not None and run.state not in LIVE_STATES else None
 
-    def _start_admitted(self, spec: work.Spec, expiry: float) -> None:
+    def _start_admitted(self, spec: work.Spec, expiry: float, generation: int) -> None:
+        deadline = time.monotonic() + _CALL_TIMEOUT_S
         try:
-            run = self._driver.start(spec, expiry, time.monotonic() + _CALL_TIMEOUT_S)
+            run = self._driver.start(spec, expiry, deadline, generation)
         except errors.Error as exc:
             if exc.ran is not errors.Ran.NO:
                 with self._lock:
--- a/src/bilberrypass/process/sample.py
+++ b/src/bilberrypass/process/sample.py
@@ -120,7 +120,13 @@
                 run = task.run._replace(state="stopped", detail="the lease expired")
                 self._tasks[id] = task._replace(run=run)
 
-    def start(self, spec: work.Spec, expiry: float, deadline: float) -> worker.Run:
+    def start(
+        self,
+        spec: work.Spec,
+        expiry: float,
+        deadline: float,
+        generation: int | None = None,
+    ) -> worker.Run:
         """Start a task, or return its run; raise STALE if the task was stopped."""
         now = time.monotonic()
         with self._lock:
--- a/testing/connection/test_http_worker.py
+++ b/testing/connection/test_http_worker.py
@@ -276,6 +276,15 @@
         assert worker.lease_times[0] < _LEASE_S + 1.0, worker.lease_times
 
 
+def test_start_admitted_under_an_older_generation_is_not_sent():
+    with _attached() as (standin, client):
+        admitted = client.generation
+        client.attach(_deadline())
+        with _stale():
+            client.start(_spec(), _deadline(_LEASE_S), _deadline(), admitted)
+        assert _get_record(standin)["runs"] == []
+
+
 def test_lost_response_is_unknown_and_not_retried():
     with _attached() as (standin, client):
         spec = _spec(run_s=_LONG_RUN_S)
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -169,7 +169,7 @@
 
         driver.start = stop_and_restart_first
         _start(host_tasks, _spec())
-        assert not fake.running_runs()
+        assert not fake.runs, "the restarted worker got the start"
         assert [state.state for state in host_tasks.states()] == ["stopped"]
 
 
--- a/testing/fakes.py
+++ b/testing/fakes.py
@@ -46,11 +46,12 @@
     "lose answer" carries it out without an answer.
     """
 
+    generation = 0
+
     def __init__(self):
         self.runs = {}
         self.history = []
         self.tombstones = set()
-        self.generation = 0
         self.incarnation = 0
         self.steps = 0
         self.faults = collections.deque()
@@ -76,7 +77,7 @@
     def inventory(self, deadline):
         return worker.Inventory(CAPACITY, list(self.runs.values()), time.monotonic())
 
-    def start(self, spec, expiry, deadline):
+    def start(self, spec, expiry, deadline, generation=None):
         fault = self.faults.popleft() if self.faults else ""
         lost = errors.Error(errors.Kind.ANSWER_LOST, "no answer to the start")
         if fault == "late":
@@ -137,15 +138,17 @@
 
     def __init__(self, fake):
         self._fake = fake
-        self._generation = 0
+        self.generation = 0
 
     def __getattr__(self, name):
         def forward(*args):
             if name == "attach":
                 inventory = self._fake.attach(*args)
-                self._generation = self._fake.generation
+                self.generation = self._fake.generation
                 return inventory
-            if self._generation != self._fake.generation:
+            if name == "start" and args[3:] != (self.generation,):
+                raise errors.Refused(errors.Kind.STALE, "attached anew")
+            if self.generation != self._fake.generation:
                 raise errors.Refused(errors.Kind.STALE, "a newer agent attached")
             return getattr(self._fake, name)(*args)
 
