Take no refusal as certain after a start whose outcome was not read

Cause: the mark that a start was never sent was dropped only when an outcome 'unknown' was handled. If handling raised, such as for an error kind of a newer version, the marks of all tasks of the call stayed, although they may have started; the next refusal (a leaving host) was taken as certain and the tasks were placed elsewhere.

Change: the marks are taken before the call and put back only if the agent refused the whole call as STALE, which it does before it starts anything.

Before: batch.test_outbox failed 1 of 8: test_refusal_after_an_unreadable_outcome_is_not_certain assert _send(['NEWER_KIND', errors.Kind.NO_ROOM]) == ['refused, certain: False'] After: 8 passed; batch.test_model (2), batch.test_eviction (4), execution.test_leases (6) and process.test_capacity (4) passed.

--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -169,10 +169,22 @@
             specs=specs,
         )
         self._liveness.record_lease_renewal(host_id, host.reported_at)
+        first_sends = self._take_first_sends(specs, sender.epoch)
         response = self._call_start(host, req)
+        if not response.outcomes:
+            self.mark_first_send(first_sends, sender.epoch)
         position = liveness.Position(report.incarnation, response.sequence)
         for outcome in response.outcomes:
-            self._handle_outcome(outcome, sender.epoch, position)
+            self._handle_outcome(outcome, outcome.task in first_sends, position)
+
+    def _take_first_sends(self, specs: list[work.Spec], epoch: int) -> set[work.TaskId]:
+        """Return the tasks marked in an epoch, and drop their marks."""
+        with self._lock:
+            return {
+                spec.task
+                for spec in specs
+                if self._first_sends.pop(spec.task, None) == epoch
+            }
 
     def _call_start(
         self, host: fleet.Host, req: messages.StartRequest
@@ -191,22 +203,22 @@
             return messages.StartResponse(outcomes)
 
     def _handle_outcome(
-        self, outcome: messages.StartOutcome, epoch: int, position: liveness.Position
+        self,
+        outcome: messages.StartOutcome,
+        is_first: bool,
+        position: liveness.Position,
     ) -> None:
         task = outcome.task
         if not outcome.kind:
             self._listener.on_started(task, position)
         elif errors.RESPONSES[errors.Kind(outcome.kind)].ran is errors.Ran.NO:
-            is_certain = self._first_sends.get(task) == epoch
-            self._listener.on_refused(task, outcome.detail, is_certain)
+            self._listener.on_refused(task, outcome.detail, is_first)
         else:
             _log.warning(
                 "outbox: outcome of the start of task {} unknown: {}",
                 task,
                 outcome.detail,
             )
-            with self._lock:
-                self._first_sends.pop(task, None)
 
     def _stop(self, host_id: str, tasks: list[work.TaskId], checkpoint: bool) -> None:
         host = self._hosts.get(host_id)
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -81,6 +81,15 @@
     assert calls == ["refused, certain: False"]
 
 
+def test_refusal_after_an_unreadable_outcome_is_not_certain():
+    assert _send(["NEWER_KIND", errors.Kind.NO_ROOM]) == ["refused, certain: False"]
+
+
+def test_refusal_after_a_start_refused_as_stale_is_certain():
+    stale = errors.Refused(errors.Kind.STALE, "quote a newer one")
+    assert _send([stale, errors.Kind.NO_ROOM]) == ["refused, certain: True"]
+
+
 def test_start_refused_as_stale_is_resent():
     stale = errors.Refused(errors.Kind.STALE, "quote a newer one")
     assert _send([stale, ""]) == ["started"]
