--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -32,8 +32,14 @@
 class OutcomeListener(t.Protocol):
     """Receives the outcomes of starts and stops; called on the sending thread."""
 
-    def on_started(self, task: work.TaskId) -> None:
-        """Handle the confirmation that a task was started."""
+    def is_owner(self, epoch: int) -> bool:
+        """Return whether the shard certainly still has the owner of this epoch."""
+
+    def on_started(self, task: work.TaskId, position: liveness.Position) -> None:
+        """Handle the confirmation that a task was started.
+
+        ``position`` is that of the agent's reports after the start.
+        """
 
     def on_refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
         """Handle the refusal of a start.
@@ -75,7 +81,7 @@
         self._lock = threading.Lock()
         self._hosts_in_call: set[str] = set()
         self._sent_at: dict[work.TaskId, float] = {}
-        self._first_sends: set[work.TaskId] = set()
+        self._first_sends: dict[work.TaskId, int] = {}
         self._pool = pool or futures.ThreadPoolExecutor(
             _SEND_THREADS, thread_name_prefix="send"
         )
@@ -85,15 +91,18 @@
         kept = set(tasks)
         with self._lock:
             self._sent_at = {k: v for k, v in self._sent_at.items() if k in kept}
-            self._first_sends &= kept
+            self._first_sends = {
+                k: v for k, v in self._first_sends.items() if k in kept
+            }
 
-    def mark_first_send(self, tasks: t.Collection[work.TaskId]) -> None:
+    def mark_first_send(self, tasks: t.Collection[work.TaskId], epoch: int) -> None:
         """Mark these tasks as never sent before, by this or any other owner.
 
-        A refusal of such a start is certain.
+        A refusal of such a start is certain if it is sent in the same epoch; otherwise
+        another owner may have sent it in between.
         """
         with self._lock:
-            self._first_sends.update(tasks)
+            self._first_sends.update(dict.fromkeys(tasks, epoch))
 
     def start(
         self, sender: SenderIdentity, host_id: str, specs: list[work.Spec]
@@ -146,6 +155,10 @@
         if host is None:
             return
         report = host.report
+        # The leases count from this report, so they begin while the shard is owned.
+        if not self._listener.is_owner(sender.epoch):
+            _log.info("outbox: starts on {} dropped: owner replaced", host_id)
+            return
         req = messages.StartRequest(
             entry=sender.entry,
             shard=sender.shard,
@@ -156,38 +169,56 @@
             specs=specs,
         )
         self._liveness.record_lease_renewal(host_id, host.reported_at)
-        for outcome in self._call_start(host, req):
-            self._handle_outcome(outcome)
+        first_sends = self._take_first_sends(specs, sender.epoch)
+        response = self._call_start(host, req)
+        if not response.outcomes:
+            self.mark_first_send(first_sends, sender.epoch)
+        position = liveness.Position(report.incarnation, response.sequence)
+        for outcome in response.outcomes:
+            self._handle_outcome(outcome, outcome.task in first_sends, position)
+
+    def _take_first_sends(self, specs: list[work.Spec], epoch: int) -> set[work.TaskId]:
+        """Return the tasks marked in an epoch, and drop their marks."""
+        with self._lock:
+            return {
+                spec.task
+                for spec in specs
+                if self._first_sends.pop(spec.task, None) == epoch
+            }
 
     def _call_start(
         self, host: fleet.Host, req: messages.StartRequest
-    ) -> list[messages.StartOutcome]:
+    ) -> messages.StartResponse:
         try:
             deadline = time.monotonic() + _CALL_TIMEOUT_S
-            return host.peer.call(channels.START, req, deadline).outcomes
+            return host.peer.call(channels.START, req, deadline)
         except errors.Error as exc:
             if exc.ran is errors.Ran.NO and exc.kind is errors.Kind.STALE:
                 # The agent has sent a newer report, which the next attempt quotes.
-                return []
+                return messages.StartResponse([])
             kind = exc.kind if exc.ran is errors.Ran.NO else errors.Kind.ANSWER_LOST
-            return [
+            outcomes = [
                 messages.StartOutcome(spec.task, kind, exc.detail) for spec in req.specs
             ]
+            return messages.StartResponse(outcomes)
 
-    def _handle_outcome(self, outcome: messages.StartOutcome) -> None:
+    def _handle_outcome(
+        self,
+        outcome: messages.StartOutcome,
+        is_first: bool,
+        position: liveness.Position,
+    ) -> None:
         task = outcome.task
         if not outcome.kind:
-            self._listener.on_started(task)
+            self._listener.on_started(task, position)
         elif errors.RESPONSES[errors.Kind(outcome.kind)].ran is errors.Ran.NO:
-            self._listener.on_refused(task, outcome.detail, task in self._first_sends)
+            self._listener.on_refused(task, outcome.detail, is_first)
         else:
             _log.warning(
                 "outbox: outcome of the start of task {} unknown: {}",
                 task,
                 outcome.detail,
             )
-            with self._lock:
-                self._first_sends.discard(task)
 
     def _stop(self, host_id: str, tasks: list[work.TaskId], checkpoint: bool) -> None:
         host = self._hosts.get(host_id)
--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -122,7 +122,8 @@
         self._outbox.retain(kept)
         for host, specs in self._placed.items():
             task_events.record_placement(host, specs)
-            self._outbox.mark_first_send([spec.task for spec in specs])
+            placed = [spec.task for spec in specs]
+            self._outbox.mark_first_send(placed, self.ownership.epoch)
         self._placed = {}
         for host, found in self._on_host.items():
             self._send(host, found)
@@ -184,9 +185,13 @@
             detail = f"{record.host} did not answer the start"
             self.submit(lambda jobs: records.revoke_placement(jobs, task, detail))
 
-    def on_started(self, task: work.TaskId) -> None:
+    def is_owner(self, epoch: int) -> bool:
+        """Return whether this entry certainly still owns the shard in this epoch."""
+        return self.ownership.is_held and self.ownership.epoch == epoch
+
+    def on_started(self, task: work.TaskId, position: liveness.Position) -> None:
         """Record that a host has confirmed the start of a task."""
-        self._liveness.confirm(task)
+        self._liveness.confirm(task, position)
 
     def on_refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
         """Requeue a task whose start was refused.
--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -1,6 +1,5 @@
 """Lifecycle of the tasks on one host: start, lease renewal, stop and end."""
 
-import collections
 import threading
 import time
 import typing as t
@@ -9,7 +8,14 @@
 
 from bilberrypass import errors, resources
 from bilberrypass.connection import messages, worker
-from bilberrypass.execution import ledger, task_events, throttle
+from bilberrypass.execution import (
+    barred,
+    epochs,
+    ledger,
+    states,
+    task_events,
+    throttle,
+)
 from bilberrypass.version import work
 
 _log = logbook.Logger("tasks")
@@ -19,7 +25,6 @@
 _MAX_INVENTORY_AGE_S: t.Final = 3.0
 _MIN_STOP_MARGIN_S: t.Final = 1.0
 _STOP_MARGIN_LEASE_SHARE: t.Final = 0.1
-_MAX_REMEMBERED_STOPS: t.Final = 4_096
 
 LIVE_STATES: t.Final = frozenset({"running", "checkpointed"})
 
@@ -61,66 +66,64 @@
         self._runs: dict[work.TaskId, worker.Run] = {}
         self._expiries: dict[work.TaskId, float] = {}
         self._lease_s: float = 0.0
-        self._epochs: dict[int, int] = {}
         self._starting: set[work.TaskId] = set()
         self._uncertain: set[work.TaskId] = set()
-        self._stopped: collections.OrderedDict[work.TaskId, None] = (
-            collections.OrderedDict()
-        )
+        self._barred = barred.BarredAttempts()
         self._usage: worker.Usage | None = None
         self._may_throttle = may_throttle
         self._throttle = throttle.Throttle()
         self._polled_at = 0.0
         self.is_fenced = False
+        self.epochs = epochs.ShardEpochs()
         self.ledger = ledger.Ledger(host, resources.Demand())
 
     def attach(self) -> None:
         """Attach as the worker's newest agent and adopt its running tasks."""
         started_at = time.monotonic()
+        with self._lock:
+            known_before = frozenset(self._runs)
         found = self._driver.attach(started_at + _CALL_TIMEOUT_S, self._incarnation)
         with self._lock:
-            self._adopt(found)
+            self._adopt(found, known_before)
             self._polled_at = started_at
         _log.info(
             "tasks: attached to worker of {} with {} tasks", self._host, len(found.runs)
         )
 
-    def _adopt(self, found: worker.Inventory) -> None:
-        ends = {k: run for k, run in self._runs.items() if run.state not in LIVE_STATES}
-        self._runs = ends | {run.spec.task: run for run in found.runs}
-        held = {
-            r.spec.task: r.spec.demand for r in found.runs if r.state in LIVE_STATES
+    def _adopt(
+        self, found: worker.Inventory, known_before: frozenset[work.TaskId]
+    ) -> None:
+        # A run may have started after the worker compiled its inventory.
+        kept = {
+            task: run
+            for task, run in self._runs.items()
+            if task not in known_before or run.state not in LIVE_STATES
         }
-        unsettled = self._starting | self._uncertain
-        self.ledger.rebuild(found.capacity, held, unsettled)
-
-    def check_epoch(self, shard: int, epoch: int) -> None:
-        """Raise STALE if a newer owner of the shard is known; else record the epoch."""
-        with self._lock:
-            newest = max(epoch, self._epochs.get(shard, 0))
-            self._epochs[shard] = newest
-        if epoch < newest:
-            raise errors.Refused(
-                errors.Kind.STALE,
-                f"shard {shard} has a newer owner (epoch {newest}, not {epoch}); "
-                "stop acting as its owner",
-            )
+        listed = {run.spec.task: run for run in found.runs}
+        for task in self._runs.keys() - kept.keys() - listed.keys():
+            self._remove_lost(task)
+        self._runs = kept | listed
+        live = [run for run in self._runs.values() if run.state in LIVE_STATES]
+        held = {run.spec.task: run.spec.demand for run in live}
+        self.ledger.rebuild(found.capacity, held, self._starting | self._uncertain)
 
     def start(
         self, req: messages.StartRequest, sent_at: float
     ) -> messages.StartResponse:
         """Start tasks with leases counted from the time a report was sent."""
-        self.check_epoch(req.shard, req.epoch)
+        self.epochs.check(req.shard, req.epoch)
         expiry = sent_at + req.lease_s
         outcomes = [self._start_one(spec, expiry) for spec in req.specs]
         return messages.StartResponse(outcomes)
 
     def _start_one(self, spec: work.Spec, expiry: float) -> messages.StartOutcome:
         try:
-            self._begin_start(spec.task, expiry)
+            generation = self._driver.generation
+            if not self._begin_start(spec.task, expiry):
+                return messages.StartOutcome(spec.task)
             try:
                 self.ledger.admit(spec.task, spec.demand)
-                self._start_admitted(spec, expiry)
+                self._start_admitted(spec, expiry, generation)
             finally:
                 self._finish_start(spec.task)
         except errors.Error as exc:
@@ -129,7 +132,8 @@
         task_events.record_start(self._host, spec)
         return messages.StartOutcome(spec.task)
 
-    def _begin_start(self, task: work.TaskId, expiry: float) -> None:
+    def _begin_start(self, task: work.TaskId, expiry: float) -> bool:
+        """Return whether to start the task, False if its run has ended already."""
         if time.monotonic() >= expiry:
             raise errors.Refused(
                 errors.Kind.STALE, f"the lease of {task} expired before its start"
@@ -140,15 +144,24 @@
                     errors.Kind.KEY_IN_USE,
                     f"the start of {task} is in progress; retry later",
                 )
-            if task in self._stopped:
+            if task in self._barred:
                 raise errors.Refused(
-                    errors.Kind.STALE, f"{task} was stopped here; place a new attempt"
+                    errors.Kind.STALE, f"{task} has ended here; place a new attempt"
                 )
+            if self._find_end(task):
+                return False
             self._starting.add(task)
+            return True
+
+    def _find_end(self, task: work.TaskId) -> worker.Run | None:
+        """Return the run of a task if it has ended and its end is not stored yet."""
+        run = self._runs.get(task)
+        return run if run is not None and run.state not in LIVE_STATES else None
 
-    def _start_admitted(self, spec: work.Spec, expiry: float) -> None:
+    def _start_admitted(self, spec: work.Spec, expiry: float, generation: int) -> None:
+        deadline = time.monotonic() + _CALL_TIMEOUT_S
         try:
-            run = self._driver.start(spec, expiry, time.monotonic() + _CALL_TIMEOUT_S)
+            run = self._driver.start(spec, expiry, deadline, generation)
         except errors.Error as exc:
             if exc.ran is not errors.Ran.NO:
                 with self._lock:
@@ -156,10 +169,13 @@
             raise
         with self._lock:
             self._uncertain.discard(spec.task)
-            if spec.task not in self._stopped:
+            is_barred = spec.task in self._barred
+            if not is_barred:
                 self._runs[spec.task] = run
                 known = self._expiries.get(spec.task, 0.0)
                 self._expiries[spec.task] = max(known, expiry)
+        if is_barred and run.state in LIVE_STATES:
+            self._stop_one(spec.task, checkpoint=False)
 
     def _finish_start(self, task: work.TaskId) -> None:
         with self._lock:
@@ -175,7 +191,7 @@
         """Renew the leases of all tasks of the granted shards."""
         for grant in grants:
             try:
-                self.check_epoch(grant.shard, grant.epoch)
+                self.epochs.check(grant.shard, grant.epoch)
             except errors.Refused as exc:
                 _log.warning("tasks: lease renewal ignored: {}", exc.detail)
                 continue
@@ -227,6 +243,7 @@
             for task in ended:
                 self._runs.pop(task, None)
                 self._expiries.pop(task, None)
+                self._barred.add(task)
 
     def stop(self, tasks: list[work.TaskId], checkpoint: bool) -> messages.StopResponse:
         """Stop tasks, after a checkpoint if requested.
@@ -245,21 +262,17 @@
         if checkpoint:
             self._try_checkpoint(task)
         run = self._driver.stop(task, time.monotonic() + _CALL_TIMEOUT_S)
-        if run is None:
-            run = worker.Run(
-                work.Spec(task, resources.Demand(), ""), "stopped", "", "never ran"
-            )
         with self._lock:
+            if run is None:
+                # A restarted worker has forgotten the runs that ended.
+                run = self._find_end(task) or states.never_ran(task)
             self._record_stop(task, run)
-        return _task_state(run)
+        return states.task_state(run)
 
     def _record_stop(self, task: work.TaskId, run: worker.Run) -> None:
         self._runs[task] = run
         self._uncertain.discard(task)
-        # The worker may forget the stop when it restarts.
-        self._stopped[task] = None
-        while len(self._stopped) > _MAX_REMEMBERED_STOPS:
-            self._stopped.popitem(last=False)
+        self._barred.add(task)
         if task not in self._starting:
             self.ledger.release(task)
 
@@ -283,7 +296,7 @@
     def states(self) -> list[messages.TaskState]:
         """Return the states of all known tasks, including ended ones."""
         with self._lock:
-            return [_task_state(run) for run in self._runs.values()]
+            return [states.task_state(run) for run in self._runs.values()]
 
     @property
     def usage(self) -> worker.Usage | None:
@@ -350,7 +363,9 @@
         _log.warning("tasks: the worker of {} has lost {}", self._host, task)
         del self._runs[task]
         self._expiries.pop(task, None)
-        self.ledger.release(task)
+        self._barred.add(task)
+        if task not in self._starting:
+            self.ledger.release(task)
 
     def _stop_missed_starts(
         self, found: worker.Inventory, known_before: _Known
@@ -383,14 +398,3 @@
                 self._host,
                 exc.detail,
             )
-
-
-def _task_state(run: worker.Run) -> messages.TaskState:
-    return messages.TaskState(
-        run.spec.task,
-        run.state,
-        run.spec.demand,
-        run.checkpoint,
-        run.detail,
-        task_class=run.spec.task_class,
-    )
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -1,5 +1,6 @@
 """Starts sent by an owner, and the certainty of a refusal after a resend."""
 
+import concurrent.futures as futures
 import time
 import typing as t
 
@@ -32,8 +33,12 @@
 class _Listener:
     def __init__(self):
         self.calls = []
+        self.epoch = _SENDER.epoch
 
-    def on_started(self, task):
+    def is_owner(self, epoch):
+        return epoch == self.epoch
+
+    def on_started(self, task, position):
         self.calls.append("started")
 
     def on_refused(self, task, detail, is_certain):
@@ -53,7 +58,7 @@
         fakes.InlineExecutor(),
     )
     if is_first_send:
-        sender.mark_first_send([_spec().task])
+        sender.mark_first_send([_spec().task], _SENDER.epoch)
     for _ in answers:
         sender._sent_at.clear()
         sender.start(_SENDER, "h0", [_spec()])
@@ -76,9 +81,50 @@
     assert calls == ["refused, certain: False"]
 
 
+def test_refusal_after_an_unreadable_outcome_is_not_certain():
+    assert _send(["NEWER_KIND", errors.Kind.NO_ROOM]) == ["refused, certain: False"]
+
+
+def test_refusal_after_a_start_refused_as_stale_is_certain():
+    stale = errors.Refused(errors.Kind.STALE, "quote a newer one")
+    assert _send([stale, errors.Kind.NO_ROOM]) == ["refused, certain: True"]
+
+
 def test_start_refused_as_stale_is_resent():
     stale = errors.Refused(errors.Kind.STALE, "quote a newer one")
     assert _send([stale, ""]) == ["started"]
 
 
+class _DeferringExecutor(futures.Executor):
+    def __init__(self):
+        self.calls = []
+
+    def submit(self, fn, /, *args, **kwargs):
+        self.calls.append(lambda: fn(*args, **kwargs))
+
+
+def test_start_queued_before_the_shard_changed_its_owner_is_not_sent():
+    listener, pool, hosts = _Listener(), _DeferringExecutor(), _Hosts([""])
+    sender = outbox.Outbox(hosts, liveness.LivenessTracker(60.0), listener, pool)
+    sender.start(_SENDER, "h0", [_spec()])
+    listener.epoch = _SENDER.epoch + 1
+    pool.calls.pop()()
+    assert hosts.answers == [""], "the start was sent"
+    assert listener.calls == []
+
+
+def test_refusal_is_not_certain_after_the_shard_had_another_owner():
+    listener = _Listener()
+    sender = outbox.Outbox(
+        _Hosts([errors.Kind.LEAVING]),
+        liveness.LivenessTracker(60.0),
+        listener,
+        fakes.InlineExecutor(),
+    )
+    sender.mark_first_send([_spec().task], _SENDER.epoch)
+    listener.epoch = _SENDER.epoch + 2
+    sender.start(_SENDER._replace(epoch=listener.epoch), "h0", [_spec()])
+    assert listener.calls == ["refused, certain: False"]
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/execution/test_tasks.py
+++ b/testing/execution/test_tasks.py
@@ -25,6 +25,13 @@
     return work.Spec(task, resources.Demand(cpu_milli, 1, 0), "")
 
 
+def _restart_worker(fake, host_tasks):
+    fake.runs.clear()
+    fake.tombstones.clear()
+    fake.generation += 1
+    host_tasks._attach_again()
+
+
 def _start(host_tasks, *specs, sent_at=None, lease_s=_LEASE_S):
     req = messages.StartRequest("e", 0, 1, 1, 1, lease_s, list(specs))
     sent_at = time.monotonic() if sent_at is None else sent_at
@@ -82,6 +89,90 @@
         assert _start(host_tasks, _spec(1, cpu_milli=4)) == [""]
 
 
+def test_run_started_during_attach_is_not_dropped():
+    with _agent() as (fake, host_tasks):
+        driver = host_tasks._driver
+        attach = driver.attach
+
+        def attach_then_start(*args):
+            found = attach(*args)
+            assert _start(host_tasks, _spec(0, cpu_milli=4)) == [""]
+            return found
+
+        driver.attach = attach_then_start
+        host_tasks._attach_again()
+        assert [state.task for state in host_tasks.states()] == [_spec(0).task]
+        assert _start(host_tasks, _spec(1)) == [errors.Kind.NO_ROOM]
+        assert len(fake.running_runs()) == 1
+
+
+def test_late_start_does_not_repeat_a_run_lost_by_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        _start(host_tasks, _spec())
+        _restart_worker(fake, host_tasks)
+        assert host_tasks.states() == []
+        assert _start(host_tasks, _spec()) == [errors.Kind.STALE]
+        assert not fake.running_runs()
+
+
+def test_late_start_does_not_repeat_a_run_lost_by_the_worker():
+    with _agent() as (fake, host_tasks):
+        _start(host_tasks, _spec())
+        fake.runs.clear()
+        host_tasks.poll()
+        assert _start(host_tasks, _spec()) == [errors.Kind.STALE]
+        assert not fake.running_runs()
+
+
+def test_late_start_does_not_repeat_a_forgotten_run_on_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        _finish(fake, host_tasks)
+        host_tasks.forget([_spec().task])
+        _restart_worker(fake, host_tasks)
+        assert _start(host_tasks, _spec()) == [errors.Kind.STALE]
+        assert not fake.running_runs()
+
+
+def test_resent_start_does_not_repeat_a_finished_run_on_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        _finish(fake, host_tasks)
+        _restart_worker(fake, host_tasks)
+        assert _start(host_tasks, _spec()) == [""]
+        assert not fake.running_runs()
+        assert [state.state for state in host_tasks.states()] == ["finished"]
+
+
+def _finish(fake, host_tasks):
+    _start(host_tasks, _spec())
+    fake.end_run(_spec().task, "finished")
+    host_tasks.poll()
+
+
+def test_stop_after_worker_restart_keeps_the_finished_run():
+    with _agent() as (fake, host_tasks):
+        _finish(fake, host_tasks)
+        _restart_worker(fake, host_tasks)
+        (end,) = host_tasks.stop([_spec().task], checkpoint=True).ends
+        assert end.state == "finished", end
+        assert [state.state for state in host_tasks.states()] == ["finished"]
+
+
+def test_start_overtaken_by_its_stop_does_not_run_on_a_restarted_worker():
+    with _agent() as (fake, host_tasks):
+        driver = host_tasks._driver
+        start = driver.start
+
+        def stop_and_restart_first(*args):
+            host_tasks.stop([_spec().task], checkpoint=False)
+            _restart_worker(fake, host_tasks)
+            return start(*args)
+
+        driver.start = stop_and_restart_first
+        _start(host_tasks, _spec())
+        assert not fake.runs, "the restarted worker got the start"
+        assert [state.state for state in host_tasks.states()] == ["stopped"]
+
+
 def test_task_with_expiring_lease_is_checkpointed_and_stopped():
     with _agent() as (fake, host_tasks):
         _start(host_tasks, _spec(), lease_s=0.9)
@@ -92,7 +183,7 @@
 
 def test_older_owner_is_refused():
     with _agent() as (_, host_tasks):
-        host_tasks.check_epoch(0, 5)
+        host_tasks.epochs.check(0, 5)
         exc = fixtures.error_of(errors.Refused, _start, host_tasks, _spec())
         assert exc.kind is errors.Kind.STALE, exc
 
