--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -1,7 +1,16 @@
 """Log events that tell why a run is not where the scheduler expected it."""
 
+import time
+
 from bilberrypass import clock
-from bilberrypass.scheduling import intake, messages, reconciling, scheduler
+from bilberrypass.scheduling import (
+    hosts,
+    intake,
+    messages,
+    reconciling,
+    scheduler,
+    state,
+)
 from testing import collecting, events
 from testing.scheduling import clusters
 
@@ -74,4 +83,18 @@
         assert left_s >= lease_s, (left_s, lease_s)
 
 
+def test_late_report_of_an_earlier_agent_does_not_requeue_a_run():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1", life=2_000)
+        host.agent, host.leased_s = 2, 30.0
+        cluster.run_task(host)
+        host.report()
+        (task,) = cluster.scheduler.jobs["a" * 16].tasks.values()
+        time.sleep(hosts.SILENCE_TIMEOUT_S + 0.2)
+        host.agent, host.life, host.rows = 1, 1_000, {}
+        host.report()
+        time.sleep(0.2)
+        assert (task.phase, task.run) == (state.Phase.RUNNING, 1), task.phase
+
+
 load_tests = collecting.hook(__name__)
