Reword two comments of the agent's start and of the checked connection

Read as a newcomer would: 'wish to stop' and 'held to one' needed a second reading. No change of what runs; platform.test_runner and hosting.test_orders pass (26 tests).

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -144,7 +144,7 @@
         attempts = 0
         reject_at = clock.now() + _LEASE_GRANT_TIMEOUT_S
         while not self._ended.is_set() and not run.is_final:
-            # Read before the wish to stop: later stops are left to other threads.
+            # Read before ``is_stop_wanted``: other threads execute later stops.
             is_listed = run.state is runs.State.RUNNING
             if run.is_stop_wanted:
                 self._stop_run(run)
--- a/src/bilberrypass/platform/http.py
+++ b/src/bilberrypass/platform/http.py
@@ -73,7 +73,7 @@
             self.close()
             raise urllib3.exceptions.NewConnectionError(self, str(exc)) from exc
         if conn.sock is None:
-            # A peer that closes each connection after a response cannot be held to one.
+            # A peer that closes each connection cannot be bound to the checked one.
             super().connect()
 
 
