Record runs that outlast the cancellation of their job

Cause: the scheduler's lines end with `job.cancelling` if a run goes on: no line tells whether a stop was ordered, how long ago, and what the host reports of the run. A cancellation of an unknown job and an active row of a settled run leave no line. `orders.refused` and `orders.unanswered` do not name the runs. Change: `run.stop_overdue` for each run of a cancelled or failed job that is active over 2 s later, at most every 2 s, with the age of its newest order and the state that its host last reported; `run.skipped` for an active row that is ignored; `job.cancel_early`; `job.cancelling` counts the runs, `run.unwanted` has the job's status, failed deliveries name the stops. Evidence: python -m testing scheduling.test_stop_monitor scheduling.test_reconciling scheduling.test_intake observing.test_decisions; one existing test compares all fields of `run.unwanted` and now names the added one.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -6,7 +6,7 @@
 
 from bilberrypass import clock
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, interference, messages, state
+from bilberrypass.scheduling import hosts, interference, messages, state, stop_monitor
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -37,6 +37,7 @@
 
     def __init__(self, owner: "scheduler.Scheduler") -> None:
         self._scheduler = owner
+        self._stop_monitor = stop_monitor.StopMonitor()
 
     def restore_runs(self, job: state.JobState) -> None:
         """Add the runs that an earlier scheduler ordered for a job to their hosts."""
@@ -113,6 +114,7 @@
         for key, row in rows.items():
             task = host.tasks.get(key)
             if key in host.pending or host.settled.get(key) == row.end:
+                self._stop_monitor.on_skipped_row(host, row)
                 continue
             if task is None:
                 self._handle_unknown_run(host, key, row)
@@ -164,6 +166,7 @@
                 host=host.name,
                 life=host.life,
                 state=State(row.state).name,
+                job_status=self._scheduler.status(row.task.partition(".")[0]),
             )
             self._scheduler.queue_order(
                 host, messages.Order(Verb.STOP, row.task, row.run, host.life)
@@ -172,6 +175,8 @@
     def _update_run(
         self, host: hosts.Host, task: state.Task, row: messages.RunRow
     ) -> None:
+        if task.job.cancelled or task.job.failed:
+            self._stop_monitor.on_row(host, row)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         task.figure, task.pace = row.figure, row.pace
@@ -325,6 +330,9 @@
 
     def tick(self, now: float) -> None:
         """Requeue the tasks of hosts whose lease has expired, and log unstored ends."""
+        self._stop_monitor.tick(
+            self._scheduler.open_jobs.values(), self._scheduler.hosts, now
+        )
         for host in self._scheduler.hosts.values():
             stuck = host.stuck_ends(now)
             if stuck and now > host.stuck_ends_logged_at + _STUCK_ENDS_LOG_INTERVAL_S:
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -310,11 +310,12 @@
         if job is None:
             # The store lists cancellations before the jobs that they belong to.
             self._early_cancellations.add(id)
+            decisions.record("job.cancel_early", job=id)
             return
         if job.cancelled or job.is_final:
             return
         job.cancelled = True
-        decisions.record("job.cancelling", job=id)
+        decisions.record("job.cancelling", job=id, runs=job.count_runs())
         self._reconciler.stop_job(job)
 
     def _on_report(
--- a/src/bilberrypass/scheduling/sending.py
+++ b/src/bilberrypass/scheduling/sending.py
@@ -15,6 +15,7 @@
 _MAX_CONCURRENT_CALLS: t.Final = 12
 _CALL_TIMEOUT_S: t.Final = 1.0  # a round trip within a region takes milliseconds
 _MAX_ATTEMPTS: t.Final = 3
+_MAX_LOGGED_STOPS: t.Final = 10
 
 
 OnSendFailed = cabc.Callable[[str, list[messages.Order]], None]
@@ -147,11 +148,27 @@
                     messages.ORDERS, message, deadline
                 )
             except errors.Error as exc:
-                decisions.record(
-                    "orders.unanswered", host=host, orders=len(orders), why=str(exc)
-                )
+                _record_failure("orders.unanswered", host, orders, why=str(exc))
                 continue
             if not response.is_taken:
-                decisions.record("orders.refused", host=host, epoch=response.epoch)
+                _record_failure("orders.refused", host, orders, epoch=response.epoch)
             return response.is_taken
         return False
+
+
+def _record_failure(
+    event: str, host: str, orders: list[messages.Order], **fields: t.Any
+) -> None:
+    """Record orders that a host did not take, and the runs that it should stop."""
+    stops = [
+        f"{order.task}/{order.run}"
+        for order in orders
+        if order.verb == messages.Verb.STOP
+    ]
+    decisions.record(
+        event,
+        host=host,
+        orders=len(orders),
+        stops=stops[:_MAX_LOGGED_STOPS],
+        **fields,
+    )
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -161,6 +161,10 @@
         """Return whether a run of any task may exist on a host."""
         return any(task.is_active for task in self.tasks.values())
 
+    def count_runs(self) -> int:
+        """Return the number of tasks of which a run may exist on a host."""
+        return sum(task.is_active for task in self.tasks.values())
+
     def is_eligible(self, task: Task, now: float) -> bool:
         """Return whether a task is waiting and may start at the Unix time ``now``."""
         if self.cancelled or self.failed or task.phase is not Phase.WAITING:
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -48,7 +48,14 @@
         host.rows[task, 1] = running._replace(state=int(clusters.State.STOPPING))
         host.report()
         assert found.named("run.unwanted") == [
-            {"task": task, "run": 1, "host": "h1", "life": 1_000, "state": "RUNNING"}
+            {
+                "task": task,
+                "run": 1,
+                "host": "h1",
+                "life": 1_000,
+                "state": "RUNNING",
+                "job_status": "",
+            }
         ]
         assert reconciling._unwanted_runs._value.get() - before == 1
 
