Record what becomes of a stop at the agent

Cause: an agent does not say why it refuses orders, drops orders for another life or after its session's end without a line, repeats a refused stop without a line, and nothing tells when a stop was answered, or that the runner lists a run on after it. The same holds for a run that is listed again after its end. `start.delayed` also covers starts that took over a second or whose stop was ordered before the answer, in `stop_wanted`. Only records. One existing test compares all fields of `start.delayed` and now names the added one.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -9,7 +9,7 @@
 
 from bilberrypass import clock, errors
 from bilberrypass.connection import channels
-from bilberrypass.hosting import runner, session
+from bilberrypass.hosting import run_events, runner, session
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
@@ -203,15 +203,23 @@
 
     def _serve_orders(self, req: messages.Orders) -> messages.OrdersResponse:
         if req.epoch < self._epoch:
-            return messages.OrdersResponse(False, self._epoch)
+            return self._refuse(req, "a scheduler with a higher epoch is known")
         self._set_scheduler(req.address, req.epoch)
         with self._lock:
             current = self._session
-            if current is None or self._is_outdated(req):
-                return messages.OrdersResponse(False, self._epoch)
+            if current is None:
+                return self._refuse(req, "no runner has reported")
+            if self._is_outdated(req):
+                if req.agent != self._incarnation:
+                    return self._refuse(req, "issued to another start of the agent")
+                return self._refuse(req, "issued before the end of a grant gap")
             current.execute_orders(req.epoch, req.orders)
         return messages.OrdersResponse(True, self._epoch)
 
+    def _refuse(self, req: messages.Orders, why: str) -> messages.OrdersResponse:
+        run_events.record_refused_orders(req, self._epoch, why)
+        return messages.OrdersResponse(False, self._epoch)
+
     def _is_outdated(self, req: messages.Orders) -> bool:
         """Return whether orders were issued before this agent's grant had a gap.
 
--- a/src/bilberrypass/hosting/run_events.py
+++ b/src/bilberrypass/hosting/run_events.py
@@ -10,6 +10,7 @@
 from bilberrypass.scheduling import messages
 
 _MAX_LOGGED_RUNS: t.Final = 10
+_SLOW_ORDER_S: t.Final = 1.0  # the runner usually answers within milliseconds
 
 _found_runs = prometheus.Counter(
     "bilberrypass_runs_found", "Runs listed by a runner but unknown to its session"
@@ -31,7 +32,10 @@
 def record_delayed_start(
     run: runs.Run, life: int, attempts: int, received_at: float, answer: runner.Answer
 ) -> None:
-    """Record a start that needed several attempts, or came after the run was lost.
+    """Record a start that took long, or came after the run was lost or to stop.
+
+    A start is recorded if it took several attempts or over a second, if its run was
+    given up before, or if the order to stop the run came before the answer.
 
     Parameters
     ----------
@@ -46,15 +50,85 @@
     answer : runner.Answer
         The runner's answer; its clock tells which life gave it.
     """
+    took_s = clock.now() - received_at
+    is_given_up = run.is_stop_wanted or run.state is runs.State.GONE
+    if attempts > 1 or took_s > _SLOW_ORDER_S or is_given_up:
+        decisions.record(
+            "start.delayed",
+            task=run.key[0],
+            run=run.key[1],
+            life=life,
+            state=run.state.name,
+            stop_wanted=run.is_stop_wanted,
+            attempts=attempts,
+            took_s=round(took_s, 3),
+            clock_ms=answer.clock_ms,
+        )
+
+
+def record_delayed_stop(run: runs.Run, life: int, attempts: int) -> None:
+    """Record an answered stop that took several attempts or over a second."""
+    ordered_at = run.stop_wanted_at
+    took_s = 0.0 if ordered_at is None else clock.now() - ordered_at
+    if attempts > 1 or took_s > _SLOW_ORDER_S:
+        decisions.record(
+            "stop.delayed",
+            task=run.key[0],
+            run=run.key[1],
+            life=life,
+            attempts=attempts,
+            took_s=round(took_s, 3),
+        )
+
+
+def record_refused_stop(run: runs.Run, life: int, attempts: int, reason: str) -> None:
+    """Record a stop that the runner refused and that will be repeated."""
     decisions.record(
-        "start.delayed",
+        "stop.refused",
         task=run.key[0],
         run=run.key[1],
         life=life,
-        state=run.state.name,
         attempts=attempts,
-        took_s=round(clock.now() - received_at, 3),
-        clock_ms=answer.clock_ms,
+        reason=reason,
+    )
+
+
+def record_skipped_order(order: messages.Order, life: int, is_ended: bool) -> None:
+    """Record an order that came after the session's end, or for another life.
+
+    Parameters
+    ----------
+    order : messages.Order
+        The order, with the life that it is for.
+    life : int
+        The life of the session's runner.
+    is_ended : bool
+        Whether the session has ended.
+    """
+    decisions.record(
+        "order.skipped",
+        task=order.task,
+        run=order.run,
+        verb=messages.Verb(order.verb).name,
+        life=order.life,
+        session_life=life,
+        ended=is_ended,
+    )
+
+
+def record_refused_orders(req: messages.Orders, epoch: int, why: str) -> None:
+    """Record orders that an agent does not take; ``epoch`` is the highest it saw."""
+    stops = [f"{o.task}/{o.run}" for o in req.orders if o.verb == messages.Verb.STOP]
+    decisions.record(
+        "orders.not_taken",
+        scheduler=req.address,
+        epoch=req.epoch,
+        highest_epoch=epoch,
+        agent=req.agent,
+        sequence=req.sequence,
+        orders=len(req.orders),
+        stops=stops[:_MAX_LOGGED_RUNS],
+        why=why,
     )
 
 
--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -24,7 +24,8 @@
     """The state of a run as known to the agent.
 
     ``answered_at`` is when the runner last answered an order for the run; only a
-    snapshot requested after that time can show that the run is missing.
+    snapshot requested after that time can show that the run is missing. ``listed_at``
+    is when the first snapshot that lists the run was requested.
     """
 
     __slots__ = (
@@ -34,11 +35,13 @@
         "figure",
         "is_stop_wanted",
         "key",
+        "listed_at",
         "order",
         "outcome",
         "pace",
         "progress",
         "state",
+        "stop_wanted_at",
     )
 
     def __init__(self, key: RunKey, state: messages.RunState) -> None:
@@ -53,6 +56,8 @@
         self.pace = 100
         self.answered_at: float | None = None
         self.is_stop_wanted = False
+        self.listed_at: float | None = None
+        self.stop_wanted_at: float | None = None
 
     @property
     def is_final(self) -> bool:
@@ -131,11 +136,11 @@
                 return run
             if run is None:
                 run = self._runs[key] = Run(key, State.STOPPING)
-                run.is_stop_wanted = True
+                run.is_stop_wanted, run.stop_wanted_at = True, clock.now()
                 return run
             if run.is_final or run.is_stop_wanted:
                 return None
-            run.is_stop_wanted = True
+            run.is_stop_wanted, run.stop_wanted_at = True, clock.now()
             # The thread that executes the start also executes the stop.
             if run.state is State.STARTING:
                 return None
@@ -158,6 +163,8 @@
                 return False
             run.state = State.STOPPING
             run.answered_at = None
+            if run.stop_wanted_at is None:
+                run.stop_wanted_at = clock.now()
             return True
 
     def record_rejection(self, run: Run, reason: str) -> None:
@@ -199,6 +206,8 @@
                     strays.append(key)
                 elif run.state is State.STARTING:
                     run.state, run.answered_at = State.RUNNING, requested_at
+                if run.listed_at is None:
+                    run.listed_at = requested_at
                 run.checkpoint = row.checkpoint
                 run.progress, run.figure = row.progress, row.figure
             for end in snapshot.ended:
@@ -305,6 +314,17 @@
         with self._lock:
             return [run.row() for run in self._runs.values()]
 
+    def find_stopped(self, keys: abc.Iterable[RunKey]) -> list[Run]:
+        """Return those of the given runs that are to stop or have ended."""
+        with self._lock:
+            found = [run for key in keys if (run := self._runs.get(key)) is not None]
+        return [
+            run
+            for run in found
+            if run.state in (State.STOPPING, State.ENDED)
+            or (run.is_stop_wanted and not run.is_final)
+        ]
+
     def live_runs(self) -> list[Run]:
         """Return the runs that are not final, which may be on the host."""
         with self._lock:
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import leases, pacing, run_events, runner, runs
+from bilberrypass.hosting import leases, pacing, run_events, runner, runs, stop_monitor
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
@@ -56,6 +56,7 @@
         self._answered_at = clock.now()
         self._runner_calls = decisions.Dependency("runner")
         self._pacer = pacing.Pacer()
+        self._stop_monitor = stop_monitor.StopMonitor(info)
         self._interference_estimates: dict[tuple[str, str], float] = {}
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
@@ -113,7 +114,9 @@
         """Execute each order once, in the background; skip those for another life."""
         self._epoch = max(self._epoch, epoch)
         for order in orders:
-            if order.life != self.info.life or self._ended.is_set():
+            is_ended = self._ended.is_set()
+            if order.life != self.info.life or is_ended:
+                run_events.record_skipped_order(order, self.info.life, is_ended)
                 continue
             run = self.table.apply_order(order)
             if run is not None and run.state is runs.State.STARTING:
@@ -176,10 +179,9 @@
             self._update_clock(answer.clock_ms, clock.now())
             if not answer.reason:
                 self.table.record_obeyed(run, clock.now())
-                if attempts > 1 or run.state is runs.State.GONE:
-                    run_events.record_delayed_start(
-                        run, self.info.life, attempts, received_at, answer
-                    )
+                run_events.record_delayed_start(
+                    run, self.info.life, attempts, received_at, answer
+                )
                 # A stop that arrived during the call was left to this thread.
                 if run.is_stop_wanted:
                     self._stop_run(run)
@@ -203,8 +205,10 @@
         """Stop a run or prevent its start; later snapshots show its outcome."""
         if not self.table.begin_stop(run):
             return
+        attempts, refusal = 0, ""
         while not self._ended.is_set() and not run.is_final:
             deadline = clock.now() + _ORDER_TIMEOUT_S
+            attempts += 1
             try:
                 answer = self._client.stop(*run.key, self._epoch, deadline)
             except errors.Error as exc:
@@ -217,7 +221,11 @@
             if not answer.reason or answer.reason in _BARRED_REASONS:
                 self.table.record_obeyed(run, clock.now())
                 self._wakeup.set()
+                run_events.record_delayed_stop(run, self.info.life, attempts)
                 return
+            if answer.reason != refusal:
+                refusal = answer.reason
+                run_events.record_refused_stop(run, self.info.life, attempts, refusal)
             self._ended.wait(_RETRY_INTERVAL_S)
 
     def _stop_stray(self, key: runs.RunKey) -> None:
@@ -261,6 +269,7 @@
             has_snapshot = True
             unexpected = self.table.apply_snapshot(snapshot, requested_at)
             run_events.record_found(self.info, unexpected.found)
+            self._stop_monitor.check(self.table, snapshot, requested_at)
             for key in unexpected.strays:
                 self._execute_async(self._stop_stray, key)
             self._adjust_paces()
--- a/testing/hosting/test_agent.py
+++ b/testing/hosting/test_agent.py
@@ -3,7 +3,8 @@
 import contextlib
 
 from bilberrypass.hosting import agent
-from testing import collecting, fixtures
+from bilberrypass.scheduling import messages
+from testing import collecting, events, fixtures
 from testing.hosting import sessions
 from testing.standins import runners
 
@@ -149,4 +150,38 @@
         assert session.table.rows()[0].state != sessions.State.GONE
 
 
+def test_orders_that_are_not_taken_are_recorded_with_the_reason():
+    """Guards against a stop that an agent refuses without saying why."""
+    order = sessions.order(messages.Verb.STOP)
+    req = messages.Orders(sessions.EPOCH, "127.0.0.1:1", [order])
+    with events.recorded() as found, _agent() as (running_agent, runners_by_address):
+        serve = running_agent._serve_orders
+        assert not serve(req).is_taken
+        runners_by_address["a:1"] = runners.Runner(1_000)
+        _report(running_agent, 1_000, 1)
+        own = running_agent._incarnation
+        running_agent._resumed_sequence = 5
+        assert not serve(req._replace(agent=own - 1, sequence=9)).is_taken
+        assert not serve(req._replace(agent=own, sequence=4)).is_taken
+        assert not serve(req._replace(epoch=sessions.EPOCH - 1)).is_taken
+        assert serve(req._replace(agent=own, sequence=5)).is_taken
+        lines = found.named("orders.not_taken")
+        assert [line["why"] for line in lines] == [
+            "no runner has reported",
+            "issued to another start of the agent",
+            "issued before the end of a grant gap",
+            "a scheduler with a higher epoch is known",
+        ]
+        assert lines[3] == {
+            "scheduler": "127.0.0.1:1",
+            "epoch": sessions.EPOCH - 1,
+            "highest_epoch": sessions.EPOCH,
+            "agent": 0,
+            "sequence": 0,
+            "orders": 1,
+            "stops": [f"{sessions.TASK}/1"],
+            "why": "a scheduler with a higher epoch is known",
+        }
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/hosting/test_run_events.py
+++ b/testing/hosting/test_run_events.py
@@ -2,8 +2,8 @@
 
 import threading
 
-from bilberrypass import errors
-from bilberrypass.hosting import run_events
+from bilberrypass import clock, errors
+from bilberrypass.hosting import run_events, session
 from bilberrypass.scheduling import messages
 from testing import collecting, events, fixtures
 from testing.hosting import sessions
@@ -113,7 +113,13 @@
         took_s = delayed.pop("took_s")
         assert 0.4 <= took_s < 5.0, took_s
         assert delayed.pop("clock_ms") >= 400
-        assert delayed == {**RUN, "life": 1_000, "state": "RUNNING", "attempts": 3}
+        assert delayed == {
+            **RUN,
+            "life": 1_000,
+            "state": "RUNNING",
+            "stop_wanted": False,
+            "attempts": 3,
+        }
         refused = {**RUN, "life": 1_000, "ran": "no", "why": "refused"}
         assert found.named("start.unanswered") == [refused, refused]
 
@@ -141,6 +147,19 @@
         assert delayed["state"] == "GONE" and delayed["attempts"] == 1
 
 
+def test_start_that_succeeds_after_its_stop_was_ordered_is_recorded():
+    """Guards against a run of a cancelled job of which no line says it began late."""
+    runner = _SlowRunner()
+    with events.recorded() as found, sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        assert runner.start_called.wait(5.0)
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP)])
+        runner.start_allowed.set()
+        (delayed,) = _await_event(found, "start.delayed")
+        assert delayed["stop_wanted"] and delayed["attempts"] == 1
+        sessions.await_state(current, State.ENDED)
+
+
 def test_unanswered_stop_names_life_and_whether_it_ran():
     with (
         events.recorded() as found,
@@ -152,6 +171,66 @@
         ]
 
 
+def test_stop_after_refused_connections_is_recorded_as_delayed():
+    with (
+        events.recorded() as found,
+        sessions.session_with(_RefusingRunner(2)) as current,
+    ):
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP)])
+        (delayed,) = _await_event(found, "stop.delayed")
+        took_s = delayed.pop("took_s")
+        assert 0.4 <= took_s < 5.0, took_s
+        assert delayed == {**RUN, "life": 1_000, "attempts": 3}
+
+
+def test_stop_that_waits_for_other_orders_is_recorded_as_delayed():
+    """Slow calls for other runs may hold up a stop that needs one attempt itself."""
+    runner = runners.Runner()
+    with events.recorded() as found, sessions.session_with(runner) as current:
+        may_end = threading.Event()
+        for _ in range(session._ORDER_THREADS):
+            current._execute_async(may_end.wait, 5.0)
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP)])
+        run = current.table.find_stopped([(sessions.TASK, 1)])[0]
+        fixtures.wait_until(
+            lambda: clock.now() - run.stop_wanted_at > 1.1, 5.0, "a second"
+        )
+        may_end.set()
+        (delayed,) = _await_event(found, "stop.delayed")
+        assert delayed["took_s"] > 1.0 and delayed["attempts"] == 1, delayed
+
+
+def test_refused_stop_is_recorded_once_for_each_reason():
+    """Guards against a stop that is refused and repeated without a line."""
+    runner = runners.Runner()
+    runner.epoch = sessions.EPOCH + 1
+    with events.recorded() as found, sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP)])
+        _await_event(found, "stop.refused")
+        runner.epoch = sessions.EPOCH
+        (delayed,) = _await_event(found, "stop.delayed")
+        assert delayed["attempts"] >= 2
+        assert found.named("stop.refused") == [
+            {**RUN, "life": 1_000, "attempts": 1, "reason": "fence"}
+        ]
+
+
+def test_order_for_another_life_or_after_the_end_is_recorded():
+    """Guards against a stop that is accepted and dropped without a line."""
+    with (
+        events.recorded() as found,
+        sessions.session_with(runners.Runner()) as current,
+    ):
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP, life=900)])
+        current.end("left")
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP)])
+        fields = {**RUN, "verb": "STOP", "session_life": 1_000}
+        assert found.named("order.skipped") == [
+            {**fields, "life": 900, "ended": False},
+            {**fields, "life": 1_000, "ended": True},
+        ]
+
+
 def test_session_end_records_its_live_runs_once():
     runner = _SlowRunner()
     tasks = [f"{number:016x}.0.0.0" for number in range(12)]
