Name two figures of run.stop_overdue by what they tell

Cause: `answered_ago_s` is the age of a stop's answer in `run.still_listed` and was that of the runner's latest answer in `run.stop_overdue`; `order_agent` did not say that false means a restart of the agent. Change: `runner_silent_s` and `agent_restarted`. Only records. Evidence: python -m testing scheduling.test_stop_monitor: 7 passed.

--- a/src/bilberrypass/scheduling/stop_monitor.py
+++ b/src/bilberrypass/scheduling/stop_monitor.py
@@ -135,9 +135,9 @@
             since_s=round(now - self._stopping_since[task.key.job], 2),
             row=row.state.name if row is not None and is_listed else "",
             order_ago_s=None if sent is None else round(now - sent.at, 2),
-            order_agent=sent is not None and sent.agent == host.agent,
+            agent_restarted=sent is not None and sent.agent != host.agent,
             reported_ago_s=round(now - host.reported_at, 2) if host.agent else None,
-            answered_ago_s=host.answered_ago_s,
+            runner_silent_s=round(host.answered_ago_s, 2),
         )
 
 
--- a/testing/scheduling/test_stop_monitor.py
+++ b/testing/scheduling/test_stop_monitor.py
@@ -51,8 +51,8 @@
             "phase": "STOPPING",
             "stored": True,
             "row": "RUNNING",
-            "order_agent": True,
-            "answered_ago_s": 0.0,
+            "agent_restarted": False,
+            "runner_silent_s": 0.0,
         }
         assert found.named("job.cancelling") == [{"job": "a" * 16, "runs": 1}]
         assert _overdue_runs() == 1
