Do not count a start's answer as that of a stop that has just been ordered

Change: only an answer after the order counts. Evidence: hosting.test_stop_monitor.test_stop_ordered_after_the_snapshot_was_requested_is_not_overdue fails before, passes after.

--- a/src/bilberrypass/hosting/stop_monitor.py
+++ b/src/bilberrypass/hosting/stop_monitor.py
@@ -89,7 +89,11 @@
 
 def _stop_answered_at(run: runs.Run) -> float | None:
     """Return when the runner answered the stop of a run; None if it did not."""
-    return run.answered_at if run.state is runs.State.STOPPING else None
+    answered_at, wanted_at = run.answered_at, run.stop_wanted_at
+    if run.state is not runs.State.STOPPING or answered_at is None:
+        return None
+    # An earlier answer is that of the run's start.
+    return answered_at if wanted_at is not None and answered_at >= wanted_at else None
 
 
 def _is_overdue(run: runs.Run, now: float) -> bool:
--- a/testing/hosting/test_stop_monitor.py
+++ b/testing/hosting/test_stop_monitor.py
@@ -78,6 +78,16 @@
     assert _count() - before == 1
 
 
+def test_stop_ordered_after_the_snapshot_was_requested_is_not_overdue():
+    """The run was answered for its start, and no thread has begun to stop it."""
+    checks = _Checks()
+    checks.poll(9.0)
+    checks.table.apply_order(sessions.order(Verb.STOP))
+    checks.run.stop_wanted_at = 10.0
+    assert not checks.poll(9.7)
+    assert not checks.poll(10.5)
+
+
 def test_run_first_listed_after_its_stop_was_answered_shows_as_started_late():
     checks = _Checks()
     checks.listed = set()
