Stop a run that is listed again after it was settled

Cause: a row of a run that is REJECTED or GONE has end 0, as a row of a RUNNING one has. If the runner lists the run again before a report without the key, the RUNNING row was taken for the settled one: it was skipped in every report, the key was never forgotten as the row stayed, and no stop was sent, while the agent renewed the lease. A row whose loss was still being stored was skipped likewise.

Change: only a final row is skipped, and a key is forgotten once its row is not final.

Evidence: `python -m testing scheduling.test_unasked`: both tests failed before (no stop in 2 s and 4 s of reports), pass now; test_reconciling, test_run_ends, test_rules, test_leaving and test_order_delivery pass. No agent at this commit is known to report a run GONE or REJECTED that the runner can still list.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -24,6 +24,8 @@
 State = messages.RunState
 Verb = messages.Verb
 
+_FINAL_STATES: t.Final = (State.ENDED, State.REJECTED, State.GONE)
+
 
 @t.final
 class Reconciler:
@@ -105,14 +107,18 @@
 
     def _update_runs(self, host: hosts.Host, report: messages.Report) -> None:
         rows = {(row.task, row.run): row for row in report.runs}
-        for key in host.settled.keys() - rows.keys():
+        final = {key for key, row in rows.items() if row.state in _FINAL_STATES}
+        # A run that is listed again after it counted as final is to be stopped.
+        for key in host.settled.keys() - final:
             del host.settled[key]
         for key, row in rows.items():
             if row.end and host.settled.get(key) != row.end:
                 host.record_unstored_end(row.end)
         for key, row in rows.items():
             task = host.tasks.get(key)
-            if key in host.pending or host.settled.get(key) == row.end:
+            if host.settled.get(key) == row.end or (
+                key in host.pending and key in final
+            ):
                 continue
             if task is None:
                 self._handle_unknown_run(host, key, row)
@@ -152,7 +158,7 @@
         self, host: hosts.Host, key: hosts.RowKey, row: messages.RunRow
     ) -> None:
         """Stop a run that the scheduler no longer tracks, or settle it if final."""
-        if row.state in (State.ENDED, State.REJECTED, State.GONE):
+        if row.state in _FINAL_STATES:
             host.settle(key, row.end)
             return
         if row.state != State.STOPPING:
--- /dev/null
+++ b/testing/scheduling/test_unasked.py
@@ -0,0 +1,70 @@
+"""Stops that reach every run of a cancelled job that a report lists."""
+
+import time
+
+from bilberrypass import clock
+from bilberrypass.scheduling import messages, state
+from testing import collecting, fixtures
+from testing.scheduling import clusters
+
+State = clusters.State
+Verb = clusters.Verb
+
+
+def _cancel(cluster, id="a" * 16):
+    cluster.submissions.cancel(id, clock.now() + 2)
+    job = cluster.scheduler.jobs[id]
+    fixtures.wait_until(lambda: job.cancelled, 2.0, "the cancellation")
+    return job
+
+
+def _row(key, run_state, outcome=""):
+    return messages.RunRow(*key, int(run_state), outcome)
+
+
+def _await_stop(host, key, timeout_s=2.0):
+    """Report until a stop of the run arrives."""
+
+    def found():
+        host.report()
+        return [o for o in host.orders if (o.verb, o.task, o.run) == (Verb.STOP, *key)]
+
+    return fixtures.wait_until(found, timeout_s, f"a stop of {key}")
+
+
+def test_run_listed_again_after_it_was_settled_as_gone_is_stopped():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        order = cluster.run_task(host)
+        key = (order.task, order.run)
+        host.report()
+        _cancel(cluster)
+        host.rows[key] = _row(key, State.GONE, "missing")
+        host.orders.clear()
+        fixtures.wait_until(
+            lambda: host.report() and key not in host.rows, 2.0, "the settled row"
+        )
+        assert cluster.status() == state.Status.CANCELLED
+        host.rows[key] = _row(key, State.RUNNING)
+        _await_stop(host, key)
+
+
+def test_run_listed_again_while_its_loss_is_being_stored_is_stopped():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        order = cluster.run_task(host)
+        key = (order.task, order.run)
+        host.report()
+        _cancel(cluster)
+        time.sleep(0.1)
+        host.orders.clear()
+        cluster.store.is_down = True
+        host.rows[key] = _row(key, State.GONE, "lapsed")
+        host.report()
+        host.rows[key] = _row(key, State.RUNNING)
+        host.report()
+        cluster.store.is_down = False
+        _await_stop(host, key, 4.0)
+
+
+load_tests = collecting.hook(__name__)
