Repeat a lost stop of a run that is still starting

What a caller would see: a task of a cancelled job starts after the cancel, once its host or runner answers again (UNASKED).

Cause: an order that could not be delivered, or that a new scheduler issued before the host's first report (it has no address yet), is repeated after the host's next report. For a STOP that was done for a row RUNNING and for a missing one, not for a row STARTING. The agent went on trying to start the run until that succeeded, and the STOP followed only then.

Change: `_resend_lost_order` is called for rows STARTING too. An agent ignores a repeated STOP while the first one is in progress, and a DESCRIBE of a run that it can describe.

Evidence: `python -m testing scheduling.test_unasked`: the two new tests failed before (no STOP in 2 s of reports), 4 passed in 3 of 3 runs now; test_reconciling, test_run_ends, test_rules, test_leaving, test_order_delivery and test_entry pass.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -186,6 +186,7 @@
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
+        if row.state in (State.STARTING, State.RUNNING):
             self._resend_lost_order(host, task)
         elif row.state == State.ENDED:
             self._handle_end(host, task, row)
@@ -205,7 +206,7 @@
             )
 
     def _resend_lost_order(self, host: hosts.Host, task: state.Task) -> None:
-        """Resend the STOP or DESCRIBE of a running task if its agent may lack it."""
+        """Resend the STOP or DESCRIBE of a run if its agent may lack it."""
         key = str(task.key), task.run
         sent = host.sent.get(key)
         if task.phase is state.Phase.STOPPING:
--- a/testing/scheduling/test_unasked.py
+++ b/testing/scheduling/test_unasked.py
@@ -67,4 +67,33 @@
         _await_stop(host, key, 4.0)
 
 
+def test_lost_stop_of_a_starting_run_is_sent_again():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.submit(clusters.jobs.Step(1, cpu_milli=100))
+        (order,) = host.await_orders(1)
+        key = (order.task, order.run)
+        host.rows[key] = _row(key, State.STARTING)
+        host.report()
+        _cancel(cluster)
+        lost = _await_stop(host, key)
+        host.orders.clear()
+        cluster.scheduler._on_orders_failed(host.name, lost)
+        _await_stop(host, key)
+
+
+def test_stop_of_a_new_scheduler_reaches_a_starting_run():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.submit(clusters.jobs.Step(1, cpu_milli=100))
+        (order,) = host.await_orders(1)
+        key = (order.task, order.run)
+        cluster.scheduler.stop()
+        cluster.submissions.cancel("a" * 16, clock.now() + 2)
+        cluster.elect_scheduler()
+        time.sleep(0.2)  # the first round of orders, before the host is known
+        host.rows[key] = _row(key, State.STARTING)
+        _await_stop(host, key)
+
+
 load_tests = collecting.hook(__name__)
