Log cancelled jobs whose runs do not end

Change: `jobs.stopping_slowly`, at most one line each 2 s, and a gauge, for jobs whose stop was requested over 2 s ago.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -6,7 +6,7 @@
 
 from bilberrypass import clock
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, interference, messages, state
+from bilberrypass.scheduling import hosts, interference, messages, slow_stops, state
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -39,6 +39,7 @@
 
     def __init__(self, owner: "scheduler.Scheduler") -> None:
         self._scheduler = owner
+        self._stop_log = slow_stops.SlowStopLogger()
 
     def restore_runs(self, job: state.JobState) -> None:
         """Add the runs that an earlier scheduler ordered for a job to their hosts."""
@@ -315,6 +316,7 @@
 
     def stop_job(self, job: state.JobState) -> None:
         """Stop all runs of a job that was cancelled or has failed."""
+        job.stopping_since = job.stopping_since or clock.now()
         for task in job.tasks.values():
             if task.phase not in (state.Phase.ORDERED, state.Phase.RUNNING):
                 continue
@@ -331,7 +333,10 @@
             host.sent.pop((item.task, item.run), None)
 
     def tick(self, now: float) -> None:
-        """Requeue the tasks of hosts whose lease has expired, and log unstored ends."""
+        """Requeue the tasks of hosts whose lease has expired, and log what is slow."""
+        self._stop_log.tick(
+            self._scheduler.open_jobs.values(), self._scheduler.hosts, now
+        )
         for host in self._scheduler.hosts.values():
             stuck = host.stuck_ends(now)
             if stuck and now > host.stuck_ends_logged_at + _STUCK_ENDS_LOG_INTERVAL_S:
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -117,7 +117,8 @@
     """A job with its tasks; owned by the scheduler's thread.
 
     ``idle_since`` is the time on ``clock.now`` since which no task runs and no host
-    accepts one; 0 otherwise.
+    accepts one; 0 otherwise. ``stopping_since`` is when the first stop of its runs was
+    requested, 0 before.
     """
 
     __slots__ = (
@@ -128,6 +129,7 @@
         "job",
         "open_steps",
         "revision",
+        "stopping_since",
         "stored_status",
         "status",
         "tasks",
@@ -142,6 +144,7 @@
         self.failed = False
         self.finished_at = 0.0
         self.idle_since = 0.0
+        self.stopping_since = 0.0
         self.revision = 0
         self.open_steps: dict[tuple[int, int], int] = {}
         for occurrence in range(max(1, job.repetitions)):
