Remember the cancel of a job that is not known yet

Cause: a cancel of a job that the store did not hold left nothing behind. A write without an answer may take effect seconds later, and an entry repeats it until the submission's deadline, whatever came of the caller.

Change: the cancel is stored in either case; the scheduler already keeps those that it sees before their job. Those that remain without a job are removed by the cleaner after the retention period. The answer is the same; a cancel of an unknown job now needs a write.

Evidence: test_submission_that_takes_effect_after_its_cancel_never_starts (scheduling.test_intake) failed before: the job was started. It passes now, as do test_cleaning with its new test, test_entry, test_rules, test_unasked, platform.test_programs and platform.test_wire.

--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -81,11 +81,13 @@
             return self._store.get(key, deadline).item
 
     def cancel(self, id: str, deadline: float) -> bool:
-        """Store the cancellation of a job; return False if the job is unknown."""
-        if self._read(JOB_PREFIX + id, deadline) is None:
-            return False
+        """Store the cancellation of a job; return False if the job is unknown.
+
+        An unknown job may still be stored later, by a submission without an answer.
+        """
+        is_known = self._read(JOB_PREFIX + id, deadline) is not None
         self._create(CANCEL_PREFIX + id, b"", deadline)
-        return True
+        return is_known
 
     def read_status(self, id: str, deadline: float) -> str:
         """Return the stored status of a job; empty if the job is unknown."""
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -101,7 +101,7 @@
         self.open_jobs: dict[str, state.JobState] = {}
         self.estimates = interference.Estimates()
         self._publisher = estimate_publishing.EstimatePublisher(self.estimates)
-        self._early_cancellations: set[str] = set()
+        self._early_cancellations: dict[str, float] = {}  # Unix times
         self.is_loaded = False
         self._elected_at = clock.now()
         # Granted by earlier schedulers, and by this one until it has loaded.
@@ -216,9 +216,10 @@
         self._events.put(lambda: self._reconciler.on_orders_failed(host, orders))
 
     def _expired(self) -> list[str]:
-        """Return the ids of final jobs whose retention period is over."""
+        """Return the ids of final or unknown jobs whose retention period is over."""
         before = time.time() - self.cfg.status_s - _CLOCK_SKEW_MARGIN_S
-        return [
+        early = list(self._early_cancellations.items())
+        return [id for id, at in early if at < before] + [
             id
             for id, job in list(self.jobs.items())
             if job.stored_status in state.FINAL and 0 < job.finished_at < before
@@ -233,7 +234,7 @@
         for id in ids:
             if id not in self._dirty and id not in self._in_flight:
                 self.jobs.pop(id, None)
-            self._early_cancellations.discard(id)
+            self._early_cancellations.pop(id, None)
 
     def _run(self) -> None:
         try:
@@ -301,15 +302,14 @@
             return
         self.jobs[job.id] = self.open_jobs[job.id] = state.JobState(job)
         decisions.record("job.seen", job=job.id, queue=job.queue, steps=len(job.steps))
-        if job.id in self._early_cancellations:
-            self._early_cancellations.discard(job.id)
+        if self._early_cancellations.pop(job.id, None):
             self._cancel(job.id)
 
     def _cancel(self, id: str) -> None:
         job = self.jobs.get(id)
         if job is None:
             # The store lists cancellations before the jobs that they belong to.
-            self._early_cancellations.add(id)
+            self._early_cancellations.setdefault(id, time.time())
             return
         if job.cancelled or job.is_final:
             return
--- a/testing/scheduling/test_cleaning.py
+++ b/testing/scheduling/test_cleaning.py
@@ -72,4 +72,18 @@
         assert isinstance(found, keyvalue.Listing) and not found.items
 
 
+def test_cancellation_without_a_job_is_removed_after_the_retention_period():
+    with clusters.running_cluster() as cluster:
+        key = "intake/cancel/" + "b" * 16
+        cluster.store.put(key, b"")
+        early = cluster.scheduler._early_cancellations
+        fixtures.wait_until(lambda: early, 2.0, "the cancellation")
+        cluster.scheduler._cleaner.clean()
+        assert key in cluster.store.items
+        early["b" * 16] -= 131.0
+        cluster.scheduler._cleaner.clean()
+        assert key not in cluster.store.items
+        fixtures.wait_until(lambda: not early, 2.0, "the removal")
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_intake.py
+++ b/testing/scheduling/test_intake.py
@@ -93,4 +93,19 @@
     assert not intake.Submissions(keyvalues.Store()).cancel(ID, clock.now() + 1)
 
 
+def test_submission_that_takes_effect_after_its_cancel_never_starts():
+    """The submission had no answer, and the answer to its cancel was "unknown"."""
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.store.hold_commits = 1
+        late = fixtures.error_of(
+            errors.Error, cluster.submissions.submit, _job(), clock.now() + 0.1
+        )
+        assert late.kind is errors.Kind.STORE_UNCERTAIN
+        assert not cluster.submissions.cancel(ID, clock.now() + 1)
+        cluster.store.apply_held_commits()
+        cluster.await_status("cancelled", host)
+        assert not host.orders
+
+
 load_tests = collecting.hook(__name__)
