--- a/src/bilberrypass/scheduling/stop_monitor.py
+++ b/src/bilberrypass/scheduling/stop_monitor.py
@@ -22,7 +22,6 @@
 )
 
 State = messages.RunState
-_ACTIVE_STATES: t.Final = (State.STARTING, State.RUNNING, State.STOPPING)
 
 HostRun = tuple[str, str, int]
 
@@ -59,24 +58,6 @@
         key = host.name, row.task, row.run
         self._rows[key] = _ReportedRow(State(row.state), host.reported_at)
 
-    def on_skipped_row(self, host: hosts.Host, row: messages.RunRow) -> None:
-        """Record an active row that is ignored, as the run's end is or will be stored.
-
-        No order follows such a row, so the run goes on.
-        """
-        if row.state not in _ACTIVE_STATES:
-            return
-        if self._is_line_due((host.name, row.task, row.run), clock.now()):
-            decisions.record(
-                "run.skipped",
-                task=row.task,
-                run=row.run,
-                host=host.name,
-                life=host.life,
-                state=State(row.state).name,
-                pending=(row.task, row.run) in host.pending,
-            )
-
     def tick(
         self,
         open_jobs: abc.Iterable[state.JobState],
