Stop a settled run that the runner lists again

Cause: once the scheduler has settled a run that was rejected or gone, the agent drops it. If the runner then carries out a start of it late and lists it, the agent reported it as RUNNING, with 0 as the number of its end. The scheduler skips rows whose number equals the one it has settled, which is 0 as well, until a report lacks the row: the run went on, untracked, for as long as its lease was renewed, although its job was cancelled or its task placed elsewhere. Evidence: `python -m testing hosting.test_late_starts`.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -78,7 +78,7 @@
     """Runs in a snapshot of the runner that the table did not expect there.
 
     ``found`` maps the runs that were not in the table to their outcome, empty while
-    they are active. ``strays`` are final in the table but still present.
+    they are active. ``strays`` are final in the table, or settled, but present.
     """
 
     found: dict[RunKey, str]
@@ -190,6 +190,10 @@
         with self._lock:
             for key, row in present.items():
                 run = self._runs.get(key)
+                if run is None and self._is_settled(key):
+                    # The scheduler would take its row for the one that it has settled.
+                    strays.append(key)
+                    continue
                 if run is None:
                     run = self._runs[key] = Run(key, State.RUNNING)
                     run.answered_at = requested_at
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -221,7 +221,7 @@
             self._ended.wait(_RETRY_INTERVAL_S)
 
     def _stop_stray(self, key: runs.RunKey) -> None:
-        """Stop a run that is final in the table; later snapshots show the result."""
+        """Try to stop a run that should not be present; each snapshot repeats it."""
         deadline = clock.now() + _ORDER_TIMEOUT_S
         try:
             answer = self._client.stop(*key, self._epoch, deadline)
