Stop a run again that stays listed after an answered stop

Cause: after an answer to a stop the agent did nothing more, however long the runner listed the run. The row stayed in STOPPING, which the scheduler leaves to the agent, so nobody would stop the run until its lease lapsed. Evidence: `python -m testing hosting.test_late_starts`. After: 9 pass.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -78,7 +78,8 @@
     """Runs in a snapshot of the runner that the table did not expect there.
 
     ``found`` maps the runs that were not in the table to their outcome, empty while
-    they are active. ``strays`` are final in the table, or settled, but present.
+    they are active. ``strays`` are present although they are final in the table, were
+    settled, or should have stopped by now.
     """
 
     found: dict[RunKey, str]
@@ -92,6 +93,14 @@
     kept_until: float
 
 
+def _is_overdue(run: Run, requested_at: float) -> bool:
+    """Return whether a snapshot should show the effect of the last answered order."""
+    return (
+        run.answered_at is not None
+        and run.answered_at + _MAX_LISTING_DELAY_S < requested_at
+    )
+
+
 @t.final
 class RunTable:
     """The runs of one life of the runner; its methods are thread-safe.
@@ -201,6 +210,8 @@
                     self._changed.set()
                 elif run.is_final and run.state is not State.ENDED:
                     strays.append(key)
+                elif run.state is State.STOPPING and _is_overdue(run, requested_at):
+                    strays.append(key)
                 elif run.state is State.STARTING:
                     run.state, run.answered_at = State.RUNNING, requested_at
                 run.checkpoint = row.checkpoint
@@ -233,11 +244,8 @@
         self, run: Run, present: abc.Container[RunKey], requested_at: float
     ) -> None:
         """Set a run to GONE if the runner should list it by now but does not."""
-        is_due = (
-            run.answered_at is not None
-            and run.answered_at + _MAX_LISTING_DELAY_S < requested_at
-        )
-        if is_due and not run.is_final and run.key not in present:
+        is_due = not run.is_final and _is_overdue(run, requested_at)
+        if is_due and run.key not in present:
             run.state, run.outcome = State.GONE, "missing"
             self._changed.set()
 
--- a/testing/hosting/test_late_starts.py
+++ b/testing/hosting/test_late_starts.py
@@ -121,4 +121,43 @@
     assert not table.rows()
 
 
+class _InertRunner(runners.Runner):
+    """Answers the first stops without acting on them."""
+
+    def __init__(self, inert_stops):
+        super().__init__()
+        self.inert_stops = inert_stops
+
+    def _stop(self, task, run, epoch):
+        if self.inert_stops:
+            self.inert_stops -= 1
+            return ""
+        return super()._stop(task, run, epoch)
+
+
+def test_run_that_stays_listed_after_an_answered_stop_is_stopped_again():
+    runner = _InertRunner(inert_stops=2)
+    with sessions.session_with(runner, lease_s=20.0) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        sessions.await_state(current, State.RUNNING)
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.STOP)])
+        assert sessions.await_state(current, State.ENDED).outcome == "stopped"
+
+
+def test_run_that_is_listed_while_it_stops_is_not_stopped_again():
+    """A runner may take 0.9 s to stop a run."""
+    table = runs.RunTable(threading.Event())
+    start, stop = sessions.order(Verb.START), sessions.order(Verb.STOP)
+    run = table.apply_order(start)
+    table.record_obeyed(run, 10.0)
+    table.apply_order(stop)
+    table.begin_stop(run)
+    listed = runner_client.ActiveRun(*_KEY, "", 0, 0)
+    snapshot = runner_client.RunnerSnapshot([listed], [], 1, 1_000)
+    assert not table.apply_snapshot(snapshot, 20.0).strays
+    table.record_obeyed(run, 20.0)
+    assert not table.apply_snapshot(snapshot, 20.9).strays
+    assert table.apply_snapshot(snapshot, 21.1).strays == [_KEY]
+
+
 load_tests = collecting.hook(__name__)
