Execute stops apart from starts and without waiting for them

Cause: one pool of six threads executed starts and stops, and a start holds its thread for as long as it gets no answer (up to 0.9 s a try, without end) or waits for a lease. Six of them kept every stop of the host waiting. The stop of a run whose start was queued was left to that start; if the runner meanwhile carried out an earlier copy of it, later stops of the scheduler were ignored as repeated. Change: stops have a pool of their own, and a stop of a run that is starting is sent at once: the runner bars a start that arrives after it. `is_stop_wanted` is the state STOPPING now. Connections are kept for all eleven threads.

--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -32,7 +32,6 @@
         "checkpoint",
         "end_number",
         "figure",
-        "is_stop_wanted",
         "key",
         "order",
         "outcome",
@@ -52,7 +51,6 @@
         self.figure = 0
         self.pace = 100
         self.answered_at: float | None = None
-        self.is_stop_wanted = False
 
     @property
     def is_final(self) -> bool:
@@ -140,25 +138,24 @@
                 return run
             if run is None:
                 run = self._runs[key] = Run(key, State.STOPPING)
-                run.is_stop_wanted = True
                 return run
-            if run.is_final or run.is_stop_wanted:
+            if run.is_final or run.state is State.STOPPING:
                 return None
-            run.is_stop_wanted = True
-            # The thread that executes the start also executes the stop.
-            if run.state is State.STARTING:
-                return None
-            run.state = State.STOPPING
+            # The runner bars a start that arrives after the stop.
+            run.state, run.answered_at = State.STOPPING, None
             return run
 
-    def record_obeyed(self, run: Run, at: float) -> None:
-        """Record that the runner has executed the latest order for a run."""
+    def record_start(self, run: Run, at: float) -> None:
+        """Record that the runner has started a run, unless a stop was ordered."""
         with self._lock:
-            if run.is_final:
-                return
-            run.answered_at = at
             if run.state is State.STARTING:
-                run.state = State.RUNNING
+                run.state, run.answered_at = State.RUNNING, at
+
+    def record_stop(self, run: Run, at: float) -> None:
+        """Record that the runner has executed the stop of a run."""
+        with self._lock:
+            if run.state is State.STOPPING:
+                run.answered_at = at
 
     def begin_stop(self, run: Run) -> bool:
         """Set a run to STOPPING and return True, or False if it is already final."""
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -19,7 +19,8 @@
 _POLL_WAIT_S: t.Final = 1.0  # allows several renewals within the shortest lease
 _ACK_WAIT_S: t.Final = 0.3
 _POLL_RETRY_INTERVAL_S: t.Final = 0.3
-_ORDER_THREADS: t.Final = 6
+_START_THREADS: t.Final = 6
+_STOP_THREADS: t.Final = 4
 _MS: t.Final = 1_000
 # Refusals after which the run is not on the runner and cannot start there.
 _BARRED_REASONS: t.Final = ("old",)
@@ -60,8 +61,12 @@
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
         self._wakeup = threading.Event()
-        self._pool = futures.ThreadPoolExecutor(
-            _ORDER_THREADS, thread_name_prefix="orders"
+        # Stops never wait for starts, which may be repeated without end.
+        self._start_pool = futures.ThreadPoolExecutor(
+            _START_THREADS, thread_name_prefix="starts"
+        )
+        self._stop_pool = futures.ThreadPoolExecutor(
+            _STOP_THREADS, thread_name_prefix="stops"
         )
         self._thread = threading.Thread(
             target=self._poll_repeatedly, name="hold", daemon=True
@@ -79,7 +84,8 @@
         live = self.table.mark_all_gone(outcome)
         if not was_ended:
             run_events.record_session_end(self.info, outcome, live)
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        for pool in (self._start_pool, self._stop_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
 
     @property
     def answered_ago_s(self) -> float:
@@ -117,13 +123,18 @@
                 continue
             run = self.table.apply_order(order)
             if run is not None and run.state is runs.State.STARTING:
-                self._execute_async(self._start_run, run, order, clock.now())
+                received_at = clock.now()
+                self._execute_async(
+                    self._start_pool, self._start_run, run, order, received_at
+                )
             elif run is not None:
-                self._execute_async(self._stop_run, run)
+                self._execute_async(self._stop_pool, self._stop_run, run)
 
-    def _execute_async(self, call: abc.Callable[..., None], *args: t.Any) -> None:
+    def _execute_async(
+        self, pool: futures.Executor, call: abc.Callable[..., None], *args: t.Any
+    ) -> None:
         try:
-            self._pool.submit(call, *args)
+            pool.submit(call, *args)
         except RuntimeError:
             decisions.record(
                 "order.dropped", runner=self.info.id, why="the session has ended"
@@ -143,14 +154,8 @@
         is_uncertain = order.is_repeated
         attempts = 0
         reject_at = clock.now() + _LEASE_GRANT_TIMEOUT_S
-        while not self._ended.is_set() and not run.is_final:
-            # Read before ``is_stop_wanted``: other threads execute later stops.
-            is_listed = run.state is runs.State.RUNNING
-            if run.is_stop_wanted:
-                self._stop_run(run)
-                return
-            if is_listed:
-                return
+        # A snapshot may list the run, and another thread may stop it.
+        while not self._ended.is_set() and run.state is runs.State.STARTING:
             lease_end_ms = self._lease.renew()
             if received_at < self._lease.resumed_at:
                 run_events.record_barred(run, self.info.life)
@@ -175,18 +180,15 @@
                 continue
             self._update_clock(answer.clock_ms, clock.now())
             if not answer.reason:
-                self.table.record_obeyed(run, clock.now())
+                self.table.record_start(run, clock.now())
                 if attempts > 1 or run.state is runs.State.GONE:
                     run_events.record_delayed_start(
                         run, self.info.life, attempts, received_at, answer
                     )
-                # A stop that arrived during the call was left to this thread.
-                if run.is_stop_wanted:
-                    self._stop_run(run)
-            elif is_uncertain or run.state is not runs.State.STARTING:
-                self._stop_run(run)
-            else:
+            elif run.state is runs.State.STARTING and not is_uncertain:
                 self._reject(run, answer.reason)
+            elif run.state is not runs.State.STOPPING:
+                self._stop_run(run)
             return
 
     def _reject(self, run: runs.Run, reason: str) -> None:
@@ -215,7 +217,7 @@
                 continue
             self._update_clock(answer.clock_ms, clock.now())
             if not answer.reason or answer.reason in _BARRED_REASONS:
-                self.table.record_obeyed(run, clock.now())
+                self.table.record_stop(run, clock.now())
                 self._wakeup.set()
                 return
             self._ended.wait(_RETRY_INTERVAL_S)
@@ -262,7 +264,7 @@
             unexpected = self.table.apply_snapshot(snapshot, requested_at)
             run_events.record_found(self.info, unexpected.found)
             for key in unexpected.strays:
-                self._execute_async(self._stop_stray, key)
+                self._execute_async(self._stop_pool, self._stop_stray, key)
             self._adjust_paces()
             if self.table.has_unacknowledged_ends():
                 self._wakeup.wait(_ACK_WAIT_S)
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -110,7 +110,7 @@
     def __init__(self, id: str, life: int, address: str) -> None:
         self._life = life
         self._epoch = 0
-        self._client = http.Client(address, connections=8, check_peer=self._check_life)
+        self._client = http.Client(address, connections=12, check_peer=self._check_life)
         self._headers = {"Expected-Instance": id}
 
     def _check_life(self, conn: http.Connection) -> None:
--- a/testing/hosting/test_late_starts.py
+++ b/testing/hosting/test_late_starts.py
@@ -149,13 +149,13 @@
     table = runs.RunTable(threading.Event())
     start, stop = sessions.order(Verb.START), sessions.order(Verb.STOP)
     run = table.apply_order(start)
-    table.record_obeyed(run, 10.0)
+    table.record_start(run, 10.0)
     table.apply_order(stop)
     table.begin_stop(run)
     listed = runner_client.ActiveRun(*_KEY, "", 0, 0)
     snapshot = runner_client.RunnerSnapshot([listed], [], 1, 1_000)
     assert not table.apply_snapshot(snapshot, 20.0).strays
-    table.record_obeyed(run, 20.0)
+    table.record_stop(run, 20.0)
     assert not table.apply_snapshot(snapshot, 20.9).strays
     assert table.apply_snapshot(snapshot, 21.1).strays == [_KEY]
 
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -152,7 +152,7 @@
 def test_run_whose_end_is_not_listed_yet_is_not_missing():
     table = runs.RunTable(threading.Event())
     order = sessions.order(Verb.START)
-    table.record_obeyed(table.apply_order(order), 10.0)
+    table.record_start(table.apply_order(order), 10.0)
     ended = [runner_client.EndedRun(1, "b" * 16 + ".0.0.0", 1, "done", "")]
     snapshot = runner_client.RunnerSnapshot([], ended, 1, 1_000, has_all_ends=False)
     table.apply_snapshot(snapshot, 20.0)
