--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -33,7 +33,6 @@
         "checkpoint",
         "end_number",
         "figure",
-        "is_stop_wanted",
         "key",
         "listed_at",
         "order",
@@ -55,7 +54,6 @@
         self.figure = 0
         self.pace = 100
         self.answered_at: float | None = None
-        self.is_stop_wanted = False
         self.listed_at: float | None = None
         self.stop_wanted_at: float | None = None
 
@@ -83,7 +81,8 @@
     """Runs in a snapshot of the runner that the table did not expect there.
 
     ``found`` maps the runs that were not in the table to their outcome, empty while
-    they are active. ``strays`` are final in the table but still present.
+    they are active. ``strays`` are present although they are final in the table, were
+    settled, or should have stopped by now.
     """
 
     found: dict[RunKey, str]
@@ -97,6 +96,14 @@
     kept_until: float
 
 
+def _is_overdue(run: Run, requested_at: float) -> bool:
+    """Return whether a snapshot should show the effect of the last answered order."""
+    return (
+        run.answered_at is not None
+        and run.answered_at + _MAX_LISTING_DELAY_S < requested_at
+    )
+
+
 @t.final
 class RunTable:
     """The runs of one life of the runner; its methods are thread-safe.
@@ -136,25 +143,26 @@
                 return run
             if run is None:
                 run = self._runs[key] = Run(key, State.STOPPING)
-                run.is_stop_wanted, run.stop_wanted_at = True, clock.now()
+                run.stop_wanted_at = clock.now()
                 return run
-            if run.is_final or run.is_stop_wanted:
+            if run.is_final or run.state is State.STOPPING:
                 return None
-            run.is_stop_wanted, run.stop_wanted_at = True, clock.now()
-            # The thread that executes the start also executes the stop.
-            if run.state is State.STARTING:
-                return None
-            run.state = State.STOPPING
+            # The runner bars a start that arrives after the stop.
+            run.state, run.answered_at = State.STOPPING, None
+            run.stop_wanted_at = clock.now()
             return run
 
-    def record_obeyed(self, run: Run, at: float) -> None:
-        """Record that the runner has executed the latest order for a run."""
+    def record_start(self, run: Run, at: float) -> None:
+        """Record that the runner has started a run, unless a stop was ordered."""
         with self._lock:
-            if run.is_final:
-                return
-            run.answered_at = at
             if run.state is State.STARTING:
-                run.state = State.RUNNING
+                run.state, run.answered_at = State.RUNNING, at
+
+    def record_stop(self, run: Run, at: float) -> None:
+        """Record that the runner has executed the stop of a run."""
+        with self._lock:
+            if run.state is State.STOPPING:
+                run.answered_at = at
 
     def begin_stop(self, run: Run) -> bool:
         """Set a run to STOPPING and return True, or False if it is already final."""
@@ -197,6 +205,10 @@
         with self._lock:
             for key, row in present.items():
                 run = self._runs.get(key)
+                if run is None and self._is_settled(key):
+                    # The scheduler would take its row for the one that it has settled.
+                    strays.append(key)
+                    continue
                 if run is None:
                     run = self._runs[key] = Run(key, State.RUNNING)
                     run.answered_at = requested_at
@@ -204,6 +216,8 @@
                     self._changed.set()
                 elif run.is_final and run.state is not State.ENDED:
                     strays.append(key)
+                elif run.state is State.STOPPING and _is_overdue(run, requested_at):
+                    strays.append(key)
                 elif run.state is State.STARTING:
                     run.state, run.answered_at = State.RUNNING, requested_at
                 if run.listed_at is None:
@@ -238,11 +252,8 @@
         self, run: Run, present: abc.Container[RunKey], requested_at: float
     ) -> None:
         """Set a run to GONE if the runner should list it by now but does not."""
-        is_due = (
-            run.answered_at is not None
-            and run.answered_at + _MAX_LISTING_DELAY_S < requested_at
-        )
-        if is_due and not run.is_final and run.key not in present:
+        is_due = not run.is_final and _is_overdue(run, requested_at)
+        if is_due and run.key not in present:
             run.state, run.outcome = State.GONE, "missing"
             self._changed.set()
 
@@ -318,12 +329,7 @@
         """Return those of the given runs that are to stop or have ended."""
         with self._lock:
             found = [run for key in keys if (run := self._runs.get(key)) is not None]
-        return [
-            run
-            for run in found
-            if run.state in (State.STOPPING, State.ENDED)
-            or (run.is_stop_wanted and not run.is_final)
-        ]
+        return [run for run in found if run.state in (State.STOPPING, State.ENDED)]
 
     def live_runs(self) -> list[Run]:
         """Return the runs that are not final, which may be on the host."""
