Record skipped orders in one line for each delivery

Cause: `order.skipped` had a line for each order. Change: `orders.skipped` has the number of orders, the lives that they are for and the runs to stop, as `orders.not_taken` has. Only records. Evidence: python -m testing hosting.test_run_events (13 passed).

--- a/src/bilberrypass/hosting/run_events.py
+++ b/src/bilberrypass/hosting/run_events.py
@@ -93,32 +93,28 @@
     )
 
 
-def record_skipped_order(order: messages.Order, life: int, is_ended: bool) -> None:
-    """Record an order that came after the session's end, or for another life.
+def record_skipped_orders(orders: list[messages.Order], life: int) -> None:
+    """Record orders that came after the session's end, or for another life.
 
     Parameters
     ----------
-    order : messages.Order
-        The order, with the life that it is for.
+    orders : list of messages.Order
+        The orders; nothing is recorded if there are none.
     life : int
-        The life of the session's runner.
-    is_ended : bool
-        Whether the session has ended.
+        The life of the session's runner; an order for it came after the end.
     """
-    decisions.record(
-        "order.skipped",
-        task=order.task,
-        run=order.run,
-        verb=messages.Verb(order.verb).name,
-        life=order.life,
-        session_life=life,
-        ended=is_ended,
-    )
+    if orders:
+        decisions.record(
+            "orders.skipped",
+            life=life,
+            order_lives=sorted({order.life for order in orders}),
+            orders=len(orders),
+            stops=_name_stops(orders),
+        )
 
 
 def record_refused_orders(req: messages.Orders, epoch: int, why: str) -> None:
     """Record orders that an agent does not take; ``epoch`` is the highest it saw."""
-    stops = [f"{o.task}/{o.run}" for o in req.orders if o.verb == messages.Verb.STOP]
     decisions.record(
         "orders.not_taken",
         scheduler=req.address,
@@ -127,11 +123,16 @@
         agent=req.agent,
         sequence=req.sequence,
         orders=len(req.orders),
-        stops=stops[:_MAX_LOGGED_RUNS],
+        stops=_name_stops(req.orders),
         why=why,
     )
 
 
+def _name_stops(orders: list[messages.Order]) -> list[str]:
+    stops = [f"{o.task}/{o.run}" for o in orders if o.verb == messages.Verb.STOP]
+    return stops[:_MAX_LOGGED_RUNS]
+
+
 def record_barred(run: runs.Run, life: int) -> None:
     """Record a start that is not executed, because its agent's grant had a gap."""
     decisions.record("start.barred", task=run.key[0], run=run.key[1], life=life)
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -113,16 +113,17 @@
     def execute_orders(self, epoch: int, orders: list[messages.Order]) -> None:
         """Execute each order once, in the background; skip those for another life."""
         self._epoch = max(self._epoch, epoch)
+        skipped = []
         for order in orders:
-            is_ended = self._ended.is_set()
-            if order.life != self.info.life or is_ended:
-                run_events.record_skipped_order(order, self.info.life, is_ended)
+            if order.life != self.info.life or self._ended.is_set():
+                skipped.append(order)
                 continue
             run = self.table.apply_order(order)
             if run is not None and run.state is runs.State.STARTING:
                 self._execute_async(self._start_run, run, order, clock.now())
             elif run is not None:
                 self._execute_async(self._stop_run, run)
+        run_events.record_skipped_orders(skipped, self.info.life)
 
     def _execute_async(self, call: abc.Callable[..., None], *args: t.Any) -> None:
         try:
