Tell a wanted stop by the time of its order in the records

Cause: the records read the flag that decides which thread stops a run, so that a change of that logic would change what is recorded. Change: they read `stop_wanted_at`, which only they use. Evidence: python -m testing hosting.test_run_events hosting.test_stop_monitor hosting.test_orders: 35 passed.

--- a/src/bilberrypass/hosting/run_events.py
+++ b/src/bilberrypass/hosting/run_events.py
@@ -51,7 +51,8 @@
         The runner's answer; its clock tells which life gave it.
     """
     took_s = clock.now() - received_at
-    is_given_up = run.is_stop_wanted or run.state is runs.State.GONE
+    is_stop_wanted = run.stop_wanted_at is not None
+    is_given_up = is_stop_wanted or run.state is runs.State.GONE
     if attempts > 1 or took_s > _SLOW_ORDER_S or is_given_up:
         decisions.record(
             "start.delayed",
@@ -59,7 +60,7 @@
             run=run.key[1],
             life=life,
             state=run.state.name,
-            stop_wanted=run.is_stop_wanted,
+            stop_wanted=is_stop_wanted,
             attempts=attempts,
             took_s=round(took_s, 3),
             clock_ms=answer.clock_ms,
--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -322,7 +322,7 @@
             run
             for run in found
             if run.state in (State.STOPPING, State.ENDED)
-            or (run.is_stop_wanted and not run.is_final)
+            or (run.stop_wanted_at is not None and not run.is_final)
         ]
 
     def live_runs(self) -> list[Run]:
