--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -120,20 +120,24 @@
     def execute_orders(self, epoch: int, orders: list[messages.Order]) -> None:
         """Execute each order once, in the background; skip those for another life."""
         self._epoch = max(self._epoch, epoch)
+        skipped = []
         for order in orders:
             is_ended = self._ended.is_set()
             if order.life != self.info.life or is_ended:
-                run_events.record_skipped_order(order, self.info.life, is_ended)
+                skipped.append(order)
             if order.life != self.info.life:
                 continue
             run = self.table.apply_order(order)
-            if run is not None and run.state is runs.State.STARTING:
+            if run is None or is_ended:
+                continue
+            if run.state is runs.State.STARTING:
                 received_at = clock.now()
                 self._execute_async(
                     self._start_pool, self._start_run, run, order, received_at
                 )
-            elif run is not None:
+            else:
                 self._execute_async(self._stop_pool, self._stop_run, run)
+        run_events.record_skipped_orders(skipped, self.info.life)
         if self._ended.is_set():
             self.table.mark_all_gone(_ENDED_OUTCOME)
 
