Let the stand-ins lose holds, drain, announce exits and release an election

Cause: the stand-in for a runner could lose starts, stops and paces and carry them out later, but no holds; its lost orders were answered with 500 at once, while PROTOCOL.md ("A call that receives no response may have been executed") leaves the caller waiting. It could not say `draining` with `remaining_ms`, announce its exit, or tell its observer that a call was carried out late. Change: `holds_to_lose`, `is_order_late`, `lost_answer_s`, `remaining_ms`, `announce_exit`; the store's stand-in revokes the lease of one key. Defaults as before.

--- a/testing/programs.py
+++ b/testing/programs.py
@@ -45,6 +45,7 @@
     def __init__(self, role, ip, store_address, folder, command=DAEMON_COMMAND):
         self._command = command
         self.role, self.ip = role, ip
+        self.node_name = f"{role}-{ip}"
         self.front = f"{ip}:{fixtures.free_port()}"
         self.ready = f"{ip}:{fixtures.free_port()}"
         self.control = f"{ip}:{fixtures.free_port()}"
@@ -59,7 +60,7 @@
         if self.role == "entry":
             listen = {"front": self.front, "ready": self.ready}
         return {
-            "node_name": f"{self.role}-{self.ip}",
+            "node_name": self.node_name,
             "zone": "z",
             "ip_address": self.ip,
             "listen_addresses": listen,
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -176,6 +176,12 @@
             for id in list(self._leases):
                 self._end_lease(id)
 
+    def revoke_lease_of(self, key):
+        """Revoke the lease of a key, if it has one, and delete all of its keys."""
+        with self._lock:
+            if key in self._lease_by_key:
+                self._end_lease(self._lease_by_key[key])
+
 
 class StoreProxy(keyvalue.Store):
     """One host's connection to a store that other hosts can still reach.
--- a/testing/standins/runhttp.py
+++ b/testing/standins/runhttp.py
@@ -1,6 +1,7 @@
 """Stand-in for a runner with its HTTP interface."""
 
 import contextlib
+import time
 
 import urllib3
 
@@ -23,11 +24,14 @@
         The runner's id.
     found : runners.Runner
         The runner in its current life.
+    lost_answer_s : float
+        How long the caller of a lost order waits before the channel fails.
     """
 
-    def __init__(self, id, found):
+    def __init__(self, id, found, lost_answer_s=0.0):
         self.id = id
         self.runner = found
+        self._lost_answer_s = lost_answer_s
 
     def _serve(self, environ):
         if environ.get("HTTP_EXPECTED_INSTANCE") != self.id:
@@ -38,7 +42,9 @@
             if path == "hold":
                 return 200, self._poll(body)
             response = self._execute_order(path, body)
-        except errors.Error:
+        except errors.Error as exc:
+            if exc.kind is errors.Kind.ANSWER_LOST:
+                time.sleep(self._lost_answer_s)
             return 500, {}
         content = {"clock_ms": response.clock_ms}
         if response.reason:
@@ -74,10 +80,12 @@
         }
 
 
-def send_report(to, id, address, life, sequence, state="ready", **options):
+def send_report(
+    to, id, address, life, sequence, state="ready", remaining_ms=None, **options
+):
     """Send a runner's report to the agent at ``to``, and return the HTTP status.
 
-    ``options`` go to urllib3.
+    ``remaining_ms`` is the time left while it drains. ``options`` go to urllib3.
     """
     body = {
         "service": "planner",
@@ -89,12 +97,21 @@
         "capacity": {"cpu": 64_000, "task_memory_mb": 256_000, "gpu": 0},
         "labels": ["a", "r1"],
     }
+    if remaining_ms is not None:
+        body["remaining_ms"] = remaining_ms
     resp = urllib3.request(
         "PUT", f"http://{to}/api/instances/{id}", json=body, **options
     )
     return resp.status
 
 
+def announce_exit(to, id, **options):
+    """Announce a runner's exit to the agent at ``to``, and return the HTTP status."""
+    return urllib3.request(
+        "DELETE", f"http://{to}/api/instances/{id}", **options
+    ).status
+
+
 @contextlib.contextmanager
 def serve(id, ip):
     """Serve a new runner; yield the application and its address."""
--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -21,11 +21,12 @@
     """One life of a runner.
 
     ``orders_to_lose`` is the number of coming orders that get no answer; they are
-    executed ``lost_order_delay_s`` seconds later, or never if that is None. While
-    ``is_silent`` is set, no call is answered or executed. ``max_runs`` is the maximum
-    number of concurrent runs. Longer leases than ``max_lease_ms`` are shortened to it.
-    ``highest_ended`` holds for each task the highest run number that has ended or was
-    stopped; runs up to it may not start again.
+    executed ``lost_order_delay_s`` seconds later, or never if that is None.
+    ``holds_to_lose`` does the same to polls. ``is_order_late`` is set while such a call
+    is executed. While ``is_silent`` is set, no call is answered or executed.
+    ``max_runs`` is the maximum number of concurrent runs. Longer leases than
+    ``max_lease_ms`` are shortened to it. ``highest_ended`` holds for each task the
+    highest run number that has ended or was stopped; runs up to it may not start again.
     """
 
     def __init__(
@@ -39,7 +40,9 @@
         self.max_runs = max_runs
         self.max_lease_ms = max_lease_ms
         self.orders_to_lose = 0
+        self.holds_to_lose = 0
         self.lost_order_delay_s = None
+        self.is_order_late = False
         self.is_silent = False
         self.epoch = 0
         self.running: dict[tuple[str, int], str] = {}
@@ -66,8 +69,10 @@
         self._delayed_orders = [
             order for order in self._delayed_orders if order.at > clock.now()
         ]
+        self.is_order_late = True
         for order in due:
             order.call()
+        self.is_order_late = False
         if self.running and self.clock_ms > self.lease_end_ms:
             for key in list(self.running):
                 self._end(key, "lapsed")
@@ -91,13 +96,17 @@
                 raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
             if self.orders_to_lose:
                 self.orders_to_lose -= 1
-                if self.lost_order_delay_s is not None:
-                    self._delayed_orders.append(
-                        _DelayedOrder(clock.now() + self.lost_order_delay_s, call)
-                    )
-                raise errors.Error(errors.Kind.ANSWER_LOST, "no answer: order lost")
+                self._lose(call)
             return runner.Answer(call(), self.clock_ms)
 
+    def _lose(self, call):
+        """Execute a call later, if at all, and raise the error of a lost answer."""
+        if self.lost_order_delay_s is not None:
+            self._delayed_orders.append(
+                _DelayedOrder(clock.now() + self.lost_order_delay_s, call)
+            )
+        raise errors.Error(errors.Kind.ANSWER_LOST, "no answer: order lost")
+
     def start(self, run, lease_end_ms, epoch, deadline):
         return self._execute(lambda: self._start(run, lease_end_ms, epoch))
 
@@ -148,11 +157,11 @@
             self._turn()
             if self.is_silent:
                 raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
-            if epoch < self.epoch:
+            if self.holds_to_lose:
+                self.holds_to_lose -= 1
+                self._lose(lambda: self._hold(acknowledged_end, lease_end_ms, epoch))
+            if self._hold(acknowledged_end, lease_end_ms, epoch):
                 raise errors.Error(errors.Kind.ENDPOINT_UNREACHABLE, "fence")
-            self.epoch = epoch
-            self._extend_lease(lease_end_ms or 0)
-            self.ended = [end for end in self.ended if end.number > acknowledged_end]
             deadline = clock.now() + wait_s
             while not self.ended and clock.now() < deadline:
                 self._lock.wait(_TURN_INTERVAL_S)
@@ -166,3 +175,11 @@
             return runner.RunnerSnapshot(
                 running, list(self.ended), self.clock_ms, self.life
             )
+
+    def _hold(self, acknowledged_end, lease_end_ms, epoch):
+        if epoch < self.epoch:
+            return "fence"
+        self.epoch = epoch
+        self._extend_lease(lease_end_ms or 0)
+        self.ended = [end for end in self.ended if end.number > acknowledged_end]
+        return ""
