Play prompt cancels, departures, late orders and new leaders in the soak

The soak cancelled a random accepted job now and then, its runners only crashed, and its faults overlapped without a calm moment, so that the checks of runs that go on could not bite. Callers cancel 60% of the jobs of a series 0.05 to 3 s after their acceptance, through any entry, half of them long-running and most others with tasks of 6 to 20 s. A caller of a lost order now waits 0.8 s instead of getting 500 at once.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 import typing as t
 
 import urllib3
@@ -13,6 +14,13 @@
 _MAX_SUBMIT_ATTEMPTS: t.Final = 5
 _CANCEL_SHARE: t.Final = 0.15
 _LONG_RUNNING_SHARE: t.Final = 0.12
+_PROMPT_CANCEL_SHARE: t.Final = 0.6  # of the jobs in a series
+_PROMPT_LONG_RUNNING_SHARE: t.Final = 0.5
+_MAX_CANCEL_DELAY_S: t.Final = 3.0
+_MIN_CANCEL_DELAY_S: t.Final = 0.05
+_MAX_CANCEL_ATTEMPTS: t.Final = 6
+_MIN_SERIES_S: t.Final = 2.0
+_MAX_SERIES_S: t.Final = 7.0
 _LONG_RUNNING_CPU_SHARE: t.Final = 0.4  # the rest is left for batch work
 _ALWAYS_FAILING_SHARE: t.Final = 0.06
 _REFUSED_STATUSES: t.Final = (429, 503)
@@ -41,6 +49,8 @@
         Its entries receive the requests.
     rng : random.Random
         Draws the requests and the delays between them.
+    cancel_rng : random.Random
+        Draws the jobs that are cancelled soon after their acceptance, in series.
     """
 
     def __init__(
@@ -48,10 +58,15 @@
         invariants: checker.InvariantChecker,
         fleet: hosts.Fleet,
         rng: random.Random,
+        cancel_rng: random.Random,
     ) -> None:
         self._invariants = invariants
         self._fleet = fleet
         self._rng = rng
+        self._cancel_rng = cancel_rng
+        self._is_in_series = False
+        self._series_end_at = 0.0
+        self._cancels: list[threading.Timer] = []
         self._accepted: list[checker.Job] = []
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -80,8 +95,20 @@
     def _choose_entry(self) -> hosts.Entry:
         return self._rng.choice(self._fleet.entries)
 
-    def _draw_body(self) -> dict[str, t.Any]:
+    def _draw_is_prompt(self) -> bool:
+        """Draw whether the next job is cancelled promptly; series alternate."""
+        if time.monotonic() > self._series_end_at:
+            self._is_in_series = not self._is_in_series
+            duration_s = self._cancel_rng.uniform(_MIN_SERIES_S, _MAX_SERIES_S)
+            self._series_end_at = time.monotonic() + duration_s
+        draw = self._cancel_rng.random()
+        return self._is_in_series and draw < _PROMPT_CANCEL_SHARE
+
+    def _draw_body(self, is_prompt: bool) -> dict[str, t.Any]:
         draw = self._rng.random()
+        long_running_share = _LONG_RUNNING_SHARE
+        if is_prompt:
+            long_running_share = _PROMPT_LONG_RUNNING_SHARE
         spec = f"spec {self._rng.random()}"
         cpu = self._rng.choice((500, 2_000, 9_000))
         step = {"count": self._rng.randint(1, 6), "cpu": cpu, "task_memory_mb": 100}
@@ -91,19 +118,23 @@
             * len(self._fleet.agent_hosts)
         )
         if (
-            draw < _LONG_RUNNING_SHARE
+            draw < long_running_share
             and self._invariants.long_running_cpu() < cpu_limit
         ):
             return {"specification": spec, "steps": [step | {"long_running": True}]}
-        if draw < _LONG_RUNNING_SHARE + _ALWAYS_FAILING_SHARE:
+        if draw < long_running_share + _ALWAYS_FAILING_SHARE:
             spec = f"poison {spec}"
+        elif is_prompt:
+            spec = f"{hosts.SLOW} {spec}"
         steps = [step | {"estimated_ms": 800}]
         if self._rng.random() < 0.4:
             steps.append(step | {"after": [0], "checkpointing": True})
         return {"specification": spec, "steps": steps}
 
     def _submit(self) -> None:
-        job = checker.Job(f"{self._rng.getrandbits(64):016x}", self._draw_body())
+        is_prompt = self._draw_is_prompt()
+        body = self._draw_body(is_prompt)
+        job = checker.Job(f"{self._rng.getrandbits(64):016x}", body)
         self._invariants.add_job(job)
         refused = 0
         for attempt in range(_MAX_SUBMIT_ATTEMPTS):
@@ -111,6 +142,8 @@
             if answer is not None and answer.status == 200:
                 job.accepted_at = self._invariants.now()
                 self._accepted.append(job)
+                if is_prompt:
+                    self._cancel_later(job)
                 return
             refused += answer is not None and answer.status in _REFUSED_STATUSES
             if refused == attempt + 1 and self._rng.random() < 0.3:
@@ -119,6 +152,21 @@
             if self._stopping.wait(self._rng.uniform(0.05, 0.4)):
                 return
 
+    def _cancel_later(self, job: checker.Job) -> None:
+        """Cancel a job after a short time, through any entry, until it is answered."""
+
+        def cancel_repeatedly() -> None:
+            for entry in entries:
+                if cancel(self._invariants, entry, job) or self._stopping.is_set():
+                    return
+
+        delay_s = self._cancel_rng.uniform(_MIN_CANCEL_DELAY_S, _MAX_CANCEL_DELAY_S)
+        entries = self._cancel_rng.choices(self._fleet.entries, k=_MAX_CANCEL_ATTEMPTS)
+        timer = threading.Timer(delay_s, cancel_repeatedly)
+        timer.daemon = True
+        self._cancels.append(timer)
+        timer.start()
+
     def _resubmit(self, job: checker.Job) -> None:
         call(self._choose_entry(), "POST", f"/q/{job.id}", job.body)
 
@@ -126,6 +174,8 @@
         """Send no further requests and wait at most 30 s for the thread to end."""
         self._stopping.set()
         self._thread.join(30)
+        for timer in self._cancels:
+            timer.join(30)
 
 
 def cancel(
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -11,16 +11,19 @@
 import typing as t
 
 from bilberrypass.connection import serving
-from soak import checker, lives, observing
+from bilberrypass.scheduling import election
+from soak import checker, departures, lives, observing
 from testing import programs
 from testing.standins import keyvalues, kvhttp, link
 
+ELECTION_KEY: t.Final = election.KEY
 CONFIG_KEY: t.Final = "op/config"
 MAX_ATTEMPTS: t.Final = 3
 _STORE_THREADS: t.Final = 200  # each watch of each entry occupies one
 _MAX_BODY_BYTES: t.Final = 4 << 20
 _RUNNER_STEP_S: t.Final = 0.01
 _SHUTDOWN_TIMEOUT_S: t.Final = 15.0  # more than twice the programs' grace_s
+SLOW: t.Final = "slow"  # begins the specification of a batch job that runs for long
 _FAILURE_SHARE: t.Final = 0.05
 
 
@@ -74,15 +77,20 @@
         folder: str,
         command: tuple[str, ...],
     ) -> None:
-        self.name = f"{role}{number}"
-        self.ip = programs.loopback_address(number)
         self.store_link = link.Link(store.address)
-        self.program = programs.Program(
-            role, self.ip, self.store_link.address, folder, command
-        )
         self.links = [self.store_link]
+        self._folder, self._command = folder, command
         self._is_paused = False
+        self.name = f"{role}{number}"
+        self._set_up(role, number)
+
+    def _set_up(self, role: str, number: int) -> None:
+        """Start the program on the host of this number; the name stays."""
         self._is_terminating = False
+        self.ip = programs.loopback_address(number)
+        self.program = programs.Program(
+            role, self.ip, self.store_link.address, self._folder, self._command
+        )
         self.program.start()
 
     def kill(self) -> None:
@@ -178,6 +186,9 @@
         self.runner_link = link.Link(self._life.address)
         self.links.append(self.runner_link)
         self._life.start_reports(self.program.control, self.runner_link)
+        self._lock = threading.Lock()
+        self._is_away = False
+        self._departure = threading.Thread()
         self._thread = threading.Thread(target=self._run_runner, daemon=True)
         self._thread.start()
 
@@ -186,25 +197,85 @@
         """The runner in its latest life."""
         return self._life.runner
 
-    def _create_life(self, last_id: str) -> lives.Life:
-        start = lives.draw_start(self._life_rng, last_id)
+    def _create_life(self, last_id: str, has_new_id: bool = False) -> lives.Life:
+        start = lives.draw_start(self._life_rng, last_id, has_new_id)
         life = lives.Life(start, self._invariants, self.name, self.ip)
         self._invariants.log(f"{self.name}: runner {life.id} born {life.born}")
         return life
 
     def crash_runner(self) -> None:
         """Crash the runner; all of its runs are lost."""
+        with self._lock:
+            self._end_life("crashes")
+
+    def _end_life(self, how: str) -> None:
         if not self._life.has_ended:
-            self._invariants.log(f"{self.name}: runner crashes")
+            self._invariants.log(f"{self.name}: runner {how}")
             self.runner_link.take_target_down()
             self._life.crash()
 
     def restart_runner(self) -> None:
         """Start a new life of the runner if it has crashed."""
-        if self._life.has_ended:
-            self._life = self._create_life(self._life.id)
-            self.runner_link.bring_target_up(self._life.address)
-            self._life.start_reports(self.program.control, self.runner_link)
+        with self._lock:
+            if self._life.has_ended and not self._is_away:
+                self._begin_life(self._life.id)
+
+    def _begin_life(self, last_id: str, has_new_id: bool = False) -> None:
+        self._life = self._create_life(last_id, has_new_id)
+        self.runner_link.bring_target_up(self._life.address)
+        self._life.start_reports(self.program.control, self.runner_link)
+
+    def restart(self) -> None:
+        """Start the process again if it has ended and its host was not removed."""
+        if not self._is_away:
+            super().restart()
+
+    @property
+    def is_departing(self) -> bool:
+        """Whether the runner drains or has left, and no other has come yet."""
+        return self._departure.is_alive()
+
+    def depart(self, plan: departures.Plan) -> None:
+        """Let the runner leave, and another come in its place."""
+        if not (self.is_departing or self._life.has_ended):
+            self._departure = threading.Thread(
+                target=self._depart, args=(self._life, plan), daemon=True
+            )
+            self._departure.start()
+
+    def _depart(self, life: lives.Life, plan: departures.Plan) -> None:
+        self._invariants.log(f"{self.name}: runner drains: {plan}")
+        life.drain(plan.notice_s)
+        if not plan.is_evacuation:
+            life.drain_acknowledged.wait(departures.ACK_TIMEOUT_S)
+        if life.wait(plan.notice_s + plan.extra_s) or self._stopping.is_set():
+            return
+        with self._lock:
+            self._is_away = True
+        if plan.host_gap_s is None:
+            has_answer = life.announce_exit(self.program.control)
+            life.wait(0.0 if has_answer or plan.is_evacuation else plan.unanswered_s)
+        else:
+            self._invariants.log(f"{self.name}: host removed")
+            self._invariants.disturbances.begin(self.name, "host removed")
+            self.kill()
+            self._invariants.disturbances.end(self.name, "host removed")
+            life.wait(plan.host_gap_s)
+        with self._lock:
+            self._end_life("leaves")
+        self._stopping.wait(departures.ABSENCE_S)
+        with self._lock:
+            if not self._stopping.is_set():
+                self._arrive(plan)
+
+    def _arrive(self, plan: departures.Plan) -> None:
+        if plan.new_number:
+            self.kill()
+            self._set_up("agent", plan.new_number)
+        elif plan.host_gap_s is not None:
+            super().restart()
+        self._begin_life(self._life.id, has_new_id=True)
+        self._is_away = False
 
     def _run_runner(self) -> None:
         while not self._stopping.wait(_RUNNER_STEP_S):
@@ -225,6 +296,8 @@
         job = self._invariants.jobs[task.split(".")[0]]
         if job.is_long_running:
             return now + self._rng.uniform(5, 60), "failed"
+        if job.body["specification"].startswith(SLOW):
+            return now + self._rng.uniform(6, 20), "done"
         is_always_failing = job.body["specification"].startswith("poison")
         is_failing = is_always_failing or self._rng.random() < _FAILURE_SHARE
         return now + self._rng.uniform(0.1, 1.6), "failed" if is_failing else "done"
@@ -232,9 +305,11 @@
     def stop(self) -> None:
         """Stop the threads, the process, its links and the runner."""
         self._stopping.set()
+        self.crash_runner()
+        if self.is_departing:
+            self._departure.join(departures.MAX_S)
         super().stop()
         self._thread.join(2)
-        self.crash_runner()
 
 
 class Fleet(t.NamedTuple):
@@ -260,9 +335,17 @@
             host.wait_for_shutdown()
             host.restart()
         for agent_host in self.agent_hosts:
-            agent_host.runner.orders_to_lose = 0
+            agent_host.runner.orders_to_lose = agent_host.runner.holds_to_lose = 0
             agent_host.restart_runner()
 
+    def find_leader(self) -> Entry | None:
+        """Return the entry that holds the election's key, or None."""
+        leader = election.decode_leader(self.store.store.items.get(ELECTION_KEY))
+        for entry in self.entries:
+            if leader is not None and leader.name == entry.program.node_name:
+                return entry
+        return None
+
     def stop(self) -> None:
         """Stop all hosts and the store."""
         for host in self.hosts:
--- a/soak/lives.py
+++ b/soak/lives.py
@@ -17,7 +17,11 @@
 _MAX_BODY_BYTES: t.Final = 4 << 20
 _REPORT_INTERVAL_S: t.Final = 0.3
 _REPORT_TIMEOUT_S: t.Final = 1.0
+# A caller of a lost order gets no answer while it waits (PROTOCOL.md, run-start).
+_LOST_ANSWER_S: t.Final = 0.8
+_EXIT_TIMEOUT_S: t.Final = 1.0
 _CLOCK_RATE: t.Final = 0.98  # as slow as runners' clocks may be
+_OK: t.Final = 200
 _NEW_ID_SHARE: t.Final = 0.1
 _LATE_REPORT_SHARE: t.Final = 0.15
 _MAX_REPORT_DELAY_S: t.Final = 0.06
@@ -31,10 +35,10 @@
     report_delay_s: float
 
 
-def draw_start(rng: random.Random, id: str) -> Start:
+def draw_start(rng: random.Random, id: str, has_new_id: bool = False) -> Start:
     """Draw how the life that follows the one under this id begins."""
     name, _, number = id.rpartition("-")
-    if rng.random() < _NEW_ID_SHARE:
+    if rng.random() < _NEW_ID_SHARE or has_new_id:
         id = f"{name}-{int(number) + 1}"
     if rng.random() < _LATE_REPORT_SHARE:
         return Start(id, rng.uniform(_MAX_REPORT_DELAY_S, _MAX_LATE_REPORT_DELAY_S))
@@ -71,10 +75,15 @@
             max_lease_ms=MAX_LEASE_MS,
         )
         self._report_delay_s = start.report_delay_s
+        self.drain_acknowledged = threading.Event()
+        self._drains_until: float | None = None
+        self._report_due = threading.Event()
+        self._reports_lock = threading.Lock()
+        self._has_no_reports = False
         self._ended = threading.Event()
         self._listener = serving.Listener(
             f"{ip}:0",
-            runhttp.RunnerApplication(self.id, self.runner),
+            runhttp.RunnerApplication(self.id, self.runner, _LOST_ANSWER_S),
             _THREADS,
             _MAX_BODY_BYTES,
         )
@@ -98,22 +107,65 @@
     def _send_reports(self, to: str, runner_link: link.Link) -> None:
         sequence = 0
         delay_s = self._report_delay_s
-        while not self._ended.wait(delay_s):
-            sequence += 1
+        while True:
+            self._report_due.wait(delay_s)
+            self._report_due.clear()
+            with self._reports_lock:
+                if self._has_no_reports:
+                    return
+                sequence += 1
+                self._send_report(to, runner_link, sequence)
             delay_s = _REPORT_INTERVAL_S
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                runhttp.send_report(
-                    to,
-                    self.id,
-                    runner_link.address,
-                    self.born,
-                    sequence,
-                    timeout=_REPORT_TIMEOUT_S,
-                    retries=False,
-                )
+
+    def _send_report(self, to: str, runner_link: link.Link, sequence: int) -> None:
+        left_ms = self._remaining_ms()
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            status = runhttp.send_report(
+                to,
+                self.id,
+                runner_link.address,
+                self.born,
+                sequence,
+                "ready" if left_ms is None else "draining",
+                left_ms,
+                timeout=_REPORT_TIMEOUT_S,
+                retries=False,
+            )
+            if left_ms is not None and status == _OK:
+                self.drain_acknowledged.set()
+
+    def _remaining_ms(self) -> int | None:
+        if self._drains_until is None:
+            return None
+        return max(0, int(1_000 * (self._drains_until - time.monotonic())))
+
+    def drain(self, remaining_s: float) -> None:
+        """Report at once, and from now on, that this life drains and how long."""
+        self._drains_until = time.monotonic() + remaining_s
+        self._report_due.set()
+
+    def announce_exit(self, to: str) -> bool:
+        """Announce the end of this life after its last report.
+
+        Return whether the agent answered.
+        """
+        with self._reports_lock:
+            self._has_no_reports = True
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            status = runhttp.announce_exit(
+                to, self.id, timeout=_EXIT_TIMEOUT_S, retries=False
+            )
+            return status == _OK
+        return False
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait; return whether this life has ended before the time was over."""
+        return self._ended.wait(timeout_s)
 
     def crash(self) -> None:
         """End this life at once; all of its runs are lost."""
         self._ended.set()
+        self._has_no_reports = True
+        self._report_due.set()
         self.runner.crash()
         threading.Thread(target=self._listener.stop, daemon=True).start()
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -9,13 +9,14 @@
 import time
 import typing as t
 
-from soak import callers, checker, faults, hosts
+from soak import callers, checker, faults, hosts, series
 from testing import fixtures
 
 _READY_TIMEOUT_S: t.Final = 30.0
 _SETTLE_TIMEOUT_S: t.Final = 40.0  # covers the longest lease and the accumulated work
 _POLL_INTERVAL_S: t.Final = 0.2
 _WATCH_INTERVAL_S: t.Final = 0.05
+_CALM: t.Final = "calm spell"
 _CALLER_COUNT: t.Final = 3
 HISTORY: t.Final = "history.log"
 DEFAULT_CRASH_MIX: t.Final = faults.CrashMix()
@@ -90,19 +91,36 @@
     crashes = faults.draw_crashes(
         fleet, random.Random(f"{seed} crashes"), size.duration_s, crash_mix
     )
+    drawn = [
+        *faults.draw_events(fleet, rng, size.duration_s),
+        *crashes,
+        *series.draw_faults(fleet, random.Random(f"{seed} series"), size.duration_s),
+    ]
+    calm = faults.Event(0.0, _CALM, lambda: _begin_calm_spell(invariants, fleet))
     events = faults.sort_events(
-        [*faults.draw_events(fleet, rng, size.duration_s), *crashes]
+        [
+            *series.insert_calm_spells(drawn, size.duration_s, calm),
+            *series.draw_departures(
+                fleet,
+                random.Random(f"{seed} departures"),
+                series.full_duration_s(size.duration_s),
+            ),
+        ]
     )
     fleet_callers = [
-        callers.Caller(invariants, fleet, random.Random(f"{seed} {n}"))
+        callers.Caller(
+            invariants,
+            fleet,
+            random.Random(f"{seed} {n}"),
+            random.Random(f"{seed} cancels {n}"),
+        )
         for n in range(_CALLER_COUNT)
     ]
     with _watching(invariants):
-        _play(invariants, events)
+        _play(invariants, events, series.full_duration_s(size.duration_s))
         for caller in fleet_callers:
             caller.stop()
-        fleet.heal()
-        invariants.disturbances.end_all()
+        _begin_calm_spell(invariants, fleet)
         _settle(invariants, fleet)
     fault_lines = [f"{event.at:.2f} {event.description}" for event in events]
     return Result(
@@ -114,16 +132,27 @@
     )
 
 
-def _play(invariants: checker.InvariantChecker, events: list[faults.Event]) -> None:
+def _play(
+    invariants: checker.InvariantChecker, events: list[faults.Event], duration_s: float
+) -> None:
     started_at = time.monotonic()
     for event in events:
         time.sleep(max(0.0, started_at + event.at - time.monotonic()))
         invariants.log(f"fault: {event.description}")
         if event.place and not event.is_end:
             invariants.disturbances.begin(event.place, event.fault)
+        began_at = time.monotonic()
         event.action()
         if event.place and event.is_end:
             invariants.disturbances.end(event.place, event.fault)
+        if event.description == _CALM:
+            started_at += time.monotonic() - began_at
+    time.sleep(max(0.0, started_at + duration_s - time.monotonic()))
+
+
+def _begin_calm_spell(invariants: checker.InvariantChecker, fleet: hosts.Fleet) -> None:
+    fleet.heal()
+    invariants.disturbances.end_all()
 
 
 @contextlib.contextmanager
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -257,6 +257,30 @@
         assert _start_run(address) == 200
 
 
+@contextlib.contextmanager
+def _draining_life(receive_report):
+    life = lives.Life(lives.Start(_RUNNER_ID, 0.0), _checker(), "h1", "127.0.0.1")
+    with _ended_at_exit(life), serving.listening(receive_report) as to:
+        life.start_reports(to, types.SimpleNamespace(address=life.address))
+        life.drain(2.0)
+        yield life, to
+
+
+def test_leaving_runner_drains_until_its_exit_is_announced():
+    requests = []
+
+    def receive_report(req):
+        requests.append(req)
+        return serving.json_reply({})
+
+    with _draining_life(receive_report) as (life, to):
+        assert life.drain_acknowledged.wait(_WAIT_TIMEOUT_S)
+        assert life.announce_exit(to)
+    report = json.loads(requests[-2].body)
+    assert report["state"] == "draining" and 0 < report["remaining_ms"] <= 2_000
+    assert requests[-1].method == "DELETE"
+
+
 def test_crashes_depend_only_on_the_seed():
     agent_hosts = [
         types.SimpleNamespace(
