--- a/soak/callers.py
+++ b/soak/callers.py
@@ -186,7 +186,9 @@
     answer = call(entry, "DELETE", f"/q/{job.id}")
     if answer is None or answer.status not in (200, 410):
         return False
-    job.cancel_acked_at = job.cancel_acked_at or invariants.now()
+    if not job.cancel_acked_at:
+        job.cancel_acked_at = invariants.now()
+        invariants.log(f"cancellation of {job.id} acknowledged")
     return True
 
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass.platform import store
-from bilberrypass.scheduling import election, hosts
+from bilberrypass.scheduling import election, hosts, reconciling
 
 
 def _remove_precondition() -> None:
@@ -40,10 +40,16 @@
     hosts.Host.record_unstored_end = record_unstored_end
 
 
+def _keep_cancelled_runs() -> None:
+    """Stop no run of a job that is cancelled while its tasks run."""
+    reconciling.Reconciler.stop_job = lambda self, job: None
+
+
 _MUTATIONS: t.Final[dict[str, abc.Callable[[], None]]] = {
     "no-precondition": _remove_precondition,
     "no-lease-wait": _remove_lease_wait,
     "early-note": _acknowledge_early,
+    "no-cancel-stop": _keep_cancelled_runs,
 }
 NAMES: t.Final = tuple(_MUTATIONS)
 
