Lose more orders for longer in the soak, and restart agents meanwhile

Change: half of the late orders come within 4.5 s, so that the lease of a start may still last; up to all orders of 5 s are lost; the agent is killed and restarted in the same time in 40% of the cases.

--- a/soak/series.py
+++ b/soak/series.py
@@ -16,7 +16,9 @@
 _LATE_ORDERS_INTERVAL_S: t.Final = 3.0
 _MIN_LATE_S: t.Final = 2.0
 _MAX_LATE_S: t.Final = 12.0
-_MAX_LOSS_S: t.Final = 2.5
+_MAX_STARTING_LATE_S: t.Final = 4.5
+_MAX_LOSS_S: t.Final = 5.0
+_FORGETFUL_AGENT_SHARE: t.Final = 0.4  # it knows nothing of the orders once restarted
 _REPLACEMENT_INTERVAL_S: t.Final = 5.0
 _MAX_REPLACEMENT_S: t.Final = 3.0
 _FIRST_HOST_NUMBER: t.Final = 100  # above the hosts of the start
@@ -37,8 +39,9 @@
 ) -> list[faults.Event]:
     """Draw a time in which a runner carries out starts, stops and holds much later."""
     agent_host = rng.choice(fleet.agent_hosts)
-    late_s = rng.uniform(_MIN_LATE_S, _MAX_LATE_S)
-    orders, holds = rng.randint(1, 6), rng.randint(0, 2)
+    # A start is refused once the lease that came with it is over.
+    late_s = rng.uniform(_MIN_LATE_S, rng.choice((_MAX_STARTING_LATE_S, _MAX_LATE_S)))
+    orders, holds = rng.choice((1, 2, 4, 1_000)), rng.randint(0, 2)
 
     def lose() -> None:
         runner = agent_host.runner
@@ -55,7 +58,17 @@
         lose,
         heal,
     )
-    return fault.events(at, at + rng.uniform(0.5, _MAX_LOSS_S))
+    events = fault.events(at, at + rng.uniform(0.5, _MAX_LOSS_S))
+    if rng.random() < _FORGETFUL_AGENT_SHARE:
+        kill_at = at + rng.uniform(0.1, _MAX_LOSS_S)
+        kill = faults.Fault(
+            agent_host.name,
+            f"kill {agent_host.name} during late orders",
+            agent_host.kill,
+            agent_host.restart,
+        )
+        events += kill.events(kill_at, kill_at + rng.uniform(0.2, 1.0))
+    return events
 
 
 def _draw_replacement(
