--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -24,7 +24,8 @@
     """The state of a run as known to the agent.
 
     ``answered_at`` is when the runner last answered an order for the run; only a
-    snapshot requested after that time can show that the run is missing.
+    snapshot requested after that time can show that the run is missing. ``listed_at``
+    is when the first snapshot that lists the run was requested.
     """
 
     __slots__ = (
@@ -32,13 +33,14 @@
         "checkpoint",
         "end_number",
         "figure",
-        "is_stop_wanted",
         "key",
+        "listed_at",
         "order",
         "outcome",
         "pace",
         "progress",
         "state",
+        "stop_wanted_at",
     )
 
     def __init__(self, key: RunKey, state: messages.RunState) -> None:
@@ -52,7 +54,8 @@
         self.figure = 0
         self.pace = 100
         self.answered_at: float | None = None
-        self.is_stop_wanted = False
+        self.listed_at: float | None = None
+        self.stop_wanted_at: float | None = None
 
     @property
     def is_final(self) -> bool:
@@ -78,7 +81,8 @@
     """Runs in a snapshot of the runner that the table did not expect there.
 
     ``found`` maps the runs that were not in the table to their outcome, empty while
-    they are active. ``strays`` are final in the table but still present.
+    they are active. ``strays`` are present although they are final in the table, were
+    settled, or should have stopped by now.
     """
 
     found: dict[RunKey, str]
@@ -92,6 +96,14 @@
     kept_until: float
 
 
+def _is_overdue(run: Run, requested_at: float) -> bool:
+    """Return whether a snapshot should show the effect of the last answered order."""
+    return (
+        run.answered_at is not None
+        and run.answered_at + _MAX_LISTING_DELAY_S < requested_at
+    )
+
+
 @t.final
 class RunTable:
     """The runs of one life of the runner; its methods are thread-safe.
@@ -131,25 +143,26 @@
                 return run
             if run is None:
                 run = self._runs[key] = Run(key, State.STOPPING)
-                run.is_stop_wanted = True
+                run.stop_wanted_at = clock.now()
                 return run
-            if run.is_final or run.is_stop_wanted:
+            if run.is_final or run.state is State.STOPPING:
                 return None
-            run.is_stop_wanted = True
-            # The thread that executes the start also executes the stop.
-            if run.state is State.STARTING:
-                return None
-            run.state = State.STOPPING
+            # The runner bars a start that arrives after the stop.
+            run.state, run.answered_at = State.STOPPING, None
+            run.stop_wanted_at = clock.now()
             return run
 
-    def record_obeyed(self, run: Run, at: float) -> None:
-        """Record that the runner has executed the latest order for a run."""
+    def record_start(self, run: Run, at: float) -> None:
+        """Record that the runner has started a run, unless a stop was ordered."""
         with self._lock:
-            if run.is_final:
-                return
-            run.answered_at = at
             if run.state is State.STARTING:
-                run.state = State.RUNNING
+                run.state, run.answered_at = State.RUNNING, at
+
+    def record_stop(self, run: Run, at: float) -> None:
+        """Record that the runner has executed the stop of a run."""
+        with self._lock:
+            if run.state is State.STOPPING:
+                run.answered_at = at
 
     def begin_stop(self, run: Run) -> bool:
         """Set a run to STOPPING and return True, or False if it is already final."""
@@ -158,6 +171,8 @@
                 return False
             run.state = State.STOPPING
             run.answered_at = None
+            if run.stop_wanted_at is None:
+                run.stop_wanted_at = clock.now()
             return True
 
     def record_rejection(self, run: Run, reason: str) -> None:
@@ -190,6 +205,10 @@
         with self._lock:
             for key, row in present.items():
                 run = self._runs.get(key)
+                if run is None and self._is_settled(key):
+                    # The scheduler would take its row for the one that it has settled.
+                    strays.append(key)
+                    continue
                 if run is None:
                     run = self._runs[key] = Run(key, State.RUNNING)
                     run.answered_at = requested_at
@@ -197,8 +216,12 @@
                     self._changed.set()
                 elif run.is_final and run.state is not State.ENDED:
                     strays.append(key)
+                elif run.state is State.STOPPING and _is_overdue(run, requested_at):
+                    strays.append(key)
                 elif run.state is State.STARTING:
                     run.state, run.answered_at = State.RUNNING, requested_at
+                if run.listed_at is None:
+                    run.listed_at = requested_at
                 run.checkpoint = row.checkpoint
                 run.progress, run.figure = row.progress, row.figure
             for end in snapshot.ended:
@@ -229,11 +252,8 @@
         self, run: Run, present: abc.Container[RunKey], requested_at: float
     ) -> None:
         """Set a run to GONE if the runner should list it by now but does not."""
-        is_due = (
-            run.answered_at is not None
-            and run.answered_at + _MAX_LISTING_DELAY_S < requested_at
-        )
-        if is_due and not run.is_final and run.key not in present:
+        is_due = not run.is_final and _is_overdue(run, requested_at)
+        if is_due and run.key not in present:
             run.state, run.outcome = State.GONE, "missing"
             self._changed.set()
 
@@ -305,6 +325,12 @@
         with self._lock:
             return [run.row() for run in self._runs.values()]
 
+    def find_stopped(self, keys: abc.Iterable[RunKey]) -> list[Run]:
+        """Return those of the given runs that are to stop or have ended."""
+        with self._lock:
+            found = [run for key in keys if (run := self._runs.get(key)) is not None]
+        return [run for run in found if run.state in (State.STOPPING, State.ENDED)]
+
     def live_runs(self) -> list[Run]:
         """Return the runs that are not final, which may be on the host."""
         with self._lock:
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass import clock, errors
-from bilberrypass.hosting import leases, pacing, run_events, runner, runs
+from bilberrypass.hosting import leases, pacing, run_events, runner, runs, stop_monitor
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
@@ -19,10 +19,12 @@
 _POLL_WAIT_S: t.Final = 1.0  # allows several renewals within the shortest lease
 _ACK_WAIT_S: t.Final = 0.3
 _POLL_RETRY_INTERVAL_S: t.Final = 0.3
-_ORDER_THREADS: t.Final = 6
+_START_THREADS: t.Final = 6
+_STOP_THREADS: t.Final = 4
 _MS: t.Final = 1_000
 # Refusals after which the run is not on the runner and cannot start there.
 _BARRED_REASONS: t.Final = ("old",)
+_ENDED_OUTCOME: t.Final = "the session has ended"
 
 
 @t.final
@@ -56,12 +58,17 @@
         self._answered_at = clock.now()
         self._runner_calls = decisions.Dependency("runner")
         self._pacer = pacing.Pacer()
+        self._stop_monitor = stop_monitor.StopMonitor(info)
         self._interference_estimates: dict[tuple[str, str], float] = {}
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
         self._wakeup = threading.Event()
-        self._pool = futures.ThreadPoolExecutor(
-            _ORDER_THREADS, thread_name_prefix="orders"
+        # Stops never wait for starts, which may be repeated without end.
+        self._start_pool = futures.ThreadPoolExecutor(
+            _START_THREADS, thread_name_prefix="starts"
+        )
+        self._stop_pool = futures.ThreadPoolExecutor(
+            _STOP_THREADS, thread_name_prefix="stops"
         )
         self._thread = threading.Thread(
             target=self._poll_repeatedly, name="hold", daemon=True
@@ -79,7 +86,8 @@
         live = self.table.mark_all_gone(outcome)
         if not was_ended:
             run_events.record_session_end(self.info, outcome, live)
-        self._pool.shutdown(wait=False, cancel_futures=True)
+        for pool in (self._start_pool, self._stop_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
 
     @property
     def answered_ago_s(self) -> float:
@@ -112,22 +120,34 @@
     def execute_orders(self, epoch: int, orders: list[messages.Order]) -> None:
         """Execute each order once, in the background; skip those for another life."""
         self._epoch = max(self._epoch, epoch)
+        skipped = []
         for order in orders:
-            if order.life != self.info.life or self._ended.is_set():
+            is_ended = self._ended.is_set()
+            if order.life != self.info.life or is_ended:
+                skipped.append(order)
+            if order.life != self.info.life:
                 continue
             run = self.table.apply_order(order)
-            if run is not None and run.state is runs.State.STARTING:
-                self._execute_async(self._start_run, run, order, clock.now())
-            elif run is not None:
-                self._execute_async(self._stop_run, run)
+            if run is None or is_ended:
+                continue
+            if run.state is runs.State.STARTING:
+                received_at = clock.now()
+                self._execute_async(
+                    self._start_pool, self._start_run, run, order, received_at
+                )
+            else:
+                self._execute_async(self._stop_pool, self._stop_run, run)
+        run_events.record_skipped_orders(skipped, self.info.life)
+        if self._ended.is_set():
+            self.table.mark_all_gone(_ENDED_OUTCOME)
 
-    def _execute_async(self, call: abc.Callable[..., None], *args: t.Any) -> None:
+    def _execute_async(
+        self, pool: futures.Executor, call: abc.Callable[..., None], *args: t.Any
+    ) -> None:
         try:
-            self._pool.submit(call, *args)
+            pool.submit(call, *args)
         except RuntimeError:
-            decisions.record(
-                "order.dropped", runner=self.info.id, why="the session has ended"
-            )
+            decisions.record("order.dropped", runner=self.info.id, why=_ENDED_OUTCOME)
 
     def _update_clock(self, clock_ms: int, at: float) -> None:
         self._answered_at = at
@@ -143,14 +163,8 @@
         is_uncertain = order.is_repeated
         attempts = 0
         reject_at = clock.now() + _LEASE_GRANT_TIMEOUT_S
-        while not self._ended.is_set() and not run.is_final:
-            # Read before ``is_stop_wanted``: other threads execute later stops.
-            is_listed = run.state is runs.State.RUNNING
-            if run.is_stop_wanted:
-                self._stop_run(run)
-                return
-            if is_listed:
-                return
+        # A snapshot may list the run, and another thread may stop it.
+        while not self._ended.is_set() and run.state is runs.State.STARTING:
             lease_end_ms = self._lease.renew()
             if received_at < self._lease.resumed_at:
                 run_events.record_barred(run, self.info.life)
@@ -175,18 +189,14 @@
                 continue
             self._update_clock(answer.clock_ms, clock.now())
             if not answer.reason:
-                self.table.record_obeyed(run, clock.now())
-                if attempts > 1 or run.state is runs.State.GONE:
-                    run_events.record_delayed_start(
-                        run, self.info.life, attempts, received_at, answer
-                    )
-                # A stop that arrived during the call was left to this thread.
-                if run.is_stop_wanted:
-                    self._stop_run(run)
-            elif is_uncertain or run.state is not runs.State.STARTING:
-                self._stop_run(run)
-            else:
+                self.table.record_start(run, clock.now())
+                run_events.record_delayed_start(
+                    run, self.info.life, attempts, received_at, answer
+                )
+            elif run.state is runs.State.STARTING and not is_uncertain:
                 self._reject(run, answer.reason)
+            elif run.state is not runs.State.STOPPING:
+                self._stop_run(run)
             return
 
     def _reject(self, run: runs.Run, reason: str) -> None:
@@ -203,8 +213,10 @@
         """Stop a run or prevent its start; later snapshots show its outcome."""
         if not self.table.begin_stop(run):
             return
+        attempts, refusal = 0, ""
         while not self._ended.is_set() and not run.is_final:
             deadline = clock.now() + _ORDER_TIMEOUT_S
+            attempts += 1
             try:
                 answer = self._client.stop(*run.key, self._epoch, deadline)
             except errors.Error as exc:
@@ -215,13 +227,17 @@
                 continue
             self._update_clock(answer.clock_ms, clock.now())
             if not answer.reason or answer.reason in _BARRED_REASONS:
-                self.table.record_obeyed(run, clock.now())
+                self.table.record_stop(run, clock.now())
                 self._wakeup.set()
+                run_events.record_delayed_stop(run, self.info.life, attempts)
                 return
+            if answer.reason != refusal:
+                refusal = answer.reason
+                run_events.record_refused_stop(run, self.info.life, attempts, refusal)
             self._ended.wait(_RETRY_INTERVAL_S)
 
     def _stop_stray(self, key: runs.RunKey) -> None:
-        """Stop a run that is final in the table; later snapshots show the result."""
+        """Try to stop a run that should not be present; each snapshot repeats it."""
         deadline = clock.now() + _ORDER_TIMEOUT_S
         try:
             answer = self._client.stop(*key, self._epoch, deadline)
@@ -261,8 +277,9 @@
             has_snapshot = True
             unexpected = self.table.apply_snapshot(snapshot, requested_at)
             run_events.record_found(self.info, unexpected.found)
+            self._stop_monitor.check(self.table, snapshot, requested_at)
             for key in unexpected.strays:
-                self._execute_async(self._stop_stray, key)
+                self._execute_async(self._stop_pool, self._stop_stray, key)
             self._adjust_paces()
             if self.table.has_unacknowledged_ends():
                 self._wakeup.wait(_ACK_WAIT_S)
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -6,7 +6,7 @@
 
 from bilberrypass import clock
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, interference, messages, state
+from bilberrypass.scheduling import hosts, interference, messages, state, stop_monitor
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -24,6 +24,8 @@
 State = messages.RunState
 Verb = messages.Verb
 
+_FINAL_STATES: t.Final = (State.ENDED, State.REJECTED, State.GONE)
+
 
 @t.final
 class Reconciler:
@@ -37,6 +39,7 @@
 
     def __init__(self, owner: "scheduler.Scheduler") -> None:
         self._scheduler = owner
+        self._stop_monitor = stop_monitor.StopMonitor()
 
     def restore_runs(self, job: state.JobState) -> None:
         """Add the runs that an earlier scheduler ordered for a job to their hosts."""
@@ -105,14 +108,18 @@
 
     def _update_runs(self, host: hosts.Host, report: messages.Report) -> None:
         rows = {(row.task, row.run): row for row in report.runs}
-        for key in host.settled.keys() - rows.keys():
+        final = {key for key, row in rows.items() if row.state in _FINAL_STATES}
+        # A run that is listed again after it counted as final is to be stopped.
+        for key in host.settled.keys() - final:
             del host.settled[key]
         for key, row in rows.items():
             if row.end and host.settled.get(key) != row.end:
                 host.record_unstored_end(row.end)
         for key, row in rows.items():
             task = host.tasks.get(key)
-            if key in host.pending or host.settled.get(key) == row.end:
+            if host.settled.get(key) == row.end or (
+                key in host.pending and key in final
+            ):
                 continue
             if task is None:
                 self._handle_unknown_run(host, key, row)
@@ -152,7 +159,7 @@
         self, host: hosts.Host, key: hosts.RowKey, row: messages.RunRow
     ) -> None:
         """Stop a run that the scheduler no longer tracks, or settle it if final."""
-        if row.state in (State.ENDED, State.REJECTED, State.GONE):
+        if row.state in _FINAL_STATES:
             host.settle(key, row.end)
             return
         if row.state != State.STOPPING:
@@ -164,6 +171,7 @@
                 host=host.name,
                 life=host.life,
                 state=State(row.state).name,
+                job_status=self._scheduler.status(row.task.partition(".")[0]),
             )
             self._scheduler.queue_order(
                 host, messages.Order(Verb.STOP, row.task, row.run, host.life)
@@ -172,6 +180,8 @@
     def _update_run(
         self, host: hosts.Host, task: state.Task, row: messages.RunRow
     ) -> None:
+        if task.job.cancelled or task.job.failed:
+            self._stop_monitor.on_row(host, row)
         if row.checkpoint:
             task.checkpoint = row.checkpoint
         task.figure, task.pace = row.figure, row.pace
@@ -180,6 +190,7 @@
         if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
+        if row.state in (State.STARTING, State.RUNNING):
             self._resend_lost_order(host, task)
         elif row.state == State.ENDED:
             self._handle_end(host, task, row)
@@ -199,7 +210,7 @@
             )
 
     def _resend_lost_order(self, host: hosts.Host, task: state.Task) -> None:
-        """Resend the STOP or DESCRIBE of a running task if its agent may lack it."""
+        """Resend the STOP or DESCRIBE of a run if its agent may lack it."""
         key = str(task.key), task.run
         sent = host.sent.get(key)
         if task.phase is state.Phase.STOPPING:
@@ -325,6 +336,9 @@
 
     def tick(self, now: float) -> None:
         """Requeue the tasks of hosts whose lease has expired, and log unstored ends."""
+        self._stop_monitor.tick(
+            self._scheduler.open_jobs.values(), self._scheduler.hosts, now
+        )
         for host in self._scheduler.hosts.values():
             stuck = host.stuck_ends(now)
             if stuck and now > host.stuck_ends_logged_at + _STUCK_ENDS_LOG_INTERVAL_S:
