Count an announced exit of a runner once it refuses connections

The agent took the announcement as proof that nothing runs there: it reported all runs as gone, renewed no lease, listed no runs and dropped the stops. A run of a cancelled job went on until its lease lapsed, up to 5 s, more than the 3.4 s that a site allows; and the scheduler could start the task elsewhere meanwhile. Change: after the announcement the agent asks the runner every 0.1 s and ends the session as soon as a connection is refused. Until then the session goes on.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -170,7 +170,7 @@
         return not why
 
     def handle_runner_exit(self, id: str) -> None:
-        """Mark all runs as gone after the runner has announced its exit.
+        """Mark all runs as gone once the runner has exited as it announced.
 
         An exit names no life, and a runner reports that it is draining before it
         exits: the exit of a runner that does not drain is of an earlier life.
@@ -180,14 +180,12 @@
             if current is None or current.info.id != id:
                 return
             is_draining = current.info.is_draining
-        if not is_draining:
-            decisions.record("runner.exit_ignored", runner=id, life=current.info.life)
-            return
-        # The session is kept, so that the next reports to the scheduler list all of
-        # its runs as gone.
-        decisions.record("runner.left", runner=id)
-        current.end("left")
-        self._report_due.set()
+        if is_draining:
+            # The session is kept, so that the next reports to the scheduler list all
+            # of its runs as gone.
+            current.await_exit()
+        event = "runner.exit" if is_draining else "runner.exit_ignored"
+        decisions.record(event, runner=id, life=current.info.life)
 
     def _start_session(
         self, info: messages.RunnerInfo, address: str, client: runner.Runner
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -19,6 +19,7 @@
 _POLL_WAIT_S: t.Final = 1.0  # allows several renewals within the shortest lease
 _ACK_WAIT_S: t.Final = 0.3
 _POLL_RETRY_INTERVAL_S: t.Final = 0.3
+_EXIT_CHECK_INTERVAL_S: t.Final = 0.1
 _START_THREADS: t.Final = 6
 _STOP_THREADS: t.Final = 4
 _MS: t.Final = 1_000
@@ -61,6 +62,7 @@
         self._interference_estimates: dict[tuple[str, str], float] = {}
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
+        self._exit_thread: threading.Thread | None = None
         self._wakeup = threading.Event()
         # Stops never wait for starts, which may be repeated without end.
         self._start_pool = futures.ThreadPoolExecutor(
@@ -88,6 +90,28 @@
         for pool in (self._start_pool, self._stop_pool):
             pool.shutdown(wait=False, cancel_futures=True)
 
+    def await_exit(self) -> None:
+        """End the session, in the background, once the runner refuses connections.
+
+        The runner has announced its exit, but may live on for some seconds.
+        """
+        if self._exit_thread is None:
+            self._exit_thread = threading.Thread(
+                target=self._check_exit, name="exit", daemon=True
+            )
+            self._exit_thread.start()
+
+    def _check_exit(self) -> None:
+        while not self._ended.is_set():
+            try:
+                self._client.poll(self.table.acknowledged_end, None, self._epoch, 0.0)
+            except errors.Error as exc:
+                is_refused = exc.kind is errors.Kind.PEER_UNREACHABLE
+                if is_refused and exc.ran is errors.Ran.NO:
+                    self.end("left")
+                    return
+            self._ended.wait(_EXIT_CHECK_INTERVAL_S)
+
     @property
     def answered_ago_s(self) -> float:
         """The age of the runner's last answer, in seconds."""
--- a/testing/hosting/sessions.py
+++ b/testing/hosting/sessions.py
@@ -42,10 +42,16 @@
 
 
 @contextlib.contextmanager
-def session_with(runner, lease_s=5.0, leased_before_s=0.0):
-    """Run a session with a runner; no lease is granted if ``lease_s`` is 0."""
+def session_with(runner, lease_s=5.0, leased_before_s=0.0, life=None):
+    """Run a session with a runner; no lease is granted if ``lease_s`` is 0.
+
+    ``life`` is given for a runner that is a client of one.
+    """
     current = session.RunnerSession(
-        info(runner.life), runner, threading.Event(), clock.now() + leased_before_s
+        info(runner.life if life is None else life),
+        runner,
+        threading.Event(),
+        clock.now() + leased_before_s,
     )
     if lease_s:
         current.grant_lease(EPOCH, clock.now() + lease_s)
--- a/testing/hosting/test_restart.py
+++ b/testing/hosting/test_restart.py
@@ -3,9 +3,11 @@
 import contextlib
 import time
 
+from bilberrypass import clock
 from bilberrypass.connection import channels
 from bilberrypass.hosting import agent
 from bilberrypass.platform import programs
+from bilberrypass.platform import runner as runner_client
 from bilberrypass.scheduling import jobs, messages
 from testing import collecting, fixtures
 from testing.hosting import sessions
@@ -136,6 +138,24 @@
         assert (second.task, 1) not in current.running, current.running
 
 
+def test_runs_of_a_runner_that_exits_are_gone_once_it_refuses_connections():
+    id = sessions.info().id
+    with runhttp.RunnerProcess(id, _LIFE) as process:
+        client = runner_client.Runner(id, _LIFE, process.address)
+        with sessions.session_with(client, life=_LIFE) as current:
+            current.execute_orders(
+                sessions.EPOCH, [sessions.order(messages.Verb.START)]
+            )
+            sessions.await_state(current, State.RUNNING)
+            current.await_exit()
+            for _ in fixtures.polls(1.5):
+                assert sessions.row(current).state == State.RUNNING
+            process.crash()
+            crashed_at = clock.now()
+            assert sessions.await_state(current, State.GONE).outcome == "left"
+            assert clock.now() - crashed_at < 0.5
+
+
 def test_next_life_after_clock_step_back_is_accepted_although_it_answers():
     with _system() as (_, host, process):
         process.restart(_LIFE_AFTER_CLOCK_STEP)
--- a/testing/hosting/test_stops.py
+++ b/testing/hosting/test_stops.py
@@ -165,4 +165,14 @@
         host.await_row(State.GONE, run=2)
 
 
+def test_stop_reaches_a_runner_that_lives_on_after_its_exit():
+    with _host_with_running_task() as host:
+        host.report_runner(is_draining=True)
+        host.agent.handle_runner_exit("i-1")
+        for _ in range(3):
+            host.await_row(State.RUNNING)
+        assert host.deliver(Verb.STOP)
+        _await_stop(host.runner)
+
+
 load_tests = collecting.hook(__name__)
