Keep the agent's epoch when a response of an earlier scheduler is late

Cause: the agent compared the epoch of a response with its own, then took it without a lock. Change: the epoch is raised, never lowered, under the lock. Evidence: `python -m testing hosting.test_agent`. After: 11 pass, in two runs; hosting, platform, scheduling: 223 passed, 1 skipped (known red).

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -295,10 +295,10 @@
             return False
         self._scheduler_calls.worked()
         _reports.labels("told").inc()
-        self._epoch = response.epoch
         self._is_lookup_due = response.is_cut_off
         granted_until = sent_at + response.lease_s
         with self._lock:
+            self._epoch = max(self._epoch, response.epoch)
             has_lapsed = clock.now() > self._granted_until
             if has_lapsed:
                 self._resumed_sequence = report.sequence
--- a/testing/hosting/test_agent.py
+++ b/testing/hosting/test_agent.py
@@ -2,7 +2,9 @@
 
 import contextlib
 
+from bilberrypass.connection import channels
 from bilberrypass.hosting import agent
+from bilberrypass.scheduling import messages
 from testing import collecting, fixtures
 from testing.hosting import sessions
 from testing.standins import runners
@@ -151,6 +153,30 @@
             assert session.table.rows()[0].state != sessions.State.GONE
 
 
+def test_epoch_does_not_fall_back_to_that_of_a_response_that_it_overtook():
+    earlier, later = sessions.EPOCH, sessions.EPOCH + 1
+    response = messages.ReportResponse(True, earlier, 2.0)
+    server = channels.Server(
+        "127.0.0.1:0", {messages.REPORT: lambda report: response}, threads=4
+    )
+    server.start()
+    try:
+        with _agent() as (running_agent, _):
+            record = running_agent._scheduler_calls.worked
+
+            def worked():
+                running_agent._set_scheduler(server.address, later)
+                record()
+
+            running_agent._scheduler_calls.worked = worked
+            running_agent._set_scheduler(server.address, earlier)
+            fixtures.wait_until(lambda: running_agent._epoch == later, 5.0, "the epoch")
+            for _ in fixtures.polls(0.5):
+                assert running_agent._epoch == later
+    finally:
+        server.stop(0)
+
+
 def test_late_report_of_an_earlier_life_is_ignored_after_a_clock_step_back():
     with _agent() as (running_agent, runners_by_address):
         runners_by_address["a:1"] = runners.Runner(2_000)
