Renew no lease while the runs under it are given up

Cause: the agent found the lease of a silent runner over, then marked its runs as gone. Change: the check ends the grant in the same step; the next one bars the starts from before, as after any gap of the grant. Evidence: `python -m testing hosting.test_silence`.

--- a/src/bilberrypass/hosting/leases.py
+++ b/src/bilberrypass/hosting/leases.py
@@ -76,6 +76,18 @@
             left_s = until - self._clock_at
             return self._clock_ms + int(left_s * _MIN_CLOCK_RATE * _MS)
 
+    def lapse(self) -> bool:
+        """Return whether the lease is over; if so, it takes a new grant to renew it.
+
+        Another thread may have an answer of the runner before its runs are given up.
+        """
+        with self._lock:
+            if clock.now() <= self._end:
+                return False
+            if self._clock_at:
+                self._granted_until = min(self._granted_until, self._end)
+            return True
+
     @property
     def resumed_at(self) -> float:
         """When the latest grant arrived that found the earlier one expired, or 0."""
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -352,5 +352,5 @@
     def _on_poll_failure(self, exc: errors.Error) -> None:
         self._runner_calls.failed(exc)
         self._lease.record_failure()
-        if clock.now() > self._lease.end:
+        if self._lease.lapse():
             self.table.mark_all_gone("lapsed")
--- a/testing/hosting/test_silence.py
+++ b/testing/hosting/test_silence.py
@@ -66,4 +66,25 @@
         assert sessions.row(current).state == State.RUNNING
 
 
+def test_lease_is_not_renewed_for_runs_that_are_given_up_with_it():
+    """An answer to an order may arrive just as the agent gives the runs up."""
+    runner = runners.Runner()
+    renewed = []
+    with sessions.session_with(runner, lease_s=0.6) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        sessions.await_state(current, State.RUNNING)
+        mark_all_gone = current.table.mark_all_gone
+
+        def mark_after_answer(outcome):
+            current._update_clock(runner.clock_ms, clock.now())
+            renewed.append(current._lease.renew())
+            return mark_all_gone(outcome)
+
+        current.table.mark_all_gone = mark_after_answer
+        runner.is_silent = True
+        current.grant_lease(sessions.EPOCH, clock.now() + 20.0)
+        assert sessions.await_state(current, State.GONE).outcome == "lapsed"
+        assert renewed[0] is None
+
+
 load_tests = collecting.hook(__name__)
