Grant no lease to an agent that does not know its runner

What callers saw: jobs whose runs are never restarted, and cancelled jobs that never end (LOST).

Cause: the agent of side-south-a-2 was killed at 20.9, its runner was lost for good at 21.5, before it reported to the new agent. The reports without a runner extended the grant of the host without end, so its runs never lapsed, and placement went on to send runs there, which the agent refuses.

Change: a report without a runner is granted nothing and does not extend what earlier agents hold (leased_s); the host is not used until its runner reports. An agent refuses what was issued before such a gap, as after any other one.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -77,12 +77,15 @@
         host.address, host.zone = report.address, report.zone
         host.is_leaving = report.is_leaving
         host.reported_at = at
-        granted_until = at + max(lease_s, report.leased_s)
-        if host.is_grant_known:
-            granted_until = max(granted_until, host.granted_until)
-        host.granted_until, host.is_grant_known = granted_until, True
+        held_s = max(lease_s, report.leased_s)
+        if not host.is_grant_known:
+            host.granted_until, host.is_grant_known = at + held_s, True
+        elif held_s:
+            host.granted_until = max(host.granted_until, at + held_s)
         host.answered_ago_s = report.answered_ago_s
-        if report.runner is not None:
+        if report.runner is None:
+            host.runner = None
+        else:
             self._update_runner(host, report.runner)
             self._update_runs(host, report)
 
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -146,14 +146,14 @@
     # Called from other threads.
 
     def report(self, report: messages.Report) -> messages.ReportResponse:
-        """Apply an agent's report and return the response with a new lease."""
+        """Apply a report; the response grants a lease if the agent knows its runner."""
         now = clock.now()
-        lease_s = self._lease_s(now)
+        lease_s = self._lease_s(now) if report.runner is not None else 0.0
         host = self.hosts.get(report.host)
-        if host is not None:
-            host.granted_until = max(host.granted_until, now + lease_s)
-        else:
+        if host is None:
             self.unknown_leases_end = max(self.unknown_leases_end, now + lease_s)
+        elif lease_s:
+            host.granted_until = max(host.granted_until, now + lease_s)
         done = threading.Event()
         self._events.put(lambda: self._on_report(report, now, lease_s, done))
         done.wait(REPORT_APPLY_TIMEOUT_S)
--- a/testing/hosting/test_grant_gaps.py
+++ b/testing/hosting/test_grant_gaps.py
@@ -19,7 +19,7 @@
 
 
 class _Scheduler:
-    """Grants leases; its responses are lost while ``is_cut_off`` is set.
+    """Grants leases for known runners; ``is_cut_off`` loses its responses.
 
     ``on_report`` is called before the response to each report.
     """
@@ -38,10 +38,11 @@
         self.reports.append(report)
         if self.is_cut_off:
             raise errors.Error(errors.Kind.ANSWER_LOST, "the response is lost")
-        self.granted_until = clock.now() + self.lease_s
+        lease_s = self.lease_s if report.runner is not None else 0.0
+        self.granted_until = clock.now() + lease_s
         if self.on_report is not None:
             self.on_report(report)
-        return messages.ReportResponse(True, sessions.EPOCH, self.lease_s)
+        return messages.ReportResponse(True, sessions.EPOCH, lease_s)
 
     def await_reports(self, count):
         """Wait for further reports, and return the last one."""
@@ -66,6 +67,9 @@
         self.started_at = clock.now()
         self._peer = channels.Peer(identity.peer_address)
         self._agent.start()
+
+    def report_runner(self):
+        """Report the runner to the agent for the first time."""
         self._agent.handle_runner_report(sessions.info(), "a:1", 1)
 
     def find(self):
@@ -92,16 +96,19 @@
 
     def stop(self):
         self._agent.stop()
-        self._agent._session.end("the test is over")
+        if self._agent._session is not None:
+            self._agent._session.end("the test is over")
         self._peer.close()
 
 
 @contextlib.contextmanager
-def _system(lease_s=_LEASE_S, is_cut_off=False):
+def _system(lease_s=_LEASE_S, is_cut_off=False, knows_runner=True):
     scheduler = _Scheduler(lease_s)
     scheduler.is_cut_off = is_cut_off
     scheduler.server.start()
     host = _Host(scheduler)
+    if knows_runner:
+        host.report_runner()
     try:
         yield scheduler, host
     finally:
@@ -161,6 +168,18 @@
         assert not is_taken
 
 
+def test_start_issued_long_before_the_runner_was_known_is_not_executed():
+    with _system(knows_runner=False) as (scheduler, host):
+        report = scheduler.await_reports(1)
+        lease_end = host.started_at + _LEASE_S
+        fixtures.wait_until(lambda: clock.now() > lease_end, 5.0, "the lease's end")
+        host.report_runner()
+        scheduler.await_reports(3)
+        is_taken = host.deliver(report, sessions.order(Verb.START))
+        _assert_not_started(host)
+        assert not is_taken
+
+
 def test_orders_that_overtake_the_response_to_their_report_are_executed():
     with _system(_LONG_LEASE_S) as (scheduler, host):
         orders, taken = [], []
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -54,6 +54,7 @@
         self.labels = ("a", "r1")
         self.is_draining = False
         self.leased_s = 0.0
+        self.has_runner = True
         self.last_response: messages.ReportResponse | None = None
 
     def report(self):
@@ -76,7 +77,7 @@
             self.agent,
             self.sequence,
             self.cluster.epoch,
-            info,
+            info if self.has_runner else None,
             0.0,
             self.leased_s,
             list(self.rows.values()),
