--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -23,10 +23,11 @@
     ``orders_to_lose`` is the number of coming orders that get no answer; they are
     executed ``lost_order_delay_s`` seconds later, or never if that is None.
     ``holds_to_lose`` does the same to polls. ``is_order_late`` is set while such a call
-    is executed. While ``is_silent`` is set, no call is answered or executed.
-    ``max_runs`` is the maximum number of concurrent runs. Longer leases than
-    ``max_lease_ms`` are shortened to it. ``highest_ended`` holds for each task the
-    highest run number that has ended or was stopped; runs up to it may not start again.
+    is executed. While ``is_silent`` is set, no call is answered or executed; once
+    ``has_left`` is set, all calls are refused. ``max_runs`` is the maximum number of
+    concurrent runs. Longer leases than ``max_lease_ms`` are shortened to it.
+    ``highest_ended`` holds for each task the highest run number that has ended or was
+    stopped; runs up to it may not start again.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.lost_order_delay_s = None
         self.is_order_late = False
         self.is_silent = False
+        self.has_left = False
         self.epoch = 0
         self.running: dict[tuple[str, int], str] = {}
         self.highest_ended: dict[str, int] = {}
@@ -89,11 +91,18 @@
         with self._lock:
             self._end((task, run), outcome)
 
+    def _check_reach(self):
+        if self.has_left:
+            raise errors.Error(
+                errors.Kind.PEER_UNREACHABLE, "refused", ran=errors.Ran.NO
+            )
+        if self.is_silent:
+            raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
+
     def _execute(self, call):
         with self._lock:
             self._turn()
-            if self.is_silent:
-                raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
+            self._check_reach()
             if self.orders_to_lose:
                 self.orders_to_lose -= 1
                 self._lose(call)
@@ -155,8 +164,7 @@
     def poll(self, acknowledged_end, lease_end_ms, epoch, wait_s):
         with self._lock:
             self._turn()
-            if self.is_silent:
-                raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
+            self._check_reach()
             if self.holds_to_lose:
                 self.holds_to_lose -= 1
                 self._lose(lambda: self._hold(acknowledged_end, lease_end_ms, epoch))
@@ -166,8 +174,7 @@
             while not self.ended and clock.now() < deadline:
                 self._lock.wait(_TURN_INTERVAL_S)
                 self._turn()
-                if self.is_silent:
-                    raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
+                self._check_reach()
             running = [
                 runner.ActiveRun(*key, checkpoint, 50, self.figures.get(key, 0))
                 for key, checkpoint in self.running.items()
