Test that a run that starts late after it was settled is stopped

No change of logic: the test goes through the scheduler, the agent and the runner's client, where hosting.test_late_starts has the session alone. The start that comes late is made to carry a lease that is still good.

--- a/testing/hosting/test_restart.py
+++ b/testing/hosting/test_restart.py
@@ -5,7 +5,7 @@
 
 from bilberrypass import clock
 from bilberrypass.connection import channels
-from bilberrypass.hosting import agent
+from bilberrypass.hosting import agent, runner
 from bilberrypass.platform import programs
 from bilberrypass.platform import runner as runner_client
 from bilberrypass.scheduling import jobs, messages
@@ -68,6 +68,10 @@
         req = messages.Orders(self._cluster.epoch, self._server.address, orders)
         self._peer.call(messages.ORDERS, req, time.monotonic() + 2.0)
 
+    def rows(self):
+        """Return the rows of the table from which the agent reports."""
+        return self._agent._session.table.rows()
+
     def await_report(self, life):
         """Wait for the first report of a life, and return it."""
 
@@ -156,6 +160,28 @@
             assert clock.now() - crashed_at < 0.5
 
 
+def test_run_that_starts_late_after_the_scheduler_settled_it_is_stopped():
+    with _system() as (cluster, host, process):
+        cluster.submit(jobs.Step(1, cpu_milli=100))
+        (order,) = host.await_orders()
+        process.runner.orders_to_lose = 1_000
+        host.deliver([order])
+        process.runner.is_silent = True
+
+        def states():
+            return [row.state for row in host.reports[-1].runs]
+
+        fixtures.wait_until(lambda: states() == [State.GONE], 5.0, "the lapse")
+        process.runner.is_silent, process.runner.orders_to_lose = False, 0
+        fixtures.wait_until(lambda: not host.rows(), 5.0, "the settled row's removal")
+        spec = runner.RunSpec(order.task, order.run, "", "", "")
+        lease_end_ms = process.runner.clock_ms + 2_000
+        process.runner.start(spec, lease_end_ms, process.runner.epoch, 0.0)
+        assert process.runner.started == [(order.task, order.run)]
+        fixtures.wait_until(lambda: process.runner.ended, 5.0, "an end")
+        assert process.runner.ended[0].outcome == "stopped", process.runner.ended
+
+
 def test_next_life_after_clock_step_back_is_accepted_although_it_answers():
     with _system() as (_, host, process):
         process.restart(_LIFE_AFTER_CLOCK_STEP)
