Stop a stray once at a time

Change: a stray whose stop is in progress is not queued again. Evidence: `python -m testing hosting.test_order_queue`.

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -63,6 +63,7 @@
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
         self._exit_thread: threading.Thread | None = None
+        self._strays_in_progress: set[runs.RunKey] = set()
         self._wakeup = threading.Event()
         # Stops never wait for starts, which may be repeated without end.
         self._start_pool = futures.ThreadPoolExecutor(
@@ -254,6 +255,8 @@
             answer = self._client.stop(*key, self._epoch, deadline)
         except errors.Error as exc:
             answer = runner.Answer(exc.detail, 0)
+        finally:
+            self._strays_in_progress.discard(key)
         decisions.record("run.stray", task=key[0], run=key[1], why=answer.reason)
 
     def _poll_repeatedly(self) -> None:
@@ -289,7 +292,9 @@
             unexpected = self.table.apply_snapshot(snapshot, requested_at)
             run_events.record_found(self.info, unexpected.found)
             for key in unexpected.strays:
-                self._execute_async(self._stop_pool, self._stop_stray, key)
+                if key not in self._strays_in_progress:
+                    self._strays_in_progress.add(key)
+                    self._execute_async(self._stop_pool, self._stop_stray, key)
             self._adjust_paces()
             if self.table.has_unacknowledged_ends():
                 self._wakeup.wait(_ACK_WAIT_S)
--- a/testing/hosting/test_order_queue.py
+++ b/testing/hosting/test_order_queue.py
@@ -1,6 +1,7 @@
 """Stops beside starts that get no answer or wait for a lease."""
 
 import contextlib
+import threading
 import time
 
 from bilberrypass import clock, errors
@@ -82,4 +83,36 @@
         sessions.await_state(current, State.GONE, task=_task(_STARTS - 1))
 
 
+class _SilentStopsRunner(runners.Runner):
+    """Answers no stop until the test allows it."""
+
+    def __init__(self):
+        super().__init__()
+        self.stopped: list[str] = []
+        self.allowed = threading.Event()
+
+    def stop(self, task, *args):
+        self.stopped.append(task)
+        self.allowed.wait(5.0)
+        return super().stop(task, *args)
+
+
+def test_stray_keeps_one_thread_however_many_snapshots_list_it():
+    """Each end of a run brings a snapshot, and other stops would wait."""
+    runner = _SilentStopsRunner()
+    stray = _task(0)
+    with _session_with_running_task(runner, lease_s=20.0) as current:
+        current.table.apply_order(sessions.order(Verb.START, task=stray))
+        current.table.mark_all_gone("lapsed")
+        runner.running[stray, 1] = ""
+        fixtures.wait_until(lambda: stray in runner.stopped, _STOP_S, "the stop")
+        for number in range(1, 6):
+            runner.running[_task(number), 1] = ""
+            runner.end_run(_task(number), 1)
+            sessions.await_state(current, State.ENDED, task=_task(number))
+        assert runner.stopped.count(stray) == 1, runner.stopped
+        runner.allowed.set()
+        sessions.await_state(current, State.ENDED, task=stray)
+
+
 load_tests = collecting.hook(__name__)
