--- a/soak/series.py
+++ b/soak/series.py
@@ -50,7 +50,8 @@
 
     def heal() -> None:
         runner = agent_host.runner
-        runner.orders_to_lose = runner.holds_to_lose = 0
+        if runner.lost_order_delay_s == late_s:  # no later loss has begun
+            runner.orders_to_lose = runner.holds_to_lose = 0
 
     fault = faults.Fault(
         faults.runner_place(agent_host),
