Have an agent with a lower number return a challenge before it is accepted

Cause: an agent is identified by its start time of day, and a lower number was accepted after 1.6 s of silence of the current agent, for agents whose clock was set back.

Change: after the silence, the response to such a report carries a challenge, and only a report that returns it counts; a late report cannot. A challenge ends with the next report that counts, so that the answer proves a process that ran after the last report of the other agent. An agent above the highest number known is accepted at once, as before. A report that does not count gets no lease. The responses move to scheduling/responding.py.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -87,6 +87,7 @@
         # A scheduler gives no run up before this time, even if no response arrives.
         self._granted_until = self._started_at + lease_s
         self._resumed_sequence = 0
+        self._challenge = ""
         self._lock = threading.Lock()
         self._session: session.RunnerSession | None = None
         self._runner_sequence = -1
@@ -289,6 +290,7 @@
             max(0.0, self._latest_lease_end() - sent_at),
             current.table.rows() if current else [],
             self._is_leaving,
+            self._challenge,
         )
         self._is_lookup_due = True
         try:
@@ -304,9 +306,15 @@
             self._scheduler_calls.failed(f"{peer.address} is not the leader")
             return False
         self._scheduler_calls.worked()
-        _reports.labels("told").inc()
         self._epoch = response.epoch
         self._is_lookup_due = response.is_cut_off
+        self._challenge = response.challenge
+        if not response.is_counted:
+            _reports.labels("not_counted").inc()
+            if response.challenge:
+                self._report_due.set()
+            return True
+        _reports.labels("told").inc()
         granted_until = sent_at + response.lease_s
         with self._lock:
             has_lapsed = clock.now() > self._granted_until
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -1,5 +1,6 @@
 """The scheduler's view of a host: its state, its runs and the orders sent to it."""
 
+import secrets
 import typing as t
 
 from bilberrypass.scheduling import interference, jobs, messages, state, stragglers
@@ -32,14 +33,17 @@
     newest order.
     ``pending`` holds final rows whose outcome is being stored. ``settled`` maps those
     that are stored, and that the agent may drop, to the number of the end.
+    ``challenge`` is to be returned by an agent that is not known to be the newest one;
+    it is empty after each report that counts.
     """
 
     def __init__(self, name: str, granted_until: float) -> None:
         self.name = name
         self.address = ""
         self.zone = ""
-        self.agent = 0
+        self.agent = self.highest_agent = 0
         self.sequence = -1
+        self.challenge = ""
         self.life = 0
         self.runner: messages.RunnerInfo | None = None
         self.is_leaving = False
@@ -70,6 +74,28 @@
         self.speed = stragglers.SpeedEstimate()
         self.is_slow = False
 
+    def accept_report(self, report: messages.Report, at: float) -> bool:
+        """Record the sender of a report; return False if the report does not count.
+
+        An agent is identified by its start time of day. If the clock was set back, the
+        new agent has a lower number, as a replaced agent whose report is late. It is
+        accepted once the other agent is silent and it returns a challenge issued since
+        the other agent's last report, which only a running process can.
+        """
+        if report.agent == self.agent:
+            if report.sequence <= self.sequence:
+                return False
+        elif report.agent <= self.highest_agent:
+            if at - self.reported_at <= SILENCE_TIMEOUT_S:
+                return False
+            if not self.challenge or report.challenge != self.challenge:
+                self.challenge = self.challenge or secrets.token_hex(8)
+                return False
+        self.agent, self.sequence = report.agent, report.sequence
+        self.highest_agent = max(self.highest_agent, report.agent)
+        self.challenge = ""
+        return True
+
     def record_failure(self, now: float) -> None:
         """Avoid the host for a time that doubles with each failure, up to a maximum."""
         self.failures += 1.0
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -108,7 +108,8 @@
     ``agent`` identifies the start of the agent process, and ``sequence`` increases
     with each report. ``runner`` is None until the runner has responded.
     ``answered_ago_s`` is the age of the runner's latest response. ``leased_s`` is the
-    longest remaining time of the leases granted to agents of this host.
+    longest remaining time of the leases granted to agents of this host. ``challenge``
+    is that of the latest response, if it had one.
     """
 
     host: str
@@ -122,6 +123,7 @@
     leased_s: float
     runs: list[RunRow]
     is_leaving: bool = False
+    challenge: str = ""
 
 
 class InterferenceEstimate(t.NamedTuple):
@@ -138,7 +140,9 @@
     ``lease_s`` counts from the time at which the agent sent the report. ``noted`` is
     the number up to which all ends of the runner are stored; ``settled`` lists the
     final rows that the agent may discard. ``is_cut_off`` is set while the scheduler
-    cannot reach the store, so that another process may have been elected.
+    cannot reach the store, so that another process may have been elected. A report
+    that does not count, since it may be the late report of a replaced agent, is
+    granted no lease; an agent that returns the ``challenge`` of the response is alive.
     """
 
     is_leader: bool
@@ -148,6 +152,8 @@
     settled: list[tuple[str, int]] = []  # noqa: RUF012
     is_cut_off: bool = False
     pressing: list[InterferenceEstimate] = []  # noqa: RUF012
+    is_counted: bool = True
+    challenge: str = ""
 
 
 class StateRequest(t.NamedTuple):
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -54,26 +54,27 @@
             self._scheduler.hosts[name] = host
         return host
 
-    def handle_report(self, report: messages.Report, at: float, lease_s: float) -> None:
-        """Process the report of an agent.
+    def handle_report(self, report: messages.Report, at: float, lease_s: float) -> bool:
+        """Process the report of an agent; return False if it does not count.
 
         Parameters
         ----------
         report : messages.Report
-            Ignored unless it is newer than the host's previous one.
+            Ignored unless it is newer than the host's previous one, see
+            ``Host.accept_report``.
         at : float
             When the report arrived, on ``clock.now``.
         lease_s : float
             Duration of the lease granted in response.
         """
         host = self._get_host(report.host)
-        if not _is_newer(report, host, at):
-            return
-        if report.agent != host.agent:
+        earlier_agent = host.agent
+        if not host.accept_report(report, at):
+            return False
+        if report.agent != earlier_agent:
             decisions.record(
                 "host.agent", host=report.host, agent=report.agent, zone=report.zone
             )
-        host.agent, host.sequence = report.agent, report.sequence
         host.address, host.zone = report.address, report.zone
         host.is_leaving = report.is_leaving
         host.reported_at = at
@@ -85,6 +86,7 @@
         if report.runner is not None:
             self._update_runner(host, report.runner)
             self._update_runs(host, report)
+        return True
 
     def _update_runner(self, host: hosts.Host, info: messages.RunnerInfo) -> None:
         if host.runner is None or host.runner.is_draining != info.is_draining:
@@ -362,18 +364,6 @@
     return round(now - task.started_at, 2) if task.started_at else None
 
 
-def _is_newer(report: messages.Report, host: hosts.Host, at: float) -> bool:
-    """Return whether a report is newer than the previous one of its host.
-
-    An agent is identified by its start time of day. If the clock was set back, the
-    new agent has the lower number, and is accepted once the old one is silent.
-    """
-    if report.agent == host.agent:
-        return report.sequence > host.sequence
-    is_silent = at - host.reported_at > hosts.SILENCE_TIMEOUT_S
-    return report.agent > host.agent or is_silent
-
-
 def make_order(task: state.Task, verb: Verb) -> messages.Order:
     """Return an order for the latest run of a task."""
     key = task.key
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -27,6 +27,7 @@
     placing,
     queues,
     reconciling,
+    responding,
     sending,
     state,
 )
@@ -34,7 +35,6 @@
 _log = logbook.Logger("scheduler")
 
 TICK_INTERVAL_S: t.Final = 0.1
-REPORT_APPLY_TIMEOUT_S: t.Final = 0.08  # the time of a few store calls
 _EVENT_BATCH_S: t.Final = 0.012  # events within this time share a write
 _CLOCK_SKEW_MARGIN_S: t.Final = 10.0  # clocks of hosts differ
 STORE_CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election lease
@@ -100,7 +100,7 @@
         self.hosts: dict[str, hosts.Host] = {}
         self.open_jobs: dict[str, state.JobState] = {}
         self.estimates = interference.Estimates()
-        self._publisher = estimate_publishing.EstimatePublisher(self.estimates)
+        self.publisher = estimate_publishing.EstimatePublisher(self.estimates)
         self._early_cancellations: dict[str, float] = {}  # Unix times
         self.is_loaded = False
         self._elected_at = clock.now()
@@ -113,7 +113,6 @@
         self._dirty: dict[str, list[Event]] = collections.defaultdict(list)
         self._in_flight: dict[str, list[Event]] = {}
         self._orders: dict[str, list[messages.Order]] = collections.defaultdict(list)
-        self._write_stored = threading.Condition()
         self._committer = committing.Committer(
             store, epoch, self._on_stored, on_leadership_lost
         )
@@ -123,6 +122,7 @@
         self._cleaner = cleaning.Cleaner(store, epoch, self._expired, self._on_removed)
         self._sender = make_sender(self._on_orders_failed)
         self._reconciler = reconciling.Reconciler(self)
+        self._responder = responding.Responder(self, self._events.put)
         self._placer = placing.Placer(self)
         self._migrator = migration.Migrator(self)
         self._load_log = load.LoadLogger()
@@ -147,39 +147,10 @@
 
     def report(self, report: messages.Report) -> messages.ReportResponse:
         """Apply an agent's report and return the response with a new lease."""
-        now = clock.now()
-        lease_s = self._lease_s(now)
-        host = self.hosts.get(report.host)
-        if host is not None:
-            host.granted_until = max(host.granted_until, now + lease_s)
-        else:
-            self.unknown_leases_end = max(self.unknown_leases_end, now + lease_s)
-        done = threading.Event()
-        self._events.put(lambda: self._on_report(report, now, lease_s, done))
-        done.wait(REPORT_APPLY_TIMEOUT_S)
-        if any(row.end for row in report.runs):
-            self._await_stored(report)
-        noted, settled, pressing = 0, [], []
-        host = self.hosts.get(report.host)
-        if host is not None and report.runner and host.life == report.runner.life:
-            noted, settled = host.noted, list(host.settled)
-            pressing = self._publisher.rows_if_due(host, now)
-        return messages.ReportResponse(
-            True, self.epoch, lease_s, noted, settled, self.is_cut_off, pressing
-        )
-
-    def _await_stored(self, report: messages.Report) -> None:
-        """Wait for the write of a report's ends so that the response confirms them."""
-        newest = max(row.end for row in report.runs)
-        deadline = time.monotonic() + REPORT_APPLY_TIMEOUT_S
-        with self._write_stored:
-            while (left := deadline - time.monotonic()) > 0:
-                host = self.hosts.get(report.host)
-                if host is None or host.noted >= newest:
-                    return
-                self._write_stored.wait(left)
+        return self._responder.respond(report)
 
-    def _lease_s(self, now: float) -> float:
+    def lease_s(self, now: float) -> float:
+        """Return the duration of a lease granted now."""
         allowed_s = self._last_contact_at() + STORE_CONTACT_TIMEOUT_S - now
         return max(0.0, min(self.cfg.lease_s, allowed_s))
 
@@ -318,16 +289,9 @@
         decisions.record("job.cancelling", job=id, runs=job.count_runs())
         self._reconciler.stop_job(job)
 
-    def _on_report(
-        self,
-        report: messages.Report,
-        at: float,
-        lease_s: float,
-        done: threading.Event,
-    ) -> None:
-        if self.is_loaded:
-            self._reconciler.handle_report(report, at, lease_s)
-        done.set()
+    def apply_report(self, report: messages.Report, at: float, lease_s: float) -> bool:
+        """Process a report; return False if it does not count."""
+        return not self.is_loaded or self._reconciler.handle_report(report, at, lease_s)
 
     def usable_hosts(self, now: float) -> list[hosts.Host]:
         """Return the hosts to which new runs may be sent."""
@@ -372,7 +336,7 @@
             job = self.jobs[id]
             self._in_flight[id] = self._dirty.pop(id)
             group.append(committing.ProgressWrite(id, job.encode(), job.revision))
-        self._committer.submit(group, self._publisher.put_if_due(clock.now()))
+        self._committer.submit(group, self.publisher.put_if_due(clock.now()))
 
     def _apply_stored(
         self, group: list[committing.ProgressWrite], revision: int
@@ -384,8 +348,7 @@
             job.drop_tasks_if_final()
             for effect in self._in_flight.pop(write.job):
                 effect()
-        with self._write_stored:
-            self._write_stored.notify_all()
+        self._responder.on_stored()
 
     def _flush_orders(self) -> None:
         for name, orders in self._orders.items():
--- a/testing/hosting/test_restart.py
+++ b/testing/hosting/test_restart.py
@@ -6,7 +6,7 @@
 from bilberrypass.connection import channels
 from bilberrypass.hosting import agent
 from bilberrypass.platform import programs
-from bilberrypass.scheduling import jobs, messages
+from bilberrypass.scheduling import hosts, jobs, messages
 from testing import collecting, fixtures
 from testing.hosting import sessions
 from testing.scheduling import clusters
@@ -32,25 +32,42 @@
     def __init__(self, cluster, process):
         self.orders: list[messages.Order] = []
         self.reports: list[messages.Report] = []
+        self.responses: list[messages.ReportResponse] = []
         self.process = process
         self._cluster = cluster
         self._server = channels.Server(
             "127.0.0.1:0", {messages.REPORT: self._serve_report}, threads=4
         )
-        identity = agent.Identity("h1", "z", f"127.0.0.1:{fixtures.free_port()}")
-        self._agent = agent.Agent(
-            identity,
-            _LeaderLocator(self._server.address, cluster.epoch),
+        self._identity = agent.Identity("h1", "z", f"127.0.0.1:{fixtures.free_port()}")
+        self._agent = self._create_agent()
+        self._peer = channels.Peer(self._identity.peer_address)
+        self._server.start()
+        self._agent.start()
+
+    def _create_agent(self):
+        return agent.Agent(
+            self._identity,
+            _LeaderLocator(self._server.address, self._cluster.epoch),
             programs._RunnerConnector(),
             lease_s=1.0,
         )
-        self._peer = channels.Peer(identity.peer_address)
-        self._server.start()
-        self._agent.start()
 
     def _serve_report(self, report):
         self.reports.append(report)
-        return self._cluster.scheduler.report(report)
+        self.responses.append(self._cluster.scheduler.report(report))
+        return self.responses[-1]
+
+    def restart_agent(self, clock_step_s):
+        """Start the next agent after a step of the time of day; return its number."""
+        self._stop_agent()
+        earlier, self._agent = self._agent, self._create_agent()
+        step = int(clock_step_s * 1_000_000)
+        self._agent._incarnation = earlier._incarnation + step
+        self.reports.clear()
+        self.responses.clear()
+        self._agent.start()
+        self.begin_life(_LIFE)
+        return self._agent._incarnation
 
     def begin_life(self, life):
         """Let the runner report its life to the agent."""
@@ -74,10 +91,13 @@
 
         return fixtures.wait_until(found, 5.0, f"a report of life {life}")[0]
 
-    def stop(self):
+    def _stop_agent(self):
         self._agent.stop()
         if self._agent._session is not None:
             self._agent._session.end("the test is over")
+
+    def stop(self):
+        self._stop_agent()
         self._peer.close()
         self._server.stop(0)
 
@@ -147,4 +167,24 @@
         fixtures.wait_until(has_begun, 6.0, "a session with the next life")
 
 
+def test_agent_restarted_after_clock_step_back_is_accepted_soon():
+    with _system() as (cluster, host, _):
+        found = cluster.scheduler.hosts["h1"]
+        number = host.restart_agent(-3_600.0)
+        fixtures.wait_until(
+            lambda: found.agent == number, hosts.SILENCE_TIMEOUT_S + 1.0, "the report"
+        )
+        fixtures.wait_until(lambda: host.responses[-1].lease_s, 1.0, "a lease")
+        refused = [r for r in host.responses if not r.is_counted]
+        assert refused and not any(r.lease_s for r in refused), refused
+
+
+def test_restarted_agent_is_accepted_at_once():
+    with _system() as (cluster, host, _):
+        found = cluster.scheduler.hosts["h1"]
+        number = host.restart_agent(1.0)
+        fixtures.wait_until(lambda: found.agent == number, 0.5, "the report")
+        assert all(response.is_counted for response in host.responses)
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -55,6 +55,7 @@
         self.is_draining = False
         self.leased_s = 0.0
         self.last_response: messages.ReportResponse | None = None
+        self.challenges: dict[int, str] = {}  # the latest response to each agent
 
     def report(self):
         """Send a report, drop the rows that the response settles, and return it."""
@@ -80,8 +81,10 @@
             0.0,
             self.leased_s,
             list(self.rows.values()),
+            challenge=self.challenges.get(self.agent, ""),
         )
         self.last_response = self.cluster.scheduler.report(report)
+        self.challenges[self.agent] = self.last_response.challenge
         for key in self.last_response.settled:
             row = self.rows.get(tuple(key))
             if row is not None and row.end <= self.last_response.noted:
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -104,4 +104,52 @@
         assert (task.phase, task.run) == (state.Phase.RUNNING, 1), task.phase
 
 
+def test_late_reports_of_an_earlier_agent_never_count_and_get_no_lease():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1", life=2_000)
+        host.agent, host.leased_s = 2, 30.0
+        cluster.run_task(host)
+        host.report()
+        found = cluster.scheduler.hosts["h1"]
+        (task,) = cluster.scheduler.jobs["a" * 16].tasks.values()
+        found.reported_at -= 5.0
+        host.agent, host.life, host.rows = 1, 1_000, {}
+        for _ in range(3):
+            host.challenges.clear()  # a late report answers no response
+            assert host.report().lease_s == 0.0
+        assert (found.agent, task.phase) == (2, state.Phase.RUNNING), task.phase
+
+
+def test_challenge_from_before_a_newer_agent_proves_nothing():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        found = cluster.scheduler.hosts["h1"]
+        host.agent, found.highest_agent = 2, 3
+        found.reported_at -= 5.0
+        assert host.report().challenge
+        late_answer = dict(host.challenges)
+        host.agent = 4
+        host.report()
+        found.reported_at -= 5.0
+        host.agent, host.challenges = 2, late_answer
+        host.report()
+        assert found.agent == 4
+
+
+def test_replaced_agent_is_not_accepted_again_after_a_clock_step_back():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        found = cluster.scheduler.hosts["h1"]
+        host.agent = 5
+        host.report()
+        found.reported_at -= 5.0
+        host.agent = 4
+        host.report()
+        host.report()
+        assert found.agent == 4
+        host.agent = 5
+        host.report()
+        assert found.agent == 4
+
+
 load_tests = collecting.hook(__name__)
