Start nothing while the cancellations of the last seconds are not read

Cause: the leader's watch of submissions and cancellations waited on a connection that was cut off, while its writes and orders worked on new ones. Another entry had stored the cancel. The scheduler placed, stored and ordered the tasks without having read it.

Change: the watcher tells up to when it has passed on what was stored, through the same queue as the cancellations; a scheduler that is over 2.7 s behind places nothing, orders no start that was stored meanwhile and resends none. After a failure the next watch does not wait, so that starts go on at once.

--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -126,6 +126,9 @@
     on_job, on_cancel : callable
         Called with each new job and each cancelled id; called again for known ones
         after the store has dropped its change history.
+    on_read : callable
+        Called with a time, on ``clock.now``, after all that was stored before it has
+        been passed on.
     """
 
     def __init__(
@@ -134,8 +137,10 @@
         on_loaded: abc.Callable[[InitialState], None],
         on_job: abc.Callable[[jobs.Job], None],
         on_cancel: abc.Callable[[str], None],
+        on_read: abc.Callable[[float], None],
     ) -> None:
         self._store = store
+        self._on_read = on_read
         self._on_loaded = on_loaded
         self._on_job = on_job
         self._on_cancel = on_cancel
@@ -154,14 +159,16 @@
     def _run(self) -> None:
         is_loaded = False
         while not self._stopping.is_set():
+            sent_at = clock.now()
             try:
-                listing = self._store.list(INTAKE_PREFIX, clock.now() + _READ_TIMEOUT_S)
+                listing = self._store.list(INTAKE_PREFIX, sent_at + _READ_TIMEOUT_S)
                 if not is_loaded:
                     self._load(listing)
                     is_loaded = True
                 else:
                     for item in listing.items:
                         self._dispatch(item.key, item.value)
+                self._on_read(sent_at)
                 self._watch(listing.revision)
             except errors.Error as exc:
                 self._store_reads.failed(exc)
@@ -184,9 +191,11 @@
         self._on_loaded(InitialState(found, cancelled, progress.items, value))
 
     def _watch(self, revision: int) -> None:
+        wait_s = _WATCH_TIMEOUT_S
         while not self._stopping.is_set():
+            sent_at = clock.now()
             try:
-                batch = self._store.watch(INTAKE_PREFIX, revision, _WATCH_TIMEOUT_S)
+                batch = self._store.watch(INTAKE_PREFIX, revision, wait_s)
             except keyvalue.HistoryLost as exc:
                 decisions.record("intake.history_lost", why=exc.detail)
                 self._stopping.wait(_RETRY_INTERVAL_S)
@@ -194,12 +203,15 @@
             except errors.Error as exc:
                 self._store_reads.failed(exc)
                 self._stopping.wait(_RETRY_INTERVAL_S)
+                wait_s = 0.0  # starts wait until what was missed is read
                 continue
+            wait_s = _WATCH_TIMEOUT_S
             self._store_reads.worked()
             revision = max(revision, batch.revision)
             for change in batch.changes:
                 if change.value is not None:
                     self._dispatch(change.key, change.value)
+            self._on_read(sent_at)
 
     def _dispatch(self, key: str, value: bytes) -> None:
         if key.startswith(CANCEL_PREFIX):
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -5,6 +5,7 @@
 
 import prometheus_client as prometheus
 
+from bilberrypass import clock
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     hosts,
@@ -48,6 +49,8 @@
         usable = self._scheduler.usable_hosts(now)
         if not usable or not self._has_waited_for_reports(now):
             return
+        if self._scheduler.is_behind(now):
+            return
         unix_now = time.time()
         for job, queue in self._ranked_jobs(unix_now):
             self._place_job(job, queue, usable, now, unix_now)
@@ -165,13 +168,19 @@
         _started_runs.inc()
 
     def _order_stored(self, runs: list[tuple[state.Task, int]]) -> None:
-        """Order runs whose start is stored, unless they were abandoned meanwhile."""
+        """Order runs whose start is stored, unless they were abandoned meanwhile.
+
+        A start that is held back is resent after a report of its host that lacks it.
+        """
+        is_behind = self._scheduler.is_behind(clock.now())
         for task, run in runs:
             host = self._scheduler.hosts[task.host]
             if host.tasks.get((str(task.key), run)) is not task:
                 continue
             task.is_stored = True
             is_stopping = task.phase is state.Phase.STOPPING
+            if is_behind and not is_stopping:
+                continue
             verb = messages.Verb.STOP if is_stopping else messages.Verb.START
             self._scheduler.queue_order(host, reconciling.make_order(task, verb))
 
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -234,6 +234,8 @@
         if not task.is_stored or not host.is_order_lost(key, host.reported_at):
             return
         is_wanted = task.phase is not state.Phase.STOPPING and not task.job.cancelled
+        if is_wanted and self._scheduler.is_behind(host.reported_at):
+            return
         self._resend(host, task, Verb.START if is_wanted else Verb.STOP)
 
     def _resend(self, host: hosts.Host, task: state.Task, verb: Verb) -> None:
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -37,6 +37,9 @@
 TICK_INTERVAL_S: t.Final = 0.1
 _EVENT_BATCH_S: t.Final = 0.012  # events within this time share a write
 _CLOCK_SKEW_MARGIN_S: t.Final = 10.0  # clocks of hosts differ
+# Two watches of a store that is 60 times slower than usual; a cancelled job may start
+# tasks for 3 s (RULES.md).
+_MAX_INTAKE_AGE_S: t.Final = 2.7
 STORE_CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election lease
 # No lease lasts longer than this after the last response of the store: the next
 # leader waits as long before it restarts the runs of hosts that it cannot reach.
@@ -103,6 +106,7 @@
         self.publisher = estimate_publishing.EstimatePublisher(self.estimates)
         self._early_cancellations: dict[str, float] = {}  # Unix times
         self.is_loaded = False
+        self._intake_read_until = 0.0
         self._elected_at = clock.now()
         # Granted by earlier schedulers, and by this one until it has loaded.
         self.unknown_leases_end = self._elected_at + _MAX_UNKNOWN_LEASE_S
@@ -117,7 +121,7 @@
             store, epoch, self._on_stored, on_leadership_lost
         )
         self._intake_watcher = intake.IntakeWatcher(
-            store, self._on_loaded, self._on_job, self._on_cancel
+            store, self._on_loaded, self._on_job, self._on_cancel, self._on_intake_read
         )
         self._cleaner = cleaning.Cleaner(store, epoch, self._expired, self._on_removed)
         self._sender = make_sender(self._on_orders_failed)
@@ -180,6 +184,9 @@
     def _on_cancel(self, id: str) -> None:
         self._events.put(lambda: self._cancel(id))
 
+    def _on_intake_read(self, until: float) -> None:
+        self._events.put(lambda: self._set_intake_read(until))
+
     def _on_stored(self, group: list[committing.ProgressWrite], revision: int) -> None:
         self._events.put(lambda: self._apply_stored(group, revision))
 
@@ -293,6 +300,13 @@
         """Process a report; return False if it does not count."""
         return not self.is_loaded or self._reconciler.handle_report(report, at, lease_s)
 
+    def _set_intake_read(self, until: float) -> None:
+        self._intake_read_until = until
+
+    def is_behind(self, now: float) -> bool:
+        """Return whether a cancellation may have been stored too long ago, unseen."""
+        return now - self._intake_read_until > _MAX_INTAKE_AGE_S
+
     def usable_hosts(self, now: float) -> list[hosts.Host]:
         """Return the hosts to which new runs may be sent."""
         return [host for host in self.hosts.values() if host.is_usable(now)]
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -81,7 +81,7 @@
         lease_s = host.report().lease_s
         successor._events.get()()
         initial = []
-        intake.IntakeWatcher(cluster.store, initial.append, None, None)._load(
+        intake.IntakeWatcher(cluster.store, initial.append, None, None, None)._load(
             cluster.store.list(intake.INTAKE_PREFIX, clock.now() + 1.0)
         )
         successor._load(*initial)
--- a/testing/scheduling/test_rules.py
+++ b/testing/scheduling/test_rules.py
@@ -117,6 +117,22 @@
         assert not [o for o in host.orders if o.verb == Verb.START]
 
 
+def test_scheduler_that_was_behind_on_cancellations_starts_jobs_again():
+    """Guards against starts that are held back for good after an outage of watches."""
+
+    def watch(*_):
+        raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
+
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.store.watch = watch
+        is_behind = lambda: cluster.scheduler.is_behind(clock.now())
+        fixtures.wait_until(is_behind, 8.0, "the scheduler to be behind")
+        cluster.submit(STEP)
+        del cluster.store.watch
+        host.await_orders(1)
+
+
 def test_cancelled_job_starts_nothing_and_has_status_cancelled():
     with clusters.running_cluster() as cluster:
         host = cluster.add_host("h1")
