Apply what an owner learnt in one term in that term only

Cause: a change that is submitted while an entry takes a shard back, after the pending changes were failed, is applied in the new term. A refused start, a lost task or a reported end of the earlier term then requeued a task that the owner in between had started. Change: refusals carry the epoch of their start, reports that at their handling; the change has no effect in another epoch. A report is repeated, a start that is not confirmed is sent again. The stub of the listener in test_outbox takes the new parameter; its checks are the same.

--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -41,8 +41,10 @@
         ``position`` is that of the agent's reports after the start.
         """
 
-    def on_refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
-        """Handle the refusal of a start.
+    def on_refused(
+        self, task: work.TaskId, detail: str, is_certain: bool, epoch: int
+    ) -> None:
+        """Handle the refusal of a start that was sent in an epoch.
 
         ``is_certain`` is True if the task certainly does not run. It is False if an
         earlier start of the same task may still arrive or have taken effect.
@@ -175,7 +177,8 @@
             self.mark_first_send(first_sends, sender.epoch)
         position = liveness.Position(report.incarnation, response.sequence)
         for outcome in response.outcomes:
-            self._handle_outcome(outcome, outcome.task in first_sends, position)
+            is_first = outcome.task in first_sends
+            self._handle_outcome(outcome, is_first, position, sender.epoch)
 
     def _take_first_sends(self, specs: list[work.Spec], epoch: int) -> set[work.TaskId]:
         """Return the tasks marked in an epoch, and drop their marks."""
@@ -207,12 +210,13 @@
         outcome: messages.StartOutcome,
         is_first: bool,
         position: liveness.Position,
+        epoch: int,
     ) -> None:
         task = outcome.task
         if not outcome.kind:
             self._listener.on_started(task, position)
         elif errors.RESPONSES[errors.Kind(outcome.kind)].ran is errors.Ran.NO:
-            self._listener.on_refused(task, outcome.detail, is_first)
+            self._listener.on_refused(task, outcome.detail, is_first, epoch)
         else:
             _log.warning(
                 "outbox: outcome of the start of task {} unknown: {}",
--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -193,14 +193,27 @@
         """Record that a host has confirmed the start of a task."""
         self._liveness.confirm(task, position)
 
-    def on_refused(self, task: work.TaskId, detail: str, is_certain: bool) -> None:
-        """Requeue a task whose start was refused.
+    def on_refused(
+        self, task: work.TaskId, detail: str, is_certain: bool, epoch: int
+    ) -> None:
+        """Requeue a task whose start, sent in an epoch, was refused.
 
         Unless the refusal is certain, its host must first confirm the stop.
         """
         _log.info("owner: start of task {} refused: {}", task, detail)
         change = records.requeue if is_certain else records.revoke_placement
-        self.submit(lambda jobs: change(jobs, task, detail))
+        self._submit_in_epoch(epoch, lambda jobs: change(jobs, task, detail))
+
+    def _submit_in_epoch(
+        self, epoch: int, change: t.Callable[[records.Jobs], t.Any]
+    ) -> None:
+        """Submit a change that has no effect if it is applied in another epoch.
+
+        An owner in between may have started the task that it is about.
+        """
+        self.submit(
+            lambda jobs: change(jobs) if epoch == self.ownership.epoch else None
+        )
 
     def on_ended(self, state: messages.TaskState) -> None:
         """Record the final state of a stopped task."""
@@ -224,29 +237,32 @@
         ``report.tasks`` holds only tasks of this shard. The reply is empty if this
         entry does not own the shard.
         """
+        epoch = self.ownership.epoch
         if not self.is_owned:
             return ShardReply()
-        grant = messages.LeaseGrant(self.number, self.ownership.epoch, self._lease_s)
+        grant = messages.LeaseGrant(self.number, epoch, self._lease_s)
         reply = ShardReply(grant, [], [], [])
         for state in report.tasks:
-            self._check_reported(report.host, state, reply)
-        self._check_expected(report, reply)
+            self._check_reported(report.host, state, reply, epoch)
+        self._check_expected(report, reply, epoch)
         self._liveness.record_lease_renewal(report.host, time.monotonic())
         return reply
 
     def _check_reported(
-        self, host: str, state: messages.TaskState, reply: ShardReply
+        self, host: str, state: messages.TaskState, reply: ShardReply, epoch: int
     ) -> None:
         record = records.find(self.state, state.task)
         if record is not None and not records.is_recorded(record, state):
-            self.submit(lambda jobs: self._apply_report(jobs, state))
+            self._submit_in_epoch(epoch, lambda jobs: self._apply_report(jobs, state))
         is_live = state.state in tasks.LIVE_STATES
         if is_live and not _is_on_host(record, host):
             reply.evict.append(state.task)
         if not is_live and (record is None or records.is_recorded(record, state)):
             reply.recorded.append(state.task)
 
-    def _check_expected(self, report: messages.Report, reply: ShardReply) -> None:
+    def _check_expected(
+        self, report: messages.Report, reply: ShardReply, epoch: int
+    ) -> None:
         expected = []
         listed = {s.task: s.state in tasks.LIVE_STATES for s in report.tasks}
         for task in self._on_host.get(report.host, []):
@@ -259,12 +275,12 @@
             if record.state == page.RUNNING or self._liveness.is_confirmed(task):
                 expected.append(task)
         for task in self._liveness.find_lost(report, expected):
-            self._requeue_lost(report.host, task)
+            self._requeue_lost(report.host, task, epoch)
 
-    def _requeue_lost(self, host: str, task: work.TaskId) -> None:
+    def _requeue_lost(self, host: str, task: work.TaskId, epoch: int) -> None:
         detail = f"{host} no longer runs it"
         _log.info("owner: task {} requeued: {}", task, detail)
-        self.submit(lambda jobs: records.requeue(jobs, task, detail))
+        self._submit_in_epoch(epoch, lambda jobs: records.requeue(jobs, task, detail))
 
     def call(self, req: messages.JobRequest, deadline: float) -> messages.JobResponse:
         """Handle a call on the jobs of this shard; see ``jobcalls.JobCallHandler``."""
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -41,7 +41,7 @@
     def on_started(self, task, position):
         self.calls.append("started")
 
-    def on_refused(self, task, detail, is_certain):
+    def on_refused(self, task, detail, is_certain, epoch):
         self.calls.append(f"refused, certain: {is_certain}")
 
 
