Move the question whether a run is live to the states of runs

The CPU share is set by a function of throttle.py. No change of behaviour: execution.test_tasks, batch.test_model, test_liveness, test_terms and test_disturbance pass.

--- a/src/bilberrypass/batch/liveness.py
+++ b/src/bilberrypass/batch/liveness.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from bilberrypass.connection import messages
-from bilberrypass.execution import tasks
+from bilberrypass.execution import states
 from bilberrypass.version import work
 
 _MAX_CLOCK_DRIFT: t.Final = 0.01
@@ -123,7 +123,7 @@
         with self._lock:
             is_newest = self._update_agent(report)
             for state in report.tasks:
-                if state.state in tasks.LIVE_STATES:
+                if state.state in states.LIVE_STATES:
                     self._set_confirmed(state.task, position)
             for task in expected:
                 if task in listed:
--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -15,7 +15,7 @@
     records,
 )
 from bilberrypass.connection import messages
-from bilberrypass.execution import task_events, tasks
+from bilberrypass.execution import states, task_events
 from bilberrypass.membership import directory, fleet, owned_shard
 from bilberrypass.version import page, work
 
@@ -254,7 +254,7 @@
         record = records.find(self.state, state.task)
         if record is not None and not records.is_recorded(record, state):
             self._submit_in_epoch(epoch, lambda jobs: self._apply_report(jobs, state))
-        is_live = state.state in tasks.LIVE_STATES
+        is_live = state.state in states.LIVE_STATES
         if is_live and not _is_on_host(record, host):
             reply.evict.append(state.task)
         if not is_live and (record is None or records.is_recorded(record, state)):
@@ -264,7 +264,7 @@
         self, report: messages.Report, reply: ShardReply, epoch: int
     ) -> None:
         expected = []
-        listed = {s.task: s.state in tasks.LIVE_STATES for s in report.tasks}
+        listed = {s.task: s.state in states.LIVE_STATES for s in report.tasks}
         for task in self._on_host.get(report.host, []):
             record = records.find(self.state, task)
             if record is None:
--- a/src/bilberrypass/batch/placer.py
+++ b/src/bilberrypass/batch/placer.py
@@ -14,7 +14,7 @@
     records,
 )
 from bilberrypass.connection import messages
-from bilberrypass.execution import tasks
+from bilberrypass.execution import states
 from bilberrypass.membership import fleet
 from bilberrypass.version import configuration, page, work
 
@@ -213,7 +213,7 @@
     ) -> resources.Demand:
         """Return the committed resources of tasks that are being stopped on a host."""
         host = self._hosts.get(host_id)
-        listed = {s.task for s in host.report.tasks if s.state in tasks.LIVE_STATES}
+        listed = {s.task for s in host.report.tasks if s.state in states.LIVE_STATES}
         stopping = set()
         for task in listed | set(on_host.get(host_id, [])):
             job = jobs.get((task.team, task.job))
@@ -331,7 +331,7 @@
     """Return the share of a host's processors held by each batch class, in [0, 1]."""
     loads: dict[str, float] = {}
     for state in report.tasks:
-        if state.state in tasks.LIVE_STATES:
+        if state.state in states.LIVE_STATES:
             share = state.demand.cpu_milli / max(1, report.capacity.cpu_milli)
             loads[state.task_class] = loads.get(state.task_class, 0.0) + share
     return loads
--- a/src/bilberrypass/execution/states.py
+++ b/src/bilberrypass/execution/states.py
@@ -1,9 +1,18 @@
 """The states of runs as reported to the owners of their tasks."""
 
+import typing as t
+
 from bilberrypass import resources
 from bilberrypass.connection import messages, worker
 from bilberrypass.version import work
 
+LIVE_STATES: t.Final = frozenset({"running", "checkpointed"})
+
+
+def is_live(run: worker.Run | None) -> bool:
+    """Return whether a run is known and has not ended."""
+    return run is not None and run.state in LIVE_STATES
+
 
 def never_ran(task: work.TaskId) -> worker.Run:
     """Return the run of a task that was stopped before it started."""
--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -26,8 +26,6 @@
 _MIN_STOP_MARGIN_S: t.Final = 1.0
 _STOP_MARGIN_LEASE_SHARE: t.Final = 0.1
 
-LIVE_STATES: t.Final = frozenset({"running", "checkpointed"})
-
 
 class _Known(t.NamedTuple):
     """The tasks known before the worker's inventory was requested."""
@@ -97,13 +95,13 @@
         kept = {
             task: run
             for task, run in self._runs.items()
-            if task not in known_before or run.state not in LIVE_STATES
+            if task not in known_before or not states.is_live(run)
         }
         listed = {run.spec.task: run for run in found.runs}
         for task in self._runs.keys() - kept.keys() - listed.keys():
             self._remove_lost(task)
         self._runs = kept | listed
-        live = [run for run in self._runs.values() if run.state in LIVE_STATES]
+        live = [run for run in self._runs.values() if states.is_live(run)]
         held = {run.spec.task: run.spec.demand for run in live}
         self.ledger.rebuild(found.capacity, held, self._starting | self._uncertain)
 
@@ -156,7 +154,7 @@
     def _find_end(self, task: work.TaskId) -> worker.Run | None:
         """Return the run of a task if it has ended and its end is not stored yet."""
         run = self._runs.get(task)
-        return run if run is not None and run.state not in LIVE_STATES else None
+        return None if states.is_live(run) else run
 
     def _start_admitted(self, spec: work.Spec, expiry: float, generation: int) -> None:
         deadline = time.monotonic() + _CALL_TIMEOUT_S
@@ -174,14 +172,13 @@
                 self._runs[spec.task] = run
                 known = self._expiries.get(spec.task, 0.0)
                 self._expiries[spec.task] = max(known, expiry)
-        if is_barred and run.state in LIVE_STATES:
+        if is_barred and states.is_live(run):
             self._stop_one(spec.task, checkpoint=False)
 
     def _finish_start(self, task: work.TaskId) -> None:
         with self._lock:
             self._starting.discard(task)
-            run = self._runs.get(task)
-            is_live = run is not None and run.state in LIVE_STATES
+            is_live = states.is_live(self._runs.get(task))
             if not is_live and task not in self._uncertain:
                 self.ledger.release(task)
 
@@ -216,7 +213,7 @@
             expiring = [
                 task
                 for task, run in self._runs.items()
-                if run.state in LIVE_STATES and self._expiries.get(task, limit) < limit
+                if states.is_live(run) and self._expiries.get(task, limit) < limit
             ]
         for task in expiring:
             _log.warning("tasks: stopping {}: its lease was not renewed", task)
@@ -225,11 +222,7 @@
     def forget(self, recorded: list[work.TaskId]) -> None:
         """Remove ended tasks whose end is stored, here and on the worker."""
         with self._lock:
-            ended = [
-                task
-                for task in recorded
-                if task in self._runs and self._runs[task].state not in LIVE_STATES
-            ]
+            ended = [task for task in recorded if self._find_end(task)]
         if not ended:
             return
         try:
@@ -282,17 +275,6 @@
         except errors.Error as exc:
             _log.info("tasks: could not checkpoint {}: {}", task, exc.detail)
 
-    def throttle(self, throttles: list[tuple[work.TaskId, float]]) -> None:
-        """Set the CPU share, 0 to 1, of the live tasks that have a different one."""
-        for task, share in throttles:
-            run = self._runs.get(task)
-            if run is None or run.state not in LIVE_STATES or run.throttle == share:
-                continue
-            try:
-                self._driver.throttle(task, share, time.monotonic() + _CALL_TIMEOUT_S)
-            except errors.Error as exc:
-                _log.warning("tasks: could not throttle {}: {}", task, exc.detail)
-
     def states(self) -> list[messages.TaskState]:
         """Return the states of all known tasks, including ended ones."""
         with self._lock:
@@ -319,7 +301,7 @@
             leases = [
                 (task, expiry)
                 for task, expiry in self._expiries.items()
-                if task in self._runs and self._runs[task].state in LIVE_STATES
+                if states.is_live(self._runs.get(task))
             ]
         if leases:
             self._driver.renew(leases, deadline)
@@ -336,16 +318,15 @@
     def _adjust_throttle(self, usage: worker.Usage) -> None:
         """Throttle all tasks according to the measured slowdown of services."""
         share = self._throttle.update(usage) if self._may_throttle() else 1.0
-        self.throttle([(task, share) for task in list(self._runs)])
+        throttle.set_cpu_share(self._driver, list(self._runs.values()), share)
 
     def _apply_inventory(self, found: worker.Inventory, known_before: _Known) -> bool:
         ended = False
         listed = {run.spec.task: run for run in found.runs}
         for task, run in listed.items():
-            before = self._runs.get(task)
-            if before is not None and before.state not in LIVE_STATES:
+            if self._find_end(task):
                 continue
-            if run.state in LIVE_STATES:
+            if states.is_live(run):
                 self.ledger.hold(task, run.spec.demand)
             else:
                 self.ledger.release(task)
@@ -353,8 +334,7 @@
             self._runs[task] = run
             self._uncertain.discard(task)
         for task in known_before.runs - listed.keys():
-            known = self._runs.get(task)
-            if known is not None and known.state in LIVE_STATES:
+            if states.is_live(self._runs.get(task)):
                 self._remove_lost(task)
         return ended
 
--- a/src/bilberrypass/execution/throttle.py
+++ b/src/bilberrypass/execution/throttle.py
@@ -5,7 +5,9 @@
 
 import logbook
 
+from bilberrypass import errors
 from bilberrypass.connection import worker
+from bilberrypass.execution import states
 
 _log = logbook.Logger("throttle")
 
@@ -13,6 +15,7 @@
 _LOW_INFLATION: t.Final = 1.2
 _CPU_SHARES: t.Final = (1.0, 0.5, 0.25)
 _RECOVERY_S: t.Final = 20.0
+_CALL_TIMEOUT_S: t.Final = 2.0
 
 
 def worst_inflation(usage: worker.Usage | None) -> float:
@@ -22,6 +25,20 @@
     return max((inflation for _, inflation in usage.slowdown), default=1.0)
 
 
+def set_cpu_share(
+    driver: worker.Worker, runs: t.Iterable[worker.Run], share: float
+) -> None:
+    """Set the CPU share, 0 to 1, of the live runs that have a different one."""
+    for run in runs:
+        if not states.is_live(run) or run.throttle == share:
+            continue
+        task = run.spec.task
+        try:
+            driver.throttle(task, share, time.monotonic() + _CALL_TIMEOUT_S)
+        except errors.Error as exc:
+            _log.warning("throttle: could not throttle {}: {}", task, exc.detail)
+
+
 @t.final
 class Throttle:
     """Chooses the CPU share of a host's batch tasks, with hysteresis.
