Let the agent repeat a stop that failed, without renewing the lease

Cause: an agent only logged that the worker had not stopped a task. The next try was left to the owner's next report reply, at most some seconds later, or to the next owner; until then each poll renewed the lease of a task that nobody wanted, so not even its end was sure. Change: the agent keeps the stops that were requested and failed, with their checkpoint, repeats them with each poll and renews no lease for them. A stop of its own before a lease expires is not kept, since the lease may be renewed. Evidence: python -m testing execution.test_stops: 3 of 4 failed before (the fourth is the stop before an expiry), 4 pass; execution.test_tasks, test_leases, batch.test_model and test_eviction pass.

--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -66,6 +66,7 @@
         self._lease_s: float = 0.0
         self._starting: set[work.TaskId] = set()
         self._uncertain: set[work.TaskId] = set()
+        self._unstopped: dict[work.TaskId, bool] = {}
         self._barred = barred.BarredAttempts()
         self._usage: worker.Usage | None = None
         self._may_throttle = may_throttle
@@ -217,7 +218,7 @@
             ]
         for task in expiring:
             _log.warning("tasks: stopping {}: its lease was not renewed", task)
-        self.stop(expiring, checkpoint=True)
+        self._stop_all(expiring, checkpoint=True)
 
     def forget(self, recorded: list[work.TaskId]) -> None:
         """Remove ended tasks whose end is stored, here and on the worker."""
@@ -241,8 +242,25 @@
     def stop(self, tasks: list[work.TaskId], checkpoint: bool) -> messages.StopResponse:
         """Stop tasks, after a checkpoint if requested.
 
-        A task that could not be stopped is missing from the answer.
+        A task that could not be stopped is missing from the answer. Its lease is no
+        longer renewed, and each poll tries to stop it again.
         """
+        response = self._stop_all(tasks, checkpoint)
+        failed = set(tasks) - {end.task for end in response.ends}
+        with self._lock:
+            self._unstopped.update(dict.fromkeys(failed, checkpoint))
+        return response
+
+    def _retry_stops(self) -> bool:
+        """Repeat the stops that failed, and return whether a task was stopped."""
+        with self._lock:
+            unstopped = list(self._unstopped.items())
+        responses = [self._stop_all([task], flag) for task, flag in unstopped]
+        return any(response.ends for response in responses)
+
+    def _stop_all(
+        self, tasks: list[work.TaskId], checkpoint: bool
+    ) -> messages.StopResponse:
         ends = []
         for task in tasks:
             try:
@@ -265,6 +283,7 @@
     def _record_stop(self, task: work.TaskId, run: worker.Run) -> None:
         self._runs[task] = run
         self._uncertain.discard(task)
+        self._unstopped.pop(task, None)
         self._barred.add(task)
         if task not in self._starting:
             self.ledger.release(task)
@@ -301,7 +320,7 @@
             leases = [
                 (task, expiry)
                 for task, expiry in self._expiries.items()
-                if states.is_live(self._runs.get(task))
+                if states.is_live(self._runs.get(task)) and task not in self._unstopped
             ]
         if leases:
             self._driver.renew(leases, deadline)
@@ -309,6 +328,7 @@
         with self._lock:
             ended = self._apply_inventory(found, known_before)
             self._polled_at = started_at
+        ended |= self._retry_stops()
         self._stop_missed_starts(found, known_before)
         self._stop_expiring()
         self._usage = self._driver.usage(deadline)
@@ -352,7 +372,7 @@
     ) -> None:
         """Stop tasks whose start the worker seems to have missed, so none runs late."""
         missed = known_before.uncertain - {run.spec.task for run in found.runs}
-        self.stop([task for task in missed if task in self._uncertain], False)
+        self._stop_all([task for task in missed if task in self._uncertain], False)
 
     def run(self, leaving: threading.Event, on_end: t.Callable[[], None]) -> None:
         """Poll the worker until the process leaves or a newer agent takes over."""
