Stop a run that its worker lists as live again after it ended

Cause: an agent skipped each listed run whose row had ended, whatever state the worker gave. If a start from before a restart of the worker reached it after the stop, which a worker that uses a generation twice accepts, the run went on beside a row "stopped": its resources were free, the owner had its end, nobody stopped it until that end was forgotten. An attach took the live run for the row, and a finished run was lost. Change: such a run holds its resources and is stopped with the next poll; a row that finished or failed keeps its end. Evidence: python -m testing execution.test_stops: 4 of 8 failed before, 8 pass; execution.test_tasks, test_leases and batch.test_model pass.

--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -101,8 +101,8 @@
         listed = {run.spec.task: run for run in found.runs}
         for task in self._runs.keys() - kept.keys() - listed.keys():
             self._remove_lost(task)
-        self._runs = kept | listed
-        live = [run for run in self._runs.values() if states.is_live(run)]
+        self._runs = listed | kept
+        live = [run for run in (kept | listed).values() if states.is_live(run)]
         held = {run.spec.task: run.spec.demand for run in live}
         self.ledger.rebuild(found.capacity, held, self._starting | self._uncertain)
 
@@ -179,8 +179,8 @@
     def _finish_start(self, task: work.TaskId) -> None:
         with self._lock:
             self._starting.discard(task)
-            is_live = states.is_live(self._runs.get(task))
-            if not is_live and task not in self._uncertain:
+            run = self._runs.get(task)
+            if not states.is_live(run) and task not in self._uncertain:
                 self.ledger.release(task)
 
     def renew(
@@ -274,9 +274,10 @@
             self._try_checkpoint(task)
         run = self._driver.stop(task, time.monotonic() + _CALL_TIMEOUT_S)
         with self._lock:
-            if run is None:
+            known = self._find_end(task)
+            if run is None or (known is not None and known.state != "stopped"):
                 # A restarted worker has forgotten the runs that ended.
-                run = self._find_end(task) or states.never_ran(task)
+                run = known or states.never_ran(task)
             self._record_stop(task, run)
         return states.task_state(run)
 
@@ -332,19 +333,18 @@
         self._stop_missed_starts(found, known_before)
         self._stop_expiring()
         self._usage = self._driver.usage(deadline)
-        self._adjust_throttle(self._usage)
-        return ended
-
-    def _adjust_throttle(self, usage: worker.Usage) -> None:
-        """Throttle all tasks according to the measured slowdown of services."""
-        share = self._throttle.update(usage) if self._may_throttle() else 1.0
+        share = self._throttle.update(self._usage) if self._may_throttle() else 1.0
         throttle.set_cpu_share(self._driver, list(self._runs.values()), share)
+        return ended
 
     def _apply_inventory(self, found: worker.Inventory, known_before: _Known) -> bool:
         ended = False
         listed = {run.spec.task: run for run in found.runs}
         for task, run in listed.items():
             if self._find_end(task):
+                if states.is_live(run):
+                    self.ledger.hold(task, run.spec.demand)
+                    self._unstopped[task] = False
                 continue
             if states.is_live(run):
                 self.ledger.hold(task, run.spec.demand)
--- a/testing/execution/test_stops.py
+++ b/testing/execution/test_stops.py
@@ -83,4 +83,55 @@
         assert len(fake.running_runs()) == 1
 
 
+def test_run_listed_again_after_its_stop_is_stopped():
+    """A worker that uses a generation twice accepts a start from before its restart."""
+    with _running_task() as (fake, host_tasks):
+        host_tasks.stop([_TASK], checkpoint=False)
+        fake.runs.clear()
+        fake.tombstones.clear()
+        fake.apply_start(_SPEC)
+        host_tasks.poll()
+        assert not fake.running_runs()
+        assert [state.state for state in host_tasks.states()] == ["stopped"]
+
+
+def test_run_listed_again_after_its_stop_holds_its_resources_until_it_ends():
+    with _running_task() as (fake, host_tasks):
+        host_tasks.stop([_TASK], checkpoint=False)
+        fake.runs.clear()
+        fake.tombstones.clear()
+        fake.apply_start(_SPEC)
+        _fail_next(host_tasks, "stop")
+        host_tasks.poll()
+        assert host_tasks.ledger.committed == _SPEC.demand
+        host_tasks.poll()
+        assert not fake.running_runs()
+        assert host_tasks.ledger.committed == resources.Demand()
+
+
+def _finish_and_start_again(fake, host_tasks):
+    fake.end_run(_TASK, "finished")
+    host_tasks.poll()
+    fake.runs.clear()
+    fake.apply_start(_SPEC)
+
+
+def test_run_listed_again_after_it_finished_is_stopped_and_stays_finished():
+    with _running_task() as (fake, host_tasks):
+        _finish_and_start_again(fake, host_tasks)
+        host_tasks.poll()
+        assert not fake.running_runs()
+        assert [state.state for state in host_tasks.states()] == ["finished"]
+
+
+def test_run_that_finished_stays_finished_if_an_attached_worker_lists_it_as_live():
+    with _running_task() as (fake, host_tasks):
+        _finish_and_start_again(fake, host_tasks)
+        host_tasks._attach_again()
+        assert host_tasks.ledger.committed == _SPEC.demand
+        host_tasks.poll()
+        assert not fake.running_runs()
+        assert [state.state for state in host_tasks.states()] == ["finished"]
+
+
 load_tests = collecting.hook(__name__)
