Send a stop at once although its start was sent a moment ago

Cause: the outbox kept one time of sending for each task, so a stop within 1.0 s of the start was taken for a resend of it and held back, although no stop had been sent. Change: starts and stops of a task have times of their own. Evidence: python -m testing batch.test_outbox: the new test failed before, 9 pass; batch.test_terms, test_model and test_eviction pass.

--- a/src/bilberrypass/batch/outbox.py
+++ b/src/bilberrypass/batch/outbox.py
@@ -29,6 +29,13 @@
     lease_s: float
 
 
+class _Call(t.NamedTuple):
+    """A start or a stop of a task; each is resent at its own interval."""
+
+    task: work.TaskId
+    is_stop: bool
+
+
 class OutcomeListener(t.Protocol):
     """Receives the outcomes of starts and stops; called on the sending thread."""
 
@@ -82,7 +89,7 @@
         self._listener = listener
         self._lock = threading.Lock()
         self._hosts_in_call: set[str] = set()
-        self._sent_at: dict[work.TaskId, float] = {}
+        self._sent_at: dict[_Call, float] = {}
         self._first_sends: dict[work.TaskId, int] = {}
         self._pool = pool or futures.ThreadPoolExecutor(
             _SEND_THREADS, thread_name_prefix="send"
@@ -92,7 +99,7 @@
         """Drop the send times of all tasks but these."""
         kept = set(tasks)
         with self._lock:
-            self._sent_at = {k: v for k, v in self._sent_at.items() if k in kept}
+            self._sent_at = {k: v for k, v in self._sent_at.items() if k.task in kept}
             self._first_sends = {
                 k: v for k, v in self._first_sends.items() if k in kept
             }
@@ -110,29 +117,29 @@
         self, sender: SenderIdentity, host_id: str, specs: list[work.Spec]
     ) -> None:
         """Send starts to a host, except those sent within the resend interval."""
-        due = self._select_due([spec.task for spec in specs])
-        chosen = [spec for spec in specs if spec.task in due]
-        self._submit(host_id, list(due), lambda: self._start(sender, host_id, chosen))
+        due = self._select_due([_Call(spec.task, is_stop=False) for spec in specs])
+        tasks = {call.task for call in due}
+        chosen = [spec for spec in specs if spec.task in tasks]
+        self._submit(host_id, due, lambda: self._start(sender, host_id, chosen))
 
     def stop(self, host_id: str, tasks: list[work.TaskId], checkpoint: bool) -> None:
         """Send stops to a host, except those sent within the resend interval."""
-        due = self._select_due(tasks)
-        self._submit(
-            host_id, list(due), lambda: self._stop(host_id, list(due), checkpoint)
-        )
+        due = self._select_due([_Call(task, is_stop=True) for task in tasks])
+        chosen = [call.task for call in due]
+        self._submit(host_id, due, lambda: self._stop(host_id, chosen, checkpoint))
 
-    def _select_due(self, tasks: list[work.TaskId]) -> set[work.TaskId]:
+    def _select_due(self, calls: list[_Call]) -> list[_Call]:
         limit = time.monotonic() - _RESEND_INTERVAL_S
-        return {task for task in tasks if self._sent_at.get(task, limit) <= limit}
+        return [call for call in calls if self._sent_at.get(call, limit) <= limit]
 
     def _submit(
-        self, host_id: str, due: list[work.TaskId], send: t.Callable[[], None]
+        self, host_id: str, due: list[_Call], send: t.Callable[[], None]
     ) -> None:
         with self._lock:
             if not due or host_id in self._hosts_in_call:
                 return
             self._hosts_in_call.add(host_id)
-            self._sent_at.update((task, time.monotonic()) for task in due)
+            self._sent_at.update((call, time.monotonic()) for call in due)
         self._pool.submit(self._run, host_id, send)
 
     def _run(self, host_id: str, send: t.Callable[[], None]) -> None:
--- a/testing/batch/test_outbox.py
+++ b/testing/batch/test_outbox.py
@@ -3,6 +3,7 @@
 import concurrent.futures as futures
 import time
 import typing as t
+import unittest.mock
 
 from bilberrypass import errors, resources
 from bilberrypass.batch import liveness, outbox
@@ -127,4 +128,22 @@
     assert listener.calls == ["refused, certain: False"]
 
 
+def test_stop_is_not_held_back_by_the_start_of_its_task():
+    ended = messages.TaskState(
+        _spec().task, "stopped", resources.Demand(1, 1), "", "never ran"
+    )
+    hosts, listener = _Hosts([""]), _Listener()
+    listener.on_ended = listener.calls.append
+    sender = outbox.Outbox(
+        hosts, liveness.LivenessTracker(60.0), listener, fakes.InlineExecutor()
+    )
+    sender.start(_SENDER, "h0", [_spec()])
+    with unittest.mock.patch.object(
+        _Hosts, "call", lambda *args: messages.StopResponse([ended])
+    ):
+        sender.stop("h0", [_spec().task], checkpoint=False)
+        sender.stop("h0", [_spec().task], checkpoint=False)
+    assert listener.calls == ["started", ended], "the stop was not sent once"
+
+
 load_tests = collecting.hook(__name__)
