Do not lose the request to stop a reporter that begins a report

Cause: the thread looked for the request, then cleared the event that carries it. A request in between was seen only after one more report and the whole interval, up to 6.0 s; a stopping agent waited 2.0 s for that reporter and went on without it. Change: the event is cleared before the thread looks. Evidence: python -m testing connection.test_reporting: failed before (30 s interval, no end within 5.0 s), passes; execution.test_pacing passes.

--- a/src/bilberrypass/connection/reporting.py
+++ b/src/bilberrypass/connection/reporting.py
@@ -109,8 +109,11 @@
         return self._sent_at.get(sequence)
 
     def _run(self) -> None:
-        while not self._stopping:
+        while True:
+            # A stop that is requested after this check wakes the wait below.
             self._wake.clear()
+            if self._stopping:
+                break
             began = time.monotonic()
             is_answered = self._send_report(next(self._sequences), began)
             time.sleep(_MIN_PAUSE_S)
