Tell attaches to a worker apart by a number of the client's own

Cause: the client took an equal generation for the same life of the worker. A worker that uses a generation again after a restart got starts that were admitted before it, and leases by the clock of its earlier life; one that counts anew was refused until its count had caught up, and no stop reached it. Change: each attach has a number, which binds starts and the reading of the clock; the later attach counts, whatever generation the worker assigns. Evidence: python -m testing connection.test_generations: 3 of 3 failed before (a lease of 2,859 s in place of 30 s in one), 3 pass; connection.test_http_worker, execution.test_tasks, test_stops and batch.test_eviction pass. Left: a restarted worker that accepts commands before it is attached to.

--- a/src/bilberrypass/connection/http_worker.py
+++ b/src/bilberrypass/connection/http_worker.py
@@ -1,5 +1,6 @@
 """Client of the platform's worker, with JSON over HTTP."""
 
+import itertools
 import threading
 import time
 import typing as t
@@ -49,8 +50,12 @@
 
 
 class _Attachment(t.NamedTuple):
-    """A generation, and how far the worker's clock was ahead of this one's then."""
+    """A generation, and how far the worker's clock was ahead of this one's then.
 
+    ``number`` counts the attaches, since a restarted worker may use a generation again.
+    """
+
+    number: int = 0
     generation: int = _NO_GENERATION
     clock_ahead_s: float = 0.0
 
@@ -79,21 +84,25 @@
         self._port = port
         self._lock = threading.Lock()
         self._attachment = _Attachment()
+        self._attaches = itertools.count(1)
         self._pool = self._new_pool()
 
     @property
     def generation(self) -> int:
-        """The generation assigned by the latest ``attach``, 0 if there is none."""
-        return self._get_attachment().generation
+        """The number of the latest ``attach``, 0 if there is none."""
+        return self._get_attachment().number
 
     def attach(self, deadline: float, incarnation: int = 0) -> worker.Inventory:
         """Become the newest agent; return the capacity and all runs not forgotten."""
+        number = next(self._attaches)
         body = AttachRequest(incarnation)
         attached = self._call("POST", "/attach", body, AttachResponse, deadline)
-        newest = _Attachment(attached.generation, _clock_ahead_s(attached.inventory))
+        clock_ahead_s = _clock_ahead_s(attached.inventory)
         with self._lock:
-            if newest.generation >= self._attachment.generation:
-                self._attachment = newest
+            if number > self._attachment.number:
+                self._attachment = _Attachment(
+                    number, attached.generation, clock_ahead_s
+                )
         return attached.inventory
 
     def inventory(self, deadline: float) -> worker.Inventory:
@@ -103,7 +112,7 @@
             "GET", "/inventory", None, worker.Inventory, deadline, attachment
         )
         with self._lock:
-            if self._attachment.generation == attachment.generation:
+            if self._attachment.number == attachment.number:
                 self._attachment = attachment._replace(
                     clock_ahead_s=_clock_ahead_s(found)
                 )
@@ -122,7 +131,7 @@
     ) -> worker.Run:
         """Start a task under a lease; the same task and attempt starts only once."""
         attachment = self._get_attachment()
-        if generation not in (None, attachment.generation):
+        if generation not in (None, attachment.number):
             raise errors.Refused(
                 errors.Kind.STALE,
                 f"worker {self._address()} was attached to anew before the start of "
--- a/src/bilberrypass/connection/worker.py
+++ b/src/bilberrypass/connection/worker.py
@@ -61,7 +61,7 @@
 
     @property
     def generation(self) -> int:
-        """The generation assigned by the latest ``attach``, 0 if there is none."""
+        """Identifies the latest ``attach`` of this client, 0 if there is none."""
         return 0
 
     @abc.abstractmethod
