Refuse the cancel of a job that was removed meanwhile

Cause: a cancel looks its job up before it is queued for the next write. If the write before removed the job, the change raised a KeyError, which fails the batch: all other changes in it, cancels too, were dropped. Change: it is refused with NOT_FOUND, as a cancel that comes later is. Evidence: python -m testing batch.test_records: KeyError before, passes; batch.test_model and test_terms pass. Found by reading, seen in no run.

--- a/src/bilberrypass/batch/records.py
+++ b/src/bilberrypass/batch/records.py
@@ -105,7 +105,16 @@
     """Cancel the tasks of a job that have not ended, and return the job.
 
     Tasks on a host are stopped first.
+
+    Raises
+    ------
+    errors.Refused
+        NOT_FOUND if the job was removed.
     """
+    if key not in jobs:
+        raise errors.Refused(
+            errors.Kind.NOT_FOUND, f"job {key[1]} ended long ago and was removed"
+        )
     for index, record in enumerate(jobs[key].tasks):
         if record.state == page.WAITING:
             state = page.CANCELLED
