Answer the changes that are dropped with one that fails

Cause: an unexpected exception in one change of a shard drops the batch. The changes already taken from the queue were dropped without an answer, so that their callers waited until their deadlines for what nobody would apply any more. Change: all of them, and the one that failed, get the error of a dropped write at once.

--- a/src/bilberrypass/membership/owned_shard.py
+++ b/src/bilberrypass/membership/owned_shard.py
@@ -177,8 +177,9 @@
         if not self.ownership.is_held:
             raise _OwnershipLost
         state = self.copy(self.state)
-        applied = self._apply_pending(state)
+        applied: list[tuple[_Pending, t.Any]] = []
         try:
+            self._apply_pending(state, applied)
             self.update_before_write(state)
             if state != self.state:
                 self._write(state, self._revision)
@@ -190,17 +191,22 @@
             pending.fut.set_result(result)
         self.on_written()
 
-    def _apply_pending(self, state: State) -> list[tuple[_Pending, t.Any]]:
-        applied = []
+    def _apply_pending(
+        self, state: State, applied: list[tuple[_Pending, t.Any]]
+    ) -> None:
+        """Apply the pending changes, and add each with its result to ``applied``."""
         while True:
             try:
                 pending = self._pending.get_nowait()
             except queue.Empty:
-                return applied
+                return
             try:
                 applied.append((pending, pending.change(state)))
             except errors.Error as exc:
                 pending.fut.set_exception(exc)
+            except Exception:
+                applied.append((pending, None))
+                raise
 
     def _fail_pending(self) -> None:
         while True:
--- a/testing/membership/test_owned_shard.py
+++ b/testing/membership/test_owned_shard.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bilberrypass import errors
 from bilberrypass.connection import memory
 from bilberrypass.membership import directory, owned_shard
 from testing import collecting, fixtures
@@ -95,4 +96,22 @@
         assert len(numbers.state) == 3
 
 
+def test_changes_dropped_with_one_that_fails_are_answered_at_once():
+    """Guards against callers that wait for changes which nobody will apply."""
+    with _running_numbers() as numbers:
+        batch = []
+
+        def submit_one_that_fails(state):
+            state.append(1)
+            batch.append(numbers.submit(lambda state: state.index("missing")))
+
+        batch.append(numbers.submit(submit_one_that_fails))
+        fixtures.wait_until(lambda: len(batch) == 2, _TIMEOUT_S, "the batch")
+        for fut in batch:
+            exc = fut.exception(_TIMEOUT_S)
+            assert exc.kind is errors.Kind.STALE, exc
+        fixtures.wait_until(lambda: numbers.is_owned, _TIMEOUT_S, "the ownership")
+        assert numbers.state == []
+
+
 load_tests = collecting.hook(__name__)
