--- a/src/bilberrypass/execution/tasks.py
+++ b/src/bilberrypass/execution/tasks.py
@@ -26,8 +26,6 @@
 _MIN_STOP_MARGIN_S: t.Final = 1.0
 _STOP_MARGIN_LEASE_SHARE: t.Final = 0.1
 
-LIVE_STATES: t.Final = frozenset({"running", "checkpointed"})
-
 
 class _Known(t.NamedTuple):
     """The tasks known before the worker's inventory was requested."""
@@ -68,6 +66,7 @@
         self._lease_s: float = 0.0
         self._starting: set[work.TaskId] = set()
         self._uncertain: set[work.TaskId] = set()
+        self._unstopped: dict[work.TaskId, bool] = {}
         self._barred = barred.BarredAttempts()
         self._usage: worker.Usage | None = None
         self._may_throttle = may_throttle
@@ -97,13 +96,13 @@
         kept = {
             task: run
             for task, run in self._runs.items()
-            if task not in known_before or run.state not in LIVE_STATES
+            if task not in known_before or not states.is_live(run)
         }
         listed = {run.spec.task: run for run in found.runs}
         for task in self._runs.keys() - kept.keys() - listed.keys():
             self._remove_lost(task)
-        self._runs = kept | listed
-        live = [run for run in self._runs.values() if run.state in LIVE_STATES]
+        self._runs = listed | kept
+        live = [run for run in (kept | listed).values() if states.is_live(run)]
         held = {run.spec.task: run.spec.demand for run in live}
         self.ledger.rebuild(found.capacity, held, self._starting | self._uncertain)
 
@@ -156,7 +155,7 @@
     def _find_end(self, task: work.TaskId) -> worker.Run | None:
         """Return the run of a task if it has ended and its end is not stored yet."""
         run = self._runs.get(task)
-        return run if run is not None and run.state not in LIVE_STATES else None
+        return None if states.is_live(run) else run
 
     def _start_admitted(self, spec: work.Spec, expiry: float, generation: int) -> None:
         deadline = time.monotonic() + _CALL_TIMEOUT_S
@@ -174,15 +173,14 @@
                 self._runs[spec.task] = run
                 known = self._expiries.get(spec.task, 0.0)
                 self._expiries[spec.task] = max(known, expiry)
-        if is_barred and run.state in LIVE_STATES:
+        if is_barred and states.is_live(run):
             self._stop_one(spec.task, checkpoint=False)
 
     def _finish_start(self, task: work.TaskId) -> None:
         with self._lock:
             self._starting.discard(task)
             run = self._runs.get(task)
-            is_live = run is not None and run.state in LIVE_STATES
-            if not is_live and task not in self._uncertain:
+            if not states.is_live(run) and task not in self._uncertain:
                 self.ledger.release(task)
 
     def renew(
@@ -216,20 +214,16 @@
             expiring = [
                 task
                 for task, run in self._runs.items()
-                if run.state in LIVE_STATES and self._expiries.get(task, limit) < limit
+                if states.is_live(run) and self._expiries.get(task, limit) < limit
             ]
         for task in expiring:
             _log.warning("tasks: stopping {}: its lease was not renewed", task)
-        self.stop(expiring, checkpoint=True)
+        self._stop_all(expiring, checkpoint=True)
 
     def forget(self, recorded: list[work.TaskId]) -> None:
         """Remove ended tasks whose end is stored, here and on the worker."""
         with self._lock:
-            ended = [
-                task
-                for task in recorded
-                if task in self._runs and self._runs[task].state not in LIVE_STATES
-            ]
+            ended = [task for task in recorded if self._find_end(task)]
         if not ended:
             return
         try:
@@ -248,8 +242,25 @@
     def stop(self, tasks: list[work.TaskId], checkpoint: bool) -> messages.StopResponse:
         """Stop tasks, after a checkpoint if requested.
 
-        A task that could not be stopped is missing from the answer.
+        A task that could not be stopped is missing from the answer. Its lease is no
+        longer renewed, and each poll tries to stop it again.
         """
+        response = self._stop_all(tasks, checkpoint)
+        failed = set(tasks) - {end.task for end in response.ends}
+        with self._lock:
+            self._unstopped.update(dict.fromkeys(failed, checkpoint))
+        return response
+
+    def _retry_stops(self) -> bool:
+        """Repeat the stops that failed, and return whether a task was stopped."""
+        with self._lock:
+            unstopped = list(self._unstopped.items())
+        responses = [self._stop_all([task], flag) for task, flag in unstopped]
+        return any(response.ends for response in responses)
+
+    def _stop_all(
+        self, tasks: list[work.TaskId], checkpoint: bool
+    ) -> messages.StopResponse:
         ends = []
         for task in tasks:
             try:
@@ -263,15 +274,17 @@
             self._try_checkpoint(task)
         run = self._driver.stop(task, time.monotonic() + _CALL_TIMEOUT_S)
         with self._lock:
-            if run is None:
+            known = self._find_end(task)
+            if run is None or (known is not None and known.state != "stopped"):
                 # A restarted worker has forgotten the runs that ended.
-                run = self._find_end(task) or states.never_ran(task)
+                run = known or states.never_ran(task)
             self._record_stop(task, run)
         return states.task_state(run)
 
     def _record_stop(self, task: work.TaskId, run: worker.Run) -> None:
         self._runs[task] = run
         self._uncertain.discard(task)
+        self._unstopped.pop(task, None)
         self._barred.add(task)
         if task not in self._starting:
             self.ledger.release(task)
@@ -282,17 +295,6 @@
         except errors.Error as exc:
             _log.info("tasks: could not checkpoint {}: {}", task, exc.detail)
 
-    def throttle(self, throttles: list[tuple[work.TaskId, float]]) -> None:
-        """Set the CPU share, 0 to 1, of the live tasks that have a different one."""
-        for task, share in throttles:
-            run = self._runs.get(task)
-            if run is None or run.state not in LIVE_STATES or run.throttle == share:
-                continue
-            try:
-                self._driver.throttle(task, share, time.monotonic() + _CALL_TIMEOUT_S)
-            except errors.Error as exc:
-                _log.warning("tasks: could not throttle {}: {}", task, exc.detail)
-
     def states(self) -> list[messages.TaskState]:
         """Return the states of all known tasks, including ended ones."""
         with self._lock:
@@ -319,7 +321,7 @@
             leases = [
                 (task, expiry)
                 for task, expiry in self._expiries.items()
-                if task in self._runs and self._runs[task].state in LIVE_STATES
+                if states.is_live(self._runs.get(task)) and task not in self._unstopped
             ]
         if leases:
             self._driver.renew(leases, deadline)
@@ -327,25 +329,24 @@
         with self._lock:
             ended = self._apply_inventory(found, known_before)
             self._polled_at = started_at
+        ended |= self._retry_stops()
         self._stop_missed_starts(found, known_before)
         self._stop_expiring()
         self._usage = self._driver.usage(deadline)
-        self._adjust_throttle(self._usage)
+        share = self._throttle.update(self._usage) if self._may_throttle() else 1.0
+        throttle.set_cpu_share(self._driver, list(self._runs.values()), share)
         return ended
 
-    def _adjust_throttle(self, usage: worker.Usage) -> None:
-        """Throttle all tasks according to the measured slowdown of services."""
-        share = self._throttle.update(usage) if self._may_throttle() else 1.0
-        self.throttle([(task, share) for task in list(self._runs)])
-
     def _apply_inventory(self, found: worker.Inventory, known_before: _Known) -> bool:
         ended = False
         listed = {run.spec.task: run for run in found.runs}
         for task, run in listed.items():
-            before = self._runs.get(task)
-            if before is not None and before.state not in LIVE_STATES:
+            if self._find_end(task):
+                if states.is_live(run):
+                    self.ledger.hold(task, run.spec.demand)
+                    self._unstopped[task] = False
                 continue
-            if run.state in LIVE_STATES:
+            if states.is_live(run):
                 self.ledger.hold(task, run.spec.demand)
             else:
                 self.ledger.release(task)
@@ -353,8 +354,7 @@
             self._runs[task] = run
             self._uncertain.discard(task)
         for task in known_before.runs - listed.keys():
-            known = self._runs.get(task)
-            if known is not None and known.state in LIVE_STATES:
+            if states.is_live(self._runs.get(task)):
                 self._remove_lost(task)
         return ended
 
@@ -372,7 +372,7 @@
     ) -> None:
         """Stop tasks whose start the worker seems to have missed, so none runs late."""
         missed = known_before.uncertain - {run.spec.task for run in found.runs}
-        self.stop([task for task in missed if task in self._uncertain], False)
+        self._stop_all([task for task in missed if task in self._uncertain], False)
 
     def run(self, leaving: threading.Event, on_end: t.Callable[[], None]) -> None:
         """Poll the worker until the process leaves or a newer agent takes over."""
