Count the end of a run that was reported as gone before

Cause: a run that an agent reports as missing or rejected is requeued and no longer tracked. If the runner lists its end after that, _handle_unknown_run noted the end without counting it: the work was repeated, and the repeated run started after an end `done` that was noted (TWICE); a `failed` end did not count as an attempt.

Change: such an end counts while no newer run of the task is placed. Ends of runs that were given up with their lease stay uncounted. Not changed: an end that comes after the newer run was placed, or that a later scheduler gets.

Evidence: scheduling.test_run_ends. test_work_done_by_a_run_that_was_reported_as_missing_is_not_repeated fails on (status running after 5 s) and passes now; test_end_of_a_run_whose_lease_lapsed_does_not_count passes on both. testing.scheduling, hosting, platform and test_pages: 260 passed, 0 failed, 0 skipped.

--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -78,6 +78,14 @@
     def __str__(self) -> str:
         return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
 
+    @classmethod
+    def parse(cls, name: str) -> t.Self | None:
+        """Return the key with this name, or None if the name is not that of a task."""
+        job, *numbers = name.split(".")
+        if len(numbers) != len(cls._fields) - 1 or not all(map(str.isdecimal, numbers)):
+            return None
+        return cls(job, *map(int, numbers))
+
 
 def check(job: Job) -> None:
     """Raise if a job is malformed or uses an unsupported feature.
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -157,7 +157,7 @@
         task.run += 1
         task.host, task.life = host.name, host.life
         task.phase = state.Phase.ORDERED
-        task.is_stored = False
+        task.is_stored = task.may_have_ended = False
         task.started_at = now
         task.pace, task.figure = 100, 0
         task.progress.reset()
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -162,7 +162,15 @@
     ) -> None:
         """Stop a run that the scheduler no longer tracks, or settle it if final."""
         if row.state in _FINAL_STATES:
-            host.settle(key, row.end)
+            task = self._scheduler.find_open_task(row.task)
+            if (
+                row.state == State.ENDED
+                and task is not None
+                and task.is_end_expected(host.name, host.life, row.run)
+            ):
+                self._handle_end(host, task, row)
+            else:
+                host.settle(key, row.end)
             return
         if row.state != State.STOPPING:
             _unwanted_runs.inc()
@@ -246,6 +254,7 @@
     ) -> None:
         """Process the end of a run; it is noted at the host once it is stored."""
         job = task.job
+        task.may_have_ended = False
         _ends.labels(row.outcome).inc()
         host.remove(task)
         if row.outcome == "done":
@@ -304,6 +313,7 @@
         """Requeue a task whose run certainly is not on the host any more."""
         host.remove(task)
         task.phase = state.Phase.WAITING
+        task.may_have_ended = row is not None and row.outcome != "lapsed"
         task.not_before = clock.now() + _LOST_TASK_RETRY_DELAY_S
         decisions.record(
             "run.lost",
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -306,6 +306,12 @@
         table = self._table()
         return None if table is None else table.queues.get(job.job.queue)
 
+    def find_open_task(self, name: str) -> state.Task | None:
+        """Return a task of a job that is not final, or None."""
+        key = jobs.TaskKey.parse(name)
+        job = self.open_jobs.get(key.job) if key is not None else None
+        return job.tasks.get(key) if job is not None and key is not None else None
+
     def write_progress(self, job: state.JobState, effect: Event | None = None) -> None:
         """Mark a job's progress for writing; ``effect`` is called once it is stored."""
         was_final = job.is_final
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -61,7 +61,8 @@
 
     ``life`` is the start time, in Unix milliseconds, of the runner that the run was
     sent to. ``failures`` counts runs that ended as failed. ``is_stored`` is False from
-    the choice of a host until the run is stored and may be ordered.
+    the choice of a host until the run is stored and may be ordered. ``may_have_ended``
+    is set while the newest run counts as gone, other than by the end of its lease.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "job",
         "key",
         "life",
+        "may_have_ended",
         "not_before",
         "pace",
         "phase",
@@ -94,6 +96,7 @@
         self.run = 0
         self.host = ""
         self.life = 0
+        self.may_have_ended = False
         self.failures = 0
         self.checkpoint = ""
         self.ticket = ""
@@ -112,6 +115,11 @@
         """Return whether a run may exist on a host."""
         return self.phase in ACTIVE
 
+    def is_end_expected(self, host: str, life: int, run: int) -> bool:
+        """Return whether the end of a run counts that counted as gone before."""
+        newest = (self.host, self.life, self.run)
+        return self.may_have_ended and newest == (host, life, run)
+
 
 class JobState:
     """A job with its tasks; owned by the scheduler's thread.
--- a/testing/scheduling/test_run_ends.py
+++ b/testing/scheduling/test_run_ends.py
@@ -89,4 +89,34 @@
         )
 
 
+def _end_run_reported_as_gone(cluster, outcome):
+    """Report a run as gone, then its end as done; return its host."""
+    host = cluster.add_host("h1")
+    order = cluster.run_task(host)
+    host.is_draining = True  # no other run is placed meanwhile
+    key = order.task, order.run
+    host.rows[key] = host.rows[key]._replace(
+        state=int(clusters.State.GONE), outcome=outcome
+    )
+    host.report()
+    number = host.end_run(key, "done")
+    fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "the end's note")
+    host.is_draining = False
+    return host
+
+
+def test_work_done_by_a_run_that_was_reported_as_missing_is_not_repeated():
+    with clusters.running_cluster() as cluster:
+        host = _end_run_reported_as_gone(cluster, "missing")
+        cluster.await_status("completed", host)
+        assert not [o for o in host.orders if o.verb == clusters.Verb.START]
+
+
+def test_end_of_a_run_whose_lease_lapsed_does_not_count():
+    with clusters.running_cluster() as cluster:
+        host = _end_run_reported_as_gone(cluster, "lapsed")
+        (order,) = host.await_orders(1)
+        assert order.run == 2
+
+
 load_tests = collecting.hook(__name__)
