Read the noted and settled ends of a host's life under a lock

Cause: Scheduler.report builds its response on the thread that serves the call, while Host.begin_life changes the life, the noted end and the settled rows on the scheduler's thread. A response could carry the new life's check and the earlier life's settled rows.

Change: begin_life changes them, and read_settled reads them with the life, under one lock.

Evidence: scheduling.test_reconciling. test_response_does_not_carry_settled_rows_of_an_earlier_life, which holds begin_life in the middle, fails on the commit before (a settled row in the response) and passes now. testing.scheduling, hosting, platform, test_pages and test_imports: no failure, nothing skipped. The soak was not run on it.

--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -1,6 +1,7 @@
 """The scheduler's view of a host: its state, its runs and the orders sent to it."""
 
 import secrets
+import threading
 import typing as t
 
 from bilberrypass.scheduling import interference, jobs, messages, state, stragglers
@@ -57,6 +58,7 @@
         self.settled: dict[RowKey, int] = {}
         self.open_ends: dict[int, float] = {}
         self.noted = 0
+        self._life_lock = threading.Lock()
         self.last_stored = 0
         self.used_cpu = 0
         self.used_memory = 0
@@ -158,6 +160,14 @@
         min_open_end = min(self.open_ends, default=self.last_stored + 1)
         self.noted = max(self.noted, min_open_end - 1)
 
+    def read_settled(self, life: int) -> tuple[int, list[RowKey]] | None:
+        """Return ``noted`` and the settled rows of a life, or None for another life.
+
+        Thread-safe: a new life may begin meanwhile.
+        """
+        with self._life_lock:
+            return (self.noted, list(self.settled)) if self.life == life else None
+
     def record_unstored_end(self, number: int) -> None:
         """Record that the agent listed an end that is not stored."""
         if number > self.noted and number not in self.open_ends:
@@ -171,11 +181,12 @@
     def begin_life(self, info: messages.RunnerInfo) -> list[state.Task]:
         """Record a new life of the runner; return the runs lost with earlier lives."""
         lost = [task for task in self.tasks.values() if task.life != info.life]
-        self.life = info.life
-        self.noted = self.last_stored = 0
-        self.open_ends.clear()
-        self.pending.clear()
-        self.settled.clear()
+        with self._life_lock:
+            self.life = info.life
+            self.noted = self.last_stored = 0
+            self.open_ends.clear()
+            self.pending.clear()
+            self.settled.clear()
         self.failures = 0.0
         self.avoid_until = 0.0
         self.speed = stragglers.SpeedEstimate()
--- a/src/bilberrypass/scheduling/responding.py
+++ b/src/bilberrypass/scheduling/responding.py
@@ -64,8 +64,12 @@
             self._await_stored(report)
         noted, settled, pressing = 0, [], []
         host = owner.hosts.get(report.host)
-        if host is not None and report.runner and host.life == report.runner.life:
-            noted, settled = host.noted, list(host.settled)
+        if (
+            host is not None
+            and report.runner
+            and (found := host.read_settled(report.runner.life)) is not None
+        ):
+            noted, settled = found
             pressing = owner.publisher.rows_if_due(host, now)
         return messages.ReportResponse(
             True, owner.epoch, lease_s, noted, settled, owner.is_cut_off, pressing
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -152,4 +152,25 @@
         assert found.agent == 4
 
 
+def test_response_does_not_carry_settled_rows_of_an_earlier_life():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        order = cluster.run_task(host)
+        host.end_run((order.task, order.run), "done")
+        cluster.await_status("completed", host)
+        found = cluster.scheduler.hosts["h1"]
+        assert found.settled
+
+        class _OpenEnds(dict):
+            def clear(self):
+                time.sleep(0.3)  # the response is built while the life begins
+                super().clear()
+
+        found.open_ends = _OpenEnds(found.open_ends)
+        host.life, host.rows = 2_000, {}
+        response = host.report()
+        assert found.life == 2_000
+        assert (response.noted, response.settled) == (0, []), response
+
+
 load_tests = collecting.hook(__name__)
