Show that a scheduler behind on cancellations starts cancelled jobs

Once the link healed, the leader's writes worked at once on new connections, while its watch of `intake/` waited on the old one until its timeout (`intake.py`, `_watch`; `intake.store.lost` 2.3 s before the heal, `intake.store.regained` 2.0 s after it). 1.2 s after the heal it placed the job, stored that and ordered it (`placing.py`, `_start_run`, `_order_stored`): the tasks started 4.95 s after the ack on a host in touch, and were stopped 0.8 s later.

--- a/testing/scheduling/test_rules.py
+++ b/testing/scheduling/test_rules.py
@@ -1,12 +1,16 @@
 """Step order, attempt limits, cancellation and the status that callers get."""
 
-from bilberrypass import clock
+import time
+
+from bilberrypass import clock, errors
 from bilberrypass.scheduling import jobs, state
 from testing import collecting, fixtures
 from testing.scheduling import clusters
 
 STEP = jobs.Step(1, cpu_milli=100)
 Verb = clusters.Verb
+_CANCEL_S = 3.0  # cancel_ms
+_WATCH_S = 1.1
 
 
 def _finish(host, outcome="done"):
@@ -93,6 +97,26 @@
         host.await_orders(1)
 
 
+def test_scheduler_behind_on_cancellations_does_not_start_a_cancelled_job():
+    """A watch without answers leaves the scheduler's writes and orders at work."""
+
+    def watch(*_):
+        raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
+
+    with clusters.running_cluster() as cluster:
+        job = cluster.submit(STEP)
+        has_seen = lambda: job.id in cluster.scheduler.jobs
+        fixtures.wait_until(has_seen, 5.0, "the job to be seen")
+        cluster.store.watch = watch
+        time.sleep(_WATCH_S)  # the watch in progress still answers
+        cluster.submissions.cancel(job.id, clock.now() + 1)
+        time.sleep(_CANCEL_S)
+        host = cluster.add_host("h1")
+        for _ in fixtures.polls(0.4):
+            host.report()
+        assert not [o for o in host.orders if o.verb == Verb.START]
+
+
 def test_cancelled_job_starts_nothing_and_has_status_cancelled():
     with clusters.running_cluster() as cluster:
         host = cluster.add_host("h1")
