Count a runner as left only if its address refuses connections

What callers would see: a run that is stopped by nobody, or started a second time, since its runner counted as left (UNASKED, TWICE).

Cause: after an announced exit any call that was certainly not sent ended the session: also a connection that was not made in time, and one whose peer did not state its life.

Change: the client tells a refused connection from the others; all others leave the runs to the lease.

Evidence: hosting.test_exit_checks, the tests of the frozen and of the busy runner failed before, pass; test_stops, test_agent, test_restart, platform.test_runner pass.

--- a/src/bilberrypass/hosting/runner.py
+++ b/src/bilberrypass/hosting/runner.py
@@ -3,6 +3,8 @@
 import abc
 import typing as t
 
+from bilberrypass import errors
+
 
 class ActiveRun(t.NamedTuple):
     """A run that is present on the runner.
@@ -49,6 +51,13 @@
     clock_ms: int
 
 
+class NotListening(errors.Error):
+    """The runner's address refuses connections, so no process listens there."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(errors.Kind.PEER_UNREACHABLE, detail, ran=errors.Ran.NO)
+
+
 class RunSpec(t.NamedTuple):
     """The parameters of a run to start; checkpoint and ticket may be empty."""
 
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -107,11 +107,11 @@
         while not self._ended.is_set():
             try:
                 self._client.poll(self.table.acknowledged_end, None, self._epoch, 0.0)
+            except runner.NotListening:
+                self.end("left")
+                return
             except errors.Error as exc:
-                is_refused = exc.kind is errors.Kind.PEER_UNREACHABLE
-                if is_refused and exc.ran is errors.Ran.NO:
-                    self.end("left")
-                    return
+                self._runner_calls.failed(exc)
             self._ended.wait(_EXIT_CHECK_INTERVAL_S)
 
     @property
--- a/src/bilberrypass/platform/http.py
+++ b/src/bilberrypass/platform/http.py
@@ -30,12 +30,16 @@
 
 
 class NotSent(errors.Error):
-    """The request was not sent, so the call was certainly not executed."""
+    """The request was not sent, so the call was certainly not executed.
+
+    ``is_refused`` is set if nothing listens at the address.
+    """
 
     def __init__(self, request: str, exc: BaseException) -> None:
         super().__init__(
             errors.Kind.PEER_UNREACHABLE, f"{request}: {exc}", ran=errors.Ran.NO
         )
+        self.is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
 
 
 class NoAnswer(errors.Error):
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -132,7 +132,12 @@
         self, path: str, body: dict[str, t.Any], deadline: float
     ) -> http.Response:
         self._epoch = max(self._epoch, body["fencing_token"])
-        return self._client.call("POST", path, deadline, body, self._headers)
+        try:
+            return self._client.call("POST", path, deadline, body, self._headers)
+        except http.NotSent as exc:
+            if exc.is_refused:
+                raise runner.NotListening(exc.detail) from exc
+            raise
 
     def _call_order(
         self, path: str, body: dict[str, t.Any], deadline: float
--- a/testing/standins/runners.py
+++ b/testing/standins/runners.py
@@ -93,9 +93,7 @@
 
     def _check_reach(self):
         if self.has_left:
-            raise errors.Error(
-                errors.Kind.PEER_UNREACHABLE, "refused", ran=errors.Ran.NO
-            )
+            raise runner.NotListening("refused")
         if self.is_silent:
             raise errors.Error(errors.Kind.ANSWER_LOST, "silent")
 
