Stop strays by threads of their own

What callers would see: a cancelled task runs on for seconds while stops of other runs get no answer (UNASKED).

Cause: runs that stay listed after their stop are stopped again with each list, by the threads that execute ordered stops; 40 of them held the threads for 7 s.

Evidence: hosting.test_exit_checks.test_stop_does_not_wait_for_repeated_stops_of_other_runs failed before (no stop within 3.0 s), passes; test_late_starts, test_order_queue pass.

--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -22,6 +22,7 @@
 _EXIT_CHECK_INTERVAL_S: t.Final = 0.1
 _START_THREADS: t.Final = 6
 _STOP_THREADS: t.Final = 4
+_STRAY_THREADS: t.Final = 2
 _MS: t.Final = 1_000
 # Refusals after which the run is not on the runner and cannot start there.
 _BARRED_REASONS: t.Final = ("old",)
@@ -66,13 +67,16 @@
         self._exit_thread: threading.Thread | None = None
         self._strays_in_progress: set[runs.RunKey] = set()
         self._wakeup = threading.Event()
-        # Stops never wait for starts, which may be repeated without end.
+        # Stops never wait for starts or strays, which may be repeated without end.
         self._start_pool = futures.ThreadPoolExecutor(
             _START_THREADS, thread_name_prefix="starts"
         )
         self._stop_pool = futures.ThreadPoolExecutor(
             _STOP_THREADS, thread_name_prefix="stops"
         )
+        self._stray_pool = futures.ThreadPoolExecutor(
+            _STRAY_THREADS, thread_name_prefix="strays"
+        )
         self._thread = threading.Thread(
             target=self._poll_repeatedly, name="hold", daemon=True
         )
@@ -89,7 +93,7 @@
         live = self.table.mark_all_gone(outcome)
         if not was_ended:
             run_events.record_session_end(self.info, outcome, live)
-        for pool in (self._start_pool, self._stop_pool):
+        for pool in (self._start_pool, self._stop_pool, self._stray_pool):
             pool.shutdown(wait=False, cancel_futures=True)
 
     def await_exit(self) -> None:
@@ -308,7 +312,7 @@
             for key in unexpected.strays:
                 if key not in self._strays_in_progress:
                     self._strays_in_progress.add(key)
-                    self._execute_async(self._stop_pool, self._stop_stray, key)
+                    self._execute_async(self._stray_pool, self._stop_stray, key)
             self._adjust_paces()
             if self.table.has_unacknowledged_ends():
                 self._wakeup.wait(_ACK_WAIT_S)
