Repeat an order after an unexpected error of its call

No such error is known.

What callers would see: a cancelled task runs on to its end, without a line of log (UNASKED).

Cause: an exception that is no error of ours ended the thread of the order and was kept in its future.

Change: such an exception is logged and counts as a lost answer, so the order is repeated.

--- a/src/bilberrypass/hosting/runner.py
+++ b/src/bilberrypass/hosting/runner.py
@@ -1,10 +1,17 @@
 """The interface through which an agent controls its runner."""
 
 import abc
+import collections.abc as cabc
 import typing as t
 
+import logbook
+
 from bilberrypass import errors
 
+_log = logbook.Logger("runner")
+
+T = t.TypeVar("T")
+
 
 class ActiveRun(t.NamedTuple):
     """A run that is present on the runner.
@@ -101,3 +108,17 @@
         wait_s: float,
     ) -> RunnerSnapshot:
         """Renew the lease, discard ends up to ``acknowledged_end``, await a new end."""
+
+
+def call(method: cabc.Callable[..., T], *args: t.Any) -> T:
+    """Call a method of a runner; an unexpected exception counts as a lost answer.
+
+    It would end the thread of an order, while the order counts as in progress.
+    """
+    try:
+        return method(*args)
+    except errors.Error:
+        raise
+    except Exception as exc:
+        _log.exception("runner: unexpected error in a call")
+        raise errors.Error(errors.Kind.ANSWER_LOST, repr(exc)) from exc
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -208,7 +208,9 @@
             deadline = clock.now() + _ORDER_TIMEOUT_S
             attempts += 1
             try:
-                answer = self._client.start(spec, lease_end_ms, self._epoch, deadline)
+                answer = runner.call(
+                    self._client.start, spec, lease_end_ms, self._epoch, deadline
+                )
             except errors.Error as exc:
                 is_uncertain = is_uncertain or exc.ran is not errors.Ran.NO
                 run_events.record_unanswered(
@@ -247,7 +249,7 @@
             deadline = clock.now() + _ORDER_TIMEOUT_S
             attempts += 1
             try:
-                answer = self._client.stop(*run.key, self._epoch, deadline)
+                answer = runner.call(self._client.stop, *run.key, self._epoch, deadline)
             except errors.Error as exc:
                 run_events.record_unanswered(
                     "stop.unanswered", run, self.info.life, exc
@@ -269,7 +271,7 @@
         """Try to stop a run that should not be present; each snapshot repeats it."""
         deadline = clock.now() + _ORDER_TIMEOUT_S
         try:
-            answer = self._client.stop(*key, self._epoch, deadline)
+            answer = runner.call(self._client.stop, *key, self._epoch, deadline)
         except errors.Error as exc:
             answer = runner.Answer(exc.detail, 0)
         finally:
