Challenge an unknown agent by whose report runs would be lost

Cause: a new scheduler knows no agent of a host. A late report of a replaced agent that reached it first began an earlier life of the runner, and the runs of the current life were requeued. The same held for a replaced agent with a higher number that the scheduler never knew.

Change: a report of another agent than the current one also has to return a challenge if runs of other lives would be lost by it; no silence is awaited then. A challenge is recorded (`host.agent_challenged`). A report that was not handled in time gets a lease only if its agent is the current one.

--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -4,6 +4,7 @@
 import threading
 import typing as t
 
+from bilberrypass.observing import decisions
 from bilberrypass.scheduling import interference, jobs, messages, state, stragglers
 
 _MIN_AVOIDANCE_S = 1.0  # after one failure; healthy hosts also have single failures
@@ -82,22 +83,42 @@
         An agent is identified by its start time of day. If the clock was set back, the
         new agent has a lower number, as a replaced agent whose report is late. It is
         accepted once the other agent is silent and it returns a challenge issued since
-        the other agent's last report, which only a running process can.
+        the other agent's last report, which only a running process can. A report by
+        which runs would be lost may be late as well, if its agent was not known.
         """
         if report.agent == self.agent:
             if report.sequence <= self.sequence:
                 return False
-        elif report.agent <= self.highest_agent:
-            if at - self.reported_at <= SILENCE_TIMEOUT_S:
-                return False
-            if not self.challenge or report.challenge != self.challenge:
-                self.challenge = self.challenge or secrets.token_hex(8)
+        else:
+            is_lower = report.agent <= self.highest_agent
+            if is_lower and at - self.reported_at <= SILENCE_TIMEOUT_S:
                 return False
+            if is_lower or self._find_lost(report.runner):
+                if not self.challenge:
+                    self._issue_challenge(report)
+                    return False
+                if report.challenge != self.challenge:
+                    return False
         self.agent, self.sequence = report.agent, report.sequence
         self.highest_agent = max(self.highest_agent, report.agent)
         self.challenge = ""
         return True
 
+    def _issue_challenge(self, report: messages.Report) -> None:
+        self.challenge = secrets.token_hex(8)
+        decisions.record(
+            "host.agent_challenged",
+            host=self.name,
+            agent=report.agent,
+            current_agent=self.agent,
+        )
+
+    def _find_lost(self, info: messages.RunnerInfo | None) -> list[state.Task]:
+        """Return the runs that were sent to other lives of the runner."""
+        if info is None:
+            return []
+        return [task for task in self.tasks.values() if task.life != info.life]
+
     def record_failure(self, now: float) -> None:
         """Avoid the host for a time that doubles with each failure, up to a maximum."""
         self.failures += 1.0
@@ -180,7 +201,7 @@
 
     def begin_life(self, info: messages.RunnerInfo) -> list[state.Task]:
         """Record a new life of the runner; return the runs lost with earlier lives."""
-        lost = [task for task in self.tasks.values() if task.life != info.life]
+        lost = self._find_lost(info)
         with self._life_lock:
             self.life = info.life
             self.noted = self.last_stored = 0
--- a/src/bilberrypass/scheduling/responding.py
+++ b/src/bilberrypass/scheduling/responding.py
@@ -85,7 +85,7 @@
             return counted.get(timeout=_APPLY_TIMEOUT_S)
         except queue.Empty:
             host = self._scheduler.hosts.get(report.host)
-            return host is None or host.agent in (0, report.agent)
+            return host is None or host.agent == report.agent
 
     def _await_stored(self, report: messages.Report) -> None:
         """Wait for the write of a report's ends so that the response confirms them."""
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -173,4 +173,33 @@
         assert (response.noted, response.settled) == (0, []), response
 
 
+def test_late_report_that_a_new_scheduler_gets_first_does_not_requeue_a_run():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1", life=2_000)
+        host.agent, host.leased_s = 2, 30.0
+        cluster.run_task(host)
+        host.report()
+        cluster.elect_scheduler()
+        (task,) = cluster.scheduler.jobs["a" * 16].tasks.values()
+        rows = host.rows
+        host.agent, host.life, host.rows = 1, 1_000, {}
+        assert host.report().lease_s == 0.0
+        host.agent, host.life, host.rows = 2, 2_000, rows
+        host.report()
+        found = cluster.scheduler.hosts["h1"]
+        assert (found.agent, task.phase, task.run) == (2, state.Phase.RUNNING, 1)
+
+
+def test_restarted_agent_with_a_new_life_of_its_runner_is_accepted_soon():
+    with clusters.running_cluster() as cluster, events.recorded() as found:
+        host = cluster.add_host("h1")
+        cluster.run_task(host)
+        host.report()
+        host.agent, host.life, host.rows = 2, 2_000, {}
+        assert not host.report().is_counted
+        assert host.report().is_counted
+        assert len(found.named("run.lost")) == 1
+        assert len(found.named("host.agent_challenged")) == 1
+
+
 load_tests = collecting.hook(__name__)
