--- a/src/bilberrypass/hosting/runner.py
+++ b/src/bilberrypass/hosting/runner.py
@@ -1,8 +1,17 @@
 """The interface through which an agent controls its runner."""
 
 import abc
+import collections.abc as cabc
 import typing as t
 
+import logbook
+
+from bilberrypass import errors
+
+_log = logbook.Logger("runner")
+
+T = t.TypeVar("T")
+
 
 class ActiveRun(t.NamedTuple):
     """A run that is present on the runner.
@@ -49,6 +58,13 @@
     clock_ms: int
 
 
+class NotListening(errors.Error):
+    """The runner's address refuses connections, so no process listens there."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(errors.Kind.PEER_UNREACHABLE, detail, ran=errors.Ran.NO)
+
+
 class RunSpec(t.NamedTuple):
     """The parameters of a run to start; checkpoint and ticket may be empty."""
 
@@ -92,3 +108,17 @@
         wait_s: float,
     ) -> RunnerSnapshot:
         """Renew the lease, discard ends up to ``acknowledged_end``, await a new end."""
+
+
+def call(method: cabc.Callable[..., T], *args: t.Any) -> T:
+    """Call a method of a runner; an unexpected exception counts as a lost answer.
+
+    It would end the thread of an order, while the order counts as in progress.
+    """
+    try:
+        return method(*args)
+    except errors.Error:
+        raise
+    except Exception as exc:
+        _log.exception("runner: unexpected error in a call")
+        raise errors.Error(errors.Kind.ANSWER_LOST, repr(exc)) from exc
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -22,6 +22,7 @@
 _EXIT_CHECK_INTERVAL_S: t.Final = 0.1
 _START_THREADS: t.Final = 6
 _STOP_THREADS: t.Final = 4
+_STRAY_THREADS: t.Final = 2
 _MS: t.Final = 1_000
 # Refusals after which the run is not on the runner and cannot start there.
 _BARRED_REASONS: t.Final = ("old",)
@@ -64,14 +65,18 @@
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
         self._exit_thread: threading.Thread | None = None
+        self._strays_in_progress: set[runs.RunKey] = set()
         self._wakeup = threading.Event()
-        # Stops never wait for starts, which may be repeated without end.
+        # Stops never wait for starts or strays, which may be repeated without end.
         self._start_pool = futures.ThreadPoolExecutor(
             _START_THREADS, thread_name_prefix="starts"
         )
         self._stop_pool = futures.ThreadPoolExecutor(
             _STOP_THREADS, thread_name_prefix="stops"
         )
+        self._stray_pool = futures.ThreadPoolExecutor(
+            _STRAY_THREADS, thread_name_prefix="strays"
+        )
         self._thread = threading.Thread(
             target=self._poll_repeatedly, name="hold", daemon=True
         )
@@ -88,7 +93,7 @@
         live = self.table.mark_all_gone(outcome)
         if not was_ended:
             run_events.record_session_end(self.info, outcome, live)
-        for pool in (self._start_pool, self._stop_pool):
+        for pool in (self._start_pool, self._stop_pool, self._stray_pool):
             pool.shutdown(wait=False, cancel_futures=True)
 
     def await_exit(self) -> None:
@@ -106,11 +111,11 @@
         while not self._ended.is_set():
             try:
                 self._client.poll(self.table.acknowledged_end, None, self._epoch, 0.0)
+            except runner.NotListening:
+                self.end("left")
+                return
             except errors.Error as exc:
-                is_refused = exc.kind is errors.Kind.PEER_UNREACHABLE
-                if is_refused and exc.ran is errors.Ran.NO:
-                    self.end("left")
-                    return
+                self._runner_calls.failed(exc)
             self._ended.wait(_EXIT_CHECK_INTERVAL_S)
 
     @property
@@ -203,7 +208,9 @@
             deadline = clock.now() + _ORDER_TIMEOUT_S
             attempts += 1
             try:
-                answer = self._client.start(spec, lease_end_ms, self._epoch, deadline)
+                answer = runner.call(
+                    self._client.start, spec, lease_end_ms, self._epoch, deadline
+                )
             except errors.Error as exc:
                 is_uncertain = is_uncertain or exc.ran is not errors.Ran.NO
                 run_events.record_unanswered(
@@ -242,7 +249,7 @@
             deadline = clock.now() + _ORDER_TIMEOUT_S
             attempts += 1
             try:
-                answer = self._client.stop(*run.key, self._epoch, deadline)
+                answer = runner.call(self._client.stop, *run.key, self._epoch, deadline)
             except errors.Error as exc:
                 run_events.record_unanswered(
                     "stop.unanswered", run, self.info.life, exc
@@ -264,9 +271,11 @@
         """Try to stop a run that should not be present; each snapshot repeats it."""
         deadline = clock.now() + _ORDER_TIMEOUT_S
         try:
-            answer = self._client.stop(*key, self._epoch, deadline)
+            answer = runner.call(self._client.stop, *key, self._epoch, deadline)
         except errors.Error as exc:
             answer = runner.Answer(exc.detail, 0)
+        finally:
+            self._strays_in_progress.discard(key)
         decisions.record("run.stray", task=key[0], run=key[1], why=answer.reason)
 
     def _poll_repeatedly(self) -> None:
@@ -303,7 +312,9 @@
             run_events.record_found(self.info, unexpected.found)
             self._stop_monitor.check(self.table, snapshot, requested_at)
             for key in unexpected.strays:
-                self._execute_async(self._stop_pool, self._stop_stray, key)
+                if key not in self._strays_in_progress:
+                    self._strays_in_progress.add(key)
+                    self._execute_async(self._stray_pool, self._stop_stray, key)
             self._adjust_paces()
             if self.table.has_unacknowledged_ends():
                 self._wakeup.wait(_ACK_WAIT_S)
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -1,7 +1,10 @@
 """The scheduler's view of a host: its state, its runs and the orders sent to it."""
 
+import secrets
+import threading
 import typing as t
 
+from bilberrypass.observing import decisions
 from bilberrypass.scheduling import interference, jobs, messages, state, stragglers
 
 _MIN_AVOIDANCE_S = 1.0  # after one failure; healthy hosts also have single failures
@@ -32,14 +35,17 @@
     newest order.
     ``pending`` holds final rows whose outcome is being stored. ``settled`` maps those
     that are stored, and that the agent may drop, to the number of the end.
+    ``challenge`` is to be returned by an agent that is not known to be the newest one;
+    it is empty after each report that counts.
     """
 
     def __init__(self, name: str, granted_until: float) -> None:
         self.name = name
         self.address = ""
         self.zone = ""
-        self.agent = 0
+        self.agent = self.highest_agent = 0
         self.sequence = -1
+        self.challenge = ""
         self.life = 0
         self.runner: messages.RunnerInfo | None = None
         self.is_leaving = False
@@ -53,6 +59,7 @@
         self.settled: dict[RowKey, int] = {}
         self.open_ends: dict[int, float] = {}
         self.noted = 0
+        self._life_lock = threading.Lock()
         self.last_stored = 0
         self.used_cpu = 0
         self.used_memory = 0
@@ -70,6 +77,48 @@
         self.speed = stragglers.SpeedEstimate()
         self.is_slow = False
 
+    def accept_report(self, report: messages.Report, at: float) -> bool:
+        """Record the sender of a report; return False if the report does not count.
+
+        An agent is identified by its start time of day. If the clock was set back, the
+        new agent has a lower number, as a replaced agent whose report is late. It is
+        accepted once the other agent is silent and it returns a challenge issued since
+        the other agent's last report, which only a running process can. A report by
+        which runs would be lost may be late as well, if its agent was not known.
+        """
+        if report.agent == self.agent:
+            if report.sequence <= self.sequence:
+                return False
+        else:
+            is_lower = report.agent <= self.highest_agent
+            if is_lower and at - self.reported_at <= SILENCE_TIMEOUT_S:
+                return False
+            if is_lower or self._find_lost(report.runner):
+                if not self.challenge:
+                    self._issue_challenge(report)
+                    return False
+                if report.challenge != self.challenge:
+                    return False
+        self.agent, self.sequence = report.agent, report.sequence
+        self.highest_agent = max(self.highest_agent, report.agent)
+        self.challenge = ""
+        return True
+
+    def _issue_challenge(self, report: messages.Report) -> None:
+        self.challenge = secrets.token_hex(8)
+        decisions.record(
+            "host.agent_challenged",
+            host=self.name,
+            agent=report.agent,
+            current_agent=self.agent,
+        )
+
+    def _find_lost(self, info: messages.RunnerInfo | None) -> list[state.Task]:
+        """Return the runs that were sent to other lives of the runner."""
+        if info is None:
+            return []
+        return [task for task in self.tasks.values() if task.life != info.life]
+
     def record_failure(self, now: float) -> None:
         """Avoid the host for a time that doubles with each failure, up to a maximum."""
         self.failures += 1.0
@@ -132,6 +181,14 @@
         min_open_end = min(self.open_ends, default=self.last_stored + 1)
         self.noted = max(self.noted, min_open_end - 1)
 
+    def read_settled(self, life: int) -> tuple[int, list[RowKey]] | None:
+        """Return ``noted`` and the settled rows of a life, or None for another life.
+
+        Thread-safe: a new life may begin meanwhile.
+        """
+        with self._life_lock:
+            return (self.noted, list(self.settled)) if self.life == life else None
+
     def record_unstored_end(self, number: int) -> None:
         """Record that the agent listed an end that is not stored."""
         if number > self.noted and number not in self.open_ends:
@@ -144,12 +201,13 @@
 
     def begin_life(self, info: messages.RunnerInfo) -> list[state.Task]:
         """Record a new life of the runner; return the runs lost with earlier lives."""
-        lost = [task for task in self.tasks.values() if task.life != info.life]
-        self.life = info.life
-        self.noted = self.last_stored = 0
-        self.open_ends.clear()
-        self.pending.clear()
-        self.settled.clear()
+        lost = self._find_lost(info)
+        with self._life_lock:
+            self.life = info.life
+            self.noted = self.last_stored = 0
+            self.open_ends.clear()
+            self.pending.clear()
+            self.settled.clear()
         self.failures = 0.0
         self.avoid_until = 0.0
         self.speed = stragglers.SpeedEstimate()
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -54,26 +54,27 @@
             self._scheduler.hosts[name] = host
         return host
 
-    def handle_report(self, report: messages.Report, at: float, lease_s: float) -> None:
-        """Process the report of an agent.
+    def handle_report(self, report: messages.Report, at: float, lease_s: float) -> bool:
+        """Process the report of an agent; return False if it does not count.
 
         Parameters
         ----------
         report : messages.Report
-            Ignored unless it is newer than the host's previous one.
+            Ignored unless it is newer than the host's previous one, see
+            ``Host.accept_report``.
         at : float
             When the report arrived, on ``clock.now``.
         lease_s : float
             Duration of the lease granted in response.
         """
         host = self._get_host(report.host)
-        if not _is_newer(report, host, at):
-            return
-        if report.agent != host.agent:
+        earlier_agent = host.agent
+        if not host.accept_report(report, at):
+            return False
+        if report.agent != earlier_agent:
             decisions.record(
                 "host.agent", host=report.host, agent=report.agent, zone=report.zone
             )
-        host.agent, host.sequence = report.agent, report.sequence
         host.address, host.zone = report.address, report.zone
         host.is_leaving = report.is_leaving
         host.reported_at = at
@@ -88,6 +89,7 @@
         else:
             self._update_runner(host, report.runner)
             self._update_runs(host, report)
+        return True
 
     def _update_runner(self, host: hosts.Host, info: messages.RunnerInfo) -> None:
         if host.runner is None or host.runner.is_draining != info.is_draining:
@@ -163,7 +165,15 @@
     ) -> None:
         """Stop a run that the scheduler no longer tracks, or settle it if final."""
         if row.state in _FINAL_STATES:
-            host.settle(key, row.end)
+            task = self._scheduler.find_open_task(row.task)
+            if (
+                row.state == State.ENDED
+                and task is not None
+                and task.is_end_expected(host.name, host.life, row.run)
+            ):
+                self._handle_end(host, task, row)
+            else:
+                host.settle(key, row.end)
             return
         if row.state != State.STOPPING:
             _unwanted_runs.inc()
@@ -232,6 +242,8 @@
         if not task.is_stored or not host.is_order_lost(key, host.reported_at):
             return
         is_wanted = task.phase is not state.Phase.STOPPING and not task.job.cancelled
+        if is_wanted and self._scheduler.is_behind(host.reported_at):
+            return
         self._resend(host, task, Verb.START if is_wanted else Verb.STOP)
 
     def _resend(self, host: hosts.Host, task: state.Task, verb: Verb) -> None:
@@ -247,6 +259,7 @@
     ) -> None:
         """Process the end of a run; it is noted at the host once it is stored."""
         job = task.job
+        task.may_have_ended = False
         _ends.labels(row.outcome).inc()
         host.remove(task)
         if row.outcome == "done":
@@ -305,6 +318,7 @@
         """Requeue a task whose run certainly is not on the host any more."""
         host.remove(task)
         task.phase = state.Phase.WAITING
+        task.may_have_ended = row is not None and row.outcome != "lapsed"
         task.not_before = clock.now() + _LOST_TASK_RETRY_DELAY_S
         decisions.record(
             "run.lost",
@@ -365,18 +379,6 @@
     return round(now - task.started_at, 2) if task.started_at else None
 
 
-def _is_newer(report: messages.Report, host: hosts.Host, at: float) -> bool:
-    """Return whether a report is newer than the previous one of its host.
-
-    An agent is identified by its start time of day. If the clock was set back, the
-    new agent has the lower number, and is accepted once the old one is silent.
-    """
-    if report.agent == host.agent:
-        return report.sequence > host.sequence
-    is_silent = at - host.reported_at > hosts.SILENCE_TIMEOUT_S
-    return report.agent > host.agent or is_silent
-
-
 def make_order(task: state.Task, verb: Verb) -> messages.Order:
     """Return an order for the latest run of a task."""
     key = task.key
