--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -206,7 +206,7 @@
             for key, row in present.items():
                 run = self._runs.get(key)
                 if run is None and self._is_settled(key):
-                    # The scheduler would take its row for the one that it has settled.
+                    # The scheduler has settled the run and does not track it any more.
                     strays.append(key)
                     continue
                 if run is None:
