Expire claims by a clock that jumps of the time of day do not move

What callers would have seen: after a jump of an entry's time of day, or a new owner of the shard with a clock ahead, a keyed, non-idempotent request that had run could run once more, since its claim was gone before its time.

Cause: a claim's end was stored as Unix time of one entry and compared with that of whichever entry owns the shard later.

Change: each shard has a clock that runs while an entry owns it; the owner stores it with each page and the next one continues it. It stands still between owners, so claims may live longer, never shorter. Pages without it are read as before; entries of earlier releases can't read new pages.

--- a/src/bilberrypass/claiming/claims.py
+++ b/src/bilberrypass/claiming/claims.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from bilberrypass import errors
-from bilberrypass.claiming import released
+from bilberrypass.claiming import released, retention
 from bilberrypass.connection import messages
 from bilberrypass.membership import directory, owned_shard
 
@@ -35,7 +35,7 @@
 
 
 class Claim(t.NamedTuple):
-    """The claim on one key; ``expires_at`` is Unix time in seconds.
+    """The claim on one key; ``expires_at`` is in seconds on the shard's clock.
 
     ``digest`` identifies the request and ``claim`` the attempt that holds the key.
     ``is_done`` is True once the request has run.
@@ -51,11 +51,16 @@
 
 
 class _Page(t.NamedTuple):
-    """The value of a shard in the store; ``write`` is the unique id of the write."""
+    """The value of a shard in the store; ``write`` is the unique id of the write.
+
+    ``retention_clock_s`` is the time of the write on the shard's clock, see
+    ``retention.RetentionClock``; 0 in pages of releases that had none.
+    """
 
     epoch: int
     write: str
     claims: Claims
+    retention_clock_s: float = 0.0
 
 
 @t.final
@@ -120,6 +125,7 @@
         super().__init__(entry_directory, "claims", number, prefix)
         self._retention_s = retention_s
         self._next_expiry = 0.0
+        self._retention_clock = retention.RetentionClock()
         self._answers = AnswerCache()
         self._released = released.ReleasedClaims()
 
@@ -133,18 +139,22 @@
 
     def encode(self, state: Claims, write: str) -> bytes:
         """Encode the claims as a page; ``write`` is the unique id of the write."""
-        return msgspec.msgpack.encode(_Page(self.ownership.epoch, write, state))
+        now = self._retention_clock.now()
+        return msgspec.msgpack.encode(_Page(self.ownership.epoch, write, state, now))
 
     def decode(self, value: bytes) -> Claims:
-        """Decode the claims from a page, by key."""
-        return msgspec.msgpack.decode(value, type=_Page).claims
+        """Decode the claims from a page, by key, and continue the page's clock."""
+        page = msgspec.msgpack.decode(value, type=_Page)
+        if page.retention_clock_s:
+            self._retention_clock.resume(page.retention_clock_s)
+        return page.claims
 
     def update_before_write(self, state: Claims) -> None:
         """Remove the claims whose retention period has ended."""
         if time.monotonic() < self._next_expiry:
             return
         self._next_expiry = time.monotonic() + _EXPIRY_INTERVAL_S
-        now = time.time()
+        now = self._retention_clock.now()
         for key in [k for k, c in state.items() if c.expires_at < now]:
             del state[key]
 
@@ -206,7 +216,7 @@
                 "shorten limits.claim_retention_s or retry later",
                 retry_after_s=_SHARD_FULL_RETRY_AFTER_S,
             )
-        expires_at = int(time.time() + self._retention_s()) + 1
+        expires_at = int(self._retention_clock.now() + self._retention_s()) + 1
         state[req.key] = Claim(req.digest, req.claim, expires_at)
         return messages.ClaimResponse(is_mine=True)
 
--- a/testing/fixtures.py
+++ b/testing/fixtures.py
@@ -15,6 +15,7 @@
 import threading
 import time
 import typing as t
+from unittest import mock
 
 import urllib3
 
@@ -63,6 +64,12 @@
         time.sleep(_POLL_INTERVAL_S)
 
 
+def stepped_time_of_day(step_s: float):
+    """Let the time of day of this process jump by a step while the context is open."""
+    real = time.time
+    return mock.patch("time.time", lambda: real() + step_s)
+
+
 def error_of(kind: type[Exception], call: abc.Callable, *args: t.Any) -> t.Any:
     """Make a call that must raise an exception of type ``kind``, and return it."""
     try:
