Keep a placement when the owner's time of day jumps forward

What callers would have seen: a job whose host was only slow to answer its start was taken from that host and waited for another, because the owner's clock had jumped by more than ten seconds.

Cause: the time since a placement was the owner's time of day less the one that an owner, maybe another, had stored with the record.

Change: the owner counts from when it first saw the placement unconfirmed, on its monotonic clock. The other comparisons with stored times in this package only choose among tasks (least run time before an eviction, wait for a better host, an hour's retention), by seconds; they stay.

--- a/src/bilberrypass/batch/owner.py
+++ b/src/bilberrypass/batch/owner.py
@@ -85,6 +85,7 @@
         )
         self._on_host: dict[str, list[work.TaskId]] = {}
         self._placed: dict[str, list[work.Spec]] = {}
+        self._unconfirmed_since: dict[work.TaskId, float] = {}  # monotonic
 
     def initial_state(self) -> records.Jobs:
         """Return the state of a shard without jobs."""
@@ -120,6 +121,8 @@
         kept = [task for found in self._on_host.values() for task in found]
         self._liveness.retain(kept)
         self._outbox.retain(kept)
+        for task in self._unconfirmed_since.keys() - set(kept):
+            del self._unconfirmed_since[task]
         for host, specs in self._placed.items():
             task_events.record_placement(host, specs)
             placed = [spec.task for spec in specs]
@@ -165,7 +168,7 @@
                 stops[record.state].append(task)
             elif record.state == page.PLACED and not self._liveness.is_confirmed(task):
                 starts.append(job.spec(task.index))
-                self._revoke_overdue(task, record)
+                self._revoke_if_overdue(task, record.host)
         if stops[page.STOPPING]:
             self._outbox.stop(host, stops[page.STOPPING], checkpoint=False)
         if stops[page.EVICTING]:
@@ -179,10 +182,11 @@
             )
             self._outbox.start(sender, host, starts)
 
-    def _revoke_overdue(self, task: work.TaskId, record: page.TaskRecord) -> None:
+    def _revoke_if_overdue(self, task: work.TaskId, host: str) -> None:
         """Revoke a placement on a host that reports but does not answer the start."""
-        if time.time() > record.changed_at + _START_TIMEOUT_S:
-            detail = f"{record.host} did not answer the start"
+        now = time.monotonic()
+        if now > self._unconfirmed_since.setdefault(task, now) + _START_TIMEOUT_S:
+            detail = f"{host} did not answer the start"
             self.submit(lambda jobs: records.revoke_placement(jobs, task, detail))
 
     def is_owner(self, epoch: int) -> bool:
--- a/testing/batch/test_terms.py
+++ b/testing/batch/test_terms.py
@@ -1,4 +1,4 @@
-"""What an owner learnt in one term is not applied in a later one."""
+"""What an owner learnt in one term, or by its time of day, is not misapplied."""
 
 import json
 import time
@@ -9,7 +9,7 @@
 from bilberrypass.connection import channels, memory, messages, store
 from bilberrypass.membership import directory, fleet
 from bilberrypass.version import page
-from testing import collecting, fakes
+from testing import collecting, fakes, fixtures
 
 _LEASE_S = 600.0
 _KEY = ("t", "j")
@@ -136,4 +136,15 @@
     assert _placement(shard) == (page.PLACED, 1)
 
 
+def test_placement_on_a_slow_host_is_kept_when_the_owners_clock_jumps_forward():
+    peer = _Peer()
+    peer.kind = "NEWER_KIND"
+    shard = _make_shard(peer)
+    _place(shard)
+    with fixtures.stepped_time_of_day(3_600.0):
+        _write(shard)
+        _write(shard)
+    assert _placement(shard) == (page.PLACED, 1)
+
+
 load_tests = collecting.hook(__name__)
