Decide on jobs without the time of day of single processes

Cause: the scheduler compared its time of day with those that entries and earlier schedulers had stored.

Change: a job's age counts from when the scheduler saw it, and no earlier than the last read of the intake without it; the retention period counts from when the scheduler saw the end. Left: the order of jobs that a new scheduler loads goes by stored times, once.

test_cleaning sets the monotonic end in place of the Unix time, 121 s ago for a period of 120 s (131 s before, when 10 s were added for differing clocks).

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -32,7 +32,7 @@
 
 
 def _task(step: jobs.Step, number: int) -> state.Task:
-    job = state.JobState(jobs.Job(f"{number:016x}", "q", "", (step,), time.time()))
+    job = state.JobState(jobs.Job(f"{number:016x}", "q", "", (step,), 0.0), clock.now())
     (task,) = job.tasks.values()
     task.run = 1
     return task
--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -289,6 +289,7 @@
             current.table.rows() if current else [],
             self._is_leaving,
             self._challenge,
+            time.time(),
         )
         self._is_lookup_due = True
         try:
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -109,7 +109,8 @@
     with each report. ``runner`` is None until the runner has responded.
     ``answered_ago_s`` is the age of the runner's latest response. ``leased_s`` is the
     longest remaining time of the leases granted to agents of this host. ``challenge``
-    is that of the latest response, if it had one.
+    is that of the latest response, if it had one. ``unix_time`` is the host's time of
+    day at the sending, 0 from an agent that sends none.
     """
 
     host: str
@@ -124,6 +125,7 @@
     runs: list[RunRow]
     is_leaving: bool = False
     challenge: str = ""
+    unix_time: float = 0.0
 
 
 class InterferenceEstimate(t.NamedTuple):
--- a/src/bilberrypass/scheduling/ordering.py
+++ b/src/bilberrypass/scheduling/ordering.py
@@ -9,7 +9,7 @@
 
 
 class Rank(t.NamedTuple):
-    """Sort key of jobs, smallest first; ``objective_at`` is Unix time."""
+    """Sort key of jobs, smallest first; ``objective_at`` is on ``clock.now``."""
 
     priority: int
     lateness: int
@@ -28,7 +28,7 @@
 
 
 def rank(job: state.JobState, queue: jobs.Queue, now: float) -> Rank:
-    """Return the rank of a job at a Unix time.
+    """Return the rank of a job at a time on ``clock.now``.
 
     Handles bursts that exceed the capacity of the hosts. Jobs that can still meet
     their objective go first, by the earliest objective; then late jobs whose result
@@ -42,13 +42,13 @@
     queue : jobs.Queue
         The queue, with its priority and its latency objective.
     now : float
-        Unix time.
+        Time on ``clock.now``.
     """
     steps = job.job.steps
     total_s = critical_path_s(steps, lambda number: True)
     remaining_s = critical_path_s(steps, lambda number: bool(job.open_steps[0, number]))
     allowed_s = queue.stretch * total_s + queue.latency_objective_s
-    accepted_at = job.job.accepted_at
+    accepted_at = job.accepted_at
     finish_at = now + remaining_s
     lateness = 0
     if finish_at > accepted_at + allowed_s:
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -1,6 +1,5 @@
 """Starts waiting tasks in rank order; each start is stored before it is ordered."""
 
-import time
 import typing as t
 
 import prometheus_client as prometheus
@@ -51,8 +50,8 @@
             return
         if self._scheduler.is_behind(now):
             return
-        unix_now = time.time()
-        for job, queue in self._ranked_jobs(unix_now):
+        unix_now = self._scheduler.fleet_clock.unix_time(now)
+        for job, queue in self._ranked_jobs(now):
             self._place_job(job, queue, usable, now, unix_now)
 
     def _has_waited_for_reports(self, now: float) -> bool:
@@ -69,7 +68,7 @@
         return True
 
     def _ranked_jobs(self, now: float) -> list[tuple[state.JobState, jobs.Queue]]:
-        """Return the open jobs with their queues, by rank at a Unix time."""
+        """Return the open jobs with their queues, by rank."""
         found = []
         for job in self._scheduler.open_jobs.values():
             queue = self._scheduler.queue_of(job)
@@ -109,7 +108,7 @@
             started += self._start_starved(unplaced, queue, usable, now)
         if started:
             if job.status is state.Status.QUEUED:
-                _wait_seconds.observe(max(0.0, unix_now - job.job.accepted_at))
+                _wait_seconds.observe(now - job.accepted_at)
             runs = [(task, task.run) for task in started]
             self._scheduler.write_progress(job, lambda: self._order_stored(runs))
             decisions.record(
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     cleaning,
     committing,
     estimate_publishing,
+    fleet_clock,
     hosts,
     intake,
     interference,
@@ -36,7 +37,6 @@
 
 TICK_INTERVAL_S: t.Final = 0.1
 _EVENT_BATCH_S: t.Final = 0.012  # events within this time share a write
-_CLOCK_SKEW_MARGIN_S: t.Final = 10.0  # clocks of hosts differ
 # Two watches of a store that is 60 times slower than usual; a cancelled job may start
 # tasks for 3 s (RULES.md).
 _MAX_INTAKE_AGE_S: t.Final = 2.7
@@ -104,7 +104,8 @@
         self.open_jobs: dict[str, state.JobState] = {}
         self.estimates = interference.Estimates()
         self.publisher = estimate_publishing.EstimatePublisher(self.estimates)
-        self._early_cancellations: dict[str, float] = {}  # Unix times
+        self.fleet_clock = fleet_clock.FleetClock()
+        self._early_cancellations: dict[str, float] = {}  # times on clock.now
         self.is_loaded = False
         self._intake_read_until = 0.0
         self._elected_at = clock.now()
@@ -195,12 +196,12 @@
 
     def _expired(self) -> list[str]:
         """Return the ids of final or unknown jobs whose retention period is over."""
-        before = time.time() - self.cfg.status_s - _CLOCK_SKEW_MARGIN_S
+        before = clock.now() - self.cfg.status_s
         early = list(self._early_cancellations.items())
         return [id for id, at in early if at < before] + [
             id
             for id, job in list(self.jobs.items())
-            if job.stored_status in state.FINAL and 0 < job.finished_at < before
+            if job.stored_status in state.FINAL and 0 < job.final_since < before
         ]
 
     def _on_removed(self, ids: list[str]) -> None:
@@ -251,12 +252,13 @@
             self._flush_orders()
 
     def _load(self, initial: intake.InitialState) -> None:
+        now = clock.now()
         for job in initial.jobs:
-            self.jobs[job.id] = state.JobState(job)
+            self.jobs[job.id] = state.JobState(job, self._accepted_at(job, now))
         for item in initial.progress:
             job_state = self.jobs.get(item.key.removeprefix(committing.PROGRESS_PREFIX))
             if job_state is not None:
-                job_state.restore(item.value, item.revision)
+                job_state.restore(item.value, item.revision, now)
                 job_state.drop_tasks_if_final()
         if initial.interference:
             self.estimates.restore(initial.interference)
@@ -275,10 +277,21 @@
             took_s=round(clock.now() - self._elected_at, 3),
         )
 
+    def _accepted_at(self, job: jobs.Job, now: float) -> float:
+        """Return when a job was accepted, on this process's clock.
+
+        Another process stored the time of day, so what the intake shows limits it: the
+        job was not there when the intake was last read. Before the first read a jump
+        of either clock shows in the result, which only affects the order of jobs.
+        """
+        age_s = max(0.0, time.time() - job.accepted_at)
+        return max(now - age_s, self._intake_read_until)
+
     def _add(self, job: jobs.Job) -> None:
         if job.id in self.jobs:
             return
-        self.jobs[job.id] = self.open_jobs[job.id] = state.JobState(job)
+        added = state.JobState(job, self._accepted_at(job, clock.now()))
+        self.jobs[job.id] = self.open_jobs[job.id] = added
         decisions.record("job.seen", job=job.id, queue=job.queue, steps=len(job.steps))
         if self._early_cancellations.pop(job.id, None):
             self._cancel(job.id)
@@ -287,7 +300,7 @@
         job = self.jobs.get(id)
         if job is None:
             # The store lists cancellations before the jobs that they belong to.
-            self._early_cancellations.setdefault(id, time.time())
+            self._early_cancellations.setdefault(id, clock.now())
             decisions.record("job.cancel_early", job=id)
             return
         if job.cancelled or job.is_final:
@@ -298,6 +311,7 @@
 
     def apply_report(self, report: messages.Report, at: float, lease_s: float) -> bool:
         """Process a report; return False if it does not count."""
+        self.fleet_clock.observe(report.host, report.unix_time, at)
         return not self.is_loaded or self._reconciler.handle_report(report, at, lease_s)
 
     def _set_intake_read(self, until: float) -> None:
@@ -329,13 +343,13 @@
     def write_progress(self, job: state.JobState, effect: Event | None = None) -> None:
         """Mark a job's progress for writing; ``effect`` is called once it is stored."""
         was_final = job.is_final
-        job.update_status(time.time())
+        job.update_status(clock.now())
         effects = self._dirty[job.job.id]
         if effect is not None:
             effects.append(effect)
         if job.is_final and not was_final:
             self.open_jobs.pop(job.job.id, None)
-            took_s = job.finished_at - job.job.accepted_at
+            took_s = job.final_since - job.accepted_at
             _ended_jobs.labels(job.status).inc()
             _job_seconds.observe(took_s)
             decisions.record(
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -1,6 +1,7 @@
 """The progress of a job, in the scheduler's memory and in the store."""
 
 import enum
+import time
 import typing as t
 
 import msgspec
@@ -124,13 +125,16 @@
 class JobState:
     """A job with its tasks; owned by the scheduler's thread.
 
-    ``idle_since`` is the time on ``clock.now`` since which no task runs and no host
-    accepts one; 0 otherwise.
+    The times are on ``clock.now``: ``accepted_at``, ``final_since`` (0 before the final
+    status) and ``idle_since``, since when no task runs and no host accepts one (0 if
+    it does). ``finished_at`` is Unix time, for the stored record only.
     """
 
     __slots__ = (
+        "accepted_at",
         "cancelled",
         "failed",
+        "final_since",
         "finished_at",
         "idle_since",
         "job",
@@ -141,14 +145,16 @@
         "tasks",
     )
 
-    def __init__(self, job: jobs.Job) -> None:
+    def __init__(self, job: jobs.Job, accepted_at: float) -> None:
         self.job = job
+        self.accepted_at = accepted_at
         self.tasks: dict[jobs.TaskKey, Task] = {}
         self.status = Status.QUEUED
         self.stored_status = Status.QUEUED
         self.cancelled = False
         self.failed = False
         self.finished_at = 0.0
+        self.final_since = 0.0
         self.idle_since = 0.0
         self.revision = 0
         self.open_steps: dict[tuple[int, int], int] = {}
@@ -191,7 +197,7 @@
             self.open_steps[task.key.occurrence, task.key.step] -= 1
 
     def update_status(self, now: float) -> None:
-        """Update the status from the tasks; ``now`` is Unix time."""
+        """Update the status from the tasks; ``now`` is on ``clock.now``."""
         if self.is_final:
             return
         if self.cancelled or self.failed:
@@ -204,7 +210,8 @@
         ):
             self.status = Status.RUNNING
         if self.is_final:
-            self.finished_at = now
+            self.final_since = now
+            self.finished_at = time.time()
 
     def drop_tasks_if_final(self) -> None:
         """Drop the tasks to save memory once the final status is stored."""
@@ -222,8 +229,12 @@
         status = Status.FAILED if self.failed else self.status
         return _encode(StoredJob(status.value, tasks, self.finished_at))
 
-    def restore(self, value: bytes, revision: int) -> None:
-        """Restore the progress from its stored value and revision."""
+    def restore(self, value: bytes, revision: int, now: float) -> None:
+        """Restore the progress from its stored value and revision.
+
+        The retention period of a final job begins anew at ``now``, on ``clock.now``:
+        its end was stored with another process's time of day.
+        """
         stored = decode_progress(value)
         self.revision = revision
         self.status = self.stored_status = Status(stored.status)
@@ -231,6 +242,8 @@
         self.failed = self.status is Status.FAILED
         if self.failed and not stored.finished_at:
             self.status = Status.RUNNING
+        if self.is_final:
+            self.final_since = now
         for row in stored.tasks:
             key = jobs.TaskKey(self.job.id, row.occurrence, row.step, row.index)
             task = self.tasks.get(key)
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -54,6 +54,7 @@
         self.labels = ("a", "r1")
         self.is_draining = False
         self.leased_s = 0.0
+        self.clock_offset_s = time.time() - clock.now()  # its time of day
         self.has_runner = True
         self.last_response: messages.ReportResponse | None = None
         self.challenges: dict[int, str] = {}  # the latest response to each agent
@@ -83,6 +84,7 @@
             self.leased_s,
             list(self.rows.values()),
             challenge=self.challenges.get(self.agent, ""),
+            unix_time=clock.now() + self.clock_offset_s,
         )
         self.last_response = self.cluster.scheduler.report(report)
         self.challenges[self.agent] = self.last_response.challenge
--- a/testing/scheduling/test_cleaning.py
+++ b/testing/scheduling/test_cleaning.py
@@ -1,7 +1,5 @@
 """Removal of finished jobs from the store after their retention period."""
 
-import time
-
 from bilberrypass import clock
 from bilberrypass.scheduling import cleaning, jobs, keyvalue
 from testing import collecting, fixtures
@@ -24,7 +22,7 @@
         _run_to_completion(cluster, host, "a" * 16)
         cluster.scheduler._cleaner.clean()
         assert cluster.status() == "completed"
-        cluster.scheduler.jobs["a" * 16].finished_at = time.time() - 131.0
+        cluster.scheduler.jobs["a" * 16].final_since = clock.now() - 121.0
         cluster.scheduler._cleaner.clean()
         fixtures.wait_until(lambda: cluster.status() == "", 5.0, "the removal")
         remaining = [k for k in cleaning.job_keys("a" * 16) if k in cluster.store.items]
@@ -50,7 +48,7 @@
     with clusters.running_cluster() as cluster:
         host = cluster.add_host("h1")
         _run_to_completion(cluster, host, "a" * 16)
-        cluster.scheduler.jobs["a" * 16].finished_at = time.time() - 131.0
+        cluster.scheduler.jobs["a" * 16].final_since = clock.now() - 121.0
         cluster.store.put("leader", b"another")
         cluster.scheduler._cleaner.clean()
         assert "intake/job/" + "a" * 16 in cluster.store.items
@@ -80,7 +78,7 @@
         fixtures.wait_until(lambda: early, 2.0, "the cancellation")
         cluster.scheduler._cleaner.clean()
         assert key in cluster.store.items
-        early["b" * 16] -= 131.0
+        early["b" * 16] -= 121.0
         cluster.scheduler._cleaner.clean()
         assert key not in cluster.store.items
         fixtures.wait_until(lambda: not early, 2.0, "the removal")
--- a/testing/scheduling/test_ordering.py
+++ b/testing/scheduling/test_ordering.py
@@ -1,7 +1,6 @@
 """The rank of jobs in a burst that exceeds the capacity of the hosts."""
 
-import time
-
+from bilberrypass import clock
 from bilberrypass.scheduling import jobs, ordering, state
 from testing import collecting
 
@@ -13,7 +12,7 @@
         jobs.Step(1, estimate_s=e, after=(n - 1,) if n else ())
         for n, e in enumerate(estimates_s)
     )
-    return state.JobState(jobs.Job(id, "q", "", steps, now - age_s))
+    return state.JobState(jobs.Job(id, "q", "", steps, 0.0), now - age_s)
 
 
 def _sort_by_rank(job_states, now):
@@ -21,7 +20,7 @@
 
 
 def test_job_that_can_meet_its_objective_precedes_late_job():
-    now = time.time()
+    now = clock.now()
     late, fresh = (
         _job("late", 20.0, 5.0, 5.0, now=now),
         _job("fresh", 1.0, 5.0, now=now),
@@ -33,7 +32,7 @@
 
 
 def test_earliest_objective_goes_first_among_jobs_in_time():
-    now = time.time()
+    now = clock.now()
     long, short = _job("long", 1.0, 5.0, 5.0, now=now), _job("short", 0.0, 2.0, now=now)
     assert [job.job.id for job in _sort_by_rank([long, short], now)] == [
         "short",
@@ -42,7 +41,7 @@
 
 
 def test_job_far_past_its_objective_goes_last():
-    now = time.time()
+    now = clock.now()
     lost, late = (
         _job("lost", 70.0, 5.0, 5.0, now=now),
         _job("late", 25.0, 5.0, 5.0, now=now),
@@ -51,7 +50,7 @@
 
 
 def test_priority_outranks_lateness():
-    now = time.time()
+    now = clock.now()
     job = _job("j", 70.0, 5.0, now=now)
     urgent = ordering.rank(job, QUEUE._replace(priority=0), now)
     assert urgent < ordering.rank(_job("k", 0.0, 5.0, now=now), QUEUE, now)
@@ -85,9 +84,8 @@
                 continue
             candidates = {
                 n: state.JobState(
-                    jobs.Job(
-                        str(n), "q", "", (jobs.Step(1, estimate_s=4.0),), accepted_at[n]
-                    )
+                    jobs.Job(str(n), "q", "", (jobs.Step(1, estimate_s=4.0),), 0.0),
+                    accepted_at[n],
                 )
                 for n in arrived
             }
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -1,7 +1,5 @@
 """The choice of a host for a task, without network or scheduler."""
 
-import time
-
 from bilberrypass import clock
 from bilberrypass.scheduling import (
     hosts,
@@ -33,7 +31,7 @@
 
 
 def _task(step, index=0, job="j"):
-    job_state = state.JobState(jobs.Job(job, "q", "", (step,), time.time()))
+    job_state = state.JobState(jobs.Job(job, "q", "", (step,), 0.0), clock.now())
     return state.Task(job_state, jobs.TaskKey(job, 0, 0, index), step)
 
 
--- a/testing/scheduling/test_rules.py
+++ b/testing/scheduling/test_rules.py
@@ -189,15 +189,15 @@
 
 def test_progress_is_restored_from_its_stored_form():
     job = jobs.Job("a" * 16, "q", "", (STEP._replace(count=3),), 1.0)
-    before = state.JobState(job)
+    before = state.JobState(job, 1.0)
     tasks = list(before.tasks.values())
     before.finish_task(tasks[0])
     tasks[0].run = 1
     tasks[1].phase, tasks[1].run, tasks[1].host = state.Phase.RUNNING, 4, "h"
     tasks[1].failures, tasks[1].checkpoint, tasks[1].life = 2, "c", 77
     before.update_status(2.0)
-    after = state.JobState(job)
-    after.restore(before.encode(), 9)
+    after = state.JobState(job, 1.0)
+    after.restore(before.encode(), 9, 3.0)
     first, second, third = after.tasks.values()
     assert first.phase is state.Phase.DONE and third.phase is state.Phase.WAITING
     assert second.phase is state.Phase.ORDERED and second.run == 4
