--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,9 +8,8 @@
 
 import typer
 
-from soak import faults, mutants, seeds
+from soak import faults, launcher, mutants, seeds
 
-_PROGRAM: t.Final = ("src/bilberrypassd.py",)
 _DEFAULT_SIZE: t.Final = seeds.Size()
 
 
@@ -68,7 +67,7 @@
     show_faults: bool = False,
 ) -> None:
     """Run seeds and print the result of each; exit with 1 on any violation."""
-    command = ("-m", "soak.mutants", mutation) if mutation else _PROGRAM
+    command = launcher.command(mutation)
     size = seeds.Size(entries, sides, duration_s)
     crash_mix = faults.CrashMix(crash_interval_s, agent_kill_share)
     has_violations = False
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -12,7 +12,7 @@
 
 from bilberrypass.connection import serving
 from bilberrypass.scheduling import election
-from soak import checker, departures, lives, observing
+from soak import checker, departures, lives, observing, wall_clock
 from testing import programs
 from testing.standins import keyvalues, kvhttp, link
 
@@ -127,6 +127,10 @@
         if self.program.process.poll() is None:
             self.program.process.send_signal(number)
 
+    def step_clock(self, offset_s: float) -> None:
+        """Let the host's time of day jump to this far ahead of the true one."""
+        wall_clock.write_offset(self.program.path, offset_s)
+
     def restart(self) -> None:
         """Start the process again if it has ended."""
         if self.program.process.poll() is not None:
@@ -330,6 +334,7 @@
         self.store.delay_s = 0.0
         for host in self.hosts:
             host.resume()
+            host.step_clock(0.0)
             host.heal()
         for host in self.hosts:
             host.wait_for_shutdown()
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -1,8 +1,6 @@
-"""Runs the programs with one guard removed, to show that the soak test detects it."""
+"""Removes one guard from a program, to show that the soak test detects it."""
 
 import collections.abc as abc
-import runpy
-import sys
 import typing as t
 
 from bilberrypass.platform import store
@@ -53,6 +51,7 @@
 }
 NAMES: t.Final = tuple(_MUTATIONS)
 
-if __name__ == "__main__":
-    _MUTATIONS[sys.argv.pop(1)]()
-    runpy.run_path("src/bilberrypassd.py", run_name="__main__")
+
+def apply(name: str) -> None:
+    """Remove one guard from the modules of this process."""
+    _MUTATIONS[name]()
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -9,7 +9,7 @@
 import time
 import typing as t
 
-from soak import callers, checker, faults, hosts, series
+from soak import callers, checker, clock_steps, faults, hosts, series
 from testing import fixtures
 
 _READY_TIMEOUT_S: t.Final = 30.0
@@ -95,6 +95,7 @@
         *faults.draw_events(fleet, rng, size.duration_s),
         *crashes,
         *series.draw_faults(fleet, random.Random(f"{seed} series"), size.duration_s),
+        *clock_steps.draw(fleet, random.Random(f"{seed} clocks"), size.duration_s),
     ]
     calm = faults.Event(0.0, _CALM, lambda: _begin_calm_spell(invariants, fleet))
     events = faults.sort_events(
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -9,8 +9,17 @@
 import urllib3
 
 from bilberrypass.platform import runner as platform_runner
-from soak import cancels, checker, disturbances, faults, hosts, lives, seeds
-from testing import collecting, fixtures, programs
+from soak import (
+    cancels,
+    checker,
+    disturbances,
+    faults,
+    hosts,
+    launcher,
+    lives,
+    seeds,
+)
+from testing import collecting, fixtures
 from testing.standins import link, serving
 
 SHORT = seeds.Size(entries=2, agent_hosts=2, duration_s=6.0)
@@ -101,7 +110,7 @@
 
 
 def test_short_seed_has_no_violations():
-    result = seeds.run_seed(SEED, SHORT, programs.DAEMON_COMMAND)
+    result = seeds.run_seed(SEED, SHORT, launcher.command(""))
     assert not result.violations, result
     assert result.starts > 0 and result.faults
 
