Order jobs by their value for the work that is left

What callers saw where more work arrives than the hosts can do: nearly all jobs begun, most of them finished too late or not at all.

Cause: jobs went by the earliest objective as long as their critical path alone could still meet it. Neither the work left nor the room was in it.

Change: jobs of a priority go by value / work left, the value as the users weigh it (0.3 and 0.7 of the work against the mean), halved if the job will be late and less if it will be useless. Tasks of services go first in their priority: batch tasks had taken the room that a lost service needed. A repetition counts from its due time.

Ruled out: least work left alone leaves the largest jobs for last; the share of the job that is left finishes fewest in time; dropping the largest jobs until the objectives can be met (Moore and Hodgson) gains half as much, since estimates are wrong by half.

--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -7,6 +7,7 @@
 MAX_STEPS: t.Final = 64  # limits the work that one malformed submission causes
 MAX_TASKS: t.Final = 4_096
 MAX_REPETITIONS: t.Final = 10_000
+MILLI_PER_CORE: t.Final = 1_000
 
 
 class Step(t.NamedTuple):
--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -4,10 +4,9 @@
 import typing as t
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, state
+from bilberrypass.scheduling import hosts, jobs, state
 
 _LOG_INTERVAL_S: t.Final = 2.0  # 30 lines a minute
-_MILLI_PER_CORE: t.Final = 1_000
 _FULL_PACE_PERCENT: t.Final = 100
 
 
@@ -58,12 +57,15 @@
         "hosts": len(fleet),
         "hosts_usable": sum(host.is_usable(now) for host in fleet),
         "hosts_avoided": sum(now < host.avoid_until for host in fleet),
-        "cores": sum(runner.cpu_milli for runner in runners) // _MILLI_PER_CORE,
-        "cores_services": sum(host.service_cpu for host in fleet) // _MILLI_PER_CORE,
+        "cores": sum(runner.cpu_milli for runner in runners) // jobs.MILLI_PER_CORE,
+        "cores_services": sum(host.service_cpu for host in fleet)
+        // jobs.MILLI_PER_CORE,
         "cores_others": sum(h.used_cpu - h.service_cpu for h in fleet)
-        // _MILLI_PER_CORE,
+        // jobs.MILLI_PER_CORE,
         "fillers": len(fillers),
-        "cores_fillers": sum(host.filler_cpu for host in fleet) // _MILLI_PER_CORE,
-        "cores_fillers_paced": paced_milli // (_FULL_PACE_PERCENT * _MILLI_PER_CORE),
-        "cores_fillers_used": sum(task.figure for task in fillers) // _MILLI_PER_CORE,
+        "cores_fillers": sum(host.filler_cpu for host in fleet) // jobs.MILLI_PER_CORE,
+        "cores_fillers_paced": paced_milli
+        // (_FULL_PACE_PERCENT * jobs.MILLI_PER_CORE),
+        "cores_fillers_used": sum(task.figure for task in fillers)
+        // jobs.MILLI_PER_CORE,
     }
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -16,7 +16,6 @@
 _UNMEASURED_PRESSURE: t.Final = 0.5  # assumed of a service without a latency figure
 _TREND_HORIZON_S: t.Final = 3.0  # approximate time until a filler moves again
 _MAX_PRESSURE: t.Final = 0.82  # latency as a share of the service's target
-_MILLI_PER_CORE: t.Final = 1_000
 # The share of its reservation that a service uses most of the time.
 _SERVICE_USE_SHARE: t.Final = 0.55
 
@@ -123,7 +122,7 @@
     step: jobs.Step, host: hosts.Host, estimates: interference.Estimates
 ) -> Effect:
     """Return the expected effect of a step's filler on the services of a host."""
-    cores = step.cpu_milli / _MILLI_PER_CORE
+    cores = step.cpu_milli / jobs.MILLI_PER_CORE
     unused_cores = _unused_filler_cores(host)
     pressure = max_rise = 0.0
     for task in host.tasks.values():
@@ -151,7 +150,7 @@
         if not task.figure:
             unused = task.step.cpu_milli  # too recent to show in the services' figures
         image = task.step.image
-        found[image] = found.get(image, 0.0) + unused / _MILLI_PER_CORE
+        found[image] = found.get(image, 0.0) + unused / jobs.MILLI_PER_CORE
     return found
 
 
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -51,7 +51,7 @@
         if self._scheduler.is_behind(now):
             return
         unix_now = self._scheduler.fleet_clock.unix_time(now)
-        for job, queue in self._ranked_jobs(now):
+        for job, queue in self._ranked_jobs(usable, now, unix_now):
             self._place_job(job, queue, usable, now, unix_now)
 
     def _has_waited_for_reports(self, now: float) -> bool:
@@ -67,14 +67,22 @@
         self._reports_due_at = 0.0
         return True
 
-    def _ranked_jobs(self, now: float) -> list[tuple[state.JobState, jobs.Queue]]:
+    def _ranked_jobs(
+        self, usable: list[hosts.Host], now: float, unix_now: float
+    ) -> list[tuple[state.JobState, jobs.Queue]]:
         """Return the open jobs with their queues, by rank."""
+        room = ordering.measure_room(usable)
+        mean_work = self._scheduler.mean_work
         found = []
         for job in self._scheduler.open_jobs.values():
             queue = self._scheduler.queue_of(job)
             if queue is not None and not (job.cancelled or job.failed):
                 found.append((job, queue))
-        found.sort(key=lambda pair: ordering.rank(*pair, now))
+        found.sort(
+            key=lambda pair: ordering.rank(
+                *pair, now, unix_now, mean_work.of(pair[0].job.queue), room
+            )
+        )
         return found
 
     def _place_job(
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -6,14 +6,19 @@
 
 from bilberrypass import clock
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, interference, messages, state, stop_monitor
+from bilberrypass.scheduling import (
+    host_figures,
+    hosts,
+    messages,
+    state,
+    stop_monitor,
+)
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
 
 _LEASE_EXPIRY_MARGIN_S: t.Final = 0.2
 _LOST_TASK_RETRY_DELAY_S: t.Final = 0.25
-_MILLI_PER_CORE: t.Final = 1_000
 _STUCK_ENDS_LOG_INTERVAL_S: t.Final = 2.0
 
 _ends = prometheus.Counter("bilberrypass_runs_ended", "Runs that ended", ["how"])
@@ -131,35 +136,11 @@
             else:
                 self._update_run(host, task, row)
         host.speed.retain({f"{row.task}/{row.run}" for row in report.runs})
-        self._update_estimates(host)
+        host_figures.update_estimates(host, self._scheduler.estimates)
         for key, task in list(host.tasks.items()):
             if key not in rows:
                 self._handle_missing_run(host, task)
 
-    def _update_estimates(self, host: hosts.Host) -> None:
-        """Update the interference estimates from the host's latest figures."""
-        services: dict[str, tuple[str, float]] = {}
-        cores: dict[str, float] = {}
-        trends: list[state.Task] = []
-        for task in host.tasks.values():
-            step = task.step
-            if step.latency_target_ms and task.figure:
-                services[str(task.key)] = step.image, float(task.figure)
-                trends.append(task)
-            elif step.is_filler:
-                cores[step.image] = (
-                    cores.get(step.image, 0.0) + task.figure / _MILLI_PER_CORE
-                )
-        per_core = self._scheduler.estimates.per_core
-        for task in trends:
-            rise = sum(per_core(task.step.image, f) * x for f, x in cores.items())
-            task.trend.observe(host.reported_at, task.figure, rise)
-        if services:
-            sample = interference.Sample(host.reported_at, services, cores)
-            host.sample = interference.update_from_samples(
-                self._scheduler.estimates, host.sample, sample
-            )
-
     def _handle_unknown_run(
         self, host: hosts.Host, key: hosts.RowKey, row: messages.RunRow
     ) -> None:
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -25,6 +25,7 @@
     load,
     messages,
     migration,
+    ordering,
     placing,
     queues,
     reconciling,
@@ -105,6 +106,7 @@
         self.estimates = interference.Estimates()
         self.publisher = estimate_publishing.EstimatePublisher(self.estimates)
         self.fleet_clock = fleet_clock.FleetClock()
+        self.mean_work = ordering.MeanWork()
         self._early_cancellations: dict[str, float] = {}  # times on clock.now
         self.is_loaded = False
         self._intake_read_until = 0.0
@@ -255,6 +257,7 @@
         now = clock.now()
         for job in initial.jobs:
             self.jobs[job.id] = state.JobState(job, self._accepted_at(job, now))
+            self.mean_work.add(job)
         for item in initial.progress:
             job_state = self.jobs.get(item.key.removeprefix(committing.PROGRESS_PREFIX))
             if job_state is not None:
@@ -292,6 +295,7 @@
             return
         added = state.JobState(job, self._accepted_at(job, clock.now()))
         self.jobs[job.id] = self.open_jobs[job.id] = added
+        self.mean_work.add(job)
         decisions.record("job.seen", job=job.id, queue=job.queue, steps=len(job.steps))
         if self._early_cancellations.pop(job.id, None):
             self._cancel(job.id)
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -184,12 +184,19 @@
         if self.cancelled or self.failed or task.phase is not Phase.WAITING:
             return False
         occurrence = task.key.occurrence
-        if self.job.repetitions:
-            due_at = self.job.first_run_at + occurrence * self.job.interval_s
-            if now < due_at:
-                return False
+        if self.job.repetitions and now < self.due_at(occurrence):
+            return False
         return not any(self.open_steps[occurrence, n] for n in task.step.after)
 
+    def due_at(self, occurrence: int) -> float:
+        """Return the Unix time before which an occurrence of the job may not start."""
+        return self.job.first_run_at + occurrence * self.job.interval_s
+
+    def first_open_occurrence(self) -> int:
+        """Return the first occurrence with a task that is not done, 0 without any."""
+        found = (occurrence for (occurrence, _), n in self.open_steps.items() if n)
+        return next(found, 0)
+
     def finish_task(self, task: Task) -> None:
         """Mark a task as done and count it off its step."""
         if task.phase is not Phase.DONE:
