Score each host once for a step, and space rounds by their duration

Cause: each round, up to 30 a second, scored all hosts for each waiting task, looked at all tasks of all open jobs, and repeated this for every step that fits nowhere.

Change: hosts are scored once for a step and again only after they got a task of it; a step that needs no less than one for which no host has room is skipped in that round; steps that wait for others are skipped as a whole; a round starts four times its duration after the last one, 0.2 s at most.

--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -1,6 +1,7 @@
 """The choice of a host for a task: scores are in thousandths of a core."""
 
 import collections.abc as abc
+import heapq
 import math
 import typing as t
 
@@ -20,26 +21,20 @@
 _SERVICE_USE_SHARE: t.Final = 0.55
 
 
-def choose_host(
-    task: state.Task,
-    service: str,
-    candidates: abc.Iterable[hosts.Host],
-    estimates: interference.Estimates,
-    now: float,
-    is_starved: bool = False,
-) -> hosts.Host | None:
-    """Return the best host for a task, or None if no host can hold it.
+class StepPlacement:
+    """Chooses hosts for tasks of one step, while no other task is placed.
 
-    Handles bursts of fillers beside long-lived services: fillers get the cores that
-    other tasks leave unused, on the hosts where they slow services least. Services of
-    one image share hosts, so that fillers can be matched to that image.
+    Handles bursts of wide jobs on large fleets: each host is scored once for a step,
+    and again after it got a task of the step.
 
     Parameters
     ----------
-    task : state.Task
-        A waiting task.
+    step : jobs.Step
+        The step, whose tasks need the same.
+    key : hosts.StepKey
+        Identifies the step and its repetition.
     service : str
-        The service of the runners that may run the task.
+        The service of the runners that may run the tasks.
     candidates : iterable of hosts.Host
         Usable hosts.
     estimates : interference.Estimates
@@ -50,35 +45,97 @@
         Whether a filler may start where it slows services beyond the limit; the
         host's agent then reduces its pace as far as the services need.
     """
-    best, best_score = None, 0
-    step = task.step
-    for host in candidates:
-        if not _is_allowed(task, service, host) or not fits(step, host, is_starved):
-            continue
-        score = _score(step, host, now)
-        if host.name == task.avoided_host:
-            score -= _AVOIDED_PENALTY
+
+    def __init__(
+        self,
+        step: jobs.Step,
+        key: hosts.StepKey,
+        service: str,
+        candidates: abc.Iterable[hosts.Host],
+        estimates: interference.Estimates,
+        now: float,
+        is_starved: bool = False,
+    ) -> None:
+        self._step, self._key, self._service = step, key, service
+        self._estimates, self._now, self._is_starved = estimates, now, is_starved
+        # Negative scores; among equals the first candidate wins.
+        self._heap: list[tuple[int, int, hosts.Host]] = []
+        for number, host in enumerate(candidates):
+            score = self._score(host)
+            if score is not None:
+                self._heap.append((-score, number, host))
+        heapq.heapify(self._heap)
+        self._last: tuple[int, hosts.Host] | None = None
+
+    def choose(self, task: state.Task) -> hosts.Host | None:
+        """Return the best host for a task, or None if no host can hold it.
+
+        The caller adds the task to that host before it calls again.
+        """
+        self._restore_last()
+        if not self._heap:
+            return None
+        best = heapq.heappop(self._heap)
+        if best[2].name == task.avoided_host and self._heap:
+            other = self._heap[0]
+            if other[0] < best[0] + _AVOIDED_PENALTY:
+                best = heapq.heapreplace(self._heap, best)
+        self._last = best[1], best[2]
+        return best[2]
+
+    def _restore_last(self) -> None:
+        """Score the host that has got a task again."""
+        if self._last is not None:
+            number, host = self._last
+            score = self._score(host)
+            if score is not None:
+                heapq.heappush(self._heap, (-score, number, host))
+            self._last = None
+
+    def _score(self, host: hosts.Host) -> int | None:
+        """Return the score of a host, or None if it cannot hold a task of the step."""
+        step = self._step
+        if not self._is_allowed(host) or not fits(step, host, self._is_starved):
+            return None
+        score = _score(step, host, self._now)
         if step.is_filler and host.service_count:
-            effect = estimate_effect(step, host, estimates)
-            if effect.pressure > _MAX_PRESSURE and not is_starved:
-                continue
+            effect = estimate_effect(step, host, self._estimates)
+            if effect.pressure > _MAX_PRESSURE and not self._is_starved:
+                return None
             score -= int(effect.rise * _RISE_WEIGHT)
             score -= int(effect.pressure * _PRESSURE_WEIGHT)
-        if best is None or score > best_score:
-            best, best_score = host, score
-    return best
+        return score
 
+    def _is_allowed(self, host: hosts.Host) -> bool:
+        step, runner = self._step, host.runner
+        if runner is None or runner.service != self._service:
+            return False
+        if step.required_label and step.required_label not in runner.labels:
+            return False
+        if step.max_per_host:
+            return host.step_counts.get(self._key, 0) < step.max_per_host
+        return True
 
-def _is_allowed(task: state.Task, service: str, host: hosts.Host) -> bool:
-    step, runner = task.step, host.runner
-    if runner is None or runner.service != service:
-        return False
-    if step.required_label and step.required_label not in runner.labels:
-        return False
-    if step.max_per_host:
-        held = host.step_counts.get(hosts.step_key(task.key), 0)
-        return held < step.max_per_host
-    return True
+
+def choose_host(
+    task: state.Task,
+    service: str,
+    candidates: abc.Iterable[hosts.Host],
+    estimates: interference.Estimates,
+    now: float,
+    is_starved: bool = False,
+) -> hosts.Host | None:
+    """Return the best host for one task, or None; see ``StepPlacement``.
+
+    Handles bursts of fillers beside long-lived services: fillers get the cores that
+    other tasks leave unused, on the hosts where they slow services least. Services of
+    one image share hosts, so that fillers can be matched to that image.
+    """
+    key = hosts.step_key(task.key)
+    found = StepPlacement(
+        task.step, key, service, candidates, estimates, now, is_starved
+    )
+    return found.choose(task)
 
 
 def fits(step: jobs.Step, host: hosts.Host, is_starved: bool = False) -> bool:
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -21,6 +21,8 @@
 
 _FIRST_REPORTS_WAIT_S: t.Final = 0.5  # agents start within a few tenths of a second
 _CROWDED_CPU_SHARE: t.Final = 0.6  # RULES.md: a job may wait while half is in use
+_ROUND_SPACING: t.Final = 4.0  # at most a quarter of the time goes into rounds
+_MAX_ROUND_INTERVAL_S: t.Final = 0.2
 _STARVED_AFTER_S: t.Final = 1.5  # RULES.md: half the time that a job may be idle
 
 _started_runs = prometheus.Counter("bilberrypass_runs_started", "Runs ordered")
@@ -42,17 +44,30 @@
     def __init__(self, owner: "scheduler.Scheduler") -> None:
         self._scheduler = owner
         self._reports_due_at: float | None = None
+        self._next_round_at = 0.0
 
     def place(self, now: float) -> None:
-        """Start as many waiting tasks as fit, in rank order."""
+        """Start as many waiting tasks as fit, in rank order.
+
+        Rounds are spaced by their duration, so that reports and writes are processed
+        in between, on a fleet on which a round takes long.
+        """
+        if now < self._next_round_at:
+            return
+        self._place_waiting(now)
+        took_s = clock.now() - now
+        self._next_round_at = now + min(_MAX_ROUND_INTERVAL_S, _ROUND_SPACING * took_s)
+
+    def _place_waiting(self, now: float) -> None:
         usable = self._scheduler.usable_hosts(now)
         if not usable or not self._has_waited_for_reports(now):
             return
         if self._scheduler.is_behind(now):
             return
         unix_now = self._scheduler.fleet_clock.unix_time(now)
+        full = _FullDemands()
         for job, queue in self._ranked_jobs(usable, now, unix_now):
-            self._place_job(job, queue, usable, now, unix_now)
+            self._place_job(job, queue, usable, full, now, unix_now)
 
     def _has_waited_for_reports(self, now: float) -> bool:
         """Return whether the hosts have had time to report to a new scheduler.
@@ -90,30 +105,26 @@
         job: state.JobState,
         queue: jobs.Queue,
         usable: list[hosts.Host],
+        full: "_FullDemands",
         now: float,
         unix_now: float,
     ) -> None:
-        full_steps: set[int] = set()
         started: list[state.Task] = []
-        unplaced: state.Task | None = None
-        for task in job.tasks.values():
-            if task.phase is not state.Phase.WAITING or task.key.step in full_steps:
-                continue
-            if now < task.not_before or not job.is_eligible(task, unix_now):
-                continue
-            host = placement.choose_host(
-                task, queue.service, usable, self._scheduler.estimates, now
-            )
-            if host is None:
-                full_steps.add(task.key.step)
-                unplaced = unplaced or task
-                continue
-            self._start_run(task, host, now)
-            started.append(task)
-        if unplaced is None or started:
+        unplaced: list[state.Task] = []
+        for tasks in job.eligible_steps(unix_now):
+            waiting = [
+                task
+                for task in tasks
+                if task.phase is state.Phase.WAITING and now >= task.not_before
+            ]
+            if waiting:
+                placed = self._place_step(waiting, queue.service, usable, full, now)
+                started += waiting[:placed]
+                unplaced += waiting[placed : placed + 1]
+        if started or not unplaced:
             job.idle_since = 0.0
         elif self._is_starved(job, now) and not _is_crowded(usable, queue.service):
-            started += self._start_starved(unplaced, queue, usable, now)
+            started += self._start_starved(unplaced[0], queue, usable, now)
         if started:
             if job.status is state.Status.QUEUED:
                 _wait_seconds.observe(now - job.accepted_at)
@@ -127,9 +138,37 @@
                     for task in started
                     if (k := task.key)
                 },
-                full_steps=len(full_steps),
+                full_steps=len(unplaced),
             )
 
+    def _place_step(
+        self,
+        waiting: list[state.Task],
+        service: str,
+        usable: list[hosts.Host],
+        full: "_FullDemands",
+        now: float,
+    ) -> int:
+        """Start the first tasks of a step that fit; return their number."""
+        step = waiting[0].step
+        if full.covers(step, service):
+            return 0
+        chooser = placement.StepPlacement(
+            step,
+            hosts.step_key(waiting[0].key),
+            service,
+            usable,
+            self._scheduler.estimates,
+            now,
+        )
+        for count, task in enumerate(waiting):
+            host = chooser.choose(task)
+            if host is None:
+                full.add(step, service)
+                return count
+            self._start_run(task, host, now)
+        return len(waiting)
+
     def _is_starved(self, job: state.JobState, now: float) -> bool:
         """Return whether a job that no host accepts has been idle for too long."""
         if job.has_runs:
@@ -192,6 +231,38 @@
             self._scheduler.queue_order(host, reconciling.make_order(task, verb))
 
 
+class _FullDemands:
+    """The demands for which no host has room left in this round.
+
+    Keeps rounds short while many jobs wait: hosts only get fuller within a round.
+    """
+
+    def __init__(self) -> None:
+        self._demands: dict[tuple[str, str, str], list[tuple[int, int, int]]] = {}
+
+    def add(self, step: jobs.Step, service: str) -> None:
+        """Record that no host can hold a task of a step."""
+        if not step.max_per_host:
+            self._demands.setdefault(_kind(step, service), []).append(_demand(step))
+
+    def covers(self, step: jobs.Step, service: str) -> bool:
+        """Return whether a task that needs no more than this one was refused."""
+        demand = _demand(step)
+        return any(
+            all(a <= b for a, b in zip(refused, demand, strict=True))
+            for refused in self._demands.get(_kind(step, service), ())
+        )
+
+
+def _kind(step: jobs.Step, service: str) -> tuple[str, str, str]:
+    """Return what steps share if room for one is room for the other."""
+    return service, step.required_label, f"filler {step.image}" * step.is_filler
+
+
+def _demand(step: jobs.Step) -> tuple[int, int, int]:
+    return step.cpu_milli, step.memory_mb, step.gpus
+
+
 def _is_crowded(usable: list[hosts.Host], service: str) -> bool:
     """Return whether most cores of the hosts of a service are reserved."""
     used = total = 0
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -142,6 +142,7 @@
         "revision",
         "stored_status",
         "status",
+        "step_tasks",
         "tasks",
     )
 
@@ -158,12 +159,15 @@
         self.idle_since = 0.0
         self.revision = 0
         self.open_steps: dict[tuple[int, int], int] = {}
+        self.step_tasks: dict[tuple[int, int], list[Task]] = {}
         for occurrence in range(max(1, job.repetitions)):
             for number, step in enumerate(job.steps):
                 self.open_steps[occurrence, number] = step.count
+                found = self.step_tasks[occurrence, number] = []
                 for index in range(step.count):
                     key = jobs.TaskKey(job.id, occurrence, number, index)
                     self.tasks[key] = Task(self, key, step)
+                    found.append(self.tasks[key])
 
     @property
     def is_final(self) -> bool:
@@ -183,10 +187,22 @@
         """Return whether a task is waiting and may start at the Unix time ``now``."""
         if self.cancelled or self.failed or task.phase is not Phase.WAITING:
             return False
-        occurrence = task.key.occurrence
+        return self._is_step_due(task.key.occurrence, task.step, now)
+
+    def eligible_steps(self, now: float) -> list[list[Task]]:
+        """Return the tasks of each step that may run at the Unix time ``now``."""
+        if self.cancelled or self.failed:
+            return []
+        return [
+            self.step_tasks[occurrence, number]
+            for (occurrence, number), count in self.open_steps.items()
+            if count and self._is_step_due(occurrence, self.job.steps[number], now)
+        ]
+
+    def _is_step_due(self, occurrence: int, step: jobs.Step, now: float) -> bool:
         if self.job.repetitions and now < self.due_at(occurrence):
             return False
-        return not any(self.open_steps[occurrence, n] for n in task.step.after)
+        return not any(self.open_steps[occurrence, n] for n in step.after)
 
     def due_at(self, occurrence: int) -> float:
         """Return the Unix time before which an occurrence of the job may not start."""
@@ -224,6 +240,7 @@
         """Drop the tasks to save memory once the final status is stored."""
         if self.is_final and self.stored_status in FINAL:
             self.tasks = {}
+            self.step_tasks = {}
             self.open_steps = {}
 
     def encode(self) -> bytes:
