Begin a thread's work again after an unexpected error

What callers would have seen after one unexpected exception in one thread, with the process looking healthy: no new job ever started (the watch of the intake), nothing stored again (the writer), an old configuration for good, no scheduler at all while its lease was renewed (the election), no order to one host (the sender), leases that lapse (an agent's polls and reports).

Cause: these threads caught the project's own errors only; any other ended them, and nobody noticed. No trigger is known.

Change: supervision.SupervisedThread logs the trace, counts it and begins the work again after a backoff. Where the process can't vouch for its state it leaves its duties instead: the writer of progress, as the scheduler's thread did before, and a winner that can't take its duties over. The sender goes on with the next orders. Unreadable estimates, which stopped each scheduler that loaded them, are ignored; unreadable progress still does, since a job that may have runs must not be started.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -7,7 +7,7 @@
 
 import prometheus_client as prometheus
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, errors, supervision
 from bilberrypass.connection import channels
 from bilberrypass.hosting import run_events, runner, session
 from bilberrypass.observing import decisions
@@ -100,8 +100,8 @@
         self._scheduler_calls = decisions.Dependency("scheduler")
         self._report_due = threading.Event()
         self._stopping = threading.Event()
-        self._thread = threading.Thread(
-            target=self._report_repeatedly, name="report", daemon=True
+        self._thread = supervision.SupervisedThread(
+            "report", self._report_repeatedly, self._stopping
         )
         self._server = channels.Server(
             identity.peer_address,
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -5,7 +5,7 @@
 import threading
 import typing as t
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, errors, supervision
 from bilberrypass.hosting import leases, pacing, run_events, runner, runs, stop_monitor
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
@@ -64,7 +64,7 @@
         self._interference_estimates: dict[tuple[str, str], float] = {}
         self._poll_wait_s = _POLL_WAIT_S
         self._ended = threading.Event()
-        self._exit_thread: threading.Thread | None = None
+        self._exit_thread: supervision.SupervisedThread | None = None
         self._strays_in_progress: set[runs.RunKey] = set()
         self._wakeup = threading.Event()
         # Stops never wait for starts or strays, which may be repeated without end.
@@ -77,8 +77,8 @@
         self._stray_pool = futures.ThreadPoolExecutor(
             _STRAY_THREADS, thread_name_prefix="strays"
         )
-        self._thread = threading.Thread(
-            target=self._poll_repeatedly, name="hold", daemon=True
+        self._thread = supervision.SupervisedThread(
+            "hold", self._poll_repeatedly, self._ended
         )
 
     def start(self) -> None:
@@ -102,8 +102,8 @@
         The runner has announced its exit, but may live on for some seconds.
         """
         if self._exit_thread is None:
-            self._exit_thread = threading.Thread(
-                target=self._check_exit, name="exit", daemon=True
+            self._exit_thread = supervision.SupervisedThread(
+                "exit", self._check_exit, self._ended
             )
             self._exit_thread.start()
 
--- a/src/bilberrypass/scheduling/cleaning.py
+++ b/src/bilberrypass/scheduling/cleaning.py
@@ -4,7 +4,7 @@
 import threading
 import typing as t
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import committing, election, intake, keyvalue
 
@@ -48,7 +48,9 @@
         self._find_expired = find_expired
         self._on_removed = on_removed
         self._stopping = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="cleaner", daemon=True)
+        self._thread = supervision.SupervisedThread(
+            "cleaner", self._run, self._stopping
+        )
 
     def start(self) -> None:
         """Start the thread that periodically removes expired jobs."""
--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -5,10 +5,14 @@
 import time
 import typing as t
 
+import logbook
+
 from bilberrypass import clock, errors
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import election, keyvalue
 
+_log = logbook.Logger("commit")
+
 PROGRESS_PREFIX: t.Final = "progress/"
 INTERFERENCE_KEY: t.Final = "interference"
 # Each job uses two entries of a transaction: a precondition and a value. One more
@@ -94,6 +98,13 @@
             self._ready.notify()
 
     def _run(self) -> None:
+        try:
+            self._write_groups()
+        except Exception:
+            _log.exception("commit: failed; the next leader reloads from the store")
+            self._on_leadership_lost("the writer of progress failed")
+
+    def _write_groups(self) -> None:
         while True:
             with self._ready:
                 while self._group is None and not self._stopping:
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import keyvalue
 
@@ -90,8 +90,10 @@
         self._renewals = decisions.Dependency("election.renewal")
         self._stopping = threading.Event()
         self._threads = [
-            threading.Thread(target=self._run, name="election", daemon=True),
-            threading.Thread(target=self._renew_lease, name="lease", daemon=True),
+            supervision.SupervisedThread(
+                "election", self._run, self._stopping, self._on_thread_failed
+            ),
+            supervision.SupervisedThread("lease", self._renew_lease, self._stopping),
         ]
 
     def start(self) -> None:
@@ -128,6 +130,10 @@
             decisions.record("election.lost", epoch=epoch, why=why)
             self._candidate.on_leadership_lost(epoch)
 
+    def _on_thread_failed(self) -> None:
+        """Leave the key to others, since this process may lead without a scheduler."""
+        self.step_down("the thread of the election failed")
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import circuit_breaker, committing, jobs, keyvalue, state
 
@@ -146,7 +146,8 @@
         self._on_cancel = on_cancel
         self._store_reads = decisions.Dependency("intake.store")
         self._stopping = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="intake", daemon=True)
+        self._is_loaded = False
+        self._thread = supervision.SupervisedThread("intake", self._run, self._stopping)
 
     def start(self) -> None:
         """Start the thread that loads and watches the jobs."""
@@ -157,14 +158,13 @@
         self._stopping.set()
 
     def _run(self) -> None:
-        is_loaded = False
         while not self._stopping.is_set():
             sent_at = clock.now()
             try:
                 listing = self._store.list(INTAKE_PREFIX, sent_at + _READ_TIMEOUT_S)
-                if not is_loaded:
+                if not self._is_loaded:
                     self._load(listing)
-                    is_loaded = True
+                    self._is_loaded = True
                 else:
                     for item in listing.items:
                         self._dispatch(item.key, item.value)
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
 # Without observations, a filler of 7 cores is expected to add a seventh to the latency.
@@ -103,8 +104,15 @@
         )
 
     def restore(self, value: bytes) -> None:
-        """Replace the estimates by those that an earlier scheduler stored."""
-        rows = msgspec.msgpack.decode(value, type=list[_StoredEstimate])
+        """Replace the estimates by those that an earlier scheduler stored.
+
+        If they cannot be read, the current ones stay.
+        """
+        try:
+            rows = msgspec.msgpack.decode(value, type=list[_StoredEstimate])
+        except msgspec.MsgspecError as exc:
+            decisions.record("interference.unreadable", why=str(exc))
+            return
         self._pairs = {
             (row.service, row.filler): Estimate(row.mean, row.variance) for row in rows
         }
--- a/src/bilberrypass/scheduling/queues.py
+++ b/src/bilberrypass/scheduling/queues.py
@@ -6,7 +6,7 @@
 
 import prometheus_client as prometheus
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import jobs, keyvalue
 
@@ -101,7 +101,7 @@
         self._revision = 0
         self._store_state = decisions.Dependency("config.store")
         self._stopping = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="config", daemon=True)
+        self._thread = supervision.SupervisedThread("config", self._run, self._stopping)
 
     def start(self) -> None:
         """Start the thread that reads and watches the key."""
--- a/src/bilberrypass/scheduling/sending.py
+++ b/src/bilberrypass/scheduling/sending.py
@@ -7,11 +7,15 @@
 import time
 import typing as t
 
+import logbook
+
 from bilberrypass import errors
 from bilberrypass.connection import channels
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
+_log = logbook.Logger("sending")
+
 _MAX_CONCURRENT_CALLS: t.Final = 12
 _CALL_TIMEOUT_S: t.Final = 1.0  # a round trip within a region takes milliseconds
 _MAX_ATTEMPTS: t.Final = 3
@@ -133,7 +137,13 @@
                 if queued is None:
                     self._sending_hosts.discard(host)
                     return
-            if not self._try_send(host, address, queued):
+            try:
+                is_taken = self._try_send(host, address, queued)
+            except Exception:
+                # The loop goes on, or no order would reach the host again.
+                _log.exception("sending: orders to {} failed unexpectedly", host)
+                is_taken = False
+            if not is_taken:
                 self._on_failed(host, queued.orders)
 
     def _try_send(self, host: str, address: str, queued: _Queue) -> bool:
