--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -1,81 +1,178 @@
-"""Measures one placement round of the platform's scheduler by number of hosts.
+"""Measures rounds, reports and ticks of the platform's scheduler by number of hosts.
 
-``python -m benchmarks.rounds`` prints a line for each number of hosts. Half of the
-hosts run services, and a burst of fillers and small tasks is waiting.
+    python -m benchmarks.rounds --hosts 30 160 300
+
+Lasting services run on the hosts, and a burst of wide batch jobs, fillers and small
+ones, waits for them. Prints processor time: the round that places the burst, a later
+round in which most of it still waits, one report, and one tick.
 """
 
+import argparse
+import collections.abc as abc
+import random
 import time
+import typing as t
 
 from bilberrypass import clock
+from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
-    hosts,
-    interference,
     jobs,
     messages,
-    placement,
+    queues,
+    scheduler,
+    sending,
     state,
 )
+from testing.standins import keyvalues
 
-_HOSTS = (11, 70, 300, 1_100)
-_TASKS = 200
-_REPEATS = 3
+_HOSTS_PER_RACK = 13
+_HOSTS_PER_SERVICE = 11
+_HOSTS_PER_JOB = 4
+_REPEATS = 10
 _SERVICE = jobs.Step(
-    1,
+    24,
     cpu_milli=13_000,
     memory_mb=26_000,
+    max_per_host=2,
     is_service=True,
-    image="s",
-    latency_target_ms=100,
+    latency_target_ms=50,
+)
+_FILLER = jobs.Step(
+    39, cpu_milli=7_000, memory_mb=13_000, estimate_s=5.4, is_filler=True
+)
+_SMALL = jobs.Step(9, cpu_milli=3_800, memory_mb=7_600, estimate_s=2.0)
+_URGENT = jobs.Queue("urgent", "p", 0, 3, 1.5, 0.25)
+_BATCH = jobs.Queue("batch", "p", 2, 4, 2.0, 1.0)
+_TABLE = queues.RouteTable(
+    queues.Config(
+        1,
+        (queues.Route("h", "/u/", _URGENT), queues.Route("h", "/b/", _BATCH)),
+        queues.Limits(),
+    )
 )
-_FILLER = jobs.Step(1, cpu_milli=7_000, memory_mb=13_000, is_filler=True, image="f")
-_SMALL = jobs.Step(1, cpu_milli=1_000, memory_mb=2_000)
 
 
-def _task(step: jobs.Step, number: int) -> state.Task:
-    job = state.JobState(jobs.Job(f"{number:016x}", "q", "", (step,), 0.0), clock.now())
-    (task,) = job.tasks.values()
-    task.run = 1
-    return task
+class _NoSender(sending.OrderSender):
+    def send(self, *args: t.Any) -> None:
+        """Drop the orders."""
+
+    def stop(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class _Fleet:
+    """A scheduler without its threads, and hosts that report what it placed."""
+
+    def __init__(self, count: int) -> None:
+        self.scheduler = scheduler.Scheduler(
+            keyvalues.Store(),
+            1,
+            scheduler.Settings(5.0, 120.0),
+            lambda: _TABLE,
+            clock.now,
+            lambda why: None,
+            lambda on_failed: _NoSender(),
+        )
+        self.scheduler.is_loaded = True
+        self._sequence = 0
+        self._count = count
+        self._rng = random.Random(count)
+        self.report_all()
+
+    def report_all(self) -> None:
+        """Let each host report its runs."""
+        self._sequence += 1
+        self.scheduler._set_intake_read(clock.now())
+        for number in range(self._count):
+            self.scheduler.apply_report(self._report(number), clock.now(), 5.0)
+
+    def _report(self, number: int) -> messages.Report:
+        name = f"h{number}"
+        labels = ("a", f"r{number // _HOSTS_PER_RACK}")
+        info = messages.RunnerInfo(f"i{number}", 1, "p", 64_000, 256_000, 0, labels)
+        host = self.scheduler.hosts.get(name)
+        rows = [] if host is None else [_row(task) for task in host.tasks.values()]
+        return messages.Report(
+            name, f"{name}:1", "z", 1, self._sequence, 1, info, 0.0, 0.0, rows
+        )
+
+    def submit(self, queue: jobs.Queue, *steps: jobs.Step) -> None:
+        """Add a job whose steps follow each other."""
+        id = f"{len(self.scheduler.jobs):016x}"
+        path = "h/u/" if queue is _URGENT else "h/b/"
+        steps = tuple(
+            s._replace(after=(n - 1,) if n else ()) for n, s in enumerate(steps)
+        )
+        self.scheduler._add(jobs.Job(id, path, "", steps, time.time()))
+
+    def submit_services(self) -> None:
+        for number in range(self._count // _HOSTS_PER_SERVICE):
+            self.submit(_URGENT, _SERVICE._replace(image=f"s{number % 16}"))
+
+    def submit_burst(self) -> None:
+        for _ in range(max(1, self._count // _HOSTS_PER_JOB)):
+            if self._rng.random() < 0.7:
+                filler = _FILLER._replace(image=f"f{self._rng.randrange(30)}")
+                self.submit(_BATCH, filler, filler)
+            else:
+                self.submit(_URGENT, _SMALL, _SMALL)
 
+    def place(self) -> None:
+        """Run one round, and store what it placed at once."""
+        self.scheduler._placer._place_waiting(clock.now())
+        self.scheduler._dirty.clear()
+        for host in self.scheduler.hosts.values():
+            for task in host.tasks.values():
+                task.is_stored = True
 
-def _fleet(count: int) -> list[hosts.Host]:
-    fleet = []
-    for number in range(count):
-        host = hosts.Host(f"h{number}", 0.0)
-        host.runner = messages.RunnerInfo(
-            f"i{number}", 1, "p", 64_000, 256_000, 0, ("a", f"r{number // 3}")
+    def tick(self) -> None:
+        self.scheduler._reconciler.tick(clock.now())
+        self.scheduler._migrator.tick(clock.now())
+
+    def count_waiting(self) -> int:
+        return sum(
+            task.phase is state.Phase.WAITING
+            for job in self.scheduler.open_jobs.values()
+            for task in job.tasks.values()
         )
-        host.reported_at = clock.now()
-        for index in range(4 if number % 2 else 0):
-            service = _task(_SERVICE, number * 10 + index)
-            service.figure = 30 + 10 * index
-            host.add(service)
-        fleet.append(host)
-    return fleet
-
-
-def _round(fleet: list[hosts.Host]) -> tuple[float, int]:
-    """Place a burst of tasks; return the processor seconds and the tasks placed."""
-    estimates = interference.Estimates()
-    waiting = [_task(_FILLER if n % 2 else _SMALL, 10**6 + n) for n in range(_TASKS)]
-    now, placed = clock.now(), 0
+
+
+def _row(task: state.Task) -> messages.RunRow:
+    figure = 5_000 if task.step.is_filler else 20
+    running = int(messages.RunState.RUNNING)
+    return messages.RunRow(str(task.key), task.run, running, progress=10, figure=figure)
+
+
+def _measure_ms(work: abc.Callable[[], None], repeats: int = 1) -> float:
     started_at = time.process_time()
-    for task in waiting:
-        host = placement.choose_host(task, "p", fleet, estimates, now)
-        if host is not None:
-            host.add(task)
-            placed += 1
-    return time.process_time() - started_at, placed
+    for _ in range(repeats):
+        work()
+    return (time.process_time() - started_at) / repeats * 1e3
 
 
 def main() -> None:
-    """Print the processor time per placement for each number of hosts."""
-    for count in _HOSTS:
-        best_s, placed = min(_round(_fleet(count)) for _ in range(_REPEATS))
+    """Print one line for each number of hosts."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--hosts", type=int, nargs="+", default=[30, 160, 300, 1_100])
+    args = parser.parse_args()
+    decisions.record = lambda event, **fields: (
+        None
+    )  # keeps the lines out of the figures
+    for count in args.hosts:
+        fleet = _Fleet(count)
+        fleet.scheduler._placer._reports_due_at = 0.0
+        fleet.submit_services()
+        fleet.place()
+        fleet.submit_burst()
+        first_ms = _measure_ms(fleet.place)
+        report_ms = _measure_ms(fleet.report_all) / count
+        later_ms = _measure_ms(fleet.place, _REPEATS)
+        tick_ms = _measure_ms(fleet.tick, _REPEATS)
         print(
-            f"{count} hosts: {placed} of {_TASKS} placed, "
-            f"{best_s / _TASKS * 1e6:.0f} us a task, "
-            f"{best_s / _TASKS / count * 1e6:.2f} us a task and host"
+            f"{count} hosts, {fleet.count_waiting()} tasks wait: "
+            f"burst {first_ms:.0f} ms, "
+            f"later round {later_ms:.1f} ms, report {report_ms * 1e3:.0f} us, "
+            f"tick {tick_ms:.1f} ms"
         )
 
 
