Submit jobs with due times in the soak, and check them

The soak had no scheduled jobs, so jumps of the time of day had nothing to break. One batch job in seven now repeats up to three times at due times; a start more than 0.25 s before one is a violation of ORDER, 5.25 s once any clock has jumped, as RULES.md has it. Jumps of all hosts at once stay within these 5 s: no host can tell them. The draw depends on the job's id alone, so the other draws of a seed stay as they were.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,11 @@
 _MAX_SERIES_S: t.Final = 7.0
 _LONG_RUNNING_CPU_SHARE: t.Final = 0.4  # the rest is left for batch work
 _ALWAYS_FAILING_SHARE: t.Final = 0.06
+_SCHEDULED_SHARE: t.Final = 0.15
+_MIN_SCHEDULE_DELAY_S: t.Final = 0.5
+_MAX_SCHEDULE_DELAY_S: t.Final = 4.0
+_MAX_REPETITIONS: t.Final = 3
+_REPETITION_INTERVAL_MS: t.Final = (400, 2_500)
 _REFUSED_STATUSES: t.Final = (429, 503)
 
 
@@ -131,10 +136,24 @@
             steps.append(step | {"after": [0], "checkpointing": True})
         return {"specification": spec, "steps": steps}
 
+    def _draw_schedule(self, id: str, body: dict[str, t.Any]) -> dict[str, t.Any]:
+        """Return the body, of some batch jobs with times at which they repeat."""
+        rng = random.Random(id)
+        is_batch = not body["steps"][0].get("long_running")
+        if not is_batch or rng.random() > _SCHEDULED_SHARE:
+            return body
+        delay_s = rng.uniform(_MIN_SCHEDULE_DELAY_S, _MAX_SCHEDULE_DELAY_S)
+        return body | {
+            "repetitions": rng.randint(1, _MAX_REPETITIONS),
+            "first_run_ms": int((time.time() + delay_s) * 1_000),
+            "interval_ms": rng.randint(*_REPETITION_INTERVAL_MS),
+        }
+
     def _submit(self) -> None:
         is_prompt = self._draw_is_prompt()
         body = self._draw_body(is_prompt)
-        job = checker.Job(f"{self._rng.getrandbits(64):016x}", body)
+        id = f"{self._rng.getrandbits(64):016x}"
+        job = checker.Job(id, self._draw_schedule(id, body))
         self._invariants.add_job(job)
         refused = 0
         for attempt in range(_MAX_SUBMIT_ATTEMPTS):
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -8,6 +8,9 @@
 
 FINAL_STATES: t.Final = frozenset({"completed", "failed", "cancelled"})
 HOST_CPU_MILLI: t.Final = 64_000
+# RULES.md, ORDER: 5 s more where clocks jump.
+_EARLY_S: t.Final = 0.25
+_EARLY_BY_CLOCKS_S: t.Final = 5.0
 
 
 class Violation(t.NamedTuple):
@@ -46,7 +49,7 @@
         kind = "long-running" if self.is_long_running else "batch"
         when = f"accepted {self.accepted_at:.2f}, cancelled {self.cancel_acked_at:.2f}"
         return (
-            f"{kind} of {tasks}, {request}, {when}, "
+            f"{kind} of {tasks} x {self.repetitions}, {request}, {when}, "
             f"last state {self.last_state or 'none'}"
         )
 
@@ -54,10 +57,21 @@
         """Return the step, as submitted, to which one of the job's tasks belongs."""
         return self.body["steps"][int(task.split(".")[2])]
 
-    def task_names(self, step: int) -> list[str]:
-        """Return the names of all tasks of a step, given the step's index."""
+    @property
+    def repetitions(self) -> int:
+        """How many times the job's steps run."""
+        return max(1, self.body.get("repetitions", 0))
+
+    def due_at(self, task: str) -> float:
+        """Return the Unix time before which a task may not start, 0 if none is set."""
+        occurrence = int(task.split(".")[1])
+        first_ms = self.body.get("first_run_ms", 0)
+        return (first_ms + occurrence * self.body.get("interval_ms", 0)) / 1_000
+
+    def task_names(self, step: int, occurrence: int) -> list[str]:
+        """Return the names of the tasks of a step in one repetition of the job."""
         count = self.body["steps"][step]["count"]
-        return [f"{self.id}.0.{step}.{index}" for index in range(count)]
+        return [f"{self.id}.{occurrence}.{step}.{index}" for index in range(count)]
 
 
 class _Task:
@@ -87,6 +101,7 @@
         self.violations: list[Violation] = []
         self.history: list[str] = []
         self.start_count = 0
+        self.has_stepped_clocks = False
         self.disturbances = disturbances.Disturbances()
         self._cancels = cancels.CancelCheck(self.disturbances)
         self._max_attempts = max_attempts
@@ -168,8 +183,12 @@
             self._record("REFUSED", f"{what}: all attempts to submit it were refused")
         if job.last_state == "completed":
             self._record("TWICE", f"{what}: its job was reported as completed")
+        early_s = job.due_at(task) - time.time()
+        if early_s > _EARLY_S + _EARLY_BY_CLOCKS_S * self.has_stepped_clocks:
+            self._record("ORDER", f"{what}: starts {early_s:.2f} s before its time")
+        occurrence = int(task.split(".")[1])
         for earlier in job.step_of(task).get("after", ()):
-            for other in job.task_names(earlier):
+            for other in job.task_names(earlier, occurrence):
                 if not self._tasks.get(other, _Task()).done:
                     self._record(
                         "ORDER", f"{what}: {other}, which precedes it, is not done"
@@ -260,7 +279,10 @@
 
     def _all_task_names(self, job: Job) -> list[str]:
         return [
-            name for n in range(len(job.body["steps"])) for name in job.task_names(n)
+            name
+            for occurrence in range(job.repetitions)
+            for number in range(len(job.body["steps"]))
+            for name in job.task_names(number, occurrence)
         ]
 
     def _check_completed(self, job: Job) -> None:
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -95,7 +95,9 @@
         *faults.draw_events(fleet, rng, size.duration_s),
         *crashes,
         *series.draw_faults(fleet, random.Random(f"{seed} series"), size.duration_s),
-        *clock_steps.draw(fleet, random.Random(f"{seed} clocks"), size.duration_s),
+        *clock_steps.draw(
+            invariants, fleet, random.Random(f"{seed} clocks"), size.duration_s
+        ),
     ]
     calm = faults.Event(0.0, _CALM, lambda: _begin_calm_spell(invariants, fleet))
     events = faults.sort_events(
