Meet malformed bytes of other processes with one documented error

What callers would have seen: a submission with a number beyond 64 bits was taken for valid and failed as an unexpected error when it was to be stored. Deeply nested JSON in a runner's lists ended the thread that keeps the runner's lease, so all its runs lapsed; in the operator's configuration it ended the watch of the configuration; in the election's key, as any unreadable value, the election.

Cause: the decoders caught msgspec's errors only, or some of the others.

Change: decoding.decode_json turns all of them into one, and each decoder on the platform's side uses it. Amounts above 2^53 are refused with 400.

--- a/src/bilberrypass/platform/front.py
+++ b/src/bilberrypass/platform/front.py
@@ -9,7 +9,7 @@
 import msgspec
 import prometheus_client as prometheus
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, decoding, errors
 from bilberrypass.connection import problems
 from bilberrypass.scheduling import entry, jobs, queues
 
@@ -97,8 +97,8 @@
         BAD_BODY, naming the field and its remedy.
     """
     try:
-        found = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+        found = decoding.decode_json(body, _Submission)
+    except decoding.UnreadableError as exc:
         raise errors.Refused(
             errors.Kind.BAD_BODY, f"{exc}; correct the body", ran=errors.Ran.NO
         ) from exc
--- a/src/bilberrypass/platform/operator.py
+++ b/src/bilberrypass/platform/operator.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberrypass import errors
+from bilberrypass import decoding, errors
 from bilberrypass.scheduling import jobs, queues
 
 CONFIG_KEY: t.Final = "op/config"
@@ -59,8 +59,8 @@
         INVALID_CONFIG, naming the faulty field.
     """
     try:
-        decoded = msgspec.json.decode(value, type=_Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        decoded = decoding.decode_json(value, _Config)
+    except decoding.UnreadableError as exc:
         raise errors.Error(errors.Kind.INVALID_CONFIG, f"{CONFIG_KEY}: {exc}") from exc
     limits = queues.Limits(
         decoded.limits.max_header_bytes,
--- a/src/bilberrypass/platform/runner.py
+++ b/src/bilberrypass/platform/runner.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, decoding, errors
 from bilberrypass.hosting import runner
 from bilberrypass.platform import http
 from bilberrypass.scheduling import messages
@@ -69,8 +69,8 @@
         BAD_BODY, naming the field.
     """
     try:
-        report = msgspec.json.decode(body, type=_ReportBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        report = decoding.decode_json(body, _ReportBody)
+    except decoding.UnreadableError as exc:
         raise errors.Error(
             errors.Kind.BAD_BODY,
             f"report of runner {id[:64]}: {exc}; correct the report",
@@ -146,8 +146,8 @@
         answer = _Answer()
         if found.body:
             try:
-                answer = msgspec.json.decode(found.body, type=_Answer)
-            except msgspec.MsgspecError as exc:
+                answer = decoding.decode_json(found.body, _Answer)
+            except decoding.UnreadableError as exc:
                 raise errors.Error(
                     errors.Kind.ANSWER_LOST, f"{path}: unreadable answer: {exc}"
                 ) from exc
@@ -220,14 +220,14 @@
 
 def _read_snapshot(body: bytes) -> runner.RunnerSnapshot:
     try:
-        lists = msgspec.json.decode(body, type=_RunLists)
+        lists = decoding.decode_json(body, _RunLists)
         running = [
             runner.ActiveRun(
                 row[0], row[1], row[2], row[3], int(row[4]) if len(row) > 4 else 0
             )
             for row in lists.running
         ]
-    except (msgspec.MsgspecError, IndexError, TypeError, ValueError) as exc:
+    except (IndexError, TypeError, ValueError, OverflowError) as exc:
         raise errors.Error(
             errors.Kind.ANSWER_LOST,
             f"the run lists of the runner are unreadable: {exc}",
--- a/src/bilberrypass/platform/store.py
+++ b/src/bilberrypass/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 import prometheus_client as prometheus
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, decoding, errors
 from bilberrypass.platform import http
 from bilberrypass.scheduling import keyvalue
 
@@ -205,8 +205,8 @@
 
 def _decode(found: http.Response, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(found.body, type=kind)
-    except msgspec.MsgspecError as exc:
+        return decoding.decode_json(found.body, kind)
+    except decoding.UnreadableError as exc:
         raise errors.Error(
             errors.Kind.STORE_UNCERTAIN, f"the answer of the store is unreadable: {exc}"
         ) from exc
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bilberrypass import clock, errors, supervision
+from bilberrypass import clock, decoding, errors, supervision
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import keyvalue
 
@@ -34,10 +34,19 @@
 
 
 def decode_leader(item: keyvalue.Item | None) -> Leader | None:
-    """Return the leader that the election's key names; None if there is no key."""
+    """Return the leader that the election's key names; None if there is no key.
+
+    Raises
+    ------
+    errors.Error
+        STORE_UNCERTAIN if the value cannot be read; the key is held all the same.
+    """
     if item is None:
         return None
-    value = msgspec.json.decode(item.value, type=_Value)
+    try:
+        value = decoding.decode_json(item.value, _Value)
+    except decoding.UnreadableError as exc:
+        raise errors.Error(errors.Kind.STORE_UNCERTAIN, f"{KEY}: {exc}") from exc
     return Leader(value.name, value.address, item.revision)
 
 
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -7,6 +7,7 @@
 MAX_STEPS: t.Final = 64  # limits the work that one malformed submission causes
 MAX_TASKS: t.Final = 4_096
 MAX_REPETITIONS: t.Final = 10_000
+MAX_AMOUNT: t.Final = 1 << 53  # exact in JSON, and stored in 64 bits
 MILLI_PER_CORE: t.Final = 1_000
 
 
@@ -110,8 +111,14 @@
         where = f"steps[{number}]"
         if step.count < 1:
             _raise_bad_field(f"{where}.count", "must be at least 1")
-        if min(step.cpu_milli, step.memory_mb, step.gpus) < 0:
-            _raise_bad_field(where, "requests a negative amount; use 0 or more")
+        amounts = (
+            *(step.cpu_milli, step.memory_mb, step.gpus),
+            *(step.max_per_host, step.latency_target_ms, step.max_unavailable),
+        )
+        if min(amounts) < 0:
+            _raise_bad_field(where, "has a negative amount; use 0 or more")
+        if max(amounts) > MAX_AMOUNT:
+            _raise_bad_field(where, f"has an amount above {MAX_AMOUNT}; use less")
         if step.is_gang:
             _raise_bad_field(
                 f"{where}.gang", "is not supported; submit the step without it"
