--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -183,12 +183,6 @@
         """Return the number of tasks of which a run may exist on a host."""
         return sum(task.is_active for task in self.tasks.values())
 
-    def is_eligible(self, task: Task, now: float) -> bool:
-        """Return whether a task is waiting and may start at the Unix time ``now``."""
-        if self.cancelled or self.failed or task.phase is not Phase.WAITING:
-            return False
-        return self._is_step_due(task.key.occurrence, task.step, now)
-
     def eligible_steps(self, now: float) -> list[list[Task]]:
         """Return the tasks of each step that may run at the Unix time ``now``."""
         if self.cancelled or self.failed:
--- a/testing/scheduling/overloads.py
+++ b/testing/scheduling/overloads.py
@@ -1,6 +1,7 @@
 """Batch jobs that compete for a fixed number of cores, in simulated time."""
 
 import heapq
+import itertools
 import math
 import random
 import typing as t
@@ -124,8 +125,9 @@
                 ended_at[task.key.job] = now
                 open_jobs.remove(task.job)
         for job in order(open_jobs, now, mean_work):
-            for waiting in job.tasks.values():
-                if waiting.step.cpu_milli <= free and job.is_eligible(waiting, now):
+            for waiting in itertools.chain(*job.eligible_steps(now)):
+                is_waiting = waiting.phase is state.Phase.WAITING
+                if is_waiting and waiting.step.cpu_milli <= free:
                     waiting.phase = state.Phase.RUNNING
                     free -= waiting.step.cpu_milli
                     sequence += 1
