--- a/testing/scheduling/test_ordering.py
+++ b/testing/scheduling/test_ordering.py
@@ -38,6 +38,12 @@
     ]
 
 
+def test_short_job_precedes_long_job_while_both_are_in_time():
+    now = clock.now()
+    long, short = _job("long", 1.0, 5.0, 5.0, now=now), _job("short", 0.0, 2.0, now=now)
+    assert _sort_by_rank([long, short], now) == [short, long]
+
+
 def test_job_with_little_work_left_precedes_job_not_begun():
     """Otherwise each job of an overload is begun, and most are finished too late."""
     now = clock.now()
