Start nothing in failure domains that operators have evacuated

Change: the leader follows the keys where the settings bound evacuations; hosts of an evacuated domain are not usable, starts wait while the keys are not read, a placement that is not sent yet is withdrawn, and a start that is late on its way is stopped.

--- a/src/bilberrypass/platform/operator.py
+++ b/src/bilberrypass/platform/operator.py
@@ -8,6 +8,7 @@
 from bilberrypass.scheduling import jobs, queues
 
 CONFIG_KEY: t.Final = "op/config"
+EVACUATION_PREFIX: t.Final = "op/evacuate/"
 _MS: t.Final = 1_000.0
 
 
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -14,7 +14,7 @@
 from bilberrypass.observing import decisions
 from bilberrypass.platform import front, operator, runner_reports, settings, store
 from bilberrypass.platform import runner as runner_client
-from bilberrypass.scheduling import election, entry, queues, scheduler
+from bilberrypass.scheduling import election, entry, evacuations, queues, scheduler
 
 _CALLER_THREADS: t.Final = 24
 _RUNNER_REPORT_THREADS: t.Final = 3
@@ -57,6 +57,14 @@
     return _CANDIDACY_DELAY_S if is_weak else 0.0
 
 
+def _make_evacuations(
+    node: settings.Node, kv_store: store.Store
+) -> evacuations.Evacuations:
+    if not node.has_evacuations:
+        return evacuations.NoEvacuations()
+    return evacuations.StoredEvacuations(kv_store, operator.EVACUATION_PREFIX)
+
+
 @t.final
 class Entry(Program):
     """Serves the callers' interface, and runs the scheduler while elected."""
@@ -68,7 +76,13 @@
         )
         cfg = scheduler.Settings(lease_s(node), node.status_s)
         self._entry = entry.Entry(
-            node.name, node.peer_address, kv_store, config, cfg, candidacy_delay_s(node)
+            node.name,
+            node.peer_address,
+            kv_store,
+            config,
+            cfg,
+            candidacy_delay_s(node),
+            lambda: _make_evacuations(node, kv_store),
         )
         self._front = front.CallerApplication(self._entry)
         self._listener = serving.Listener(
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -31,6 +31,7 @@
     stop_timeout_s: float
     grace_s: float
     status_s: float
+    has_evacuations: bool
 
 
 class _Listen(msgspec.Struct):
@@ -44,6 +45,8 @@
     stop_timeout_ms: float = 900
     grace_s: float = 6
     status_s: float = 120
+    # Set where operators evacuate zones.
+    evacuation_ms: float | None = None
 
 
 class _Platform(msgspec.Struct):
@@ -111,4 +114,5 @@
         stop_timeout_s=decoded.bounds.stop_timeout_ms / _MS,
         grace_s=decoded.bounds.grace_s,
         status_s=decoded.bounds.status_s,
+        has_evacuations=decoded.bounds.evacuation_ms is not None,
     )
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -13,6 +13,7 @@
 from bilberrypass.scheduling import (
     circuit_breaker,
     election,
+    evacuations,
     intake,
     jobs,
     keyvalue,
@@ -60,6 +61,8 @@
         Settings of the scheduler while this process is elected.
     candidacy_delay_s : float
         How long a free election key is left to others; see ``election.Election``.
+    evacuated : callable
+        Returns what follows the evacuations of failure domains, for one scheduler.
     """
 
     def __init__(
@@ -70,12 +73,16 @@
         config: queues.ConfigWatcher,
         cfg: scheduler.Settings,
         candidacy_delay_s: float = 0.0,
+        evacuated: abc.Callable[
+            [], evacuations.Evacuations
+        ] = evacuations.NoEvacuations,
     ) -> None:
         self.name = name
         self._address = peer_address
         self._store = store
         self._config = config
         self._cfg = cfg
+        self._make_evacuations = evacuated
         self._submissions = intake.Submissions(store)
         self._scheduler: scheduler.Scheduler | None = None
         self._lock = threading.Lock()
@@ -131,6 +138,7 @@
                 lambda on_failed: sending.PeerOrderSender(
                     epoch, self._address, on_failed
                 ),
+                self._make_evacuations(),
             )
             self._scheduler.start()
 
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -260,14 +260,22 @@
             is_stopping = task.phase is state.Phase.STOPPING
             if is_behind and not is_stopping:
                 continue
-            if host.is_overcommitted and not is_stopping:
-                self._withdraw_start(host, task)
+            why = self._why_withdrawn(host)
+            if why and not is_stopping:
+                self._withdraw_start(host, task, why)
                 continue
             verb = messages.Verb.STOP if is_stopping else messages.Verb.START
             self._scheduler.queue_order(host, reconciling.make_order(task, verb))
 
-    def _withdraw_start(self, host: hosts.Host, task: state.Task) -> None:
-        """Requeue a task whose start was not sent before its host's capacity shrank."""
+    def _why_withdrawn(self, host: hosts.Host) -> str:
+        """Return why a host may no longer start what was placed there, or ""."""
+        if host.is_overcommitted:
+            return "the capacity shrank"
+        is_evacuated = self._scheduler.is_evacuated(host)
+        return "the failure domain is evacuated" if is_evacuated else ""
+
+    def _withdraw_start(self, host: hosts.Host, task: state.Task, why: str) -> None:
+        """Requeue a task whose start was not sent before its host refuses it."""
         host.remove(task)
         task.phase = state.Phase.WAITING
         decisions.record(
@@ -275,7 +283,7 @@
             task=str(task.key),
             run=task.run,
             host=host.name,
-            why="the capacity shrank",
+            why=why,
         )
         self._scheduler.write_progress(task.job)
 
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -16,6 +16,7 @@
     cleaning,
     committing,
     estimate_publishing,
+    evacuations,
     fleet_clock,
     hosts,
     intake,
@@ -29,6 +30,7 @@
     migration,
     ordering,
     placing,
+    progress_queue,
     queues,
     reconciling,
     responding,
@@ -82,6 +84,8 @@
         Called with the reason when this scheduler no longer leads.
     make_sender : callable
         Returns the sender of orders, given the callback for orders that failed.
+    evacuated : evacuations.Evacuations
+        The failure domains in which no run may start.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         last_contact_at: abc.Callable[[], float],
         on_leadership_lost: abc.Callable[[str], None],
         make_sender: abc.Callable[[sending.OnSendFailed], sending.OrderSender],
+        evacuated: evacuations.Evacuations = evacuations.NONE,
     ) -> None:
         self.epoch = epoch
         self.cfg = cfg
@@ -113,13 +118,15 @@
         self._table = table
         self._on_leadership_lost = on_leadership_lost
         self._last_contact_at = last_contact_at
+        self._evacuations = evacuated
         self._events: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
-        self._dirty: dict[str, list[Event]] = collections.defaultdict(list)
-        self._in_flight: dict[str, list[Event]] = {}
         self._orders: dict[str, list[messages.Order]] = collections.defaultdict(list)
         self._committer = committing.Committer(
             store, epoch, self._on_stored, on_leadership_lost
         )
+        self._progress = progress_queue.ProgressQueue(
+            self._committer, self.publisher, self.quarantine
+        )
         self._intake_watcher = intake.IntakeWatcher(
             store, self._on_loaded, self._on_job, self._on_cancel, self._on_intake_read
         )
@@ -137,6 +144,7 @@
         self._committer.start()
         self._intake_watcher.start()
         self._cleaner.start()
+        self._evacuations.start()
         self._thread.start()
 
     def stop(self) -> None:
@@ -145,6 +153,7 @@
         self._committer.stop()
         self._intake_watcher.stop()
         self._cleaner.stop()
+        self._evacuations.stop()
         self._sender.stop()
         self.quarantine.stop()
 
@@ -211,7 +220,7 @@
 
     def _remove_jobs(self, ids: list[str]) -> None:
         for id in ids:
-            if id not in self._dirty and id not in self._in_flight:
+            if id not in self._progress:
                 self.jobs.pop(id, None)
             self._early_cancellations.pop(id, None)
 
@@ -245,10 +254,13 @@
                 next_tick = now + TICK_INTERVAL_S
                 self._reconciler.tick(now)
                 self._migrator.tick(now)
+                evacuations.stop_late_starts(
+                    self._evacuations, self.hosts.values(), self._stop_run
+                )
                 self._load_log.tick(self.open_jobs.values(), self.hosts.values(), now)
                 _open_jobs.set(len(self.open_jobs))
             self._placer.place(now)
-            self._write()
+            self._progress.write(self.jobs)
             self._flush_orders()
 
     def _load(self, initial: intake.InitialState) -> None:
@@ -315,12 +327,21 @@
         self._intake_read_until = until
 
     def is_behind(self, now: float) -> bool:
-        """Return whether a cancellation may have been stored too long ago, unseen."""
-        return now - self._intake_read_until > _MAX_INTAKE_AGE_S
+        """Return whether a cancellation or an evacuation may be unseen for too long."""
+        is_intake_old = now - self._intake_read_until > _MAX_INTAKE_AGE_S
+        return is_intake_old or self._evacuations.is_behind(now)
 
     def usable_hosts(self, now: float) -> list[hosts.Host]:
         """Return the hosts to which new runs may be sent."""
-        return [host for host in self.hosts.values() if host.is_usable(now)]
+        return [
+            host
+            for host in self.hosts.values()
+            if host.is_usable(now) and not self.is_evacuated(host)
+        ]
+
+    def is_evacuated(self, host: hosts.Host) -> bool:
+        """Return whether operators want nothing to start on a host for now."""
+        return self._evacuations.is_evacuated(host.zone)
 
     def has_unreported_hosts(self) -> bool:
         """Return whether a host of an earlier scheduler has not reported so far."""
@@ -346,9 +367,7 @@
         """Mark a job's progress for writing; ``effect`` is called once it is stored."""
         was_final = job.is_final
         job.update_status(clock.now())
-        effects = self._dirty[job.job.id]
-        if effect is not None:
-            effects.append(effect)
+        self._progress.add(job.job.id, effect)
         if job.is_final and not was_final:
             self.open_jobs.pop(job.job.id, None)
             load.record_job_end(job)
@@ -358,33 +377,14 @@
         host.sent[order.task, order.run] = hosts.SentOrder(host.agent, clock.now())
         self._orders[host.name].append(order)
 
-    def _write(self) -> None:
-        # The next group needs the revisions of the group in flight.
-        if self._in_flight or not self._dirty:
-            return
-        group = []
-        for id in list(self._dirty)[: committing.MAX_JOBS_PER_COMMIT]:
-            effects = self._dirty.pop(id)
-            try:
-                value = self.jobs[id].encode()
-            except Exception as exc:
-                self.quarantine.add(id, "progress to store", exc)
-                continue
-            self._in_flight[id] = effects
-            group.append(committing.ProgressWrite(id, value, self.jobs[id].revision))
-        if group:
-            self._committer.submit(group, self.publisher.put_if_due(clock.now()))
+    def _stop_run(self, host: hosts.Host, task: state.Task) -> None:
+        task.phase = state.Phase.STOPPING
+        self.queue_order(host, reconciling.make_order(task, messages.Verb.STOP))
 
     def _apply_stored(
         self, group: list[committing.ProgressWrite], revision: int
     ) -> None:
-        for write in group:
-            job = self.jobs[write.job]
-            job.revision = revision
-            job.stored_status = state.Status(state.decode_progress(write.value).status)
-            job.drop_tasks_if_final()
-            for effect in self._in_flight.pop(write.job):
-                effect()
+        self._progress.apply_stored(group, revision, self.jobs)
         self._responder.on_stored()
 
     def _flush_orders(self) -> None:
--- a/testing/platform/test_wire.py
+++ b/testing/platform/test_wire.py
@@ -83,6 +83,11 @@
     )
 
 
+def test_evacuations_are_followed_where_the_settings_bound_them():
+    assert not _read(_SETTINGS).has_evacuations
+    assert _read(_SETTINGS + "bounds: {evacuation_ms: 5000}").has_evacuations
+
+
 def test_error_in_settings_names_the_key():
     exc = fixtures.error_of(errors.Error, _read, _SETTINGS.replace("zone", "zoe"))
     assert exc.kind is errors.Kind.INVALID_SETTINGS and "zone" in exc.detail
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -7,6 +7,7 @@
 from bilberrypass import clock
 from bilberrypass.scheduling import (
     election,
+    evacuations,
     intake,
     jobs,
     messages,
@@ -21,6 +22,7 @@
 SERVICE = "planner"
 QUEUE = "h/q/"
 LIFE = 1_000
+EVACUATION_PREFIX = "evacuated/"
 State = messages.RunState
 Verb = messages.Verb
 
@@ -174,6 +176,7 @@
             lambda: self.last_contact_at,
             self.lost_leadership.append,
             lambda on_failed: RecordingOrderSender(self),
+            evacuations.StoredEvacuations(self.store, EVACUATION_PREFIX),
         )
         self.scheduler.start()
         fixtures.wait_until(lambda: self.scheduler.is_loaded, 5.0, "the load")
