Check a configuration before it is sent, by bilberrypass config check

Cause: operators saw faults of a configuration only when it was refused, and exceptions without effect or limits that contradict each other never. Change: a pure review of a proposal against the configuration in force, another revision or a file, and the hosts: errors, exceptions that never match, contradictions, differences and drained hosts; the command shows them with the lines of the file.

--- a/src/bilberrypass/tool.py
+++ b/src/bilberrypass/tool.py
@@ -9,6 +9,7 @@
 from bilberrypass.commands import (
     client,
     config,
+    config_check,
     fleet,
     jobs,
     output,
@@ -31,6 +32,7 @@
 )
 APP.command()(jobs.submit)
 APP.add_typer(jobs.APP, name="job")
+config.APP.command()(config_check.check)
 APP.add_typer(config.APP, name="config")
 APP.command()(config.exceptions)
 APP.command()(fleet.status)
--- a/src/bilberrypass/version/configuration.py
+++ b/src/bilberrypass/version/configuration.py
@@ -114,7 +114,7 @@
 """The document in force before the first configuration is written."""
 
 _PROPOSAL: t.Final = pydantic.TypeAdapter(schema.Proposal)
-_UNLIMITED: t.Final = resources.Demand(1 << 40, 1 << 60, 1 << 20)
+UNLIMITED: t.Final = resources.Demand(1 << 40, 1 << 60, 1 << 20)
 _HOST_MATCH_KEYS: t.Final = ("host", "rack", "failure_domain", "region")
 
 
@@ -136,7 +136,7 @@
         INVALID_CONFIG with all faults by JSON path.
     """
     proposal = settings.check(_PROPOSAL, value, errors.Kind.INVALID_CONFIG)
-    defaults = _overlay(BUILT_IN_DEFAULTS, proposal["defaults"])
+    defaults = fill_in(proposal["defaults"])
     faults = list(_find_faults(defaults, proposal["exceptions"], current, today))
     if len(msgspec.json.encode(proposal)) > _MAX_DOCUMENT_BYTES:
         faults.append(f"(whole): is over {_MAX_DOCUMENT_BYTES} bytes; shorten it")
@@ -168,7 +168,7 @@
             yield f"{path}.expires: {exemption['expires']} is in the past; remove it"
         if "drain" in exemption["set"] and "host" not in exemption["match"]:
             yield f"{path}.set.drain: needs match.host; drain one host at a time"
-        for key in _flatten(exemption["set"]):
+        for key in flatten(exemption["set"]):
             match_and_key = (*sorted(exemption["match"].items()), key)
             first = seen.setdefault(match_and_key, index)
             if first != index:
@@ -238,7 +238,7 @@
 
 def diff(old: Document, new: Document) -> list[Change]:
     """Return the differences between two documents, by path."""
-    before, after = _flatten(old.defaults), _flatten(new.defaults)
+    before, after = flatten(old.defaults), flatten(new.defaults)
     changes = [
         Change(f"defaults.{path}", before.get(path), after.get(path))
         for path in sorted(before.keys() | after.keys())
@@ -257,11 +257,12 @@
     return changes
 
 
-def _flatten(value: abc.Mapping[str, t.Any], path: str = "") -> dict[str, t.Any]:
+def flatten(value: abc.Mapping[str, t.Any], path: str = "") -> dict[str, t.Any]:
+    """Return the leaves of nested mappings by their dotted paths."""
     flat: dict[str, t.Any] = {}
     for key, part in value.items():
         if isinstance(part, dict):
-            flat |= _flatten(part, f"{path}{key}.")
+            flat |= flatten(part, f"{path}{key}.")
         else:
             flat[f"{path}{key}"] = part
     return flat
@@ -276,6 +277,11 @@
     return merged
 
 
+def fill_in(defaults: schema.Defaults) -> schema.Defaults:
+    """Return defaults with the built-in values for what they leave out."""
+    return t.cast(schema.Defaults, _overlay(BUILT_IN_DEFAULTS, defaults))
+
+
 def resolve(document: Document, subject: Subject, today: datetime.date) -> Values:
     """Return the values that apply to a subject; later exceptions take precedence."""
     merged: t.Any = _overlay(BUILT_IN_DEFAULTS, document.defaults)
@@ -299,7 +305,7 @@
 
 
 def _make_quota(quota: schema.Quota) -> resources.Demand:
-    return resources.Demand(**(_UNLIMITED._asdict() | quota))
+    return resources.Demand(**(UNLIMITED._asdict() | quota))
 
 
 def _matches(match: schema.Match, subject: Subject) -> bool:
