Evacuate failure domains in the soak

Cause: the soak's operators never emptied a failure domain. Change: agents stand in two domains, which are evacuated and returned at random; a start there later than 5 s after the evacuation breaks EVAC, and the mutant no-evacuation shows that the check sees it.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -4,7 +4,7 @@
 import time
 import typing as t
 
-from soak import cancels, disturbances, submissions
+from soak import cancels, disturbances, domains, submissions
 
 FINAL_STATES: t.Final = frozenset({"completed", "failed", "cancelled"})
 HOST_CPU_MILLI: t.Final = 64_000
@@ -63,6 +63,7 @@
         self.start_count = 0
         self.has_stepped_clocks = False
         self.disturbances = disturbances.Disturbances()
+        self.evacuations = domains.EvacuationCheck(self.disturbances)
         self._cancels = cancels.CancelCheck(self.disturbances)
         self._max_attempts = max_attempts
         self._tasks: dict[str, _Task] = {}
@@ -118,9 +119,10 @@
             self._check_against_task(state, job, what)
             self._check_against_crashes(state, job, task, host)
             self._check_against_job(job, task, what)
-            self._check_against_cancel(
-                cancels.ActiveRun(task, run, host, time.monotonic(), is_late)
-            )
+            started = cancels.ActiveRun(task, run, host, time.monotonic(), is_late)
+            self._check_against_cancel(started)
+            if why := self.evacuations.on_run_started(started):
+                self._record("EVAC", f"{what}: {why}")
             if saved and not saved.startswith(f"{task}#"):
                 self._record("UNASKED", f"{what}: checkpoint {saved}")
             state.active[run] = host
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from bilberrypass.scheduling import election
-from soak import checker, departures, lives, observing, stores, wall_clock
+from soak import checker, departures, domains, lives, observing, stores, wall_clock
 from testing import programs
 from testing.standins import link
 
@@ -23,6 +23,7 @@
 _CRASH_AGES_S: t.Final = (0.0, 0.02, 0.2, 1.0)
 _MIN_DOWN_S: t.Final = 0.4
 _MAX_DOWN_S: t.Final = 2.0
+_BOUNDS: t.Final = {"evacuation_ms": domains.EVACUATION_S * 1_000}
 
 
 class Host:
@@ -48,7 +49,13 @@
         self._is_terminating = False
         self.ip = programs.loopback_address(number)
         self.program = programs.Program(
-            role, self.ip, self.store_link.address, self._folder, self._command
+            role,
+            self.ip,
+            self.store_link.address,
+            self._folder,
+            self._command,
+            domains.domain_of(self.name),
+            _BOUNDS,
         )
         self.program.start()
 
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -5,7 +5,13 @@
 
 from bilberrypass.hosting import agent
 from bilberrypass.platform import store
-from bilberrypass.scheduling import crash_counting, election, hosts, reconciling
+from bilberrypass.scheduling import (
+    crash_counting,
+    election,
+    evacuations,
+    hosts,
+    reconciling,
+)
 
 
 def _remove_precondition() -> None:
@@ -63,6 +69,11 @@
     agent.Agent._update_info = update_other_info
 
 
+def _ignore_evacuations() -> None:
+    """Start runs in evacuated failure domains, too."""
+    evacuations.StoredEvacuations.is_evacuated = lambda self, domain: False
+
+
 _MUTATIONS: t.Final[dict[str, abc.Callable[[], None]]] = {
     "no-precondition": _remove_precondition,
     "no-lease-wait": _remove_lease_wait,
@@ -70,6 +81,7 @@
     "no-cancel-stop": _keep_cancelled_runs,
     "no-crash-count": _ignore_crashes,
     "first-capacity": _keep_first_capacity,
+    "no-evacuation": _ignore_evacuations,
 }
 NAMES: t.Final = tuple(_MUTATIONS)
 
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -13,6 +13,7 @@
     callers,
     checker,
     clock_steps,
+    evacuations,
     faults,
     hosts,
     series,
@@ -104,6 +105,12 @@
         *faults.draw_events(fleet, rng, size.duration_s),
         *crashes,
         *series.draw_faults(fleet, random.Random(f"{seed} series"), size.duration_s),
+        *evacuations.draw(
+            invariants.evacuations,
+            fleet,
+            random.Random(f"{seed} evacuations"),
+            size.duration_s,
+        ),
         *clock_steps.draw(
             invariants, fleet, random.Random(f"{seed} clocks"), size.duration_s
         ),
--- a/testing/programs.py
+++ b/testing/programs.py
@@ -40,10 +40,24 @@
         Directory of its settings file and its log.
     command : tuple of str
         Arguments of the Python interpreter, in front of the role.
+    zone : str
+        Failure domain of its host.
+    bounds : dict
+        Bounds of the platform that differ from the usual ones.
     """
 
-    def __init__(self, role, ip, store_address, folder, command=DAEMON_COMMAND):
+    def __init__(
+        self,
+        role,
+        ip,
+        store_address,
+        folder,
+        command=DAEMON_COMMAND,
+        zone="z",
+        bounds=None,
+    ):
         self._command = command
+        self._zone, self._bounds = zone, bounds or {}
         self.role, self.ip = role, ip
         self.node_name = f"{role}-{ip}"
         self.front = f"{ip}:{fixtures.free_port()}"
@@ -61,14 +75,14 @@
             listen = {"front": self.front, "ready": self.ready}
         return {
             "node_name": self.node_name,
-            "zone": "z",
+            "zone": self._zone,
             "ip_address": self.ip,
             "listen_addresses": listen,
             "internal_port_range": [
                 self._first_internal_port,
                 self._first_internal_port + 15,
             ],
-            "bounds": {"hold_max_ms": 6_000, "grace_s": 6},
+            "bounds": {"hold_max_ms": 6_000, "grace_s": 6, **self._bounds},
             "platform": {"address": store_address},
         }
 
--- a/testing/scheduling/test_evacuations.py
+++ b/testing/scheduling/test_evacuations.py
@@ -25,8 +25,7 @@
 
 
 def _return_domain(cluster):
-    with cluster.store._lock:
-        cluster.store._change(KEY, None)
+    cluster.store.remove(KEY)
 
 
 def test_nothing_starts_in_an_evacuated_domain_until_it_is_returned():
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -68,6 +68,11 @@
         with self._lock:
             self._change(key, value)
 
+    def remove(self, key):
+        """Remove a key, as the operator does."""
+        with self._lock:
+            self._change(key, None)
+
     def compact(self):
         """Discard all changes so far; a watch from before them raises HistoryLost."""
         with self._lock:
