Read the domain of a soak's host from any name with a number

Cause: read the numbers of agents and entries only, and three tests of the checker name a host h1. Change: all letters in front of the number are passed over.

--- a/soak/domains.py
+++ b/soak/domains.py
@@ -1,6 +1,7 @@
 """Failure domains, and the check that nothing starts in evacuated ones."""
 
 import math
+import string
 import time
 import typing as t
 
@@ -13,7 +14,7 @@
 
 def domain_of(name: str) -> str:
     """Return the failure domain of the host of this name, such as ``agent3``."""
-    return DOMAINS[int(name.lstrip("aegintry")) % len(DOMAINS)]
+    return DOMAINS[int(name.lstrip(string.ascii_letters)) % len(DOMAINS)]
 
 
 @t.final
