Answer 503 for changes that certainly reached no store

Cause: after a failed change an entry asks its peer first for 2 s. If that peer is down or busy, its error was raised in place of the store's, and callers got 502 although nothing had been sent. A call on a connection that was closed for a new leader counted as of unknown outcome. A change of truly unknown outcome was given up once both paths had been tried, with time left. Change: ChangePaths (changing.py) owns the two paths. Without any effect the error is STORE_DOWN; with an unknown one both paths are repeated in turn until an answer or the deadline. A peer that failed is not asked first. Conclusion: 502 is left to changes with an attempt that may take effect.

--- a/src/bilberrypass/connection/channels.py
+++ b/src/bilberrypass/connection/channels.py
@@ -156,8 +156,8 @@
         ------
         errors.Error
             The error that the peer returned; PEER_UNREACHABLE with ``ran`` "no" if
-            no connection could be made; otherwise PEER_UNREACHABLE or ANSWER_LOST
-            with ``ran`` "unknown".
+            no connection could be made, or it was closed before the call; otherwise
+            PEER_UNREACHABLE or ANSWER_LOST with ``ran`` "unknown".
         """
         conn = self._conn
         try:
@@ -170,6 +170,7 @@
             error = errors.Error(
                 errors.Kind.PEER_UNREACHABLE,
                 f"the connection to {self.address} was closed; try again",
+                ran=errors.Ran.NO,
             )
         raise error
 
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -11,7 +11,7 @@
 from bilberrypass.connection import channels
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
-    circuit_breaker,
+    changing,
     election,
     intake,
     jobs,
@@ -29,10 +29,6 @@
 # covers the peer's own query of at most _STATUS_READ_TIMEOUT_S and the round trip
 _PEER_STATUS_TIMEOUT_S: t.Final = 1.2
 _PEER_ADDRESS_MAX_AGE_S: t.Final = 60.0
-# of the time left to a caller; the rest is for a call of a peer, usually the leader
-_LOCAL_ATTEMPT_SHARE: t.Final = 0.45
-_PEER_FIRST_PERIOD_S: t.Final = 2.0  # after a failed change
-_PEER_FIRST_TIMEOUT_S: t.Final = 1.0
 _STOP_GRACE_S: t.Final = 1.0
 
 T = t.TypeVar("T")
@@ -80,7 +76,7 @@
         self._scheduler: scheduler.Scheduler | None = None
         self._lock = threading.Lock()
         self._peer: channels.Peer | None = None
-        self._peer_first_until = 0.0
+        self._paths = changing.ChangePaths()
         self._peers_seen_at: dict[str, float] = {}
         self._election = election.Election(
             store, name, peer_address, self, candidacy_delay_s
@@ -188,33 +184,12 @@
         if not address:
             return change_locally(deadline)
         peer = self._peer_at(address)
-        local_deadline = clock.now() + (deadline - clock.now()) * _LOCAL_ATTEMPT_SHARE
-        attempts: list[abc.Callable[[], T]] = [
-            lambda: change_locally(local_deadline),
-            lambda: change_remotely(peer, deadline - clock.now()),
-        ]
-        if clock.now() < self._peer_first_until:
-            peer_deadline = min(deadline, clock.now() + _PEER_FIRST_TIMEOUT_S)
-            attempts = [
-                lambda: change_remotely(peer, peer_deadline - clock.now()),
-                lambda: change_locally(deadline),
-            ]
-        failure: errors.Error | None = None
-        for attempt in attempts:
-            if (
-                failure is not None
-                and deadline - clock.now() < circuit_breaker.MIN_WRITE_TIME_S
-            ):
-                break
-            try:
-                return attempt()
-            except errors.Error as exc:
-                self._peer_first_until = clock.now() + _PEER_FIRST_PERIOD_S
-                decisions.record("change.failed", helper=address, why=str(exc))
-                if failure is None or not _has_no_effect(exc):
-                    failure = exc
-        assert failure is not None
-        raise failure
+        return self._paths.change(
+            change_locally,
+            lambda until: change_remotely(peer, until - clock.now()),
+            deadline,
+            address,
+        )
 
     @property
     def _config_version(self) -> int:
@@ -370,10 +345,3 @@
 ) -> t.Any:
     """Call another entry to make a change within the request's ``time_left_s``."""
     return peer.call(method, req, time.monotonic() + req.time_left_s)
-
-
-def _has_no_effect(exc: errors.Error) -> bool:
-    """Return whether a failed change certainly had no effect."""
-    if exc.kind is errors.Kind.STORE_UNCERTAIN:
-        return False
-    return exc.kind is errors.Kind.STORE_DOWN or exc.ran is errors.Ran.NO
--- a/testing/connection/test_channels.py
+++ b/testing/connection/test_channels.py
@@ -57,6 +57,14 @@
     return messages.RevokeResponse(True)
 
 
+def test_call_on_a_closed_connection_ran_nothing():
+    """A caller's change was uncertain though not sent: its entry had a new leader."""
+    with _server(_accept) as server:
+        peer = channels.Peer(server.address)
+        peer.close()
+        assert _failure(peer).ran is errors.Ran.NO
+
+
 def test_refused_connection_ran_nothing():
     with _peer(f"127.0.0.1:{fixtures.free_port()}") as peer:
         for _ in range(3):
--- a/testing/scheduling/test_entry.py
+++ b/testing/scheduling/test_entry.py
@@ -60,6 +60,22 @@
         assert exc.kind is errors.Kind.STORE_UNCERTAIN, exc
 
 
+def test_change_that_reached_no_store_is_never_uncertain():
+    """Callers got 502 although nothing was sent (mod-prix, store resets all calls).
+
+    After a failed change the peer is asked first, and it had ended.
+    """
+    with _entries() as ((leader, follower), connections, _):
+        connections[1].is_cut = True
+        leader.stop()
+        leader._server.stop(0.0)
+        for _ in range(3):
+            exc = fixtures.error_of(
+                errors.Error, follower.submit, _job(), clock.now() + 1.0
+            )
+            assert exc.kind is errors.Kind.STORE_DOWN, exc
+
+
 def test_status_is_read_from_the_store_without_a_leader():
     with _entries() as ((leader, follower), _, _):
         follower.submit(_job(), clock.now() + 2)
