Probe before writes that follow an older answer, and hold nobody for a probe

Cause: a write was sent without a probe for 0.25 s after an answer of the store, so the writes of the first 0.25 s of an outage ended as unknown. In an outage each caller waited for another caller's probe, up to its own deadline. One lost answer to a probe refused all callers for 0.25 s. The first failed probe is repeated once; in a known outage one caller probes and the others are refused at once. The outage's age is kept (StoreHealth), and logged once at its end. Conclusion: fewer writes of unknown outcome, for one more read ahead of most writes; refusals in a known outage are immediate.

--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -34,6 +34,11 @@
         self._store = store
         self._breaker = circuit_breaker.CircuitBreaker(store)
 
+    @property
+    def outage_age_s(self) -> float:
+        """How long the store has failed as this process sees it, 0 if it works."""
+        return self._breaker.outage_age_s
+
     def submit(self, job: jobs.Job, deadline: float) -> bool:
         """Store a job and return whether it is new; idempotent by the job's id.
 
@@ -58,7 +63,8 @@
                     key, value, min(deadline, clock.now() + _WRITE_ATTEMPT_TIMEOUT_S)
                 )
             except errors.Error as exc:
-                decisions.record("create.failed", key=key, why=str(exc))
+                if uncertain is None:
+                    decisions.record("create.failed", key=key, why=str(exc))
                 if exc.kind is errors.Kind.STORE_UNCERTAIN:
                     uncertain = exc
                 elif uncertain is None:
--- a/testing/scheduling/test_circuit_breaker.py
+++ b/testing/scheduling/test_circuit_breaker.py
@@ -5,18 +5,22 @@
 
 from bilberrypass import clock, errors
 from bilberrypass.scheduling import circuit_breaker, intake, jobs
-from testing import collecting, fixtures
+from testing import collecting, events, fixtures
 from testing.standins import keyvalues
 
 _CALLER_TIMEOUT_S = 1.5
 
 
 class SilentStore(keyvalues.Store):
-    """Does not respond while ``is_silent``; calls block until their deadlines."""
+    """Does not respond while ``is_silent``; calls block until their deadlines.
+
+    ``lose_reads`` is the number of coming reads without an answer.
+    """
 
     def __init__(self):
         super().__init__()
         self.is_silent = False
+        self.lose_reads = 0
 
     def _wait(self, deadline):
         if self.is_silent:
@@ -25,6 +29,9 @@
 
     def get(self, key, deadline):
         self._wait(deadline)
+        if self.lose_reads:
+            self.lose_reads -= 1
+            raise errors.Error(errors.Kind.STORE_UNCERTAIN, "answer lost")
         return super().get(key, deadline)
 
     def commit(self, expected, puts, deadline, removed=()):
@@ -141,6 +148,62 @@
     probing.join()
 
 
+def test_write_just_after_a_response_is_preceded_by_a_probe():
+    """Writes within 0.25 s of a response went into a new outage and ended as 502."""
+    store = SilentStore()
+    submissions = intake.Submissions(store)
+    submissions.submit(_job(1), clock.now() + 1)
+    time.sleep(0.1)
+    store.is_silent = True
+    assert _submit(submissions, 2)[0] is errors.Kind.STORE_DOWN
+    assert store.calls.count("commit") == 1
+
+
+def test_one_lost_answer_to_a_probe_is_no_outage():
+    store = SilentStore()
+    store.lose_reads = 1
+    assert _submit(intake.Submissions(store), 1)[0] is None
+
+
+def test_callers_in_an_outage_do_not_wait_for_the_probe_of_another():
+    """Each waited for the lock of the probe, up to its own deadline."""
+    store = SilentStore()
+    store.is_silent = True
+    submissions = intake.Submissions(store)
+    _submit(submissions, 0)
+    time.sleep(0.3)  # a new probe is due
+    outcomes = []
+    threads = [
+        threading.Thread(target=lambda n=n: outcomes.append(_submit(submissions, n)))
+        for n in range(1, 13)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert {kind for kind, _ in outcomes} == {errors.Kind.STORE_DOWN}
+    waits = sorted(wait_s for _, wait_s in outcomes)
+    assert waits[-2] < 0.25 and waits[-1] < 0.6, waits
+
+
+def test_outage_is_logged_once():
+    store = SilentStore()
+    submissions = intake.Submissions(store)
+    with events.recorded() as recorded:
+        submissions.submit(_job(1), clock.now() + 1)
+        store.is_silent = True
+        time.sleep(0.1)
+        for _ in fixtures.polls(1.5):
+            _submit(submissions, 2)
+        assert submissions.outage_age_s > 1.5
+        store.is_silent = False
+        fixtures.wait_until(lambda: _submit(submissions, 3)[0] is None, 2.0, "success")
+    assert len(recorded.named("store.silent")) == 1
+    (ended,) = recorded.named("store.responds")
+    assert ended["refused"] > 1 and ended["lost_s"] > 1.5
+    assert submissions.outage_age_s == 0.0
+
+
 def test_slow_store_does_not_open_the_breaker():
     """Calls of 240 ms each must not be taken for an outage."""
     store = SilentStore()
