Tell callers that an outage refuses when to return, in order

Cause: a STORE_DOWN refusal carried a constant Retry-After of 1 s with jitter, rounded up to 2 s, whatever the age of the outage and the caller's patience. Change: the entry's front assigns the wait of retry_advice by the outage's age and the caller's Time-Remaining; errors.Deferred carries it unchanged to the answer. Other refusals keep their jitter. Measured: platform.test_front, platform.test_programs, interface.test_operators, observing.test_decisions and scheduling.test_entry pass.

--- a/src/bilberrypass/connection/problems.py
+++ b/src/bilberrypass/connection/problems.py
@@ -26,7 +26,8 @@
 def build_problem(exc: errors.Error) -> Problem:
     """Return the HTTP response to an error, and count it in the metrics.
 
-    ``Retry-After`` has random jitter, so that callers do not retry together.
+    ``Retry-After`` has random jitter, so that callers do not retry together, unless it
+    was assigned to this caller.
     """
     metrics.count(metrics.Name.REFUSALS, exc.kind)
     response = errors.RESPONSES[exc.kind]
@@ -44,7 +45,7 @@
         content["changed"] = exc.changed
     headers = [("Content-Type", CONTENT_TYPE)]
     if exc.retry_helps:
-        headers.append(("Retry-After", _retry_after(exc.retry_after_s)))
+        headers.append(("Retry-After", _retry_after(exc)))
     if exc.kind in _BODY_UNREAD_KINDS:
         # The unread part of the body would be read as the next request.
         headers.append(("Connection", "close"))
@@ -55,7 +56,9 @@
     return Problem(response.status, headers, body)
 
 
-def _retry_after(base_s: float | None) -> str:
+def _retry_after(exc: errors.Error) -> str:
+    base_s = exc.retry_after_s
     base_s = _DEFAULT_RETRY_AFTER_S if base_s is None else base_s
-    jittered_s = base_s * (1.0 + _RETRY_AFTER_JITTER * random.random())
-    return str(max(1, math.ceil(jittered_s)))
+    if not isinstance(exc, errors.Deferred):
+        base_s *= 1.0 + _RETRY_AFTER_JITTER * random.random()
+    return str(max(1, math.ceil(base_s)))
--- a/src/bilberrypass/errors.py
+++ b/src/bilberrypass/errors.py
@@ -149,6 +149,23 @@
     """The receiver rejected the request without any effect; ``detail`` says why."""
 
 
+class Deferred(Refused):
+    """A refusal whose ``retry_after_s`` was assigned to this caller and is sent as is.
+
+    Parameters
+    ----------
+    kind : Kind
+        The error's code; ``ran`` is NO.
+    detail : str
+        Names the cause and the remedy.
+    wait_s : int
+        Seconds after which the caller should return.
+    """
+
+    def __init__(self, kind: Kind, detail: str, wait_s: int) -> None:
+        super().__init__(kind, detail, ran=Ran.NO, retry_after_s=wait_s)
+
+
 class Invalid(Error):
     """Invalid input, with all its faults and their JSON paths.
 
--- a/src/bilberrypass/platform/front.py
+++ b/src/bilberrypass/platform/front.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers: submission, status and cancellation of jobs."""
 
 import collections.abc as abc
+import contextlib
 import re
 import time
 import typing as t
@@ -11,7 +12,7 @@
 
 from bilberrypass import clock, decoding, errors
 from bilberrypass.connection import problems
-from bilberrypass.scheduling import entry, jobs, queues
+from bilberrypass.scheduling import entry, jobs, queues, retry_advice
 
 _log = logbook.Logger("front")
 
@@ -28,6 +29,11 @@
 _requests = prometheus.Counter(
     "bilberrypass_requests", "Callers' requests", ["method", "status"]
 )
+_retry_after_seconds = prometheus.Histogram(
+    "bilberrypass_retry_after_seconds",
+    "Retry-After of refusals in an outage of the store",
+    buckets=(1, 2, 3, 4, 5),
+)
 
 
 class _Step(msgspec.Struct):
@@ -133,6 +139,7 @@
 
     def __init__(self, served: entry.Entry) -> None:
         self._entry = served
+        self._returns = retry_advice.ReturnSchedule()
         self.is_leaving = False
 
     def __call__(self, environ: dict[str, t.Any], start: t.Any) -> list[bytes]:
@@ -173,7 +180,8 @@
             raise errors.Refused(
                 errors.Kind.NOT_FOUND, f"no queue is configured at {path[:80]}"
             )
-        deadline = clock.now() + _time_left_s(environ) - _RESPONSE_MARGIN_S
+        patience_s = _time_left_s(environ)
+        deadline = clock.now() + patience_s - _RESPONSE_MARGIN_S
         id = path.removeprefix(route.prefix)
         if not id and method == "GET":
             waiting = self._entry.count_waiting(
@@ -188,7 +196,9 @@
             _check_queue_supported(route)
             body = _read_body(environ, table.config.limits.max_body_bytes)
             name = queues.queue_name(route.host, route.prefix)
-            _apply_change(self._entry.submit, read_job(id, name, body), deadline)
+            job = read_job(id, name, body)
+            with self._caller_errors(patience_s):
+                self._entry.submit(job, deadline)
             return _json_response(200, {})
         if method == "GET":
             status = self._entry.status(id, deadline)
@@ -198,23 +208,32 @@
                 else _json_response(410, {})
             )
         if method == "DELETE":
-            return _json_response(
-                200 if _apply_change(self._entry.cancel, id, deadline) else 410, {}
-            )
+            with self._caller_errors(patience_s):
+                is_known = self._entry.cancel(id, deadline)
+            return _json_response(200 if is_known else 410, {})
         raise errors.Refused(
             errors.Kind.METHOD_NOT_ALLOWED, f"{method}: use POST, GET or DELETE"
         )
 
+    @contextlib.contextmanager
+    def _caller_errors(self, patience_s: float) -> abc.Iterator[None]:
+        """Raise the error to answer with, if a change in this context fails.
 
-T = t.TypeVar("T")
-
-
-def _apply_change(call: abc.Callable[..., T], *args: t.Any) -> T:
-    """Make a change; a raised error shows whether the change may be stored."""
-    try:
-        return call(*args)
-    except errors.Error as exc:
-        raise _as_caller_error(exc) from exc
+        That is 502 if the change may have been stored: callers rely on 429 and 503 to
+        mean that nothing was.
+        """
+        try:
+            yield
+        except errors.Error as exc:
+            if exc.kind is errors.Kind.STORE_UNCERTAIN or exc.ran is errors.Ran.UNKNOWN:
+                raise errors.Error(errors.Kind.ANSWER_LOST, exc.detail) from exc
+            if exc.kind is not errors.Kind.STORE_DOWN:
+                raise
+            wait_s = self._returns.assign(
+                clock.now(), self._entry.store_outage_age_s, patience_s
+            )
+            _retry_after_seconds.observe(wait_s)
+            raise errors.Deferred(exc.kind, exc.detail, wait_s) from exc
 
 
 def _check_queue_supported(route: queues.Route) -> None:
@@ -228,16 +247,6 @@
         )
 
 
-def _as_caller_error(exc: errors.Error) -> errors.Error:
-    """Return the error to answer with: 502 if the change may have been stored.
-
-    Callers rely on 429 and 503 to mean that nothing was stored.
-    """
-    if exc.kind is errors.Kind.STORE_UNCERTAIN or exc.ran is errors.Ran.UNKNOWN:
-        return errors.Error(errors.Kind.ANSWER_LOST, exc.detail)
-    return exc
-
-
 def _json_response(status: int, content: t.Any) -> _Response:
     return _Response(status, msgspec.json.encode(content))
 
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -114,6 +114,11 @@
         """The configuration in force; None until one has been read."""
         return self._config.table
 
+    @property
+    def store_outage_age_s(self) -> float:
+        """How long the store has failed as this entry sees it, 0 if it works."""
+        return self._submissions.outage_age_s
+
     def on_elected(self, epoch: int) -> None:
         """Start a scheduler, after this process was elected with an epoch."""
         with self._lock:
