Measure what fillers take from services as margin, by share of the host

Cause: effects were estimated for each core and in the logarithm of the latency, so estimates mixed hosts of different size, and a service's own load showed as an effect. Change: the margin (target / latency) of a service falls with the fillers' share of the host; the own margin is measured at the step's other tasks and forecast; fillers start where it lasts as long as they run.

--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -9,18 +9,19 @@
 FULL_PACE_PERCENT: t.Final = 100
 
 _CHANGE_INTERVAL_S: t.Final = 0.55  # a latency measurement covers half a second
-# Share of the latency target above which fillers are slowed; the rest is headroom
-# for a rise within the next half second.
-_SLOW_ABOVE_RATIO: t.Final = 0.85
-# Share of the latency target below which fillers are raised.
-_RAISE_BELOW_RATIO: t.Final = 0.78
-_STOP_FROM_RATIO: t.Final = 2.0  # latency / target from which all fillers are stopped
+# Margin (target / latency) below which fillers are slowed; the rest is headroom for a
+# rise of the load within the next half second.
+_SLOW_BELOW_MARGIN: t.Final = 1.22
+_RAISE_ABOVE_MARGIN: t.Final = 1.32
+_STOP_BELOW_MARGIN: t.Final = 0.5  # margin below which all fillers are stopped
 # Time over the target after which all fillers are stopped: two measurements after
 # the first cut.
 _STOP_AFTER_S: t.Final = 1.5
 _CUT_OVERSHOOT: t.Final = 1.2  # cuts are a little larger than the estimate requires
-_RAISE_HEADROOM_SHARE: t.Final = 0.6  # part of the headroom that one increase may use
+_RAISE_HEADROOM_SHARE: t.Final = 0.7  # part of the headroom that one increase may use
 _MIN_RAISE_PERCENT: t.Final = 10  # percentage points
+# Of a pair that the scheduler has not told about, on a host of 16 cores.
+_PRIOR_LOSS_PER_CORE: t.Final = interference.PRIOR_LOSS / 16
 
 
 class ServiceLatency(t.NamedTuple):
@@ -31,9 +32,14 @@
     target_ms: int
 
     @property
-    def log_headroom(self) -> float:
-        """The logarithm of the factor by which the latency may still rise."""
-        return math.log(_SLOW_ABOVE_RATIO * self.target_ms / max(1, self.latency_ms))
+    def margin(self) -> float:
+        """The target divided by the latency: 1 at the target, less above it."""
+        return self.target_ms / max(1, self.latency_ms)
+
+    @property
+    def headroom(self) -> float:
+        """The margin that fillers may still take; negative if they took too much."""
+        return self.margin - _SLOW_BELOW_MARGIN
 
 
 class Filler(t.NamedTuple):
@@ -75,19 +81,19 @@
         services, fillers : sequence
             Services with a measured latency, and running fillers, of the host.
         estimates : mapping
-            Estimated rise of the latency's logarithm per filler core, by the
-            images of the service and of the filler.
+            Expected loss of a service's margin per filler core, by the images of
+            the service and of the filler.
         now : float
             Time on ``clock.now``, in seconds.
         """
-        worst_ratio = max((s.latency_ms / s.target_ms for s in services), default=0.0)
-        if worst_ratio < 1.0:
+        least_margin = min((s.margin for s in services), default=math.inf)
+        if least_margin > 1.0:
             self._over_target_since = None
         elif self._over_target_since is None:
             self._over_target_since = now
         if not fillers or now - self._changed_at < _CHANGE_INTERVAL_S:
             return {}
-        paces = self._next_paces(worst_ratio, services, fillers, estimates, now)
+        paces = self._next_paces(least_margin, services, fillers, estimates, now)
         changed = {f.key: paces[f.key] for f in fillers if paces[f.key] != f.pace}
         if changed:
             self._changed_at = now
@@ -95,7 +101,7 @@
 
     def _next_paces(
         self,
-        worst_ratio: float,
+        least_margin: float,
         services: abc.Sequence[ServiceLatency],
         fillers: abc.Sequence[Filler],
         estimates: InterferenceEstimates,
@@ -104,20 +110,20 @@
         over_target_s = (
             0.0 if self._over_target_since is None else now - self._over_target_since
         )
-        if worst_ratio >= _STOP_FROM_RATIO or over_target_s > _STOP_AFTER_S:
+        if least_margin <= _STOP_BELOW_MARGIN or over_target_s > _STOP_AFTER_S:
             return {filler.key: 0 for filler in fillers}
-        if worst_ratio > _SLOW_ABOVE_RATIO:
+        if least_margin < _SLOW_BELOW_MARGIN:
             return _cut_paces(services, fillers, estimates)
-        if worst_ratio < _RAISE_BELOW_RATIO:
+        if least_margin > _RAISE_ABOVE_MARGIN:
             return _raise_paces(services, fillers, estimates)
         return {filler.key: filler.pace for filler in fillers}
 
 
-def _latency_rise(
+def _lost_margin(
     estimates: InterferenceEstimates, service: ServiceLatency, filler: Filler
 ) -> float:
-    """Return the rise of the log latency that a filler causes at full pace."""
-    per_core = estimates.get((service.image, filler.image), interference.PRIOR_PER_CORE)
+    """Return the margin that a filler takes from a service at full pace."""
+    per_core = estimates.get((service.image, filler.image), _PRIOR_LOSS_PER_CORE)
     return per_core * filler.cores
 
 
@@ -129,15 +135,15 @@
     """Return paces cut per service over the limit, most interfering filler first."""
     paces = {filler.key: filler.pace for filler in fillers}
     for service in services:
-        excess = -service.log_headroom * _CUT_OVERSHOOT
-        ranked = sorted(fillers, key=lambda f: -_latency_rise(estimates, service, f))
+        excess = -service.headroom * _CUT_OVERSHOOT
+        ranked = sorted(fillers, key=lambda f: -_lost_margin(estimates, service, f))
         for filler in ranked:
             if excess <= 0:
                 break
-            rise = _latency_rise(estimates, service, filler)
-            cut = min(paces[filler.key], math.ceil(FULL_PACE_PERCENT * excess / rise))
+            loss = _lost_margin(estimates, service, filler)
+            cut = min(paces[filler.key], math.ceil(FULL_PACE_PERCENT * excess / loss))
             paces[filler.key] -= cut
-            excess -= rise * cut / FULL_PACE_PERCENT
+            excess -= loss * cut / FULL_PACE_PERCENT
     return paces
 
 
@@ -148,12 +154,12 @@
 ) -> dict[tuple[str, int], int]:
     """Return raised paces within the headroom, least interfering filler first."""
     paces = {filler.key: filler.pace for filler in fillers}
-    headrooms = [service.log_headroom * _RAISE_HEADROOM_SHARE for service in services]
+    headrooms = [service.headroom * _RAISE_HEADROOM_SHARE for service in services]
 
-    def largest_rise(filler: Filler) -> float:
-        return max((_latency_rise(estimates, s, filler) for s in services), default=0.0)
+    def largest_loss(filler: Filler) -> float:
+        return max((_lost_margin(estimates, s, filler) for s in services), default=0.0)
 
-    for filler in sorted(fillers, key=largest_rise):
+    for filler in sorted(fillers, key=largest_loss):
         increase = FULL_PACE_PERCENT - paces[filler.key]
         for service, headroom in zip(services, headrooms, strict=True):
             increase = min(
@@ -161,7 +167,7 @@
                 int(
                     FULL_PACE_PERCENT
                     * headroom
-                    / _latency_rise(estimates, service, filler)
+                    / _lost_margin(estimates, service, filler)
                 ),
             )
         if increase < min(_MIN_RAISE_PERCENT, FULL_PACE_PERCENT - paces[filler.key]):
@@ -169,7 +175,7 @@
         paces[filler.key] += increase
         headrooms = [
             headroom
-            - _latency_rise(estimates, service, filler) * increase / FULL_PACE_PERCENT
+            - _lost_margin(estimates, service, filler) * increase / FULL_PACE_PERCENT
             for service, headroom in zip(services, headrooms, strict=True)
         ]
     return paces
--- a/src/bilberrypass/scheduling/estimate_publishing.py
+++ b/src/bilberrypass/scheduling/estimate_publishing.py
@@ -2,7 +2,14 @@
 
 import typing as t
 
-from bilberrypass.scheduling import committing, hosts, interference, keyvalue, messages
+from bilberrypass.scheduling import (
+    committing,
+    hosts,
+    interference,
+    jobs,
+    keyvalue,
+    messages,
+)
 
 _SEND_INTERVAL_S: t.Final = 1.0
 _STORE_INTERVAL_S: t.Final = 4.0
@@ -30,8 +37,12 @@
             return []
         host.estimates_sent_at = now
         tasks = list(host.tasks.values())
-        images = {task.step.image for task in tasks if task.step.is_service}
-        return self._estimates.rows_of_services(images)
+        services = {task.step.image for task in tasks if task.step.is_service}
+        fillers = {task.step.image for task in tasks if task.step.is_filler}
+        if host.runner is None or not services:
+            return []
+        cores = host.runner.cpu_milli / jobs.MILLI_PER_CORE
+        return self._estimates.rows_of(services, fillers, cores)
 
     def put_if_due(self, now: float) -> keyvalue.Put | None:
         """Return the write of all estimates for the next leader, or None if not due."""
--- a/src/bilberrypass/scheduling/host_figures.py
+++ b/src/bilberrypass/scheduling/host_figures.py
@@ -1,24 +1,37 @@
 """Updates the interference estimates from the figures that a host reports."""
 
-from bilberrypass.scheduling import hosts, interference, jobs, state
+import math
+
+from bilberrypass.scheduling import hosts, interference, service_loads, state
 
 
 def update_estimates(host: hosts.Host, estimates: interference.Estimates) -> None:
-    """Update the estimates and the trends of services from a host's latest report."""
-    services: dict[str, tuple[str, float]] = {}
-    cores: dict[str, float] = {}
-    trends: list[state.Task] = []
+    """Update the estimates and the loads of services from a host's latest report."""
+    if not host.service_count or host.runner is None:
+        host.filler_shares = {}
+        return
+    now, cores = host.reported_at, host.runner.cpu_milli
+    shares: dict[str, float] = {}  # in use
+    recent = dict(host.filler_shares)  # in use now, lately or from now on
+    services: list[state.Task] = []
     for task in host.tasks.values():
         step = task.step
         if step.latency_target_ms and task.figure:
-            services[str(task.key)] = step.image, float(task.figure)
-            trends.append(task)
-        elif step.is_filler:
-            used = task.figure / jobs.MILLI_PER_CORE
-            cores[step.image] = cores.get(step.image, 0.0) + used
-    for task in trends:
-        rise = sum(estimates.per_core(task.step.image, f) * x for f, x in cores.items())
-        task.trend.observe(host.reported_at, task.figure, rise)
-    if services:
-        sample = interference.Sample(host.reported_at, services, cores)
-        host.sample = interference.update_from_samples(estimates, host.sample, sample)
+            services.append(task)
+        elif step.is_filler and task.figure:
+            shares[step.image] = shares.get(step.image, 0.0) + task.figure / cores
+        elif step.is_filler and task.phase is state.Phase.RUNNING and task.pace:
+            recent[step.image] = recent.get(step.image, 0.0) + step.cpu_milli / cores
+    for image, share in shares.items():
+        recent[image] = max(recent.get(image, 0.0), share)
+    host.filler_shares = shares
+    for task in services:
+        image, margin = task.step.image, task.step.latency_target_ms / task.figure
+        load = estimates.loads.of(service_loads.step_key(task.key))
+        lost = estimates.lost_margin(image, shares)
+        load.observe(now, margin, lost, estimates.lost_margin(image, recent))
+        if shares:
+            own = load.measure(now)
+            sd = 1.0 / math.sqrt(own.weight)
+            estimates.observe_margin(image, own.margin, margin, shares, sd)
+    estimates.loads.forget_idle(now)
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -7,7 +7,7 @@
 
 from bilberrypass import crash_limits
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import interference, jobs, messages, state, stragglers
+from bilberrypass.scheduling import filler_room, jobs, messages, state, stragglers
 
 _MIN_AVOIDANCE_S = 1.0  # after one failure; healthy hosts also have single failures
 _MAX_AVOIDANCE_S = 8.0
@@ -40,6 +40,8 @@
     ``challenge`` is to be returned by an agent that is not known to be the newest one;
     it is empty after each report that counts. ``crash`` is set while the runner is
     down. ``has_untracked_runs`` is set while runs of unknown demand are being stopped.
+    ``filler_shares`` are the shares of its cores that fillers used by the last report,
+    by image.
     ``last_start_at`` is when a run was last assigned, ``suspect_starts`` are the latest
     times for tasks that may crash their runner.
     """
@@ -74,7 +76,8 @@
         self.service_cpu = 0
         self.estimates_sent_at = 0.0
         self.stuck_ends_logged_at = 0.0
-        self.sample: interference.Sample | None = None
+        self.filler_shares: dict[str, float] = {}
+        self.filler_room = filler_room.Room()
         self.step_counts: dict[StepKey, int] = {}
         self.failures = 0.0
         self.avoid_until = 0.0
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -1,32 +1,46 @@
-"""Estimates how much fillers of one image slow down services of another."""
+"""Estimates how much fillers of one image slow down services of another.
+
+The margin of a service is its latency target divided by its latency. A latency goes
+with 1 / (1 - utilisation), so the margin falls linearly with the service's own load
+and with the share of the host's cores that fillers use.
+"""
 
 import collections.abc as abc
+import itertools
 import math
 import typing as t
 
 import msgspec
+import prometheus_client as prometheus
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import messages
-
-# Without observations, a filler of 7 cores is expected to add a seventh to the latency.
-PRIOR_PER_CORE: t.Final = 0.02
-_PRIOR_SD_PER_CORE: t.Final = 0.03
-# A service's own load changes the logarithm of its latency this much in half a second.
-_LOG_NOISE_SD: t.Final = 0.15
-_DRIFT_SD_PER_SAMPLE: t.Final = 0.002  # images change their behaviour slowly
-_MIN_PER_CORE: t.Final = 0.005
-_MAX_PER_CORE: t.Final = 0.4
-_MIN_GAP_S: t.Final = 0.45  # a figure of the runner covers half a second
-_MAX_GAP_S: t.Final = 1.6
-_TREND_SMOOTHING_S: t.Final = 1.5  # smooths the noise of single figures
-_MAX_TREND_RISE: t.Final = 0.7  # logarithm of the latency: about twice the latency
+from bilberrypass.scheduling import messages, service_loads
+
+# Without observations, a filler on a sixteenth of a host takes a third of the target
+# as margin.
+PRIOR_LOSS: t.Final = 5.0
+_PRIOR_SD: t.Final = 5.0
+_PAIR_SD_SHARE: t.Final = 0.7  # of a pair whose images are known from others
+_MARGIN_NOISE_SD: t.Final = 0.25
+_DRIFT_SD: t.Final = 0.15  # images change their behaviour within seconds
+_SATURATED_MARGIN: t.Final = 0.35  # below it the latency hardly shows the utilisation
+_MIN_LOSS: t.Final = 0.2
+_MAX_LOSS: t.Final = 40.0
+_MIN_SHARE: t.Final = 0.005  # of the host's cores
+_MIN_INFORMATION: t.Final = 0.5  # share of the prior variance that is resolved
+_PRIOR_WEIGHT: t.Final = 1.0  # in pairs
+_RELATE_INTERVAL: t.Final = 40  # observations
 
 Pair = tuple[str, str]
 
+_unreadable_records = prometheus.Counter(
+    "bilberrypass_interference_unreadable",
+    "Stored interference estimates that could not be read",
+)
+
 
 class Estimate(t.NamedTuple):
-    """Rise of the logarithm of a latency per core of a filler."""
+    """Loss of a service's margin if fillers used all cores of its host."""
 
     mean: float
     variance: float
@@ -34,74 +48,135 @@
 
 @t.final
 class Estimates:
-    """Estimates interference from latency changes when fillers on the host change.
+    """Estimates interference from the margins of services with and without fillers.
 
     Needed for bursts of batch work beside services: only measurements show which
-    pairs of images may share a host, and only a few pairs interfere.
-    A Kalman filter with a diagonal covariance and one state per pair.
+    pairs of images may share a host. A Kalman filter with a diagonal covariance and
+    one state per pair; a new pair starts from what is known of its two images.
+
+    ``loads`` holds the own loads of the services.
     """
 
     def __init__(self) -> None:
+        self.loads = service_loads.Loads()
         self._pairs: dict[Pair, Estimate] = {}
+        self._service_levels: dict[str, float] = {}
+        self._filler_levels: dict[str, float] = {}
+        self._observations = 0
 
-    def per_core(self, service: str, filler: str) -> float:
-        """Return the expected rise of the log latency per core, always above zero."""
+    def loss(self, service: str, filler: str) -> float:
+        """Return the expected loss of margin at a full host, always above zero."""
         found = self._pairs.get((service, filler))
-        return (
-            PRIOR_PER_CORE
-            if found is None
-            else min(_MAX_PER_CORE, max(_MIN_PER_CORE, found.mean))
-        )
+        mean = self._prior(service, filler).mean if found is None else found.mean
+        return min(_MAX_LOSS, max(_MIN_LOSS, mean))
 
     def observe(
-        self, service: str, before_ms: float, after_ms: float, cores: dict[str, float]
+        self,
+        service: str,
+        lost_margin: float,
+        shares: dict[str, float],
+        own_sd: float = 0.0,
     ) -> None:
-        """Update the estimates from a change of a latency and changes of the fillers.
+        """Update the estimates from a margin that fillers have taken from a service.
 
         Parameters
         ----------
         service : str
             Image of the service.
-        before_ms, after_ms : float
-            Its tail latency in two samples about half a second apart.
-        cores : dict of str to float
-            Change of the cores in use by fillers, by image.
+        lost_margin : float
+            Its margin without fillers, less its margin.
+        shares : dict of str to float
+            Share of the host's cores that fillers used, 0 to 1, by image.
+        own_sd : float
+            Standard deviation of the margin without fillers.
         """
-        changed = {image: x for image, x in cores.items() if abs(x) > 0.2}
-        if not changed or before_ms <= 0 or after_ms <= 0:
+        used = {image: x for image, x in shares.items() if x > _MIN_SHARE}
+        if not used:
             return
-        prior = Estimate(PRIOR_PER_CORE, _PRIOR_SD_PER_CORE**2)
-        estimates = {f: self._pairs.get((service, f), prior) for f in changed}
-        expected = sum(estimates[f].mean * x for f, x in changed.items())
-        error = math.log(after_ms / before_ms) - expected
-        total_variance = _LOG_NOISE_SD**2 + sum(
-            estimates[f].variance * x * x for f, x in changed.items()
+        found = {
+            f: self._pairs.get((service, f)) or self._prior(service, f) for f in used
+        }
+        total_variance = (
+            _MARGIN_NOISE_SD**2
+            + own_sd**2
+            + sum(found[f].variance * x * x for f, x in used.items())
         )
-        for filler, x in changed.items():
-            mean, variance = estimates[filler]
+        error = lost_margin - sum(found[f].mean * x for f, x in used.items())
+        for filler, x in used.items():
+            mean, variance = found[filler]
             gain = variance * x / total_variance
             self._pairs[service, filler] = Estimate(
-                mean + gain * error,
-                variance * (1.0 - gain * x) + _DRIFT_SD_PER_SAMPLE**2,
+                min(_MAX_LOSS, max(0.0, mean + gain * error)),
+                variance * (1.0 - gain * x) + _DRIFT_SD**2,
             )
+        self._observations += 1
+        if self._observations % _RELATE_INTERVAL == 0:
+            self._update_levels()
+
+    def observe_margin(
+        self,
+        service: str,
+        own_margin: float,
+        margin: float,
+        shares: dict[str, float],
+        own_sd: float = 0.0,
+    ) -> None:
+        """Update the estimates from a margin, with and without the fillers' effect."""
+        lost = own_margin - margin
+        if margin < _SATURATED_MARGIN:
+            lost = max(lost, self.lost_margin(service, shares))  # only a lower bound
+        self.observe(service, lost, shares, own_sd)
+
+    def lost_margin(self, service: str, shares: dict[str, float]) -> float:
+        """Return the margin that fillers are expected to take from a service."""
+        return sum(self.loss(service, f) * x for f, x in shares.items())
+
+    def _prior(self, service: str, filler: str) -> Estimate:
+        """Return the estimate of a pair that was not observed."""
+        service_level = self._service_levels.get(service)
+        filler_level = self._filler_levels.get(filler)
+        level = (service_level or 0.0) + (filler_level or 0.0)
+        mean = min(_MAX_LOSS, PRIOR_LOSS * math.exp(level))
+        if service_level is None and filler_level is None:
+            return Estimate(mean, _PRIOR_SD**2)
+        return Estimate(mean, max(1.0, _PAIR_SD_SHARE * mean) ** 2)
+
+    def _update_levels(self) -> None:
+        """Update how far images of services and of fillers differ from the prior."""
+        known = {
+            pair: math.log(max(_MIN_LOSS, found.mean) / PRIOR_LOSS)
+            for pair, found in self._pairs.items()
+            if found.variance < _MIN_INFORMATION * _PRIOR_SD**2
+        }
+        services = self._service_levels = _mean_levels(known, {}, 0)
+        fillers = self._filler_levels = _mean_levels(known, services, 1)
+        self._service_levels = _mean_levels(known, fillers, 0)
 
-    def rows_of_services(
-        self, services: abc.Set[str]
+    def rows_of(
+        self, services: abc.Set[str], fillers: abc.Set[str], host_cores: float
     ) -> list[messages.InterferenceEstimate]:
-        """Return the estimates for the given images of services."""
+        """Return the loss of margin per core of a host, by images.
+
+        Has rows for the given services with the given fillers and with all others that
+        were observed beside them.
+        """
+        pairs = [pair for pair in self._pairs if pair[0] in services]
+        pairs += [
+            pair
+            for pair in itertools.product(services, fillers)
+            if pair not in self._pairs
+        ]
         return [
             messages.InterferenceEstimate(
-                service, filler, round(self.per_core(service, filler), 4)
+                *pair, round(self.loss(*pair) / host_cores, 4)
             )
-            for service, filler in self._pairs
-            if service in services
+            for pair in pairs
         ]
 
     def encode(self) -> bytes:
         """Return all estimates in their stored form."""
-        return msgspec.msgpack.encode(
-            [_StoredEstimate(*pair, *found) for pair, found in self._pairs.items()]
-        )
+        rows = [_StoredEstimate(*pair, *found) for pair, found in self._pairs.items()]
+        return msgspec.msgpack.encode(_StoredEstimates(margin_losses=rows))
 
     def restore(self, value: bytes) -> None:
         """Replace the estimates by those that an earlier scheduler stored.
@@ -109,13 +184,16 @@
         If they cannot be read, the current ones stay.
         """
         try:
-            rows = msgspec.msgpack.decode(value, type=list[_StoredEstimate])
+            found = msgspec.msgpack.decode(value, type=_StoredEstimates)
         except msgspec.MsgspecError as exc:
+            _unreadable_records.inc()
             decisions.record("interference.unreadable", why=str(exc))
             return
         self._pairs = {
-            (row.service, row.filler): Estimate(row.mean, row.variance) for row in rows
+            (row.service, row.filler): Estimate(row.mean, row.variance)
+            for row in found["margin_losses"]
         }
+        self._update_levels()
 
 
 class _StoredEstimate(t.NamedTuple):
@@ -127,60 +205,21 @@
     variance: float
 
 
-class Sample(t.NamedTuple):
-    """Measurements of a host; ``at`` is on ``clock.now``.
-
-    ``services`` maps a task to its image and its latency in milliseconds. ``cores``
-    maps an image of fillers to the total cores that they used.
-    """
+class _StoredEstimates(t.TypedDict):
+    """The stored form of all estimates; the name of the field tells their unit."""
 
-    at: float
-    services: dict[str, tuple[str, float]]
-    cores: dict[str, float]
+    margin_losses: list[_StoredEstimate]
 
 
-class Trend:
-    """How fast a service's own load changes its latency, without effects of fillers.
-
-    ``slope`` is the smoothed change of the latency's logarithm per second.
-    """
-
-    __slots__ = ("observed_at", "own_log_latency", "slope")
-
-    def __init__(self) -> None:
-        self.observed_at = 0.0
-        self.own_log_latency = 0.0
-        self.slope = 0.0
-
-    def observe(self, at: float, latency_ms: float, rise: float) -> None:
-        """Update from a latency and the part of its logarithm that fillers cause."""
-        own = math.log(latency_ms) - rise
-        gap_s = at - self.observed_at
-        if gap_s > _MAX_GAP_S:
-            self.slope = 0.0
-        elif gap_s < _MIN_GAP_S:
-            return
-        else:
-            share = min(1.0, gap_s / _TREND_SMOOTHING_S)
-            self.slope += share * ((own - self.own_log_latency) / gap_s - self.slope)
-        self.observed_at, self.own_log_latency = at, own
-
-    def expected_rise(self, horizon_s: float) -> float:
-        """Return the expected rise of the log latency within a time; never negative."""
-        return min(_MAX_TREND_RISE, max(0.0, self.slope * horizon_s))
-
-
-def update_from_samples(
-    estimates: Estimates, before: Sample | None, after: Sample
-) -> Sample:
-    """Update from two samples of a host; return the one to compare the next with."""
-    if before is None or after.at - before.at > _MAX_GAP_S:
-        return after
-    if after.at - before.at < _MIN_GAP_S:
-        return before
-    images = before.cores.keys() | after.cores.keys()
-    cores = {i: after.cores.get(i, 0.0) - before.cores.get(i, 0.0) for i in images}
-    for task, (image, latency_ms) in after.services.items():
-        if task in before.services:
-            estimates.observe(image, before.services[task][1], latency_ms, cores)
-    return after
+def _mean_levels(
+    known: dict[Pair, float], others: dict[str, float], which: int
+) -> dict[str, float]:
+    """Return by image the mean level that the other image of its pairs leaves."""
+    found: dict[str, list[float]] = {}
+    for pair, level in known.items():
+        rest = level - others.get(pair[1 - which], 0.0)
+        found.setdefault(pair[which], []).append(rest)
+    return {
+        image: sum(levels) / (len(levels) + _PRIOR_WEIGHT)
+        for image, levels in found.items()
+    }
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -164,7 +164,11 @@
 
 
 class InterferenceEstimate(t.NamedTuple):
-    """Rise of a service's log latency per core of a filler; both named by image."""
+    """Loss of a service's margin per core of a filler; both named by image.
+
+    The margin is the latency target divided by the latency. Valid for the size of the
+    host that gets it.
+    """
 
     service: str
     filler: str
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -2,7 +2,6 @@
 
 import collections.abc as abc
 import heapq
-import math
 import typing as t
 
 from bilberrypass import crash_limits
@@ -13,12 +12,9 @@
 _BESIDE_SERVICES_BONUS: t.Final = 200_000
 _SAME_IMAGE_BONUS: t.Final = 50_000
 _RUN_AT_RISK_PENALTY: t.Final = 20_000  # of a run that a crash would lose
-_PRESSURE_WEIGHT: t.Final = 20_000  # a service at its latency target costs 20 cores
-_RISE_WEIGHT: t.Final = 100_000  # a rise of the latency by a tenth costs 10 cores
-_FULL_PACE_PERCENT: t.Final = 100.0
-_UNMEASURED_PRESSURE: t.Final = 0.5  # assumed of a service without a latency figure
-_TREND_HORIZON_S: t.Final = 3.0  # approximate time until a filler moves again
-_MAX_PRESSURE: t.Final = 0.82  # latency as a share of the service's target
+_DEMAND_WEIGHT: t.Final = 40_000  # all that a service can spare costs 40 cores
+_LOST_PACE_WEIGHT: t.Final = 100_000  # a tenth of the pace costs 10 cores
+_MIN_PACE: t.Final = 0.75  # that a filler can expect over its time
 # The share of its reservation that a service uses most of the time.
 _SERVICE_USE_SHARE: t.Final = 0.55
 
@@ -107,11 +103,12 @@
         if self._isolation is not crash_limits.Isolation.NONE:
             score -= _RUN_AT_RISK_PENALTY * len(host.tasks)
         if step.is_filler and host.service_count:
-            effect = estimate_effect(step, host, self._estimates)
-            if effect.pressure > _MAX_PRESSURE and not self._is_starved:
+            host.filler_room.update(host, self._estimates, self._now)
+            prospect = host.filler_room.prospect(step, self._estimates)
+            if prospect.pace < _MIN_PACE and not self._is_starved:
                 return None
-            score -= int(effect.rise * _RISE_WEIGHT)
-            score -= int(effect.pressure * _PRESSURE_WEIGHT)
+            score -= int((1.0 - prospect.pace) * _LOST_PACE_WEIGHT)
+            score -= int(prospect.demand * _DEMAND_WEIGHT)
         return score
 
     def _is_allowed(self, host: hosts.Host) -> bool:
@@ -176,54 +173,6 @@
     return host.runner.cpu_milli - host.used_cpu + idle - host.filler_cpu
 
 
-class Effect(t.NamedTuple):
-    """The expected effect of one more filler on the services of a host.
-
-    ``pressure`` is the highest ratio of a latency to its target once all fillers
-    there run at full pace. ``rise`` is the largest rise of a latency's logarithm
-    that the new filler causes.
-    """
-
-    pressure: float
-    rise: float
-
-
-def estimate_effect(
-    step: jobs.Step, host: hosts.Host, estimates: interference.Estimates
-) -> Effect:
-    """Return the expected effect of a step's filler on the services of a host."""
-    cores = step.cpu_milli / jobs.MILLI_PER_CORE
-    unused_cores = _unused_filler_cores(host)
-    pressure = max_rise = 0.0
-    for task in host.tasks.values():
-        target_ms, image = task.step.latency_target_ms, task.step.image
-        if not target_ms:
-            continue
-        rise = estimates.per_core(image, step.image) * cores
-        further_rise = sum(
-            estimates.per_core(image, f) * x for f, x in unused_cores.items()
-        )
-        max_rise = max(max_rise, rise)
-        further_rise += task.trend.expected_rise(_TREND_HORIZON_S)
-        share = task.figure / target_ms if task.figure else _UNMEASURED_PRESSURE
-        pressure = max(pressure, share * math.exp(rise + further_rise))
-    return Effect(pressure, max_rise)
-
-
-def _unused_filler_cores(host: hosts.Host) -> dict[str, float]:
-    """Return by image the cores that fillers would use beyond their last figure."""
-    found: dict[str, float] = {}
-    for task in host.tasks.values():
-        if not task.step.is_filler:
-            continue
-        unused = task.step.cpu_milli * (1.0 - task.pace / _FULL_PACE_PERCENT)
-        if not task.figure:
-            unused = task.step.cpu_milli  # too recent to show in the services' figures
-        image = task.step.image
-        found[image] = found.get(image, 0.0) + unused / jobs.MILLI_PER_CORE
-    return found
-
-
 def _score(step: jobs.Step, host: hosts.Host, now: float) -> int:
     assert host.runner is not None
     score = spare_cpu(host)
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bilberrypass import crash_limits
-from bilberrypass.scheduling import interference, jobs, stragglers
+from bilberrypass.scheduling import jobs, stragglers
 
 
 class Phase(enum.IntEnum):
@@ -95,7 +95,6 @@
         "started_at",
         "step",
         "ticket",
-        "trend",
     )
 
     def __init__(self, job: "JobState", key: jobs.TaskKey, step: jobs.Step) -> None:
@@ -120,7 +119,6 @@
         self.progress = stragglers.Progress()
         self.avoided_host = ""
         self.slow_since = 0.0
-        self.trend = interference.Trend()
         self.is_stored = True
 
     @property
