--- a/src/bilberrypass/scheduling/filler_room.py
+++ b/src/bilberrypass/scheduling/filler_room.py
@@ -15,6 +15,7 @@
 _UNMEASURED_MARGIN: t.Final = 2.0  # assumed of a service without a latency figure
 _VALID_FOR_S: t.Final = 0.25
 _MIN_STEPS: t.Final = 2
+_MAX_DEMAND: t.Final = 2.0  # for what is spare
 _MIN_PACE: t.Final = 0.3  # a filler's remaining time is expected at this pace or more
 _FULL_PERCENT: t.Final = 100.0
 
@@ -23,7 +24,8 @@
     """What a filler can expect on a host.
 
     ``pace`` is the mean pace over its time, 0 to 1. ``demand`` is the largest share of
-    a service's spare margin that it would take, above 1 where that is too little.
+    a service's spare margin that it would take, above 1 where that is too little; it
+    rises further with the margin that is missing already.
     """
 
     pace: float
@@ -89,9 +91,12 @@
         for image, spare in self._rows:
             lost = estimates.loss(image, step.image) * share
             for number in range(steps):
-                pace = spare[number] / lost if lost else 1.0
+                pace = spare[number] / lost
                 paces[number] = min(paces[number], max(0.0, pace))
-                demand = max(demand, min(2.0, 1.0 / pace) if pace > 0 else 2.0)
+                is_enough = spare[number] > lost / _MAX_DEMAND
+                demand = max(
+                    demand, 1.0 / pace if is_enough else _MAX_DEMAND - spare[number]
+                )
         return Prospect(sum(paces) / steps, demand)
 
 
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -160,7 +160,7 @@
         Has rows for the given services with the given fillers and with all others that
         were observed beside them.
         """
-        pairs = [pair for pair in self._pairs if pair[0] in services]
+        pairs = [pair for pair in list(self._pairs) if pair[0] in services]
         pairs += [
             pair
             for pair in itertools.product(services, fillers)
