Pace fillers by the forecast of the services' own margins

Cause: agents saw a rising load only after it had pushed a service over its limit. Change: agents get the course of the own margin with the estimates; the filler that would take most until its end is slowed first, so that one nearly done ends.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -346,6 +346,7 @@
                 current.grant_lease(response.epoch, granted_until, has_lapsed)
         if current is not None and current is self._session:
             current.fillers.update_interference(response.pressing)
+            current.fillers.update_courses(response.courses, clock.now())
             current.acknowledge_ends(
                 response.noted, [tuple(key) for key in response.settled]
             )
--- a/src/bilberrypass/hosting/filler_paces.py
+++ b/src/bilberrypass/hosting/filler_paces.py
@@ -29,6 +29,7 @@
         self._set_pace = set_pace
         self._pacer = pacing.Pacer()
         self._interference_estimates: dict[tuple[str, str], float] = {}
+        self._courses: dict[str, pacing.Course] = {}
         self.has_contention = False
 
     def update_interference(
@@ -39,12 +40,22 @@
             {(e.service, e.filler): e.per_core for e in estimates}
         )
 
+    def update_courses(
+        self, courses: abc.Iterable[messages.MarginCourse], now: float
+    ) -> None:
+        """Update the forecasts of the services' own margins from the scheduler."""
+        for step, margins in courses:
+            self._courses[step] = pacing.Course(now, tuple(margins))
+
     def adjust(self, now: float) -> None:
         """Adjust the paces to the latest figures; ``now`` is on ``clock.now``."""
         live = [run for run in self._table.live_runs() if run.order is not None]
         services = [
             pacing.ServiceLatency(
-                run.order.image, run.figure, run.order.latency_target_ms
+                run.order.image,
+                run.figure,
+                run.order.latency_target_ms,
+                self._coming_loss(run.key[0], now),
             )
             for run in live
             if run.order.latency_target_ms and run.figure
@@ -55,7 +66,13 @@
             if run.order.is_filler and run.state is runs.State.RUNNING
         }
         fillers = [
-            pacing.Filler(key, run.order.image, run.pace, run.order.cpu_milli / _MS)
+            pacing.Filler(
+                key,
+                run.order.image,
+                run.pace,
+                run.order.cpu_milli / _MS,
+                run.progress,
+            )
             for key, run in running.items()
         ]
         self.has_contention = bool(services and fillers)
@@ -77,3 +94,8 @@
                 decisions.record("pace.failed", task=key[0], why=why)
             else:
                 running[key].pace = pace
+
+    def _coming_loss(self, task: str, now: float) -> float:
+        """Return the margin that a service is about to lose to its own load."""
+        course = self._courses.get(task.rpartition(".")[0])
+        return course.coming_loss(now) if course is not None else 0.0
--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -4,7 +4,7 @@
 import math
 import typing as t
 
-from bilberrypass.scheduling import interference
+from bilberrypass.scheduling import interference, service_loads
 
 FULL_PACE_PERCENT: t.Final = 100
 
@@ -12,24 +12,32 @@
 # Margin (target / latency) below which fillers are slowed; the rest is headroom for a
 # rise of the load within the next half second.
 _SLOW_BELOW_MARGIN: t.Final = 1.22
-_RAISE_ABOVE_MARGIN: t.Final = 1.32
+_MIN_RAISE_HEADROOM: t.Final = 0.1
+_MEASURED_BEFORE_S: t.Final = 0.25  # a figure is the mean over half a second
+_LOOK_AHEAD_S: t.Final = 1.0  # to the end of the next half second
 _STOP_BELOW_MARGIN: t.Final = 0.5  # margin below which all fillers are stopped
 # Time over the target after which all fillers are stopped: two measurements after
 # the first cut.
 _STOP_AFTER_S: t.Final = 1.5
 _CUT_OVERSHOOT: t.Final = 1.2  # cuts are a little larger than the estimate requires
 _RAISE_HEADROOM_SHARE: t.Final = 0.7  # part of the headroom that one increase may use
+_MAX_PROGRESS: t.Final = 95  # percent
 _MIN_RAISE_PERCENT: t.Final = 10  # percentage points
 # Of a pair that the scheduler has not told about, on a host of 16 cores.
 _PRIOR_LOSS_PER_CORE: t.Final = interference.PRIOR_LOSS / 16
 
 
 class ServiceLatency(t.NamedTuple):
-    """The latest tail latency of a task with a latency target, and its image."""
+    """The latest tail latency of a task with a latency target, and its image.
+
+    ``coming_loss`` is the margin that its own load will take before the next change of
+    paces shows.
+    """
 
     image: str
     latency_ms: int
     target_ms: int
+    coming_loss: float = 0.0
 
     @property
     def margin(self) -> float:
@@ -39,16 +47,37 @@
     @property
     def headroom(self) -> float:
         """The margin that fillers may still take; negative if they took too much."""
-        return self.margin - _SLOW_BELOW_MARGIN
+        return self.margin - self.coming_loss - _SLOW_BELOW_MARGIN
 
 
 class Filler(t.NamedTuple):
-    """A filler task: its image, its pace in percent and its expected cores."""
+    """A filler: its image, pace and progress in percent, and its expected cores."""
 
     key: tuple[str, int]
     image: str
     pace: int
     cores: float
+    progress: int = 0
+
+
+class Course(t.NamedTuple):
+    """The own margins of a service, expected each half second from ``at`` on."""
+
+    at: float
+    margins: tuple[float, ...]
+
+    def coming_loss(self, now: float) -> float:
+        """Return how far the margin falls until a change of paces shows, at least 0."""
+        first = (now - self.at - _MEASURED_BEFORE_S) / service_loads.FORECAST_STEP_S
+        last = first + _LOOK_AHEAD_S / service_loads.FORECAST_STEP_S
+        if last > len(self.margins) - 1:
+            return 0.0  # too old
+        return max(0.0, self._value(first) - self._value(last))
+
+    def _value(self, step: float) -> float:
+        number = max(0, int(step))
+        begin, end = self.margins[number], self.margins[number + 1 :][:1]
+        return begin + (end[0] - begin if end else 0.0) * max(0.0, step - number)
 
 
 InterferenceEstimates = abc.Mapping[tuple[str, str], float]
@@ -87,13 +116,16 @@
             Time on ``clock.now``, in seconds.
         """
         least_margin = min((s.margin for s in services), default=math.inf)
+        least_headroom = min((s.headroom for s in services), default=math.inf)
         if least_margin > 1.0:
             self._over_target_since = None
         elif self._over_target_since is None:
             self._over_target_since = now
         if not fillers or now - self._changed_at < _CHANGE_INTERVAL_S:
             return {}
-        paces = self._next_paces(least_margin, services, fillers, estimates, now)
+        paces = self._next_paces(
+            least_margin, least_headroom, services, fillers, estimates, now
+        )
         changed = {f.key: paces[f.key] for f in fillers if paces[f.key] != f.pace}
         if changed:
             self._changed_at = now
@@ -102,6 +134,7 @@
     def _next_paces(
         self,
         least_margin: float,
+        least_headroom: float,
         services: abc.Sequence[ServiceLatency],
         fillers: abc.Sequence[Filler],
         estimates: InterferenceEstimates,
@@ -112,9 +145,9 @@
         )
         if least_margin <= _STOP_BELOW_MARGIN or over_target_s > _STOP_AFTER_S:
             return {filler.key: 0 for filler in fillers}
-        if least_margin < _SLOW_BELOW_MARGIN:
+        if least_headroom < 0.0:
             return _cut_paces(services, fillers, estimates)
-        if least_margin > _RAISE_ABOVE_MARGIN:
+        if least_headroom > _MIN_RAISE_HEADROOM:
             return _raise_paces(services, fillers, estimates)
         return {filler.key: filler.pace for filler in fillers}
 
@@ -127,16 +160,27 @@
     return per_core * filler.cores
 
 
+def _work_left(filler: Filler) -> float:
+    """Return the share of a filler's work that is left."""
+    return 1.0 - min(filler.progress, _MAX_PROGRESS) / FULL_PACE_PERCENT
+
+
 def _cut_paces(
     services: abc.Sequence[ServiceLatency],
     fillers: abc.Sequence[Filler],
     estimates: InterferenceEstimates,
 ) -> dict[tuple[str, int], int]:
-    """Return paces cut per service over the limit, most interfering filler first."""
+    """Return paces cut per service over the limit.
+
+    The first to be cut is the filler that would take most from the service until its
+    end, so that one that is nearly done ends soon.
+    """
     paces = {filler.key: filler.pace for filler in fillers}
     for service in services:
         excess = -service.headroom * _CUT_OVERSHOOT
-        ranked = sorted(fillers, key=lambda f: -_lost_margin(estimates, service, f))
+        ranked = sorted(
+            fillers, key=lambda f: -_lost_margin(estimates, service, f) * _work_left(f)
+        )
         for filler in ranked:
             if excess <= 0:
                 break
@@ -157,7 +201,8 @@
     headrooms = [service.headroom * _RAISE_HEADROOM_SHARE for service in services]
 
     def largest_loss(filler: Filler) -> float:
-        return max((_lost_margin(estimates, s, filler) for s in services), default=0.0)
+        losses = (_lost_margin(estimates, s, filler) for s in services)
+        return max(losses, default=0.0) * _work_left(filler)
 
     for filler in sorted(fillers, key=largest_loss):
         increase = FULL_PACE_PERCENT - paces[filler.key]
--- a/src/bilberrypass/scheduling/estimate_publishing.py
+++ b/src/bilberrypass/scheduling/estimate_publishing.py
@@ -9,6 +9,7 @@
     jobs,
     keyvalue,
     messages,
+    service_loads,
 )
 
 _SEND_INTERVAL_S: t.Final = 1.0
@@ -31,18 +32,22 @@
 
     def rows_if_due(
         self, host: hosts.Host, now: float
-    ) -> list[messages.InterferenceEstimate]:
-        """Return the estimates for a host's services, or no rows if not due."""
-        if now < host.estimates_sent_at + _SEND_INTERVAL_S:
-            return []
+    ) -> tuple[list[messages.InterferenceEstimate], list[messages.MarginCourse]]:
+        """Return the estimates and courses for a host's services, none if not due."""
+        if now < host.estimates_sent_at + _SEND_INTERVAL_S or host.runner is None:
+            return [], []
         host.estimates_sent_at = now
         tasks = list(host.tasks.values())
         services = {task.step.image for task in tasks if task.step.is_service}
+        if not services:
+            return [], []
         fillers = {task.step.image for task in tasks if task.step.is_filler}
-        if host.runner is None or not services:
-            return []
         cores = host.runner.cpu_milli / jobs.MILLI_PER_CORE
-        return self._estimates.rows_of(services, fillers, cores)
+        rows = self._estimates.rows_of(services, fillers, cores)
+        if not fillers:
+            return rows, []
+        steps = {service_loads.step_key(k.key) for k in tasks if k.step.is_service}
+        return rows, self._estimates.loads.courses(steps, now)
 
     def put_if_due(self, now: float) -> keyvalue.Put | None:
         """Return the write of all estimates for the next leader, or None if not due."""
--- a/src/bilberrypass/scheduling/host_figures.py
+++ b/src/bilberrypass/scheduling/host_figures.py
@@ -30,6 +30,8 @@
         load = estimates.loads.of(service_loads.step_key(task.key))
         lost = estimates.lost_margin(image, shares)
         load.observe(now, margin, lost, estimates.lost_margin(image, recent))
+        if recent:
+            load.forecast(now)  # for the host's agent
         if shares:
             own = load.measure(now)
             sd = 1.0 / math.sqrt(own.weight)
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -175,6 +175,16 @@
     per_core: float
 
 
+class MarginCourse(t.NamedTuple):
+    """Expected margin of a service's step without fillers, each half second from now.
+
+    ``step`` is the name of a task of the step without its last part.
+    """
+
+    step: str
+    margins: list[float]
+
+
 class ReportResponse(t.NamedTuple):
     """The scheduler's response to a report.
 
@@ -195,6 +205,7 @@
     pressing: list[InterferenceEstimate] = []  # noqa: RUF012
     is_counted: bool = True
     challenge: str = ""
+    courses: list[MarginCourse] = []  # noqa: RUF012
 
 
 class StateRequest(t.NamedTuple):
--- a/src/bilberrypass/scheduling/responding.py
+++ b/src/bilberrypass/scheduling/responding.py
@@ -62,7 +62,7 @@
             )
         if any(row.end for row in report.runs):
             self._await_stored(report)
-        noted, settled, pressing = 0, [], []
+        noted, settled, pressing, courses = 0, [], [], []
         host = owner.hosts.get(report.host)
         if (
             host is not None
@@ -70,9 +70,16 @@
             and (found := host.read_settled(report.runner.life)) is not None
         ):
             noted, settled = found
-            pressing = owner.publisher.rows_if_due(host, now)
+            pressing, courses = owner.publisher.rows_if_due(host, now)
         return messages.ReportResponse(
-            True, owner.epoch, lease_s, noted, settled, owner.is_cut_off, pressing
+            True,
+            owner.epoch,
+            lease_s,
+            noted,
+            settled,
+            owner.is_cut_off,
+            pressing,
+            courses=courses,
         )
 
     def _apply(self, report: messages.Report, now: float, lease_s: float) -> bool:
--- a/src/bilberrypass/scheduling/service_loads.py
+++ b/src/bilberrypass/scheduling/service_loads.py
@@ -5,7 +5,7 @@
 import math
 import typing as t
 
-from bilberrypass.scheduling import jobs
+from bilberrypass.scheduling import jobs, messages
 
 FORECAST_STEP_S: t.Final = 0.5
 FORECAST_STEPS: t.Final = 8  # four seconds, longer than most fillers run
@@ -24,6 +24,7 @@
 _MIN_PERIODS_SEEN: t.Final = 0.9
 _MIN_EXPLAINED: t.Final = 0.7  # share of the variance that a period must explain
 _RESIDUAL_DECAY_S: t.Final = 1.0
+_COURSE_VALID_S: t.Final = 0.6
 _FORGET_AFTER_S: t.Final = 20.0
 _SINGULAR: t.Final = 1e-6
 
@@ -118,6 +119,11 @@
             self._forecast = now, found
         return found
 
+    def course(self, now: float) -> tuple[float, ...]:
+        """Return the newest forecast; empty if it is no longer valid. Thread-safe."""
+        at, found = self._forecast
+        return found if now - at <= _COURSE_VALID_S else ()
+
     def _compute_forecast(self, now: float) -> tuple[float, ...]:
         margin, weight = self.measure(now)[1:]
         if not weight:
@@ -158,6 +164,20 @@
             found = self._loads[step] = Load()
         return found
 
+    def courses(
+        self, steps: abc.Iterable[StepKey], now: float
+    ) -> list[messages.MarginCourse]:
+        """Return the newest forecasts of some steps. Thread-safe."""
+        found = []
+        for step in steps:
+            load = self._loads.get(step)
+            margins = load.course(now) if load is not None else ()
+            if margins:
+                name = ".".join(map(str, step))
+                rounded = [round(margin, 2) for margin in margins]
+                found.append(messages.MarginCourse(name, rounded))
+        return found
+
     def forget_idle(self, now: float) -> None:
         """Drop the loads of steps without figures."""
         if now - self._cleaned_at < _FORGET_AFTER_S:
