Slow new fillers before their effect shows, and measure own margins by the best tasks

Change: agents count the expected effect of fillers without a figure; the own margin is a quantile of the tasks least in doubt; a filler is admitted by a cautious estimate.

--- a/src/bilberrypass/hosting/filler_paces.py
+++ b/src/bilberrypass/hosting/filler_paces.py
@@ -72,6 +72,7 @@
                 run.pace,
                 run.order.cpu_milli / _MS,
                 run.progress,
+                run.figure > 0 or run.pace == 0,
             )
             for key, run in running.items()
         ]
--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -51,13 +51,17 @@
 
 
 class Filler(t.NamedTuple):
-    """A filler: its image, pace and progress in percent, and its expected cores."""
+    """A filler: its image, pace and progress in percent, and its expected cores.
+
+    ``is_measured`` is whether the latest latencies show its effect.
+    """
 
     key: tuple[str, int]
     image: str
     pace: int
     cores: float
     progress: int = 0
+    is_measured: bool = True
 
 
 class Course(t.NamedTuple):
@@ -89,12 +93,14 @@
 
     Load peaks of services change within seconds, and a service must not stay over
     its latency target for long. Cuts are therefore immediate and as large as the
-    estimates require; a service that stays over its target stops all fillers.
+    estimates require; a service that stays over its target stops all fillers. A new
+    filler is slowed at once, before its effect shows, if it is expected to be too much.
     """
 
     def __init__(self) -> None:
         self._changed_at = 0.0
         self._over_target_since: float | None = None
+        self._new: frozenset[tuple[str, int]] = frozenset()
 
     def choose_paces(
         self,
@@ -115,14 +121,23 @@
         now : float
             Time on ``clock.now``, in seconds.
         """
+        services = [
+            s._replace(
+                coming_loss=s.coming_loss + _unmeasured_loss(s, fillers, estimates)
+            )
+            for s in services
+        ]
         least_margin = min((s.margin for s in services), default=math.inf)
         least_headroom = min((s.headroom for s in services), default=math.inf)
         if least_margin > 1.0:
             self._over_target_since = None
         elif self._over_target_since is None:
             self._over_target_since = now
-        if not fillers or now - self._changed_at < _CHANGE_INTERVAL_S:
+        new = frozenset(filler.key for filler in fillers if not filler.is_measured)
+        is_early = new <= self._new and now - self._changed_at < _CHANGE_INTERVAL_S
+        if not fillers or is_early:
             return {}
+        self._new = new
         paces = self._next_paces(
             least_margin, least_headroom, services, fillers, estimates, now
         )
@@ -160,6 +175,19 @@
     return per_core * filler.cores
 
 
+def _unmeasured_loss(
+    service: ServiceLatency,
+    fillers: abc.Iterable[Filler],
+    estimates: InterferenceEstimates,
+) -> float:
+    """Return the margin that fillers take which the latest latency does not show."""
+    return sum(
+        _lost_margin(estimates, service, filler) * filler.pace / FULL_PACE_PERCENT
+        for filler in fillers
+        if not filler.is_measured
+    )
+
+
 def _work_left(filler: Filler) -> float:
     """Return the share of a filler's work that is left."""
     return 1.0 - min(filler.progress, _MAX_PROGRESS) / FULL_PACE_PERCENT
--- a/src/bilberrypass/scheduling/filler_room.py
+++ b/src/bilberrypass/scheduling/filler_room.py
@@ -89,7 +89,7 @@
         paces = [1.0] * steps
         demand = 0.0
         for image, spare in self._rows:
-            lost = estimates.loss(image, step.image) * share
+            lost = estimates.cautious_loss(image, step.image) * share
             for number in range(steps):
                 pace = spare[number] / lost
                 paces[number] = min(paces[number], max(0.0, pace))
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -26,6 +26,7 @@
 _SATURATED_MARGIN: t.Final = 0.35  # below it the latency hardly shows the utilisation
 _MIN_LOSS: t.Final = 0.2
 _MAX_LOSS: t.Final = 40.0
+_CAUTION: t.Final = 0.5  # in standard deviations
 _MIN_SHARE: t.Final = 0.005  # of the host's cores
 _MIN_INFORMATION: t.Final = 0.5  # share of the prior variance that is resolved
 _PRIOR_WEIGHT: t.Final = 1.0  # in pairs
@@ -70,6 +71,13 @@
         mean = self._prior(service, filler).mean if found is None else found.mean
         return min(_MAX_LOSS, max(_MIN_LOSS, mean))
 
+    def cautious_loss(self, service: str, filler: str) -> float:
+        """Return a loss of margin that is rarely exceeded, to admit a new filler by."""
+        mean, variance = self._pairs.get((service, filler)) or self._prior(
+            service, filler
+        )
+        return min(_MAX_LOSS, max(_MIN_LOSS, mean) + _CAUTION * math.sqrt(variance))
+
     def observe(
         self,
         service: str,
--- a/src/bilberrypass/scheduling/service_loads.py
+++ b/src/bilberrypass/scheduling/service_loads.py
@@ -14,7 +14,9 @@
 _MAX_FIGURES: t.Final = 200
 _FIGURE_SD: t.Final = 0.2
 _EFFECT_SD_SHARE: t.Final = 0.5  # of the effect of fillers
-_MIN_SD: t.Final = 0.15
+_QUANTILE: t.Final = 0.6  # fillers of which no figure tells lower the others
+_MIN_BEST: t.Final = 3  # figures
+_BEST_SHARE: t.Final = 4  # a quarter of the figures
 _SLOPE_STEPS: t.Final = 3
 _FIT_INTERVAL_S: t.Final = 2.0
 _MIN_FIT_STEPS: t.Final = 16
@@ -102,11 +104,14 @@
         figures = self._figures
         while figures and now - figures[0].at > _FIGURES_WITHIN_S:
             figures.popleft()
-        weight = sum(figure.weight for figure in figures)
-        if not weight:
+        if not figures:
             return Level(now, 0.0, 0.0)
-        margin = sum(figure.margin * figure.weight for figure in figures) / weight
-        return Level(now, margin, min(weight, 1.0 / _MIN_SD**2))
+        # The doubt is about the same effect on all, so that it does not average out.
+        ranked = sorted(figures, key=lambda figure: -figure.weight)
+        best = ranked[: max(_MIN_BEST, len(ranked) // _BEST_SHARE)]
+        margins = sorted(figure.margin for figure in best)
+        margin = margins[int(_QUANTILE * len(margins))]
+        return Level(now, margin, sum(figure.weight for figure in best) / len(best))
 
     def forecast(self, now: float) -> tuple[float, ...]:
         """Return the own margin now and at each ``FORECAST_STEP_S`` from now on.
--- a/testing/hosting/test_pacing.py
+++ b/testing/hosting/test_pacing.py
@@ -5,7 +5,7 @@
 from bilberrypass.hosting import pacing
 from testing import collecting
 
-HEAVY, MILD = ("heavy", 1), ("mild", 1)
+HEAVY, MILD, NEW = ("heavy", 1), ("mild", 1), ("new", 1)
 ESTIMATES = {("s", "heavy"): 0.1, ("s", "mild"): 0.005}
 
 
@@ -69,6 +69,36 @@
     assert paces == {HEAVY: 100, MILD: 100}
 
 
+def test_new_filler_is_slowed_before_its_effect_shows():
+    """Guards against services over their target from the start of each filler on."""
+    pacer = pacing.Pacer()
+    assert pacer.choose_paces(_services(110), _fillers(), ESTIMATES, 10.0)
+    fillers = [*_fillers(0, 100), pacing.Filler(NEW, "heavy", 100, 7.0, 0, False)]
+    paces = pacer.choose_paces(_services(70), fillers, ESTIMATES, 10.1)
+    assert paces.keys() == {NEW} and paces[NEW] < 40
+    assert not pacer.choose_paces(_services(70), fillers, ESTIMATES, 10.2)
+
+
+def test_fillers_are_slowed_before_the_load_of_a_service_rises():
+    course = pacing.Course(10.0, (2.0, 2.0, 1.6, 1.2, 1.2))
+    loss = course.coming_loss(10.6)
+    assert 0.3 < loss < 0.7
+    services = [pacing.ServiceLatency("s", 70, 100, loss)]
+    paces = pacing.Pacer().choose_paces(services, _fillers(), ESTIMATES, 10.6)
+    assert paces[HEAVY] < 100
+    assert course.coming_loss(20.0) == 0.0  # too old to be used
+
+
+def test_filler_that_is_nearly_done_keeps_its_pace():
+    services = [pacing.ServiceLatency("s", 90, 100)]
+    fillers = [
+        pacing.Filler(HEAVY, "heavy", 100, 7.0, 90),
+        pacing.Filler(NEW, "heavy", 100, 7.0, 10),
+    ]
+    paces = pacing.Pacer().choose_paces(services, fillers, ESTIMATES, 10.0)
+    assert paces.keys() == {NEW}
+
+
 def test_paces_change_at_most_once_per_measurement():
     pacer = pacing.Pacer()
     assert pacer.choose_paces(_services(110), _fillers(), ESTIMATES, 10.0)
