Start fillers only where they keep their pace to the end

Cause: with hundreds of fillers waiting, hosts were full of fillers at half pace, and a heavy one kept several light ones out. Change: admission by nearly full pace over the filler's time; floors nearer to the target, as the course of the load is known.

--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -11,7 +11,7 @@
 _CHANGE_INTERVAL_S: t.Final = 0.55  # a latency measurement covers half a second
 # Margin (target / latency) below which fillers are slowed; the rest is headroom for a
 # rise of the load within the next half second.
-_SLOW_BELOW_MARGIN: t.Final = 1.22
+_SLOW_BELOW_MARGIN: t.Final = 1.17
 _MIN_RAISE_HEADROOM: t.Final = 0.1
 _MEASURED_BEFORE_S: t.Final = 0.25  # a figure is the mean over half a second
 _LOOK_AHEAD_S: t.Final = 1.0  # to the end of the next half second
@@ -20,7 +20,7 @@
 # the first cut.
 _STOP_AFTER_S: t.Final = 1.5
 _CUT_OVERSHOOT: t.Final = 1.2  # cuts are a little larger than the estimate requires
-_RAISE_HEADROOM_SHARE: t.Final = 0.7  # part of the headroom that one increase may use
+_RAISE_HEADROOM_SHARE: t.Final = 0.8  # part of the headroom that one increase may use
 _MAX_PROGRESS: t.Final = 95  # percent
 _MIN_RAISE_PERCENT: t.Final = 10  # percentage points
 # Of a pair that the scheduler has not told about, on a host of 16 cores.
--- a/src/bilberrypass/scheduling/filler_room.py
+++ b/src/bilberrypass/scheduling/filler_room.py
@@ -9,7 +9,7 @@
 
 # Target / latency that services should keep, above the agents' limit by what the
 # estimates miss.
-MIN_MARGIN: t.Final = 1.3
+MIN_MARGIN: t.Final = 1.2
 _FORECAST_STEP_S: t.Final = service_loads.FORECAST_STEP_S
 _FORECAST_STEPS: t.Final = service_loads.FORECAST_STEPS
 _UNMEASURED_MARGIN: t.Final = 2.0  # assumed of a service without a latency figure
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -14,7 +14,7 @@
 _RUN_AT_RISK_PENALTY: t.Final = 20_000  # of a run that a crash would lose
 _DEMAND_WEIGHT: t.Final = 40_000  # all that a service can spare costs 40 cores
 _LOST_PACE_WEIGHT: t.Final = 100_000  # a tenth of the pace costs 10 cores
-_MIN_PACE: t.Final = 0.75  # that a filler can expect over its time
+_MIN_PACE: t.Final = 0.95  # that a filler can expect over its time
 # The share of its reservation that a service uses most of the time.
 _SERVICE_USE_SHARE: t.Final = 0.55
 
