Search for periods less often where a load does not swing

Cause: a load without a period was searched for one every two seconds. Change: no search below a small variance, and every four seconds without a period. Measured: scheduling.test_service_loads and test_filler_room pass.

--- a/src/bilberrypass/scheduling/service_loads.py
+++ b/src/bilberrypass/scheduling/service_loads.py
@@ -18,7 +18,9 @@
 _MIN_BEST: t.Final = 3  # figures
 _BEST_SHARE: t.Final = 4  # a quarter of the figures
 _SLOPE_STEPS: t.Final = 3
-_FIT_INTERVAL_S: t.Final = 2.0
+_REFIT_S: t.Final = 2.0
+_SEARCH_S: t.Final = 4.0  # tries all periods
+_MIN_VARIANCE: t.Final = 0.04  # a load that swings less is as good as constant
 _MIN_FIT_STEPS: t.Final = 16
 _MIN_PERIOD_S: t.Final = 6.0
 _MAX_PERIOD_S: t.Final = 40.0
@@ -67,14 +69,14 @@
     load, so those with few fillers beside them show the own margin of all.
     """
 
-    __slots__ = ("_figures", "_fitted_at", "_forecast", "_history", "_wave", "seen_at")
+    __slots__ = ("_figures", "_fit_due_at", "_forecast", "_history", "_wave", "seen_at")
 
     def __init__(self) -> None:
         self._figures: collections.deque[Level] = collections.deque(maxlen=_MAX_FIGURES)
         self._history: collections.deque[Level] = collections.deque(
             maxlen=_HISTORY_STEPS
         )
-        self._fitted_at = 0.0
+        self._fit_due_at = 0.0
         self._wave: _Wave | None = None
         self._forecast: tuple[float, tuple[float, ...]] = (0.0, ())
         self.seen_at = 0.0
@@ -134,9 +136,10 @@
         if not weight:
             return ()
         history = list(self._history)
-        if now - self._fitted_at > _FIT_INTERVAL_S:
-            self._fitted_at = now
+        if now >= self._fit_due_at:
             self._wave = _fit_wave(history, self._wave)
+            is_found = self._wave is not None
+            self._fit_due_at = now + (_REFIT_S if is_found else _SEARCH_S)
         times = [step * FORECAST_STEP_S for step in range(FORECAST_STEPS)]
         if self._wave is not None:
             wave = self._wave
@@ -203,6 +206,8 @@
     weight = sum(level.weight for level in history)
     mean = sum(level.margin * level.weight for level in history) / weight
     variance = sum(level.weight * (level.margin - mean) ** 2 for level in history)
+    if variance < _MIN_VARIANCE * weight:
+        return None
     limit = variance * (1.0 - _MIN_EXPLAINED)
     if before is not None:
         period_s = math.tau / before.frequency
