--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -164,13 +164,27 @@
 
 
 class InterferenceEstimate(t.NamedTuple):
-    """Rise of a service's log latency per core of a filler; both named by image."""
+    """Loss of a service's margin per core of a filler; both named by image.
+
+    The margin is the latency target divided by the latency. Valid for the size of the
+    host that gets it.
+    """
 
     service: str
     filler: str
     per_core: float
 
 
+class MarginCourse(t.NamedTuple):
+    """Expected margin of a service's step without fillers, each half second from now.
+
+    ``step`` is the name of a task of the step without its last part.
+    """
+
+    step: str
+    margins: list[float]
+
+
 class ReportResponse(t.NamedTuple):
     """The scheduler's response to a report.
 
@@ -191,6 +205,7 @@
     pressing: list[InterferenceEstimate] = []  # noqa: RUF012
     is_counted: bool = True
     challenge: str = ""
+    courses: list[MarginCourse] = []  # noqa: RUF012
 
 
 class StateRequest(t.NamedTuple):
