--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -6,7 +6,7 @@
 import typing as t
 
 from bilberrypass import crash_limits
-from bilberrypass.scheduling import hosts, interference, jobs, state
+from bilberrypass.scheduling import hosts, interference, jobs, room_guard, state
 
 _AVOIDED_PENALTY: t.Final = 1_000_000  # exceeds the capacity of any host
 _REMOTE_DATA_PENALTY: t.Final = 100_000
@@ -48,6 +48,8 @@
         host's agent then reduces its pace as far as the services need.
     isolation : crash_limits.Isolation
         How far the tasks, which may crash their runner, are kept apart from others.
+    guard : room_guard.RoomGuard, optional
+        Keeps room for other work; without one, all room may be used.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         now: float,
         is_starved: bool = False,
         isolation: crash_limits.Isolation = crash_limits.Isolation.NONE,
+        guard: room_guard.RoomGuard | None = None,
     ) -> None:
+        self._guard = guard
         self._step, self._key, self._service = step, key, service
         self._isolation = isolation
         self._estimates, self._now, self._is_starved = estimates, now, is_starved
@@ -101,9 +105,13 @@
     def _score(self, host: hosts.Host) -> int | None:
         """Return the score of a host, or None if it cannot hold a task of the step."""
         step = self._step
-        if not self._is_allowed(host) or not fits(step, host, self._is_starved):
+        if not self.is_allowed(host) or not fits(step, host, self._is_starved):
+            return None
+        if self._guard is not None and not self._guard.allows(host):
             return None
         score = _score(step, host, self._now)
+        if self._guard is not None:
+            score -= self._guard.penalty(host)
         if self._isolation is not crash_limits.Isolation.NONE:
             score -= _RUN_AT_RISK_PENALTY * len(host.tasks)
         if step.is_filler and host.service_count:
@@ -114,7 +122,8 @@
             score -= int(effect.pressure * _PRESSURE_WEIGHT)
         return score
 
-    def _is_allowed(self, host: hosts.Host) -> bool:
+    def is_allowed(self, host: hosts.Host) -> bool:
+        """Return whether a host may hold a task of the step, if it has room."""
         step, runner = self._step, host.runner
         if runner is None or runner.service != self._service:
             return False
@@ -134,6 +143,7 @@
     estimates: interference.Estimates,
     now: float,
     is_starved: bool = False,
+    guard: room_guard.RoomGuard | None = None,
 ) -> hosts.Host | None:
     """Return the best host for one task, or None; see ``StepPlacement``.
 
@@ -144,12 +154,20 @@
     key = hosts.step_key(task.key)
     isolation = crash_limits.choose_isolation(task.crashes)
     found = StepPlacement(
-        task.step, key, service, candidates, estimates, now, is_starved, isolation
+        task.step,
+        key,
+        service,
+        candidates,
+        estimates,
+        now,
+        is_starved,
+        isolation,
+        guard,
     )
     return found.choose(task)
 
 
-def fits(step: jobs.Step, host: hosts.Host, is_starved: bool = False) -> bool:
+def fits(step: jobs.Step, host: room_guard.Totals, is_starved: bool = False) -> bool:
     """Return whether a host has room for one more task of a step."""
     runner = host.runner
     assert runner is not None
@@ -166,7 +184,7 @@
     return host.used_cpu + step.cpu_milli <= runner.cpu_milli
 
 
-def spare_cpu(host: hosts.Host) -> int:
+def spare_cpu(host: room_guard.Totals) -> int:
     """Return the CPU expected to stay unused, in thousandths of a core.
 
     Services reserve for their peaks, which do not occur at the same time.
