Keep room for large tasks that no host can hold now

Cause: small tasks take each gap before it is large enough. Change: the first steps in rank that no host can hold get a reservation where room comes first; work that comes after them, and younger work of the same priority, uses it only if it ends before or leaves what they need. Made anew in each round, at most an eighth of the hosts, given up for a while after three slips. Small tasks prefer hosts that are not next in line. Without waiting work nothing changes; scheduling.reservations in the settings file switches it off. FullDemands moves to a module of its own, and its tests with it.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -1,15 +1,18 @@
 """Measures rounds, reports and ticks of the platform's scheduler by number of hosts.
 
     python -m benchmarks.rounds --hosts 30 160 300
+    python -m benchmarks.rounds --hosts 300 --waiting 10000
 
 Lasting services run on the hosts, and a burst of wide batch jobs, fillers and small
-ones, waits for them. Prints processor time: the round that places the burst, a later
-round in which most of it still waits, one report, and one tick.
+ones, waits for them; small and large jobs follow until ``--waiting`` tasks wait. Prints
+processor time: the round that places the burst, a later round in which most of it still
+waits, one report, and one tick. ``--no-reservations`` switches reservations off.
 """
 
 import argparse
 import collections.abc as abc
 import random
+import statistics
 import time
 import typing as t
 
@@ -29,6 +32,7 @@
 _HOSTS_PER_SERVICE = 11
 _HOSTS_PER_JOB = 4
 _REPEATS = 10
+_LARGE_SHARE = 0.05
 _SERVICE = jobs.Step(
     24,
     cpu_milli=13_000,
@@ -41,6 +45,7 @@
     39, cpu_milli=7_000, memory_mb=13_000, estimate_s=5.4, is_filler=True
 )
 _SMALL = jobs.Step(9, cpu_milli=3_800, memory_mb=7_600, estimate_s=2.0)
+_LARGE = jobs.Step(4, cpu_milli=24_000, memory_mb=48_000, estimate_s=6.0)
 _URGENT = jobs.Queue("urgent", "p", 0, 3, 1.5, 0.25)
 _BATCH = jobs.Queue("batch", "p", 2, 4, 2.0, 1.0)
 _TABLE = queues.RouteTable(
@@ -63,11 +68,11 @@
 class _Fleet:
     """A scheduler without its threads, and hosts that report what it placed."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, has_reservations: bool) -> None:
         self.scheduler = scheduler.Scheduler(
             keyvalues.Store(),
             1,
-            scheduler.Settings(5.0, 120.0),
+            scheduler.Settings(5.0, 120.0, has_reservations),
             lambda: _TABLE,
             clock.now,
             lambda why: None,
@@ -117,6 +122,19 @@
             else:
                 self.submit(_URGENT, _SMALL, _SMALL)
 
+    def submit_crowd(self) -> None:
+        """Submit small and large tasks of which no two jobs need the same."""
+        for _ in range(max(1, self._count // _HOSTS_PER_JOB)):
+            is_large = self._rng.random() < _LARGE_SHARE
+            size, time = self._rng.uniform(0.5, 1.5), self._rng.uniform(0.5, 1.5)
+            step = _LARGE if is_large else _SMALL
+            step = step._replace(
+                cpu_milli=int(step.cpu_milli * size),
+                memory_mb=int(step.memory_mb * size),
+                estimate_s=step.estimate_s * time,
+            )
+            self.submit(_URGENT, step)
+
     def place(self) -> None:
         """Run one round, and store what it placed at once."""
         self.scheduler._placer._place_waiting(clock.now())
@@ -150,29 +168,42 @@
     return (time.process_time() - started_at) / repeats * 1e3
 
 
+def _measure_later_round_ms(fleet: _Fleet) -> float:
+    fleet.report_all()  # hosts that are silent for long are not usable
+    return _measure_ms(fleet.place)
+
+
 def main() -> None:
     """Print one line for each number of hosts."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--hosts", type=int, nargs="+", default=[30, 160, 300, 1_100])
+    parser.add_argument("--waiting", type=int, default=0)
+    parser.add_argument("--no-reservations", action="store_true")
     args = parser.parse_args()
     decisions.record = lambda event, **fields: (
         None
     )  # keeps the lines out of the figures
     for count in args.hosts:
-        fleet = _Fleet(count)
+        fleet = _Fleet(count, not args.no_reservations)
         fleet.scheduler._placer._reports_due_at = 0.0
         fleet.submit_services()
         fleet.place()
         fleet.submit_burst()
         first_ms = _measure_ms(fleet.place)
+        while fleet.count_waiting() < args.waiting:
+            fleet.submit_crowd()
+            fleet.place()
         report_ms = _measure_ms(fleet.report_all) / count
-        later_ms = _measure_ms(fleet.place, _REPEATS)
+        later_ms = statistics.median(
+            _measure_later_round_ms(fleet) for _ in range(_REPEATS)
+        )
         tick_ms = _measure_ms(fleet.tick, _REPEATS)
         print(
             f"{count} hosts, {fleet.count_waiting()} tasks wait: "
             f"burst {first_ms:.0f} ms, "
             f"later round {later_ms:.1f} ms, report {report_ms * 1e3:.0f} us, "
-            f"tick {tick_ms:.1f} ms"
+            f"tick {tick_ms:.1f} ms, "
+            f"{len(fleet.scheduler._placer._reservations.held)} hosts reserved"
         )
 
 
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -31,6 +31,7 @@
     stop_timeout_s: float
     grace_s: float
     status_s: float
+    has_reservations: bool
 
 
 class _Listen(msgspec.Struct):
@@ -58,6 +59,10 @@
     link_mbps: float = 1_000.0
 
 
+class _Scheduling(msgspec.Struct):
+    reservations: bool = True
+
+
 class _File(msgspec.Struct):
     node_name: str
     zone: str
@@ -67,6 +72,7 @@
     listen_addresses: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    scheduling: _Scheduling = msgspec.field(default_factory=_Scheduling)
 
 
 def read(path: pathlib.Path | None = None) -> Node:
@@ -111,4 +117,5 @@
         stop_timeout_s=decoded.bounds.stop_timeout_ms / _MS,
         grace_s=decoded.bounds.grace_s,
         status_s=decoded.bounds.status_s,
+        has_reservations=decoded.scheduling.reservations,
     )
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -1,5 +1,6 @@
 """Starts waiting tasks in rank order; each start is stored before it is ordered."""
 
+import collections.abc as abc
 import typing as t
 
 import prometheus_client as prometheus
@@ -7,12 +8,15 @@
 from bilberrypass import clock, crash_limits
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
+    backfilling,
+    full_demands,
     hosts,
     jobs,
     messages,
     ordering,
     placement,
     reconciling,
+    reservations,
     state,
 )
 
@@ -46,6 +50,8 @@
         self._reports_due_at: float | None = None
         self._next_round_at = 0.0
         self._crowded: dict[str, bool] = {}  # by service, until the next start
+        share = reservations.MAX_HOST_SHARE if owner.cfg.has_reservations else 0.0
+        self._reservations = reservations.Reservations(max_host_share=share)
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, in rank order.
@@ -66,13 +72,15 @@
         if self._scheduler.is_behind(now):
             return
         unix_now = self._scheduler.fleet_clock.unix_time(now)
-        full = _FullDemands()
+        full = full_demands.FullDemands()
         self._crowded.clear()
+        self._reservations.begin_round(usable, now)
         for job, queue in self._ranked_jobs(usable, now, unix_now):
             try:
                 self._place_job(job, queue, usable, full, now, unix_now)
             except Exception as exc:
                 self._scheduler.quarantine.add(job.job.id, "placement", exc)
+        self._reservations.end_round()
 
     def _has_waited_for_reports(self, now: float) -> bool:
         """Return whether the hosts have had time to report to a new scheduler.
@@ -113,7 +121,7 @@
         job: state.JobState,
         queue: jobs.Queue,
         usable: list[hosts.Host],
-        full: "_FullDemands",
+        full: full_demands.FullDemands,
         now: float,
         unix_now: float,
     ) -> None:
@@ -127,7 +135,7 @@
             ]
             waiting = [task for task in due if not task.crashes]
             if waiting:
-                placed = self._place_step(waiting, queue.service, usable, full, now)
+                placed = self._place_step(waiting, queue, usable, full, now)
                 started += waiting[:placed]
                 unplaced += waiting[placed : placed + 1]
             for task in due:
@@ -157,31 +165,68 @@
     def _place_step(
         self,
         waiting: list[state.Task],
-        service: str,
+        queue: jobs.Queue,
         usable: list[hosts.Host],
-        full: "_FullDemands",
+        full: full_demands.FullDemands,
         now: float,
     ) -> int:
         """Start the first tasks of a step that fit; return their number."""
-        step = waiting[0].step
+        step, service = waiting[0].step, queue.service
+        owner = backfilling.precedence(waiting[0].job, queue)
         if full.covers(step, service):
+            self._reserve(waiting, queue, owner, now)
             return 0
-        chooser = placement.StepPlacement(
-            step,
-            hosts.step_key(waiting[0].key),
-            service,
-            usable,
-            self._scheduler.estimates,
-            now,
-        )
+        guard = self._reservations.guard(waiting[0], owner)
+        if guard is not None and full.covers_held(step, service, guard):
+            self._reserve(waiting, queue, owner, now, was_held_back=True)
+            return 0
+        chooser = self._make_chooser(waiting[0], service, usable, now, guard)
         for count, task in enumerate(waiting):
             host = chooser.choose(task)
             if host is None:
-                full.add(step, service)
+                was_held_back = guard is not None and guard.has_refused
+                if guard is not None and was_held_back:
+                    full.add_held(step, service, guard)
+                else:
+                    full.add(step, service)
+                self._reservations.on_placed(waiting[:count])
+                self._reserve(waiting[count:], queue, owner, now, was_held_back)
                 return count
             self._start_run(task, host, now)
+        self._reservations.on_placed(waiting)
         return len(waiting)
 
+    def _reserve(
+        self,
+        waiting: list[state.Task],
+        queue: jobs.Queue,
+        owner: backfilling.Precedence,
+        now: float,
+        was_held_back: bool = False,
+    ) -> None:
+        """Reserve room for tasks that found none, if they are among the first."""
+        if self._reservations.can_reserve(waiting[0], owner, was_held_back):
+            chooser = self._make_chooser(waiting[0], queue.service, (), now)
+            self._reservations.reserve(waiting, owner, chooser, was_held_back)
+
+    def _make_chooser(
+        self,
+        task: state.Task,
+        service: str,
+        candidates: abc.Iterable[hosts.Host],
+        now: float,
+        guard: backfilling.Guard | None = None,
+    ) -> placement.StepPlacement:
+        return placement.StepPlacement(
+            task.step,
+            hosts.step_key(task.key),
+            service,
+            candidates,
+            self._scheduler.estimates,
+            now,
+            guard=guard,
+        )
+
     def _place_suspect(
         self,
         task: state.Task,
@@ -195,9 +240,7 @@
             reserved = sum(host.is_reserved(now) for host in usable)
             if reserved >= crash_limits.max_reserved_hosts(len(usable)):
                 return False
-        host = placement.choose_host(
-            task, queue.service, usable, self._scheduler.estimates, now
-        )
+        host = self._choose_host(task, queue, usable, now)
         if host is None:
             return False
         self._start_run(task, host, now)
@@ -231,9 +274,7 @@
         jobs arrive after it. If few cores are free, they are left to jobs that can
         still meet their objective.
         """
-        host = placement.choose_host(
-            task, queue.service, usable, self._scheduler.estimates, now, is_starved=True
-        )
+        host = self._choose_host(task, queue, usable, now, is_starved=True)
         if host is None:
             return []
         decisions.record("job.starved", job=task.key.job, host=host.name)
@@ -241,6 +282,21 @@
         task.job.idle_since = 0.0
         return [task]
 
+    def _choose_host(
+        self,
+        task: state.Task,
+        queue: jobs.Queue,
+        usable: list[hosts.Host],
+        now: float,
+        is_starved: bool = False,
+    ) -> hosts.Host | None:
+        owner = backfilling.precedence(task.job, queue)
+        guard = self._reservations.guard(task, owner)
+        estimates = self._scheduler.estimates
+        return placement.choose_host(
+            task, queue.service, usable, estimates, now, is_starved, guard
+        )
+
     def _start_run(self, task: state.Task, host: hosts.Host, now: float) -> None:
         """Assign a task to a host as a new run, which is ordered once it is stored."""
         self._crowded.clear()
@@ -289,38 +345,6 @@
         self._scheduler.write_progress(task.job)
 
 
-class _FullDemands:
-    """The demands for which no host has room left in this round.
-
-    Keeps rounds short while many jobs wait: hosts only get fuller within a round.
-    """
-
-    def __init__(self) -> None:
-        self._demands: dict[tuple[str, str, str], list[tuple[int, int, int]]] = {}
-
-    def add(self, step: jobs.Step, service: str) -> None:
-        """Record that no host can hold a task of a step."""
-        if not step.max_per_host:
-            self._demands.setdefault(_kind(step, service), []).append(_demand(step))
-
-    def covers(self, step: jobs.Step, service: str) -> bool:
-        """Return whether a task that needs no more than this one was refused."""
-        demand = _demand(step)
-        return any(
-            all(a <= b for a, b in zip(refused, demand, strict=True))
-            for refused in self._demands.get(_kind(step, service), ())
-        )
-
-
-def _kind(step: jobs.Step, service: str) -> tuple[str, str, str]:
-    """Return what steps share if room for one is room for the other."""
-    return service, step.required_label, f"filler {step.image}" * step.is_filler
-
-
-def _demand(step: jobs.Step) -> tuple[int, int, int]:
-    return step.cpu_milli, step.memory_mb, step.gpus
-
-
 def _is_crowded(usable: list[hosts.Host], service: str) -> bool:
     """Return whether most cores of the hosts of a service are reserved."""
     used = total = 0
--- a/testing/scheduling/test_step_placement.py
+++ b/testing/scheduling/test_step_placement.py
@@ -4,12 +4,12 @@
 
 from bilberrypass import clock
 from bilberrypass.scheduling import (
+    full_demands,
     hosts,
     interference,
     jobs,
     messages,
     placement,
-    placing,
     state,
 )
 from testing import collecting
@@ -113,7 +113,7 @@
 
 
 def test_refused_demand_covers_only_what_needs_no_less_of_the_same_kind():
-    full = placing._FullDemands()
+    full = full_demands.FullDemands()
     full.add(LARGE, "p")
     assert full.covers(LARGE._replace(memory_mb=500), "p")
     assert not full.covers(LARGE._replace(memory_mb=50), "p")
@@ -124,7 +124,7 @@
 
 
 def test_step_that_may_not_share_hosts_refuses_nothing_for_others():
-    full = placing._FullDemands()
+    full = full_demands.FullDemands()
     full.add(LARGE._replace(max_per_host=1), "p")
     assert not full.covers(LARGE, "p")
 
