Show the largest task that fits, and the waits of the largest jobs

Cause: an operator can't see that large jobs wait while cores are free: the load line has sums only. Change: scheduler.load names the room of the emptiest host by kind of host, also as a gauge, and the mean wait of each queue's last 200 started jobs and of their largest tenth.

--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -6,12 +6,17 @@
 import prometheus_client as prometheus
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, jobs, state
+from bilberrypass.scheduling import hosts, jobs, room_plan, state, wait_figures
 
 _LOG_INTERVAL_S: t.Final = 2.0  # 30 lines a minute
 _FULL_PACE_PERCENT: t.Final = 100
 
 _ended_jobs = prometheus.Counter("bilberrypass_jobs_ended", "Jobs ended", ["status"])
+_largest_cores = prometheus.Gauge(
+    "bilberrypass_largest_task_cores",
+    "Cores of the largest task that fits on a host, by kind of host",
+    ["kind"],
+)
 _job_seconds = prometheus.Histogram(
     "bilberrypass_job_seconds",
     "Time from acceptance to the end of a job",
@@ -31,9 +36,16 @@
 
 @t.final
 class LoadLogger:
-    """Logs the load periodically, so that waiting times can be explained later."""
+    """Logs the load periodically, so that waiting times can be explained later.
+
+    Parameters
+    ----------
+    waits : wait_figures.FirstStartWaits
+        The waits of the jobs that have started.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, waits: wait_figures.FirstStartWaits) -> None:
+        self._waits = waits
         self._next_at = 0.0
 
     def tick(
@@ -47,10 +59,32 @@
             return
         self._next_at = now + _LOG_INTERVAL_S
         decisions.record(
-            "scheduler.load", **_job_figures(jobs), **_host_figures(fleet, now)
+            "scheduler.load",
+            **_job_figures(jobs),
+            **_host_figures(fleet, now),
+            largest_gaps=_observe_gaps(fleet, now),
+            waits={
+                queue: [round(mean_s, 2) for mean_s in waits]
+                for queue, waits in self._waits.by_queue().items()
+            },
         )
 
 
+def _observe_gaps(
+    fleet: abc.Collection[hosts.Host], now: float
+) -> dict[str, tuple[float, int]]:
+    """Return the cores and the memory of the largest task that fits, by kind."""
+    usable = [host for host in fleet if host.is_usable(now)]
+    gaps = room_plan.largest_gaps(usable)
+    _largest_cores.clear()
+    for kind, free in gaps.items():
+        _largest_cores.labels(kind).set(free.cpu_milli / jobs.MILLI_PER_CORE)
+    return {
+        kind: (free.cpu_milli / jobs.MILLI_PER_CORE, free.memory_mb)
+        for kind, free in gaps.items()
+    }
+
+
 def _job_figures(jobs: abc.Collection[state.JobState]) -> dict[str, t.Any]:
     idle_jobs = fillers = others = 0
     for job in jobs:
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -18,6 +18,7 @@
     reconciling,
     reservations,
     state,
+    wait_figures,
 )
 
 if t.TYPE_CHECKING:
@@ -49,6 +50,7 @@
         self._scheduler = owner
         self._reports_due_at: float | None = None
         self._next_round_at = 0.0
+        self.waits = wait_figures.FirstStartWaits()
         self._crowded: dict[str, bool] = {}  # by service, until the next start
         share = reservations.MAX_HOST_SHARE if owner.cfg.has_reservations else 0.0
         self._reservations = reservations.Reservations(max_host_share=share)
@@ -149,6 +151,7 @@
         if started:
             if job.status is state.Status.QUEUED:
                 _wait_seconds.observe(now - job.accepted_at)
+                self.waits.observe(job, now)
             runs = [(task, task.run) for task in started]
             self._scheduler.write_progress(job, lambda: self._order_stored(runs))
             decisions.record(
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -130,7 +130,7 @@
         self._responder = responding.Responder(self, self._events.put)
         self._placer = placing.Placer(self)
         self._migrator = migration.Migrator(self)
-        self._load_log = load.LoadLogger()
+        self._load_log = load.LoadLogger(self._placer.waits)
         self._thread = threading.Thread(target=self._run, name="scheduler", daemon=True)
 
     def start(self) -> None:
