--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -32,6 +32,7 @@
     grace_s: float
     status_s: float
     has_evacuations: bool
+    has_reservations: bool
 
 
 class _Listen(msgspec.Struct):
@@ -61,6 +62,10 @@
     link_mbps: float = 1_000.0
 
 
+class _Scheduling(msgspec.Struct):
+    reservations: bool = True
+
+
 class _File(msgspec.Struct):
     node_name: str
     zone: str
@@ -70,6 +75,7 @@
     listen_addresses: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    scheduling: _Scheduling = msgspec.field(default_factory=_Scheduling)
 
 
 def read(path: pathlib.Path | None = None) -> Node:
@@ -115,4 +121,5 @@
         grace_s=decoded.bounds.grace_s,
         status_s=decoded.bounds.status_s,
         has_evacuations=decoded.bounds.evacuation_ms is not None,
+        has_reservations=decoded.scheduling.reservations,
     )
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -55,10 +55,11 @@
 
 
 class Settings(t.NamedTuple):
-    """Lease duration and retention period of final jobs, in seconds."""
+    """Lease duration and retention of final jobs, in seconds; reserving of room."""
 
     lease_s: float
     status_s: float
+    has_reservations: bool = True
 
 
 Event = abc.Callable[[], None]
@@ -136,7 +137,7 @@
         self._responder = responding.Responder(self, self._events.put)
         self._placer = placing.Placer(self)
         self._migrator = migration.Migrator(self)
-        self._load_log = load.LoadLogger()
+        self._load_log = load.LoadLogger(self._placer.waits)
         self._thread = threading.Thread(target=self._run, name="scheduler", daemon=True)
 
     def start(self) -> None:
