Count a read without an answer as without effect

Cause: a cancellation reads the job before it writes. If the answer to the read was lost, the caller got 502, as if the cancellation might be stored. Change: reads of submissions fail with STORE_DOWN, whatever became of them. Conclusion: 502 is left to writes without an answer.

--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -83,8 +83,14 @@
 
     def _read(self, key: str, deadline: float) -> keyvalue.Item | None:
         self._breaker.check_available(deadline)
-        with self._breaker.track_call():
-            return self._store.get(key, deadline).item
+        try:
+            with self._breaker.track_call():
+                return self._store.get(key, deadline).item
+        except errors.Error as exc:
+            # A read without an answer changes nothing.
+            raise errors.Error(
+                errors.Kind.STORE_DOWN, exc.detail, ran=errors.Ran.NO
+            ) from exc
 
     def cancel(self, id: str, deadline: float) -> bool:
         """Store the cancellation of a job; return False if the job is unknown.
--- a/testing/scheduling/test_circuit_breaker.py
+++ b/testing/scheduling/test_circuit_breaker.py
@@ -165,6 +165,22 @@
     assert _submit(intake.Submissions(store), 1)[0] is None
 
 
+def test_cancellation_whose_read_had_no_answer_changed_nothing():
+    """Callers got 502, as if the cancellation might be stored."""
+    store = SilentStore()
+    submissions = intake.Submissions(store)
+    submissions.submit(_job(1), clock.now() + 1)
+    reads = store.calls.count("get")
+    submissions._breaker._responded_at = clock.now()
+    store.lose_reads = 1
+    exc = fixtures.error_of(
+        errors.Error, submissions.cancel, _job(1).id, clock.now() + 1
+    )
+    assert store.calls.count("get") == reads, "no probe went ahead"
+    assert exc.kind is errors.Kind.STORE_DOWN and exc.ran is errors.Ran.NO
+    assert store.calls.count("commit") == 1
+
+
 def test_callers_in_an_outage_do_not_wait_for_the_probe_of_another():
     """Each waited for the lock of the probe, up to its own deadline."""
     store = SilentStore()
