Leave reservations to deployments that ask for them

Change: the setting is off unless the settings file names it; the plan of room and the figures of gaps and waits stay. Conclusion: on for fleets with large tasks among small ones; off where nothing is gained.

--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -63,7 +63,7 @@
 
 
 class _Scheduling(msgspec.Struct):
-    reservations: bool = True
+    reservations: bool = False
 
 
 class _File(msgspec.Struct):
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -59,7 +59,7 @@
 
     lease_s: float
     status_s: float
-    has_reservations: bool = True
+    has_reservations: bool = False
 
 
 Event = abc.Callable[[], None]
