Bound how long a batch job may be passed over

Change: a batch job of a queue with a latency objective goes first within its priority once the time for which it is of use comes down to what it still needs, in at most a fifth of the room, those first that need least; one that can no longer make it goes last. All of it is derived from acceptance times and what is left; job.passed_over tells each verdict once a job.

--- a/src/bilberrypass/scheduling/durations.py
+++ b/src/bilberrypass/scheduling/durations.py
@@ -125,7 +125,7 @@
         ends = learned.ends.setdefault(
             task.key.step, collections.deque(maxlen=_MAX_ENDS)
         )
-        if took_s:
+        if took_s and took_s > 0:
             ends.append(math.log(took_s * self._speeds.get(task.host, 1.0)))
         if not task.job.open_steps.get((task.key.occurrence, task.key.step)):
             queue = task.job.job.queue
--- a/src/bilberrypass/scheduling/ordering.py
+++ b/src/bilberrypass/scheduling/ordering.py
@@ -1,6 +1,8 @@
 """The order in which jobs are placed on hosts."""
 
 import collections.abc as abc
+import enum
+import math
 import typing as t
 
 from bilberrypass.scheduling import durations, hosts, jobs, placement, state
@@ -16,13 +18,43 @@
 _MAX_ROOM_SHARE: t.Final = 0.5  # of one job; the others' tasks are in between
 
 
+class Group(enum.IntEnum):
+    """Groups of the jobs of one priority, in the order in which they are placed."""
+
+    RESCUED = 0
+    BY_VALUE = 1
+    HOPELESS = 2
+
+
+class Chance(t.NamedTuple):
+    """Whether a batch job can still end while it is of use to its caller.
+
+    ``time_left_s`` is the time for which it is of use, ``needed_s`` the time that it
+    needs once it goes first, ``error`` the standard deviation of the logarithm of that;
+    ``left`` is its work left in core-seconds.
+    """
+
+    time_left_s: float
+    needed_s: float
+    error: float
+    left: float
+    is_filler: bool
+
+
 class Rank(t.NamedTuple):
-    """Sort key of jobs, smallest first; ``accepted_at`` is on ``clock.now``."""
+    """Sort key of jobs, smallest first; ``accepted_at`` is on ``clock.now``.
+
+    No two jobs have the same ``job``, so ``chance`` does not count in the order. It is
+    None where a job's time or needs are unknown.
+    """
 
     priority: int
     is_batch: bool
+    group: Group
     negative_value_density: float
     accepted_at: float
+    job: str
+    chance: Chance | None = None
 
 
 class Room(t.NamedTuple):
@@ -57,6 +89,8 @@
     so that few are begun and most of these are finished. By the earliest objective,
     all would be begun and most finished too late. Services go before batch jobs of
     their priority, since a host that batch tasks have filled has no room for them.
+    Jobs that can no longer end while they are of use go last, as far as their queue's
+    objective and their estimates tell.
 
     Parameters
     ----------
@@ -75,10 +109,13 @@
     """
     steps = job.job.steps
     if any(step.is_service for step in steps):
-        return Rank(queue.priority, False, 0.0, job.accepted_at)
+        return Rank(
+            queue.priority, False, Group.BY_VALUE, 0.0, job.accepted_at, job.job.id
+        )
     outlook = learned.outlook(job, now)
     mean_work = learned.mean_work.of(job.job.queue) * learned.value_bias(job.job.queue)
-    cores = room.fillers if any(step.is_filler for step in steps) else room.batch
+    is_filler = any(step.is_filler for step in steps)
+    cores = room.fillers if is_filler else room.batch
     remaining_s = max(
         outlook.path_left_s, outlook.left / max(1.0, cores * _MAX_ROOM_SHARE)
     )
@@ -89,7 +126,22 @@
         age_s = unix_now - job.due_at(job.first_open_occurrence())
     weight = _lateness_weight(age_s + remaining_s, allowed_s)
     density = weight * min(_MAX_VALUE, value) / outlook.left
-    return Rank(queue.priority, True, -density, job.accepted_at)
+    chance = None
+    if queue.latency_objective_s > 0 and all(step.estimate_s for step in steps):
+        time_left_s = _MAX_LATENESS_FACTOR * allowed_s - age_s
+        chance = Chance(
+            time_left_s, remaining_s, outlook.error, outlook.left, is_filler
+        )
+    is_lost = chance is not None and _is_hopeless(chance)
+    group = Group.HOPELESS if is_lost else Group.BY_VALUE
+    return Rank(
+        queue.priority, True, group, -density, job.accepted_at, job.job.id, chance
+    )
+
+
+def _is_hopeless(chance: Chance) -> bool:
+    """Return whether a job ends too late even if it needs less than expected."""
+    return chance.needed_s / math.exp(chance.error) > chance.time_left_s
 
 
 def _lateness_weight(end_s: float, allowed_s: float) -> float:
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -11,6 +11,7 @@
     jobs,
     messages,
     ordering,
+    passing_over,
     placement,
     reconciling,
     state,
@@ -45,6 +46,7 @@
         self._scheduler = owner
         self._reports_due_at: float | None = None
         self._next_round_at = 0.0
+        self._rescuer = passing_over.Rescuer()
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, in rank order.
@@ -103,8 +105,8 @@
                 quarantine.add(id, "rank", exc)
             else:
                 found.append((rank, job, queue))
-        found.sort(key=lambda item: item[0])
-        return [(job, queue) for _, job, queue in found]
+        ordered = self._rescuer.sort(found, room, now)
+        return [(job, queue) for _, job, queue in ordered]
 
     def _place_job(
         self,
--- a/testing/scheduling/overloads.py
+++ b/testing/scheduling/overloads.py
@@ -6,7 +6,7 @@
 import random
 import typing as t
 
-from bilberrypass.scheduling import durations, jobs, ordering, state
+from bilberrypass.scheduling import durations, jobs, ordering, passing_over, state
 
 CORES = 200
 END_S = 52.0
@@ -106,12 +106,13 @@
 
 
 def by_rank(open_jobs, now, learned):
-    """Return the jobs by the product's rank."""
+    """Return the jobs in the product's order."""
     room = ordering.Room(CORES, CORES)
-    return sorted(
-        open_jobs,
-        key=lambda job: ordering.rank(job, QUEUE, now, 0.0, room, learned),
-    )
+    ranked = [
+        (ordering.rank(job, QUEUE, now, 0.0, room, learned), job, QUEUE)
+        for job in open_jobs
+    ]
+    return [job for _, job, _ in passing_over.Rescuer().sort(ranked, room, now)]
 
 
 def _paths_s(job):
--- a/testing/scheduling/test_ordering.py
+++ b/testing/scheduling/test_ordering.py
@@ -62,6 +62,23 @@
     assert _rank(begun, now) < _rank(fresh, now)
 
 
+def test_job_whose_last_tasks_wait_precedes_jobs_not_begun():
+    """Counted by its open tasks, it has as much left as the fresh ones."""
+    now = clock.now()
+    step = jobs.Step(4, 7_000, estimate_s=5.0)
+    begun, fresh = (
+        state.JobState(jobs.Job(id, "q", "", (step,), 0.0), now - 1.0)
+        for id in ("begun", "a fresh one")
+    )
+    assert _rank(fresh, now) < _rank(begun, now)
+    for task in list(begun.tasks.values())[:3]:
+        task.phase = state.Phase.RUNNING
+        task.progress.observe(0, 100, now - 4.0)
+        task.progress.observe(80, 100, now)
+    begun.status = state.Status.RUNNING
+    assert _rank(begun, now) < _rank(fresh, now)
+
+
 def test_large_job_is_not_put_behind_every_smaller_one():
     """By the work left alone, a large job would wait until all others are done."""
     now = clock.now()
