--- a/testing/scheduling/test_passing_over.py
+++ b/testing/scheduling/test_passing_over.py
@@ -41,7 +41,8 @@
 
 def test_job_that_cannot_make_it_pushes_no_other_out():
     fresh = _job("fresh", 0.0, 20)
-    assert _ids([_job("lost", 26.0, 1), fresh]) == ["fresh", "lost"]
+    lost = _job("lost", 26.0, 1, cores=1.0)
+    assert _ids([lost, fresh]) == ["fresh", "lost"]
 
 
 def test_rescued_jobs_leave_four_fifths_of_the_room_to_the_others():
