--- a/src/bilberrypass/scheduling/ordering.py
+++ b/src/bilberrypass/scheduling/ordering.py
@@ -13,7 +13,7 @@
 _FIXED_VALUE: t.Final = 0.3
 _VALUE_OF_MEAN_WORK: t.Final = 0.7
 _MAX_VALUE: t.Final = 4.0
-# A late job has often been begun; each drop of one wastes its work and its caller's wait.
+# A late job has often been begun; to drop it wastes its work and its caller's wait.
 _LATE_WEIGHT: t.Final = 0.9
 _USELESS_WEIGHT: t.Final = 0.2
 _MAX_ROOM_SHARE: t.Final = 0.5  # of one job; the others' tasks are in between
