--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -14,6 +14,7 @@
     jobs,
     messages,
     ordering,
+    passing_over,
     placement,
     reconciling,
     reservations,
@@ -57,6 +58,7 @@
         self._reservations = reservations.Reservations(
             room_plan.corrected_end(owner.durations), share
         )
+        self._rescuer = passing_over.Rescuer()
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, in rank order.
@@ -118,8 +120,8 @@
                 quarantine.add(id, "rank", exc)
             else:
                 found.append((rank, job, queue))
-        found.sort(key=lambda item: item[0])
-        return [(job, queue) for _, job, queue in found]
+        ordered = self._rescuer.sort(found, room, now)
+        return [(job, queue) for _, job, queue in ordered]
 
     def _place_job(
         self,
