Keep only the newest courses of services at an agent

Cause: courses of steps that had left a host stayed in memory for the runner's life. Change: each message replaces them.

--- a/src/bilberrypass/hosting/filler_paces.py
+++ b/src/bilberrypass/hosting/filler_paces.py
@@ -44,8 +44,9 @@
         self, courses: abc.Iterable[messages.MarginCourse], now: float
     ) -> None:
         """Update the forecasts of the services' own margins from the scheduler."""
-        for step, margins in courses:
-            self._courses[step] = pacing.Course(now, tuple(margins))
+        found = {step: pacing.Course(now, tuple(margins)) for step, margins in courses}
+        if found:
+            self._courses = found
 
     def adjust(self, now: float) -> None:
         """Adjust the paces to the latest figures; ``now`` is on ``clock.now``."""
