--- a/src/bilberrypass/scheduling/filler_room.py
+++ b/src/bilberrypass/scheduling/filler_room.py
@@ -61,7 +61,6 @@
                 task.step.image,
                 task.step.cpu_milli / self._cores_milli,
                 _steps_left(task),
-                task.figure > 0 or task.pace == 0,
             )
             for task in host.tasks.values()
             if task.step.is_filler
@@ -77,10 +76,8 @@
             if not course:
                 course = (_last_margin(task, host, estimates),) * _FORECAST_STEPS
             spare = [margin - MIN_MARGIN for margin in course]
-            for filler, share, steps, is_measured in fillers:
-                # What is not measured yet may be wrong for several fillers alike.
-                loss = estimates.loss if is_measured else estimates.cautious_loss
-                lost = loss(image, filler) * share
+            for filler, share, steps in fillers:
+                lost = estimates.loss(image, filler) * share
                 for number in range(min(steps, len(spare))):
                     spare[number] -= lost
             self._rows.append((image, spare))
