Start fillers of uncertain effect slowly until a figure shows it

Cause: in logged trials six of ten figures over the target came within a second of a filler's start, most by pairs whose estimate was too low. Change: agents get a cautious estimate beside the mean, and use it for fillers without a figure. Measured: not yet.

--- a/src/bilberrypass/hosting/filler_paces.py
+++ b/src/bilberrypass/hosting/filler_paces.py
@@ -29,6 +29,7 @@
         self._set_pace = set_pace
         self._pacer = pacing.Pacer()
         self._interference_estimates: dict[tuple[str, str], float] = {}
+        self._cautious_estimates: dict[tuple[str, str], float] = {}
         self._courses: dict[str, pacing.Course] = {}
         self.has_contention = False
 
@@ -36,9 +37,9 @@
         self, estimates: abc.Iterable[messages.InterferenceEstimate]
     ) -> None:
         """Update the estimates of interference between images from the scheduler."""
-        self._interference_estimates.update(
-            {(e.service, e.filler): e.per_core for e in estimates}
-        )
+        for row in estimates:
+            self._interference_estimates[row.service, row.filler] = row.per_core
+            self._cautious_estimates[row.service, row.filler] = row.cautious_per_core
 
     def update_courses(
         self, courses: abc.Iterable[messages.MarginCourse], now: float
@@ -79,7 +80,11 @@
         ]
         self.has_contention = bool(services and fillers)
         paces = self._pacer.choose_paces(
-            services, fillers, self._interference_estimates, now
+            services,
+            fillers,
+            self._interference_estimates,
+            now,
+            self._cautious_estimates,
         )
         if not paces:
             return
--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -108,6 +108,7 @@
         fillers: abc.Sequence[Filler],
         estimates: InterferenceEstimates,
         now: float,
+        cautious: InterferenceEstimates | None = None,
     ) -> dict[tuple[str, int], int]:
         """Return the paces that change, in percent, by run.
 
@@ -120,11 +121,12 @@
             the service and of the filler.
         now : float
             Time on ``clock.now``, in seconds.
+        cautious : mapping, optional
+            Losses that are rarely exceeded, for fillers that no figure shows yet.
         """
+        early = estimates if cautious is None else cautious
         services = [
-            s._replace(
-                coming_loss=s.coming_loss + _unmeasured_loss(s, fillers, estimates)
-            )
+            s._replace(coming_loss=s.coming_loss + _unmeasured_loss(s, fillers, early))
             for s in services
         ]
         least_margin = min((s.margin for s in services), default=math.inf)
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -27,6 +27,7 @@
 _MIN_LOSS: t.Final = 0.2
 _MAX_LOSS: t.Final = 40.0
 _CAUTION: t.Final = 0.5  # in standard deviations
+_START_CAUTION: t.Final = 1.0  # until a figure shows the effect of a new filler
 _MIN_SHARE: t.Final = 0.005  # of the host's cores
 _MIN_INFORMATION: t.Final = 0.5  # share of the prior variance that is resolved
 _PRIOR_WEIGHT: t.Final = 1.0  # in pairs
@@ -71,12 +72,14 @@
         mean = self._prior(service, filler).mean if found is None else found.mean
         return min(_MAX_LOSS, max(_MIN_LOSS, mean))
 
-    def cautious_loss(self, service: str, filler: str) -> float:
-        """Return a loss of margin that is rarely exceeded, to admit a new filler by."""
+    def cautious_loss(
+        self, service: str, filler: str, caution: float = _CAUTION
+    ) -> float:
+        """Return a loss of margin so many standard deviations above the mean."""
         mean, variance = self._pairs.get((service, filler)) or self._prior(
             service, filler
         )
-        return min(_MAX_LOSS, max(_MIN_LOSS, mean) + _CAUTION * math.sqrt(variance))
+        return min(_MAX_LOSS, max(_MIN_LOSS, mean) + caution * math.sqrt(variance))
 
     def observe(
         self,
@@ -176,7 +179,9 @@
         ]
         return [
             messages.InterferenceEstimate(
-                *pair, round(self.loss(*pair) / host_cores, 4)
+                *pair,
+                round(self.loss(*pair) / host_cores, 4),
+                round(self.cautious_loss(*pair, _START_CAUTION) / host_cores, 4),
             )
             for pair in pairs
         ]
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -167,12 +167,13 @@
     """Loss of a service's margin per core of a filler; both named by image.
 
     The margin is the latency target divided by the latency. Valid for the size of the
-    host that gets it.
+    host that gets it. ``cautious_per_core`` is rarely exceeded.
     """
 
     service: str
     filler: str
     per_core: float
+    cautious_per_core: float
 
 
 class MarginCourse(t.NamedTuple):
--- a/testing/hosting/test_pacing.py
+++ b/testing/hosting/test_pacing.py
@@ -79,6 +79,17 @@
     assert not pacer.choose_paces(_services(70), fillers, ESTIMATES, 10.2)
 
 
+def test_new_filler_of_uncertain_effect_starts_slowly():
+    fillers = [pacing.Filler(NEW, "new", 100, 7.0, 0, False)]
+    known, cautious = {("s", "new"): 0.05}, {("s", "new"): 0.2}
+    assert not pacing.Pacer().choose_paces(_services(60), fillers, known, 10.0)
+    paces = pacing.Pacer().choose_paces(_services(60), fillers, known, 10.0, cautious)
+    assert paces[NEW] < 100
+    measured = [fillers[0]._replace(is_measured=True, pace=paces[NEW])]
+    paces = pacing.Pacer().choose_paces(_services(60), measured, known, 10.6, cautious)
+    assert paces == {NEW: 100}
+
+
 def test_fillers_are_slowed_before_the_load_of_a_service_rises():
     course = pacing.Course(10.0, (2.0, 2.0, 1.6, 1.2, 1.2))
     loss = course.coming_loss(10.6)
