--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -15,8 +15,10 @@
 
 PROGRESS_PREFIX: t.Final = "progress/"
 INTERFERENCE_KEY: t.Final = "interference"
+FORECAST_KEY: t.Final = election.KEY + "/forecast"  # read by the watch of that key
 # Each job uses two entries of a transaction: a precondition and a value. One more
-# entry is the election's precondition and one the value of INTERFERENCE_KEY.
+# entry is the election's precondition and one the value of INTERFERENCE_KEY or
+# FORECAST_KEY.
 MAX_JOBS_PER_COMMIT: t.Final = (keyvalue.MAX_COMMIT_ENTRIES - 2) // 2
 # four times the response time of a store that is 60 times slower than usual
 _COMMIT_TIMEOUT_S: t.Final = 1.0
@@ -139,6 +141,7 @@
                 return self._resolve_conflict(group, exc.items)
             except errors.Error as exc:
                 self._commits.failed(exc)
+            del puts[len(group) :]  # estimates would be out of date when stored
             time.sleep(_RETRY_INTERVAL_S)
         return None
 
--- a/testing/scheduling/overloads.py
+++ b/testing/scheduling/overloads.py
@@ -10,6 +10,7 @@
 
 CORES = 200
 QUEUE = jobs.Queue("q", "p", priority=2, stretch=2.0, latency_objective_s=1.0)
+QUEUES = {"q": QUEUE, "urgent": QUEUE._replace(priority=0)}
 _DURATION_S = 34.0
 _END_S = 52.0
 _START_S = 1_000.0
@@ -37,7 +38,7 @@
     served: float
 
 
-def draw(seed: int, load: float) -> list[Arrival]:
+def draw(seed: int, load: float, duration_s: float = _DURATION_S) -> list[Arrival]:
     """Draw jobs whose work arrives at ``load`` times the rate that CORES can do.
 
     Widths, sizes and durations are those of the deployments that the project serves;
@@ -46,7 +47,7 @@
     rng = random.Random(seed)
     rate = load * CORES / _MEAN_WORK
     drawn, at = [], rng.expovariate(rate)
-    while at < _DURATION_S:
+    while at < duration_s:
         drawn.append(_draw_job(rng, len(drawn), _START_S + at))
         at += rng.expovariate(rate)
     mean = sum(work for *_, work in drawn) / max(1, len(drawn))
@@ -77,12 +78,32 @@
     return state.JobState(job, at), durations_s, objective_s, work
 
 
+def draw_pile(count: int, duration_s: float, queue: str = "q") -> list[Arrival]:
+    """Return equal jobs of a queue that arrive within a time, evenly spaced."""
+    duration = 3.0
+    step = jobs.Step(7, 7_000, estimate_s=duration, image="f")
+    objective_s = QUEUE.stretch * duration + QUEUE.latency_objective_s
+    found = []
+    for number in range(count):
+        job = jobs.Job(f"{queue}{number:09x}", queue, "", (step,), 0.0)
+        at = _START_S + number * duration_s / count
+        found.append(Arrival(state.JobState(job, at), [duration], objective_s, 1.0))
+    return found
+
+
 def by_rank(open_jobs, now, mean_work):
     """Return the jobs by the product's rank."""
     room = ordering.Room(CORES, CORES)
     return sorted(
         open_jobs,
-        key=lambda job: ordering.rank(job, QUEUE, now, 0.0, mean_work.of("q"), room),
+        key=lambda job: ordering.rank(
+            job,
+            QUEUES[job.job.queue],
+            now,
+            0.0,
+            mean_work.of(job.job.queue),
+            room,
+        ),
     )
 
 
