Refuse submissions at the entries that can no longer be served

Cause: nothing used the forecast, and a refusal could be untrue: an attempt sent before, without an answer, may take effect after a read has found no job.

Change: the leader writes its record in the slot of the interference estimates, and the watch of the election's key delivers it to each entry, with no further calls. A refusal is a conditional write under a lease, which a submission's write requires to be as it was at its first attempt. `refuse_hopeless_jobs` switches all of it off.

Conclusion: a refused id is not stored, also by a late write, while its lease lasts.

--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -66,7 +66,7 @@
         config = queues.ConfigWatcher(
             kv_store, operator.CONFIG_KEY, operator.read_config
         )
-        cfg = scheduler.Settings(lease_s(node), node.status_s)
+        cfg = scheduler.Settings(lease_s(node), node.status_s, node.refuses_hopeless)
         self._entry = entry.Entry(
             node.name, node.peer_address, kv_store, config, cfg, candidacy_delay_s(node)
         )
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -31,6 +31,7 @@
     stop_timeout_s: float
     grace_s: float
     status_s: float
+    refuses_hopeless: bool
 
 
 class _Listen(msgspec.Struct):
@@ -67,6 +68,8 @@
     listen_addresses: _Listen = msgspec.field(default_factory=_Listen)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Whether jobs are refused that can no longer be served in time.
+    refuse_hopeless_jobs: bool = True
 
 
 def read(path: pathlib.Path | None = None) -> Node:
@@ -111,4 +114,5 @@
         stop_timeout_s=decoded.bounds.stop_timeout_ms / _MS,
         grace_s=decoded.bounds.grace_s,
         status_s=decoded.bounds.status_s,
+        refuses_hopeless=decoded.refuse_hopeless_jobs,
     )
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -1,6 +1,7 @@
 """Leader election of the scheduler: a key in the store, attached to a lease."""
 
 import abc
+import collections.abc as cabc
 import threading
 import typing as t
 
@@ -19,6 +20,9 @@
 _RETRY_INTERVAL_S: t.Final = 0.3
 
 
+OnOtherKey = cabc.Callable[[keyvalue.Change, float], None]
+
+
 class Leader(t.NamedTuple):
     """The elected process; its epoch is the revision of the election's key."""
 
@@ -76,6 +80,9 @@
         Notified when leadership is gained or lost.
     candidacy_delay_s : float
         How long a free key is left to other processes first; for weak hosts.
+    on_other_key : callable, optional
+        Called with each change of another key that begins with ``KEY``, as the watch
+        of this key sees it, and with a time on ``clock.now`` before that change.
     """
 
     def __init__(
@@ -85,12 +92,14 @@
         address: str,
         candidate: Candidate,
         candidacy_delay_s: float = 0.0,
+        on_other_key: OnOtherKey | None = None,
     ) -> None:
         self._store = store
         self._name = name
         self._address = address
         self._candidate = candidate
         self._candidacy_delay_s = candidacy_delay_s
+        self._on_other_key = on_other_key
         self._lease: keyvalue.Lease | None = None
         self._leader: Leader | None = None
         self._epoch = 0
@@ -145,8 +154,9 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
+            read_at = clock.now()
             try:
-                lookup = self._store.get(KEY, clock.now() + _STORE_CALL_TIMEOUT_S)
+                lookup = self._store.get(KEY, read_at + _STORE_CALL_TIMEOUT_S)
                 self._store_reads.worked()
                 leader = decode_leader(lookup.item)
                 self._update_leader(leader)
@@ -155,19 +165,25 @@
                         continue
                     self._campaign(0 if leader is None else leader.epoch)
                     continue
-                self._await_key_change(lookup.revision)
+                self._await_key_change(lookup.revision, read_at)
             except errors.Error as exc:
                 self._store_reads.failed(exc)
                 self._stopping.wait(_RETRY_INTERVAL_S)
 
-    def _await_key_change(self, revision: int) -> None:
+    def _await_key_change(self, revision: int, read_at: float) -> None:
+        """Watch the keys after a revision that was read at ``read_at`` or later."""
         while not self._stopping.is_set():
+            sent_at = clock.now()
             try:
                 batch = self._store.watch(KEY, revision, _WATCH_TIMEOUT_S)
             except keyvalue.HistoryLost:
                 self._stopping.wait(_RETRY_INTERVAL_S)
                 return
             revision = max(revision, batch.revision)
+            for change in batch.changes:
+                if change.key != KEY and self._on_other_key is not None:
+                    self._on_other_key(change, read_at)
+            read_at = sent_at
             if any(change.key == KEY for change in batch.changes):
                 return
 
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -18,6 +18,7 @@
     keyvalue,
     messages,
     queues,
+    refusing,
     scheduler,
     sending,
 )
@@ -82,8 +83,14 @@
         self._peer: channels.Peer | None = None
         self._peer_first_until = 0.0
         self._peers_seen_at: dict[str, float] = {}
+        self._gate = refusing.Gate(
+            self._submissions.refuse,
+            lambda name: self.table.queues.get(name) if self.table else None,
+            lambda: leader.epoch if (leader := self._election.leader) else 0,
+            cfg.refuses_hopeless,
+        )
         self._election = election.Election(
-            store, name, peer_address, self, candidacy_delay_s
+            store, name, peer_address, self, candidacy_delay_s, self._gate.on_change
         )
         self._server = channels.Server(
             peer_address,
@@ -151,6 +158,7 @@
         errors.Error
             STORE_DOWN or ``ran`` NO if the job certainly is not stored; else it may be.
         """
+        self._gate.check(job, deadline)
         try:
             is_new = self._change_with_fallback(
                 lambda until: self._submissions.submit(job, until),
--- a/src/bilberrypass/scheduling/estimate_publishing.py
+++ b/src/bilberrypass/scheduling/estimate_publishing.py
@@ -1,5 +1,9 @@
-"""Sends interference estimates to agents and stores them for the next leader."""
+"""Sends interference estimates to agents and stores them for the next leader.
 
+Forecasts for entries take turns with them: a commit has room for one such value.
+"""
+
+import collections.abc as abc
 import typing as t
 
 from bilberrypass.scheduling import committing, hosts, interference, keyvalue, messages
@@ -21,6 +25,7 @@
     def __init__(self, estimates: interference.Estimates) -> None:
         self._estimates = estimates
         self._stored_at = 0.0
+        self.next_forecast: abc.Callable[[], keyvalue.Put | None] = _no_forecast
 
     def rows_if_due(
         self, host: hosts.Host, now: float
@@ -34,8 +39,15 @@
         return self._estimates.rows_of_services(images)
 
     def put_if_due(self, now: float) -> keyvalue.Put | None:
-        """Return the write of all estimates for the next leader, or None if not due."""
+        """Return the write of a forecast or of all estimates, or None if not due."""
+        forecast = self.next_forecast()
+        if forecast is not None:
+            return forecast
         if now < self._stored_at + _STORE_INTERVAL_S:
             return None
         self._stored_at = now
         return keyvalue.Put(committing.INTERFERENCE_KEY, self._estimates.encode())
+
+
+def _no_forecast() -> None:
+    """Return no write; stands for the forecasts where nothing is refused."""
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -14,11 +14,15 @@
 INTAKE_PREFIX: t.Final = "intake/"
 JOB_PREFIX: t.Final = "intake/job/"
 CANCEL_PREFIX: t.Final = "intake/cancel/"
+REFUSED_PREFIX: t.Final = "refused/"
 _READ_TIMEOUT_S: t.Final = 2.0
 _WATCH_TIMEOUT_S: t.Final = 1.0
 # allows several attempts within the usual deadline of a caller, 3 s
 _WRITE_ATTEMPT_TIMEOUT_S: t.Final = 0.8
 _RETRY_INTERVAL_S: t.Final = 0.2
+# A lost write of an earlier attempt takes effect within seconds, or never.
+_REFUSAL_TTL_S: t.Final = 60.0
+_REFUSAL_LEASE_USE_S: t.Final = 30.0  # for new refusals
 
 
 class Submissions:
@@ -33,6 +37,8 @@
     def __init__(self, store: keyvalue.Store) -> None:
         self._store = store
         self._breaker = circuit_breaker.CircuitBreaker(store)
+        self._lease = 0
+        self._lease_until = 0.0
 
     def submit(self, job: jobs.Job, deadline: float) -> bool:
         """Store a job and return whether it is new; idempotent by the job's id.
@@ -40,24 +46,76 @@
         Raises
         ------
         errors.Error
-            STORE_DOWN if the job certainly is not stored, STORE_UNCERTAIN if it may be.
+            STORE_DOWN or OVERLOADED if the job certainly is not stored,
+            STORE_UNCERTAIN if it may be.
         """
-        return self._create(JOB_PREFIX + job.id, state.encode_job(job), deadline)
+        key, value = JOB_PREFIX + job.id, state.encode_job(job)
+        return self._create(key, value, deadline, REFUSED_PREFIX + job.id)
 
-    def _create(self, key: str, value: bytes, deadline: float) -> bool:
+    def refuse(self, id: str, deadline: float) -> bool:
+        """Prevent that earlier attempts to submit a job take effect; they may be late.
+
+        A later attempt can submit it.
+
+        Returns
+        -------
+        bool
+            False if the job is stored already; then nothing was changed.
+        """
+        self._breaker.check_available(deadline)
+        put = keyvalue.Put(REFUSED_PREFIX + id, b"", self._refusal_lease(deadline))
+        with self._breaker.track_call():
+            try:
+                self._store.commit({JOB_PREFIX + id: 0}, [put], deadline)
+            except keyvalue.PreconditionFailed:
+                return False
+            except keyvalue.LeaseLost:
+                self._lease_until = 0.0
+                raise
+        return True
+
+    def _refusal_lease(self, deadline: float) -> int:
+        """Return a lease that ends refusals some time after they were written."""
+        now = clock.now()
+        if now >= self._lease_until:
+            self._lease = self._store.grant(_REFUSAL_TTL_S, deadline).id
+            self._lease_until = now + _REFUSAL_LEASE_USE_S
+        return self._lease
+
+    def _create(
+        self, key: str, value: bytes, deadline: float, refusal: str = ""
+    ) -> bool:
         """Create a key unless it exists, with retries after a lost response.
 
         A retry is safe: an attempt that takes effect late finds the key in place and
-        changes nothing.
+        changes nothing. A ``refusal`` that is there at the first write was meant for
+        an earlier attempt of the caller; one that comes later was meant for this one.
         """
         self._breaker.check_available(deadline)
         uncertain: errors.Error | None = None
+        expected = {key: 0} | ({refusal: 0} if refusal else {})
+        is_first = True
         while True:
+            until = min(deadline, clock.now() + _WRITE_ATTEMPT_TIMEOUT_S)
             try:
-                return self._try_create(
-                    key, value, min(deadline, clock.now() + _WRITE_ATTEMPT_TIMEOUT_S)
-                )
+                found = self._try_create(expected, keyvalue.Put(key, value), until)
+                if found is None:
+                    return True
+                if key in found or not refusal:
+                    return False
+                if not is_first:
+                    raise errors.Refused(
+                        errors.Kind.OVERLOADED,
+                        "another attempt of this submission was refused; retry later",
+                    )
+                item = found.get(refusal)
+                expected[refusal] = 0 if item is None else item.revision
+                is_first = False
+                continue
+            except errors.Refused:
+                raise
             except errors.Error as exc:
+                is_first = False
                 decisions.record("create.failed", key=key, why=str(exc))
                 if exc.kind is errors.Kind.STORE_UNCERTAIN:
                     uncertain = exc
@@ -67,13 +125,16 @@
             if clock.now() >= deadline:
                 raise uncertain
 
-    def _try_create(self, key: str, value: bytes, deadline: float) -> bool:
+    def _try_create(
+        self, expected: dict[str, int], put: keyvalue.Put, deadline: float
+    ) -> dict[str, keyvalue.Item] | None:
+        """Write a key; return None if it was written, else the keys that were there."""
         with self._breaker.track_call():
             try:
-                self._store.commit({key: 0}, [keyvalue.Put(key, value)], deadline)
-            except keyvalue.PreconditionFailed:
-                return False
-        return True
+                self._store.commit(expected, [put], deadline)
+            except keyvalue.PreconditionFailed as exc:
+                return exc.items
+        return None
 
     def _read(self, key: str, deadline: float) -> keyvalue.Item | None:
         self._breaker.check_available(deadline)
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -7,11 +7,13 @@
 from bilberrypass import clock, crash_limits
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
+    forecast_publishing,
     hosts,
     jobs,
     messages,
     ordering,
     placement,
+    queue_forecast,
     reconciling,
     state,
 )
@@ -45,6 +47,9 @@
         self._scheduler = owner
         self._reports_due_at: float | None = None
         self._next_round_at = 0.0
+        self._forecasts = forecast_publishing.ForecastPublisher(owner.epoch)
+        if owner.cfg.refuses_hopeless:
+            owner.publisher.next_forecast = self._forecasts.put_if_due
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, in rank order.
@@ -66,11 +71,39 @@
             return
         unix_now = self._scheduler.fleet_clock.unix_time(now)
         full = _FullDemands()
-        for job, queue in self._ranked_jobs(usable, now, unix_now):
+        ranked = self._ranked_jobs(usable, now, unix_now)
+        for job, queue in ranked:
             try:
                 self._place_job(job, queue, usable, full, now, unix_now)
             except Exception as exc:
                 self._scheduler.quarantine.add(job.job.id, "placement", exc)
+        if self._scheduler.cfg.refuses_hopeless and self._forecasts.is_due(now):
+            self._forecast(ranked, usable, full, now, unix_now)
+
+    def _forecast(
+        self,
+        ranked: list[tuple[state.JobState, jobs.Queue]],
+        usable: list[hosts.Host],
+        full: "_FullDemands",
+        now: float,
+        unix_now: float,
+    ) -> None:
+        """Renew the forecasts for entries from a round that has ended."""
+        room, mean_work = ordering.measure_room(usable), self._scheduler.mean_work
+        found = forecast_publishing.Round(
+            ranked,
+            full.pools(),
+            _measure_rooms(usable),
+            lambda job, queue, at: ordering.rank(
+                job, queue, at, unix_now + at - now, mean_work.of(job.job.queue), room
+            ),
+            self._scheduler.jobs.get,
+        )
+        try:
+            self._forecasts.observe(found, now)
+        except Exception as exc:
+            # Placement goes on; the last record lapses, and every job is accepted.
+            decisions.record("forecast.failed", why=repr(exc))
 
     def _has_waited_for_reports(self, now: float) -> bool:
         """Return whether the hosts have had time to report to a new scheduler.
@@ -302,12 +335,34 @@
             for refused in self._demands.get(_kind(step, service), ())
         )
 
+    def pools(self) -> set[queue_forecast.Pool]:
+        """Return the pools with a refused task that any host could take."""
+        return {
+            queue_forecast.Pool(service, bool(filler))
+            for service, label, filler in self._demands
+            if not label
+        }
+
 
 def _kind(step: jobs.Step, service: str) -> tuple[str, str, str]:
     """Return what steps share if room for one is room for the other."""
     return service, step.required_label, f"filler {step.image}" * step.is_filler
 
 
+def _measure_rooms(usable: list[hosts.Host]) -> dict[queue_forecast.Pool, float]:
+    """Return the cores of the hosts of each service, for batch tasks and fillers."""
+    by_service: dict[str, list[hosts.Host]] = {}
+    for host in usable:
+        if host.runner is not None:
+            by_service.setdefault(host.runner.service, []).append(host)
+    rooms = {}
+    for service, found in by_service.items():
+        room = ordering.measure_room(found)
+        rooms[queue_forecast.Pool(service, False)] = room.batch
+        rooms[queue_forecast.Pool(service, True)] = room.fillers
+    return rooms
+
+
 def _demand(step: jobs.Step) -> tuple[int, int, int]:
     return step.cpu_milli, step.memory_mb, step.gpus
 
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -53,10 +53,11 @@
 
 
 class Settings(t.NamedTuple):
-    """Lease duration and retention period of final jobs, in seconds."""
+    """Lease duration and retention period of final jobs, in seconds, and switches."""
 
     lease_s: float
     status_s: float
+    refuses_hopeless: bool = True
 
 
 Event = abc.Callable[[], None]
