Test the age of forecasts that a watch delivers, and retried commits

Cause: nothing held that a commit's retry leaves out the estimates beside its group, nor that a change is passed on with a time before which it was not there.

Change: a test of each.

Measured: `python -m testing scheduling.test_election`, 12 passed; 11 passed and 1 failed with the retry changed to keep the estimates.

Conclusion: a forecast that is stored after an outage does not pass for a new one.

--- a/testing/scheduling/test_election.py
+++ b/testing/scheduling/test_election.py
@@ -1,6 +1,7 @@
 """Leader election, and writes of a scheduler that may have lost leadership."""
 
 import contextlib
+import time
 
 from bilberrypass import clock, errors
 from bilberrypass.scheduling import committing, election, keyvalue
@@ -160,6 +161,45 @@
     assert "progress/j" not in store.items and not stored
 
 
+def test_retried_commit_leaves_out_the_estimates_beside_it():
+    """A forecast that is stored after an outage would pass for a new one."""
+    store = keyvalues.Store()
+    store.put(election.KEY, b"x")
+    epoch = store.revision
+    store.is_down = True
+    committer, stored, _ = _committer(store, epoch)
+    extra = keyvalue.Put(committing.FORECAST_KEY, b"old")
+    committer.submit([committing.ProgressWrite("j", b"one", 0)], extra)
+    fixtures.wait_until(lambda: "commit" in store.calls, 2.0, "an attempt")
+    store.is_down = False
+    fixtures.wait_until(lambda: stored, 5.0, "the write")
+    assert "progress/j" in store.items and committing.FORECAST_KEY not in store.items
+    committer.stop()
+
+
+def test_watch_of_the_key_passes_on_other_keys_with_their_greatest_age():
+    """A record that was there before the first read has no known age."""
+    store, found = keyvalues.Store(), []
+    store.put(committing.FORECAST_KEY, b"before")
+    began = clock.now()
+    member = election.Election(
+        store, "e0", "10.0.0.0:1", _Candidate(), on_other_key=lambda *x: found.append(x)
+    )
+    member.start()
+    fixtures.wait_until(lambda: member.leader, 2.0, "a leader")
+    for value in (b"one", b"two"):
+        time.sleep(0.3)
+        put_at = clock.now()
+        store.put(committing.FORECAST_KEY, value)
+        fixtures.wait_until(
+            lambda v=value: found and found[-1][0].value == v, 2.0, "the change"
+        )
+        assert began <= found[-1][1] <= put_at
+        began = found[-1][1]
+    assert [change.value for change, _ in found] == [b"one", b"two"]
+    member.release_leadership()
+
+
 def test_renewal_of_ended_lease_differs_from_store_failure():
     store = keyvalues.Store()
     exc = fixtures.error_of(keyvalue.LeaseLost, store.renew, 1, 0.0)
