Merge admission by forecast

The durations that it asks for are those of one time (KnownDurations), since ranks at later times would else be cached. Off unless the settings ask for it.

--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -74,7 +74,9 @@
         config = queues.ConfigWatcher(
             kv_store, operator.CONFIG_KEY, operator.read_config
         )
-        cfg = scheduler.Settings(lease_s(node), node.status_s, node.has_reservations)
+        cfg = scheduler.Settings(
+            lease_s(node), node.status_s, node.has_reservations, node.refuses_hopeless
+        )
         self._entry = entry.Entry(
             node.name,
             node.peer_address,
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -33,6 +33,7 @@
     status_s: float
     has_evacuations: bool
     has_reservations: bool
+    refuses_hopeless: bool
 
 
 class _Listen(msgspec.Struct):
@@ -64,6 +65,8 @@
 
 class _Scheduling(msgspec.Struct):
     reservations: bool = False
+    # Whether jobs are refused that can no longer be served in time.
+    refuse_hopeless_jobs: bool = False
 
 
 class _File(msgspec.Struct):
@@ -122,4 +125,5 @@
         status_s=decoded.bounds.status_s,
         has_evacuations=decoded.bounds.evacuation_ms is not None,
         has_reservations=decoded.scheduling.reservations,
+        refuses_hopeless=decoded.scheduling.refuse_hopeless_jobs,
     )
--- a/src/bilberrypass/scheduling/durations.py
+++ b/src/bilberrypass/scheduling/durations.py
@@ -170,6 +170,10 @@
         outlook = self._learned(job).outlook or self._outlook(job, 0.0)
         return outlook.left
 
+    def known_at(self, now: float) -> "KnownDurations":
+        """Return what is known at a time, for ranks at later times."""
+        return KnownDurations(self, now)
+
     def value_bias(self, queue: str) -> float:
         """Return the usual ratio of true to estimated work of a queue's jobs."""
         return self._priors.get(queue, self._untold).ratio
@@ -303,6 +307,20 @@
     return now - task.started_at if is_whole else None
 
 
+@t.final
+class KnownDurations:
+    """The durations as known at one time, whatever later time they are asked for."""
+
+    def __init__(self, learned: Durations, now: float) -> None:
+        self.mean_work = learned.mean_work
+        self.value_bias = learned.value_bias
+        self._learned, self._now = learned, now
+
+    def outlook(self, job: state.JobState, at: float) -> Outlook:
+        """Return the outlook of a batch job as of the time of this object."""
+        return self._learned.outlook(job, self._now)
+
+
 def path_s(steps: abc.Sequence[jobs.Step], lengths_s: abc.Sequence[float]) -> float:
     """Return the critical path of steps that take ``lengths_s``, in seconds."""
     ends_s: list[float] = []
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -19,6 +19,7 @@
     keyvalue,
     messages,
     queues,
+    refusing,
     scheduler,
     sending,
 )
@@ -85,8 +86,14 @@
         self._peer: channels.Peer | None = None
         self._paths = changing.ChangePaths()
         self._peers_seen_at: dict[str, float] = {}
+        self._gate = refusing.Gate(
+            self._submissions.refuse,
+            lambda name: self.table.queues.get(name) if self.table else None,
+            lambda: leader.epoch if (leader := self._election.leader) else 0,
+            cfg.refuses_hopeless,
+        )
         self._election = election.Election(
-            store, name, peer_address, self, candidacy_delay_s
+            store, name, peer_address, self, candidacy_delay_s, self._gate.on_change
         )
         self._server = channels.Server(
             peer_address,
@@ -160,6 +167,7 @@
         errors.Error
             STORE_DOWN or ``ran`` NO if the job certainly is not stored; else it may be.
         """
+        self._gate.check(job, deadline)
         try:
             is_new = self._change_with_fallback(
                 lambda until: self._submissions.submit(job, until),
--- a/src/bilberrypass/scheduling/full_demands.py
+++ b/src/bilberrypass/scheduling/full_demands.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from bilberrypass.scheduling import backfilling, jobs
+from bilberrypass.scheduling import backfilling, jobs, queue_forecast
 
 
 @t.final
@@ -29,6 +29,14 @@
             for refused in self._demands.get(_kind(step, service), ())
         )
 
+    def pools(self) -> set[queue_forecast.Pool]:
+        """Return the pools with a refused task that any host could take."""
+        return {
+            queue_forecast.Pool(service, bool(filler))
+            for service, label, filler in self._demands
+            if not label
+        }
+
     def add_held(self, step: jobs.Step, service: str, guard: backfilling.Guard) -> None:
         """Record that a guard kept all room from a task of a step."""
         if not step.max_per_host:
--- a/src/bilberrypass/scheduling/ordering.py
+++ b/src/bilberrypass/scheduling/ordering.py
@@ -18,6 +18,8 @@
 _USELESS_WEIGHT: t.Final = 0.2
 _MAX_ROOM_SHARE: t.Final = 0.5  # of one job; the others' tasks are in between
 
+_CROWDED_CPU_SHARE: t.Final = 0.6  # a job may wait while half is in use
+
 
 class Group(enum.IntEnum):
     """Groups of the jobs of one priority, in the order in which they are placed."""
@@ -75,13 +77,23 @@
     return Room(batch / jobs.MILLI_PER_CORE, fillers / jobs.MILLI_PER_CORE)
 
 
+def is_crowded(usable: abc.Iterable[hosts.Host], service: str) -> bool:
+    """Return whether most cores of the hosts of a service are reserved."""
+    used = total = 0
+    for host in usable:
+        if host.runner is not None and host.runner.service == service:
+            used += host.used_cpu
+            total += host.runner.cpu_milli
+    return used > _CROWDED_CPU_SHARE * total
+
+
 def rank(
     job: state.JobState,
     queue: jobs.Queue,
     now: float,
     unix_now: float,
     room: Room,
-    learned: durations.Durations,
+    learned: durations.Durations | durations.KnownDurations,
 ) -> Rank:
     """Return the rank of a job at a time on ``clock.now``.
 
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -9,6 +9,7 @@
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     backfilling,
+    forecast_publishing,
     full_demands,
     hosts,
     jobs,
@@ -27,7 +28,6 @@
     from bilberrypass.scheduling import scheduler
 
 _FIRST_REPORTS_WAIT_S: t.Final = 0.5  # agents start within a few tenths of a second
-_CROWDED_CPU_SHARE: t.Final = 0.6  # RULES.md: a job may wait while half is in use
 _ROUND_SPACING: t.Final = 4.0  # at most a quarter of the time goes into rounds
 _MAX_ROUND_INTERVAL_S: t.Final = 0.2
 _STARVED_AFTER_S: t.Final = 1.5  # RULES.md: half the time that a job may be idle
@@ -59,6 +59,9 @@
             room_plan.corrected_end(owner.durations), share
         )
         self._rescuer = passing_over.Rescuer()
+        self._forecasts = forecast_publishing.ForecastPublisher(owner.epoch)
+        if owner.cfg.refuses_hopeless:
+            owner.publisher.next_forecast = self._forecasts.put_if_due
 
     def place(self, now: float) -> None:
         """Start as many waiting tasks as fit, in rank order.
@@ -82,12 +85,41 @@
         full = full_demands.FullDemands()
         self._crowded.clear()
         self._reservations.begin_round(usable, now)
-        for job, queue in self._ranked_jobs(usable, now, unix_now):
+        ranked = self._ranked_jobs(usable, now, unix_now)
+        for job, queue in ranked:
             try:
                 self._place_job(job, queue, usable, full, now, unix_now)
             except Exception as exc:
                 self._scheduler.quarantine.add(job.job.id, "placement", exc)
         self._reservations.end_round()
+        if self._scheduler.cfg.refuses_hopeless and self._forecasts.is_due(now):
+            self._forecast(ranked, usable, full, now, unix_now)
+
+    def _forecast(
+        self,
+        ranked: list[tuple[state.JobState, jobs.Queue]],
+        usable: list[hosts.Host],
+        full: full_demands.FullDemands,
+        now: float,
+        unix_now: float,
+    ) -> None:
+        """Renew the forecasts for entries from a round that has ended."""
+        room = ordering.measure_room(usable)
+        known = self._scheduler.durations.known_at(now)
+        found = forecast_publishing.Round(
+            ranked,
+            full.pools(),
+            forecast_publishing.measure_rooms(usable),
+            lambda job, queue, at: ordering.rank(
+                job, queue, at, unix_now + at - now, room, known
+            ),
+            self._scheduler.jobs.get,
+        )
+        try:
+            self._forecasts.observe(found, now)
+        except Exception as exc:
+            # Placement goes on; the last record lapses, and every job is accepted.
+            decisions.record("forecast.failed", why=repr(exc))
 
     def _has_waited_for_reports(self, now: float) -> bool:
         """Return whether the hosts have had time to report to a new scheduler.
@@ -265,7 +297,9 @@
     def _is_crowded(self, usable: list[hosts.Host], queue: jobs.Queue) -> bool:
         found = self._crowded.get(queue.service)
         if found is None:
-            found = self._crowded[queue.service] = _is_crowded(usable, queue.service)
+            found = self._crowded[queue.service] = ordering.is_crowded(
+                usable, queue.service
+            )
         return found
 
     def _start_starved(
@@ -359,13 +393,3 @@
             why=why,
         )
         self._scheduler.write_progress(task.job)
-
-
-def _is_crowded(usable: list[hosts.Host], service: str) -> bool:
-    """Return whether most cores of the hosts of a service are reserved."""
-    used = total = 0
-    for host in usable:
-        if host.runner is not None and host.runner.service == service:
-            used += host.used_cpu
-            total += host.runner.cpu_milli
-    return used > _CROWDED_CPU_SHARE * total
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -55,11 +55,12 @@
 
 
 class Settings(t.NamedTuple):
-    """Lease duration and retention of final jobs, in seconds; reserving of room."""
+    """Lease duration and retention of final jobs, in seconds, and switches."""
 
     lease_s: float
     status_s: float
     has_reservations: bool = False
+    refuses_hopeless: bool = False
 
 
 Event = abc.Callable[[], None]
@@ -334,11 +335,8 @@
 
     def usable_hosts(self, now: float) -> list[hosts.Host]:
         """Return the hosts to which new runs may be sent."""
-        return [
-            host
-            for host in self.hosts.values()
-            if host.is_usable(now) and not self.is_evacuated(host)
-        ]
+        usable = [host for host in self.hosts.values() if host.is_usable(now)]
+        return [host for host in usable if not self.is_evacuated(host)]
 
     def is_evacuated(self, host: hosts.Host) -> bool:
         """Return whether operators want nothing to start on a host for now."""
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -171,7 +171,7 @@
         self.scheduler = scheduler.Scheduler(
             self.store,
             self.epoch,
-            scheduler.Settings(lease_s=1.0, status_s=120.0),
+            scheduler.Settings(lease_s=1.0, status_s=120.0, refuses_hopeless=True),
             lambda: self.table,
             lambda: self.last_contact_at,
             self.lost_leadership.append,
--- a/testing/scheduling/overloads.py
+++ b/testing/scheduling/overloads.py
@@ -12,6 +12,7 @@
 END_S = 52.0
 SPREAD_END_S = 90.0
 QUEUE = jobs.Queue("q", "p", priority=2, stretch=2.0, latency_objective_s=1.0)
+QUEUES = {"q": QUEUE, "urgent": QUEUE._replace(name="urgent", priority=0)}
 _DURATION_S = 34.0
 _SPREAD_DURATION_S = 60.0
 _START_S = 1_000.0
@@ -105,12 +106,28 @@
     return state.JobState(job, at), durations_s, work
 
 
+def draw_pile(count: int, duration_s: float, queue: str = "q") -> list[Arrival]:
+    """Return equal jobs of a queue that arrive within a time, evenly spaced."""
+    duration = 3.0
+    step = jobs.Step(7, 7_000, estimate_s=duration, image="f")
+    objective_s = QUEUE.stretch * duration + QUEUE.latency_objective_s
+    found = []
+    for number in range(count):
+        job = state.JobState(
+            jobs.Job(f"{queue}{number:09x}", queue, "", (step,), 0.0),
+            _START_S + number * duration_s / count,
+        )
+        found.append(Arrival(job, [[duration] * step.count], objective_s, 1.0))
+    return found
+
+
 def by_rank(open_jobs, now, learned):
     """Return the jobs in the product's order."""
     room = ordering.Room(CORES, CORES)
+    queues = [QUEUES[job.job.queue] for job in open_jobs]
     ranked = [
-        (ordering.rank(job, QUEUE, now, 0.0, room, learned), job, QUEUE)
-        for job in open_jobs
+        (ordering.rank(job, queue, now, 0.0, room, learned), job, queue)
+        for job, queue in zip(open_jobs, queues, strict=True)
     ]
     return [job for _, job, _ in passing_over.Rescuer().sort(ranked, room, now)]
 
