Keep a step's expected duration while it is fresh

Cause: the expected end of each running task would weigh all tasks of its step, which grows with the square of a step's width; steps that wait for others were looked through, and the end of a service's task would count for the durations of its queue. Change: the expected seconds of a step are kept for half a second; blocked steps count by their number of tasks; ends of services do not count.

--- a/src/bilberrypass/scheduling/durations.py
+++ b/src/bilberrypass/scheduling/durations.py
@@ -64,13 +64,18 @@
 
 
 class _Learned:
-    """What was seen of one job: the ends by step, and the outlook while it is fresh."""
+    """What was seen of one job: the ends by step, and what is expected while fresh.
 
-    __slots__ = ("ends", "fresh_until", "outlook")
+    ``steps_s`` maps repetition and step to the expected seconds of a task, and the time
+    until which they count.
+    """
+
+    __slots__ = ("ends", "fresh_until", "outlook", "steps_s")
 
     def __init__(self) -> None:
         self.ends: dict[int, collections.deque[float]] = {}
         self.outlook: Outlook | None = None
+        self.steps_s: dict[tuple[int, int], tuple[float, float]] = {}
         self.fresh_until = 0.0
 
 
@@ -120,8 +125,11 @@
         took_s : float or None
             Seconds at full pace for the whole task, see ``took_s``; None if unknown.
         """
+        if task.step.is_service:
+            return
         learned = self._learned(task.job)
         learned.fresh_until = 0.0
+        learned.steps_s.clear()
         ends = learned.ends.setdefault(
             task.key.step, collections.deque(maxlen=_MAX_ENDS)
         )
@@ -146,8 +154,7 @@
         """Return the expected seconds to a task's end, at full pace on its host."""
         if task.phase is state.Phase.DONE:
             return 0.0
-        step_s = self.task_s(task.job, task.key.occurrence, task.key.step)
-        return self._remaining_s(task, step_s, now)
+        return self._remaining_s(task, self._recent_step_s(task, now), now)
 
     def expected_end(self, task: state.Task, now: float) -> float:
         """Return when a run is expected to end at its present pace.
@@ -206,7 +213,8 @@
         self, job: state.JobState, occurrence: int, number: int, now: float
     ) -> _StepOutlook:
         step = job.job.steps[number]
-        is_begun = (
+        is_blocked = any(job.open_steps[occurrence, earlier] for earlier in step.after)
+        is_begun = not is_blocked and (
             job.status is not state.Status.QUEUED
             or job.open_steps[occurrence, number] < step.count
         )
@@ -268,6 +276,16 @@
         left_s = full_s * (1.0 - progress.first_percent / _FULL_PERCENT) - worked_s
         return max(_MIN_LEFT_SHARE * full_s, left_s)
 
+    def _recent_step_s(self, task: state.Task, now: float) -> float:
+        """Return the expected seconds of a task's step, at most half a second old."""
+        steps_s = self._learned(task.job).steps_s
+        key = task.key.occurrence, task.key.step
+        step_s, fresh_until = steps_s.get(key, (0.0, -math.inf))
+        if now >= fresh_until:
+            step_s = self.task_s(task.job, *key)
+            steps_s[key] = step_s, now + _RUNNING_REFRESH_S
+        return step_s
+
     def _learned(self, job: state.JobState) -> _Learned:
         learned = self._jobs.get(job)
         if learned is None:
--- a/testing/scheduling/test_durations.py
+++ b/testing/scheduling/test_durations.py
@@ -127,6 +127,7 @@
     learned = durations.Durations({})
     lasting = next(iter(_job(is_service=True).tasks.values()))
     assert learned.expected_end(lasting, NOW) == math.inf
+    _end(learned, lasting, 300.0)
     unknown = _job(estimate_s=0.0)
     assert learned.task_s(unknown, 0, 0) == 0.0
     _end(learned, next(iter(unknown.tasks.values())), 3.0)
