Weigh hosts without cores and fillers that ask for none

Cause: shares of a host divide by its cores, which may shrink to none, and by what a filler asks for. Change: both count as a thousandth of a core at least; a test each.

--- a/src/bilberrypass/hosting/pacing.py
+++ b/src/bilberrypass/hosting/pacing.py
@@ -21,6 +21,7 @@
 _STOP_AFTER_S: t.Final = 1.5
 _CUT_OVERSHOOT: t.Final = 1.2  # cuts are a little larger than the estimate requires
 _RAISE_HEADROOM_SHARE: t.Final = 0.8  # part of the headroom that one increase may use
+_MIN_CORES: t.Final = 0.001  # of a filler that asks for none
 _MAX_PROGRESS: t.Final = 95  # percent
 _MIN_RAISE_PERCENT: t.Final = 10  # percentage points
 # Of a pair that the scheduler has not told about, on a host of 16 cores.
@@ -174,7 +175,7 @@
 ) -> float:
     """Return the margin that a filler takes from a service at full pace."""
     per_core = estimates.get((service.image, filler.image), _PRIOR_LOSS_PER_CORE)
-    return per_core * filler.cores
+    return per_core * max(_MIN_CORES, filler.cores)
 
 
 def _unmeasured_loss(
--- a/src/bilberrypass/scheduling/estimate_publishing.py
+++ b/src/bilberrypass/scheduling/estimate_publishing.py
@@ -42,7 +42,7 @@
         if not services:
             return [], []
         fillers = {task.step.image for task in tasks if task.step.is_filler}
-        cores = host.runner.cpu_milli / jobs.MILLI_PER_CORE
+        cores = max(1, host.runner.cpu_milli) / jobs.MILLI_PER_CORE
         rows = self._estimates.rows_of(services, fillers, cores)
         if not fillers:
             return rows, []
--- a/src/bilberrypass/scheduling/filler_room.py
+++ b/src/bilberrypass/scheduling/filler_room.py
@@ -55,7 +55,7 @@
         version = host.reported_at, len(host.tasks), int(now / _VALID_FOR_S)
         if version == self._version:
             return
-        self._version, self._cores_milli = version, host.runner.cpu_milli
+        self._version, self._cores_milli = version, max(1, host.runner.cpu_milli)
         fillers = [
             (
                 task.step.image,
@@ -84,7 +84,7 @@
 
     def prospect(self, step: jobs.Step, estimates: interference.Estimates) -> Prospect:
         """Return what one more filler of a step can expect."""
-        share = step.cpu_milli / self._cores_milli
+        share = max(1, step.cpu_milli) / self._cores_milli
         steps = min(_FORECAST_STEPS, _count_steps(step.estimate_s))
         paces = [1.0] * steps
         demand = 0.0
--- a/src/bilberrypass/scheduling/host_figures.py
+++ b/src/bilberrypass/scheduling/host_figures.py
@@ -10,7 +10,7 @@
     if not host.service_count or host.runner is None:
         host.filler_shares = {}
         return
-    now, cores = host.reported_at, host.runner.cpu_milli
+    now, cores = host.reported_at, max(1, host.runner.cpu_milli)
     shares: dict[str, float] = {}  # in use
     recent = dict(host.filler_shares)  # in use now, lately or from now on
     services: list[state.Task] = []
--- a/testing/hosting/test_pacing.py
+++ b/testing/hosting/test_pacing.py
@@ -31,6 +31,11 @@
     assert expected_ms < 90
 
 
+def test_filler_that_asks_for_no_cores_is_paced_too():
+    fillers = [pacing.Filler(HEAVY, "heavy", 100, 0.0)]
+    assert pacing.Pacer().choose_paces(_services(110), fillers, ESTIMATES, 10.0)
+
+
 def test_no_change_below_limit_at_full_pace():
     assert not pacing.Pacer().choose_paces(_services(50), _fillers(), ESTIMATES, 10.0)
 
--- a/testing/scheduling/test_placement.py
+++ b/testing/scheduling/test_placement.py
@@ -108,6 +108,14 @@
     assert 1 <= placed <= 3, placed
 
 
+def test_hosts_without_cores_and_fillers_that_ask_for_none_are_weighed():
+    none, some = _host("none", cpu=0), _host("some")
+    for host in (none, some):
+        _add_runs(host, SERVICE._replace(cpu_milli=0), 1, latency_ms=20)
+    assert _choose(FILLER, none) is None
+    assert _choose(FILLER._replace(cpu_milli=0), none, some) is some
+
+
 def test_services_of_one_image_share_a_host():
     same, other = _host("same"), _host("other")
     _add_runs(same, SERVICE, 1)
