Name the limit from which a pair of images counts as known

Cause: a name that told the opposite of its use. Change: a name, and plainer assignments. Measured: scheduling.test_interference, test_filler_room pass.

--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -29,7 +29,7 @@
 _CAUTION: t.Final = 0.5  # in standard deviations
 _START_CAUTION: t.Final = 1.0  # until a figure shows the effect of a new filler
 _MIN_SHARE: t.Final = 0.005  # of the host's cores
-_MIN_INFORMATION: t.Final = 0.5  # share of the prior variance that is resolved
+_KNOWN_VARIANCE_SHARE: t.Final = 0.5  # of the prior's, at most, for a known pair
 _PRIOR_WEIGHT: t.Final = 1.0  # in pairs
 _RELATE_INTERVAL: t.Final = 40  # observations
 
@@ -157,11 +157,11 @@
         known = {
             pair: math.log(max(_MIN_LOSS, found.mean) / PRIOR_LOSS)
             for pair, found in self._pairs.items()
-            if found.variance < _MIN_INFORMATION * _PRIOR_SD**2
+            if found.variance < _KNOWN_VARIANCE_SHARE * _PRIOR_SD**2
         }
-        services = self._service_levels = _mean_levels(known, {}, 0)
-        fillers = self._filler_levels = _mean_levels(known, services, 1)
-        self._service_levels = _mean_levels(known, fillers, 0)
+        services = _mean_levels(known, {}, 0)
+        self._filler_levels = _mean_levels(known, services, 1)
+        self._service_levels = _mean_levels(known, self._filler_levels, 0)
 
     def rows_of(
         self, services: abc.Set[str], fillers: abc.Set[str], host_cores: float
