Count the time for which a refused caller was sent away into its job's age

Change: a refusal holds the sum of the Retry-After told, the submission that follows takes it over, and the scheduler counts the job as that much older.

--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -22,6 +22,7 @@
 _RETRY_INTERVAL_S: t.Final = 0.2
 # A lost write of an earlier attempt takes effect within seconds, or never.
 _REFUSAL_TTL_S: t.Final = 60.0
+_MAX_WAITED_S: t.Final = 600.0
 _REFUSAL_LEASE_USE_S: t.Final = 30.0  # for new refusals
 
 
@@ -55,12 +56,17 @@
             STORE_UNCERTAIN if it may be.
         """
         key, value = JOB_PREFIX + job.id, state.encode_job(job)
-        return self._create(key, value, deadline, REFUSED_PREFIX + job.id)
 
-    def refuse(self, id: str, deadline: float) -> bool:
+        def encode_again(refused: bytes) -> bytes:
+            return state.encode_job(job._replace(waited_s=_decode_waited(refused)))
+
+        return self._create(key, value, deadline, REFUSED_PREFIX + job.id, encode_again)
+
+    def refuse(self, id: str, retry_after_s: float, deadline: float) -> bool:
         """Prevent that earlier attempts to submit a job take effect; they may be late.
 
-        A later attempt can submit it.
+        A later attempt can submit it. It counts as that much older as its caller was
+        told to stay away, ``retry_after_s`` and what refusals before told.
 
         Returns
         -------
@@ -68,16 +74,25 @@
             False if the job is stored already; then nothing was changed.
         """
         self._breaker.check_available(deadline)
-        put = keyvalue.Put(REFUSED_PREFIX + id, b"", self._refusal_lease(deadline))
-        with self._breaker.track_call():
+        key, refusal = JOB_PREFIX + id, REFUSED_PREFIX + id
+        lease = self._refusal_lease(deadline)
+        expected, waited_s = {key: 0, refusal: 0}, retry_after_s
+        for _ in range(2):
+            put = keyvalue.Put(refusal, _encode_waited(waited_s), lease)
             try:
-                self._store.commit({JOB_PREFIX + id: 0}, [put], deadline)
-            except keyvalue.PreconditionFailed:
-                return False
+                found = self._try_create(expected, put, deadline)
             except keyvalue.LeaseLost:
                 self._lease_until = 0.0
                 raise
-        return True
+            if found is None or key in found:
+                return found is None
+            item = found.get(refusal)
+            if item is not None:
+                expected[refusal] = item.revision
+                waited_s = retry_after_s + _decode_waited(item.value)
+        raise errors.Error(
+            errors.Kind.CONFLICT, f"another attempt of {id} is being refused"
+        )
 
     def _refusal_lease(self, deadline: float) -> int:
         """Return a lease that ends refusals some time after they were written."""
@@ -88,7 +103,12 @@
         return self._lease
 
     def _create(
-        self, key: str, value: bytes, deadline: float, refusal: str = ""
+        self,
+        key: str,
+        value: bytes,
+        deadline: float,
+        refusal: str = "",
+        encode_again: abc.Callable[[bytes], bytes] = bytes,
     ) -> bool:
         """Create a key unless it exists, with retries after a lost response.
 
@@ -115,6 +135,7 @@
                     )
                 item = found.get(refusal)
                 expected[refusal] = 0 if item is None else item.revision
+                value = value if item is None else encode_again(item.value)
                 is_first = False
                 continue
             except errors.Refused:
@@ -302,6 +323,19 @@
             self._on_job(job)
 
 
+def _encode_waited(waited_s: float) -> bytes:
+    return msgspec.msgpack.encode(min(waited_s, _MAX_WAITED_S))
+
+
+def _decode_waited(value: bytes) -> float:
+    """Return how long the caller of a refused job was told to stay away."""
+    try:
+        waited_s = msgspec.msgpack.decode(value, type=float)
+    except msgspec.MsgspecError:
+        return 0.0
+    return waited_s if 0 <= waited_s <= _MAX_WAITED_S else 0.0
+
+
 def _decode(key: str, value: bytes) -> jobs.Job | None:
     try:
         return state.decode_job(value)
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -45,6 +45,7 @@
     ``queue`` is the host name and path prefix under which it was submitted;
     ``accepted_at`` is Unix time. A job with ``repetitions`` runs its steps that
     many times every ``interval_s``, first at the Unix time ``first_run_at``.
+    ``waited_s`` is the time for which its caller was sent away by refusals before.
     """
 
     id: str
@@ -55,6 +56,7 @@
     repetitions: int = 0
     first_run_at: float = 0.0
     interval_s: float = 0.0
+    waited_s: float = 0.0
 
 
 class Queue(t.NamedTuple):
--- a/src/bilberrypass/scheduling/loading.py
+++ b/src/bilberrypass/scheduling/loading.py
@@ -6,7 +6,7 @@
 
 
 def accepted_at(job: jobs.Job, now: float, not_before: float) -> float:
-    """Return when a job was accepted, on this process's clock.
+    """Return when a job was accepted, or first refused, on this process's clock.
 
     Another process stored the time of day, so what the intake shows limits it: the job
     was not there when the intake was last read, at ``not_before``. Before the first
@@ -14,7 +14,7 @@
     jobs.
     """
     age_s = max(0.0, time.time() - job.accepted_at)
-    return max(now - age_s, not_before)
+    return max(now - age_s, not_before) - job.waited_s
 
 
 def restore_jobs(
--- a/src/bilberrypass/scheduling/refusing.py
+++ b/src/bilberrypass/scheduling/refusing.py
@@ -24,7 +24,7 @@
     "bilberrypass_forecasts_unreadable", "Stored forecasts that could not be read"
 )
 
-MakeRefused = abc.Callable[[str, float], bool]
+MakeRefused = abc.Callable[[str, float, float], bool]
 
 
 @t.final
@@ -34,8 +34,9 @@
     Parameters
     ----------
     make_refused : callable
-        Given an id and a deadline, rules out that a job with this id is stored by an
-        attempt that was sent before; returns False if one is stored.
+        Given an id, a Retry-After in seconds and a deadline, rules out that a job with
+        this id is stored by an attempt that was sent before; returns False if one is
+        stored.
     queue_of : callable
         Returns the queue with a name, or None.
     leader_epoch : callable
@@ -95,7 +96,7 @@
         if not verdict.is_refused:
             return
         try:
-            if not self._make_refused(job.id, deadline):
+            if not self._make_refused(job.id, verdict.retry_after_s, deadline):
                 return
         except errors.Error as exc:
             decisions.record("job.rejection_failed", job=job.id, why=str(exc))
--- a/testing/scheduling/admissions.py
+++ b/testing/scheduling/admissions.py
@@ -78,6 +78,7 @@
     leader = _Leader(learned)
     ended_at: dict[str, float] = {}
     refused, is_full = set(), False
+    waited_s: dict[str, float] = {}
     while any(kind != "write" for _, _, kind, _ in events):
         now, number, kind, what = heapq.heappop(events)
         if kind == "write":
@@ -96,13 +97,15 @@
                 )
                 if verdict.is_refused:
                     refused.add(job.job.id)
+                    waited_s.setdefault(job.job.id, 0.0)
+                    waited_s[job.job.id] += verdict.retry_after_s
                     if attempt < _RETRIES:
                         at = now + math.ceil(verdict.retry_after_s)
                         heapq.heappush(
                             events, (at, next(sequence), "send", (arrival, attempt + 1))
                         )
                     continue
-            job.accepted_at = now
+            job.accepted_at = now - waited_s.get(job.job.id, 0.0)
             open_jobs.append(job)
             learned.mean_work.add(job.job)
         else:
--- a/testing/scheduling/test_refusing.py
+++ b/testing/scheduling/test_refusing.py
@@ -8,9 +8,11 @@
     intake,
     jobs,
     keyvalue,
+    loading,
     queue_forecast,
     queues,
     refusing,
+    state,
 )
 from testing import collecting, fixtures
 from testing.scheduling import clusters
@@ -86,7 +88,7 @@
     def commit(expected, puts, deadline, removed=()):
         commits.append(expected)
         if len(commits) == 1:
-            entry.submissions.refuse(ID, deadline)
+            entry.submissions.refuse(ID, 1.0, deadline)
             raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
         return refuse(expected, puts, deadline, removed)
 
@@ -95,10 +97,16 @@
     assert exc.ran is errors.Ran.NO and not entry.is_stored
 
 
-def test_caller_who_returns_after_a_refusal_is_stored():
+def test_caller_who_returns_is_stored_with_the_time_told_by_refusals():
+    """As a new one, the job would take the room of one that can still be served."""
     entry = _Entry(_forecast())
-    fixtures.error_of(Refused, entry.check)
-    assert entry.submit() and entry.is_stored
+    told_s = sum(
+        fixtures.error_of(Refused, entry.check).retry_after_s for _ in range(2)
+    )
+    assert entry.submit()
+    stored = state.decode_job(entry.store.items[intake.JOB_PREFIX + ID].value)
+    assert abs(stored.waited_s - told_s) < 1e-6, (stored.waited_s, told_s)
+    assert loading.accepted_at(stored, 500.0, 500.0) == 500.0 - stored.waited_s
 
 
 def test_known_job_is_never_refused():
