Name callers' needs in comments, and keep one key of a step

Change: the comments name the need itself; jobs.step_key replaces both. Measured: the modules below that were run pass (scheduling.test_reservations, test_placement, test_filler_room, test_service_loads, test_interference, test_rules). Conclusion: no change of what runs.

--- a/src/bilberrypass/crash_limits.py
+++ b/src/bilberrypass/crash_limits.py
@@ -10,7 +10,7 @@
 import typing as t
 
 MAX_CRASHES: t.Final = 3
-# RULES.md, BUDGET: the sixth start of a task that crashes its runners breaks the rule.
+# Operators allow five starts of a task that crashes its runners.
 MAX_UNRELATED_CRASHES: t.Final = 5
 # An older run has shown that its task can be started.
 MAX_BLAMED_AGE_S: t.Final = 10.0
--- a/src/bilberrypass/hosting/crash_monitor.py
+++ b/src/bilberrypass/hosting/crash_monitor.py
@@ -11,7 +11,7 @@
 from bilberrypass.scheduling import messages
 
 _MAX_LOGGED_RUNS: t.Final = 30
-# The runner's clock may run fast by 2% (PROTOCOL.md); half a percent is added as a
+# The runner's clock may run fast by 2%; half a percent is added as a
 # safety margin.
 _MAX_CLOCK_MS_PER_S: t.Final = 1_025.0
 
--- a/src/bilberrypass/hosting/leases.py
+++ b/src/bilberrypass/hosting/leases.py
@@ -5,7 +5,7 @@
 
 from bilberrypass import clock
 
-# The runner's clock may run slow by 2% (PROTOCOL.md); half a percent is added as a
+# The runner's clock may run slow by 2%; half a percent is added as a
 # safety margin.
 _MIN_CLOCK_RATE: t.Final = 0.975
 _MS: t.Final = 1_000
--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -13,7 +13,7 @@
 
 RunKey = tuple[str, int]
 
-# A runner needs up to 0.9 s to stop a run and to list its end (RULES.md).
+# A runner needs up to 0.9 s to stop a run and to list its end.
 _MAX_LISTING_DELAY_S: t.Final = 1.0
 # A sender repeats an unanswered call for a few seconds, and it may arrive later.
 _SETTLED_RETENTION_S: t.Final = 30.0
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -27,7 +27,7 @@
 _PACED_POLL_WAIT_S: t.Final = 0.4
 _POLL_WAIT_S: t.Final = 1.0  # allows several renewals within the shortest lease
 _ACK_WAIT_S: t.Final = 0.3
-# RULES.md, LIMIT: a capacity that has shrunk counts 3 s and one report later.
+# A capacity that has shrunk counts 3 s and one report later.
 _MAX_DESCRIPTION_AGE_S: t.Final = 3.0
 _POLL_RETRY_INTERVAL_S: t.Final = 0.3
 _EXIT_CHECK_INTERVAL_S: t.Final = 0.1
--- a/src/bilberrypass/hosting/stop_monitor.py
+++ b/src/bilberrypass/hosting/stop_monitor.py
@@ -8,7 +8,7 @@
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
-# A runner needs up to 0.9 s to stop a run and to list its end (RULES.md).
+# A runner needs up to 0.9 s to stop a run and to list its end.
 _LISTED_AFTER_ANSWER_S: t.Final = 1.0
 _LISTED_AFTER_ORDER_S: t.Final = 2.0
 _LOG_INTERVAL_S: t.Final = 2.0  # for each run
--- a/src/bilberrypass/scheduling/admission.py
+++ b/src/bilberrypass/scheduling/admission.py
@@ -11,7 +11,7 @@
 _MIN_RETRY_AFTER_S: t.Final = 1.0
 _MAX_RETRY_AFTER_S: t.Final = 60.0
 
-# RULES.md, "Benefit": a step that is wider than this share runs in waves.
+# A step that is wider than this share of the cores runs in waves.
 _MAX_STEP_SHARE: t.Final = 0.25
 
 PathS = abc.Callable[[jobs.Job, float], float]
--- a/src/bilberrypass/scheduling/backfilling.py
+++ b/src/bilberrypass/scheduling/backfilling.py
@@ -29,7 +29,7 @@
     The room is expected to be free ``at`` a time, and is kept ``until`` another.
     """
 
-    key: hosts.StepKey
+    key: jobs.StepKey
     task: state.Task
     precedence: Precedence
     host: str
@@ -60,7 +60,7 @@
         gaps: dict[str, Reservation],
     ) -> None:
         self._plan, self._step = plan, task.step
-        self._key = hosts.step_key(task.key)
+        self._key = jobs.step_key(task.key)
         self._bound, self._gaps = bound, gaps
         self.duration_s = plan.expected_end(task) - plan.now
         self._latest_end = room_plan.latest_end(plan.now + self.duration_s, plan.now)
--- a/src/bilberrypass/scheduling/estimate_publishing.py
+++ b/src/bilberrypass/scheduling/estimate_publishing.py
@@ -13,7 +13,6 @@
     jobs,
     keyvalue,
     messages,
-    service_loads,
 )
 
 _SEND_INTERVAL_S: t.Final = 1.0
@@ -51,7 +50,7 @@
         rows = self._estimates.rows_of(services, fillers, cores)
         if not fillers:
             return rows, []
-        steps = {service_loads.step_key(k.key) for k in tasks if k.step.is_service}
+        steps = {jobs.step_key(k.key) for k in tasks if k.step.is_service}
         return rows, self._estimates.loads.courses(steps, now)
 
     def put_if_due(self, now: float) -> keyvalue.Put | None:
--- a/src/bilberrypass/scheduling/filler_room.py
+++ b/src/bilberrypass/scheduling/filler_room.py
@@ -65,10 +65,10 @@
             for task in host.tasks.values()
             if task.step.is_filler
         ]
-        services: dict[service_loads.StepKey, state.Task] = {}
+        services: dict[jobs.StepKey, state.Task] = {}
         for task in host.tasks.values():
             if task.step.latency_target_ms:
-                services.setdefault(service_loads.step_key(task.key), task)
+                services.setdefault(jobs.step_key(task.key), task)
         self._rows = []
         for key, task in services.items():
             image = task.step.image
--- a/src/bilberrypass/scheduling/host_figures.py
+++ b/src/bilberrypass/scheduling/host_figures.py
@@ -2,7 +2,7 @@
 
 import math
 
-from bilberrypass.scheduling import hosts, interference, service_loads, state
+from bilberrypass.scheduling import hosts, interference, jobs, state
 
 
 def update_estimates(host: hosts.Host, estimates: interference.Estimates) -> None:
@@ -27,7 +27,7 @@
     host.filler_shares = shares
     for task in services:
         image, margin = task.step.image, task.step.latency_target_ms / task.figure
-        load = estimates.loads.of(service_loads.step_key(task.key))
+        load = estimates.loads.of(jobs.step_key(task.key))
         lost = estimates.lost_margin(image, shares)
         load.observe(now, margin, lost, estimates.lost_margin(image, recent))
         if recent:
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -18,7 +18,6 @@
 ORDER_RESEND_AFTER_S = 1.0  # time of two reports of an agent
 
 RowKey = tuple[str, int]
-StepKey = tuple[str, int, int]
 
 
 class SentOrder(t.NamedTuple):
@@ -78,7 +77,7 @@
         self.stuck_ends_logged_at = 0.0
         self.filler_shares: dict[str, float] = {}
         self.filler_room = filler_room.Room()
-        self.step_counts: dict[StepKey, int] = {}
+        self.step_counts: dict[jobs.StepKey, int] = {}
         self.failures = 0.0
         self.avoid_until = 0.0
         self.draining_until = 0.0
@@ -166,7 +165,7 @@
         self.used_gpus += sign * step.gpus
         self.service_count += sign * step.is_service
         self.service_cpu += sign * step.cpu_milli * step.is_service
-        key = step_key(task.key)
+        key = jobs.step_key(task.key)
         self.step_counts[key] = self.step_counts.get(key, 0) + sign
 
     @property
@@ -276,8 +275,3 @@
         self.avoid_until = 0.0
         self.speed = stragglers.SpeedEstimate()
         return lost
-
-
-def step_key(key: jobs.TaskKey) -> StepKey:
-    """Return the key that the tasks of one step in one repetition share."""
-    return key.job, key.occurrence, key.step
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -91,6 +91,14 @@
         return cls(job, *map(int, numbers))
 
 
+StepKey = tuple[str, int, int]
+
+
+def step_key(key: TaskKey) -> StepKey:
+    """Return the key that the tasks of one step in one repetition share."""
+    return key.job, key.occurrence, key.step
+
+
 def check(job: Job) -> None:
     """Raise if a job is malformed or uses an unsupported feature.
 
--- a/src/bilberrypass/scheduling/keyvalue.py
+++ b/src/bilberrypass/scheduling/keyvalue.py
@@ -6,7 +6,7 @@
 
 from bilberrypass import errors
 
-MAX_COMMIT_ENTRIES: t.Final = 32  # per transaction, from PROTOCOL.md
+MAX_COMMIT_ENTRIES: t.Final = 32  # of one transaction, as stores allow
 
 
 class Item(t.NamedTuple):
--- a/src/bilberrypass/scheduling/ordering.py
+++ b/src/bilberrypass/scheduling/ordering.py
@@ -7,7 +7,7 @@
 
 from bilberrypass.scheduling import durations, hosts, jobs, placement, state
 
-# RULES.md, "Benefit": a job that finishes within this many objectives still has some
+# To its caller, a job that finishes within this many objectives still has some
 # value; a job is worth a fixed part and a part that grows with its work, up to a limit.
 _MAX_LATENESS_FACTOR: t.Final = 3.0
 _FIXED_VALUE: t.Final = 0.3
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -29,7 +29,7 @@
     ----------
     step : jobs.Step
         The step, whose tasks need the same.
-    key : hosts.StepKey
+    key : jobs.StepKey
         Identifies the step and its repetition.
     service : str
         The service of the runners that may run the tasks.
@@ -51,7 +51,7 @@
     def __init__(
         self,
         step: jobs.Step,
-        key: hosts.StepKey,
+        key: jobs.StepKey,
         service: str,
         candidates: abc.Iterable[hosts.Host],
         estimates: interference.Estimates,
@@ -148,7 +148,7 @@
     other tasks leave unused, on the hosts where they slow services least. Services of
     one image share hosts, so that fillers can be matched to that image.
     """
-    key = hosts.step_key(task.key)
+    key = jobs.step_key(task.key)
     isolation = crash_limits.choose_isolation(task.crashes)
     found = StepPlacement(
         task.step,
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -30,7 +30,7 @@
 _FIRST_REPORTS_WAIT_S: t.Final = 0.5  # agents start within a few tenths of a second
 _ROUND_SPACING: t.Final = 4.0  # at most a quarter of the time goes into rounds
 _MAX_ROUND_INTERVAL_S: t.Final = 0.2
-_STARVED_AFTER_S: t.Final = 1.5  # RULES.md: half the time that a job may be idle
+_STARVED_AFTER_S: t.Final = 1.5  # half the time for which a job may be idle
 
 _started_runs = prometheus.Counter("bilberrypass_runs_started", "Runs ordered")
 _wait_seconds = prometheus.Histogram(
@@ -259,7 +259,7 @@
     ) -> placement.StepPlacement:
         return placement.StepPlacement(
             task.step,
-            hosts.step_key(task.key),
+            jobs.step_key(task.key),
             service,
             candidates,
             self._scheduler.estimates,
--- a/src/bilberrypass/scheduling/reservations.py
+++ b/src/bilberrypass/scheduling/reservations.py
@@ -64,14 +64,14 @@
         self._expected_end = expected_end
         self._max_host_share = max_host_share
         self.held: dict[str, backfilling.Reservation] = {}  # by host
-        self._renewed: set[hosts.StepKey] = set()
-        self._promises: dict[hosts.StepKey, reservation_promises.Promise] = {}
+        self._renewed: set[jobs.StepKey] = set()
+        self._promises: dict[jobs.StepKey, reservation_promises.Promise] = {}
         self._gaps: dict[str, backfilling.Reservation] = {}
         self._next_gaps: dict[str, backfilling.Reservation] = {}
         self._usable: list[hosts.Host] = []
         self._has_room_for_services = True
         self._budget = 0
-        self._holders: set[hosts.StepKey] = set()  # when the round began
+        self._holders: set[jobs.StepKey] = set()  # when the round began
         self._tries = self._searches = 0
         self._served_by_rank: dict[tuple[str, str], list[tuple[int, int, int]]] = {}
         self._log = reservation_promises.ReservationLog()
@@ -109,7 +109,7 @@
         """Return what keeps room from the tasks of a step; None if nothing does."""
         if not self.held and not self._gaps:
             return None
-        key = hosts.step_key(task.key)
+        key = jobs.step_key(task.key)
         bound = {
             name: kept
             for name, kept in self.held.items()
@@ -138,7 +138,7 @@
         """Release the room that was reserved for tasks which have started."""
         for task in tasks:
             kept = self.held.get(task.host)
-            if kept is not None and kept.key == hosts.step_key(task.key):
+            if kept is not None and kept.key == jobs.step_key(task.key):
                 del self.held[task.host]
                 _changes.labels("used").inc()
 
@@ -166,7 +166,7 @@
         if not self.can_reserve(waiting[0], owner, was_held_back):
             return
         self._tries += 1
-        now, key = self._plan.now, hosts.step_key(waiting[0].key)
+        now, key = self._plan.now, jobs.step_key(waiting[0].key)
         earlier = {name: kept for name, kept in self.held.items() if kept.key == key}
         for name in earlier:
             del self.held[name]
@@ -229,7 +229,7 @@
             return False
         if task.step.is_service and not self._has_room_for_services:
             return False
-        if hosts.step_key(task.key) in self._holders:
+        if jobs.step_key(task.key) in self._holders:
             return True
         if was_held_back or self._tries >= _MAX_TRIES:
             return False
@@ -320,7 +320,7 @@
     def _hold(
         self,
         task: state.Task,
-        key: hosts.StepKey,
+        key: jobs.StepKey,
         owner: backfilling.Precedence,
         room: "_Room",
         earlier: backfilling.Reservation | None,
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -43,7 +43,7 @@
 TICK_INTERVAL_S: t.Final = 0.1
 _EVENT_BATCH_S: t.Final = 0.012  # events within this time share a write
 # Two watches of a store that is 60 times slower than usual; a cancelled job may start
-# tasks for 3 s (RULES.md).
+# tasks for 3 s.
 _MAX_INTAKE_AGE_S: t.Final = 2.7
 STORE_CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election lease
 # No lease lasts longer than this after the last response of the store: the next
--- a/src/bilberrypass/scheduling/service_loads.py
+++ b/src/bilberrypass/scheduling/service_loads.py
@@ -32,13 +32,6 @@
 _FORGET_AFTER_S: t.Final = 20.0
 _SINGULAR: t.Final = 1e-6
 
-StepKey = tuple[str, int, int]
-
-
-def step_key(key: jobs.TaskKey) -> StepKey:
-    """Return the key of a task's step."""
-    return key.job, key.occurrence, key.step
-
 
 class Level(t.NamedTuple):
     """A measured margin at a time, and the weight (inverse variance) of it."""
@@ -162,10 +155,10 @@
     """The loads of all steps of services, by step."""
 
     def __init__(self) -> None:
-        self._loads: dict[StepKey, Load] = {}
+        self._loads: dict[jobs.StepKey, Load] = {}
         self._cleaned_at = 0.0
 
-    def of(self, step: StepKey) -> Load:
+    def of(self, step: jobs.StepKey) -> Load:
         """Return the load of a step, a new one if the step was not seen before."""
         found = self._loads.get(step)
         if found is None:
@@ -173,7 +166,7 @@
         return found
 
     def courses(
-        self, steps: abc.Iterable[StepKey], now: float
+        self, steps: abc.Iterable[jobs.StepKey], now: float
     ) -> list[messages.MarginCourse]:
         """Return the newest forecasts of some steps. Thread-safe."""
         found = []
--- a/src/bilberrypass/scheduling/stop_monitor.py
+++ b/src/bilberrypass/scheduling/stop_monitor.py
@@ -9,7 +9,7 @@
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import hosts, messages, state
 
-# An order, up to 0.9 s for the runner to stop the run (RULES.md), and two reports.
+# An order, up to 0.9 s for the runner to stop the run, and two reports.
 _OVERDUE_AFTER_S: t.Final = 2.0
 _CHECK_INTERVAL_S: t.Final = 0.5
 _LOG_INTERVAL_S: t.Final = 2.0  # for each run
--- a/testing/scheduling/test_step_placement.py
+++ b/testing/scheduling/test_step_placement.py
@@ -80,7 +80,7 @@
         one_by_one, at_once = _fleet(seed), _fleet(seed)
         expected = _place(tasks, _choose_one_by_one(one_by_one, estimates, now))
         chooser = placement.StepPlacement(
-            step, hosts.step_key(tasks[0].key), "p", at_once, estimates, now
+            step, jobs.step_key(tasks[0].key), "p", at_once, estimates, now
         )
         assert _place(tasks, chooser.choose) == expected, seed
 
