Draw the switches of reservations and refusals in the soak

Cause: both are off by default, so that the soak never played them. Change: each seed draws them for all entries; Program takes further sections of settings. Conclusion: that no refused job runs is checked (REFUSED); a mutant for refusals is not begun, and no seed is known in which a job is refused.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -24,6 +24,7 @@
 _MIN_DOWN_S: t.Final = 0.4
 _MAX_DOWN_S: t.Final = 2.0
 _BOUNDS: t.Final = {"evacuation_ms": domains.EVACUATION_S * 1_000}
+_SWITCHES: t.Final = ("reservations", "refuse_hopeless_jobs")
 
 
 class Host:
@@ -36,7 +37,9 @@
         store: stores.Store,
         folder: str,
         command: tuple[str, ...],
+        settings: dict[str, t.Any],
     ) -> None:
+        self._settings = settings
         self.store_link = link.Link(store.address)
         self.links = [self.store_link]
         self._folder, self._command = folder, command
@@ -55,7 +58,7 @@
             self._folder,
             self._command,
             domains.domain_of(self.name),
-            _BOUNDS,
+            self._settings,
         )
         self.program.start()
 
@@ -373,7 +376,10 @@
     """
     store = stores.Store()
     host_numbers = itertools.count(1)
-    common_args = store, str(folder), command
+    rng = random.Random(f"{seed} switches")
+    switches = {name: rng.random() < 0.5 for name in _SWITCHES}
+    settings = {"bounds": _BOUNDS, "scheduling": switches}
+    common_args = store, str(folder), command, settings
     return Fleet(
         store,
         [Entry(next(host_numbers), *common_args) for _ in range(entries)],
--- a/testing/programs.py
+++ b/testing/programs.py
@@ -42,8 +42,8 @@
         Arguments of the Python interpreter, in front of the role.
     zone : str
         Failure domain of its host.
-    bounds : dict
-        Bounds of the platform that differ from the usual ones.
+    settings : dict
+        Further sections of its settings file; their keys go before the usual ones.
     """
 
     def __init__(
@@ -54,10 +54,10 @@
         folder,
         command=DAEMON_COMMAND,
         zone="z",
-        bounds=None,
+        settings=None,
     ):
         self._command = command
-        self._zone, self._bounds = zone, bounds or {}
+        self._zone, self._further = zone, settings or {}
         self.role, self.ip = role, ip
         self.node_name = f"{role}-{ip}"
         self.front = f"{ip}:{fixtures.free_port()}"
@@ -73,7 +73,7 @@
         listen = {"control": self.control}
         if self.role == "entry":
             listen = {"front": self.front, "ready": self.ready}
-        return {
+        usual = {
             "node_name": self.node_name,
             "zone": self._zone,
             "ip_address": self.ip,
@@ -82,9 +82,12 @@
                 self._first_internal_port,
                 self._first_internal_port + 15,
             ],
-            "bounds": {"hold_max_ms": 6_000, "grace_s": 6, **self._bounds},
+            "bounds": {"hold_max_ms": 6_000, "grace_s": 6},
             "platform": {"address": store_address},
         }
+        for section, values in self._further.items():
+            usual[section] = usual.get(section, {}) | values
+        return usual
 
     def start(self):
         """Start the process, and return this object without waiting for readiness."""
