--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -66,6 +66,7 @@
         self.settings = deployment.folder / f"{self.name}.yaml"
         self.log = deployment.folder / f"{self.name}.log"
         self.settings.write_text(json.dumps(self._settings()))
+        self.memory_mb = deployment.limits[role]["memory_mb"]
         self.process = None
 
     def _settings(self):
@@ -249,6 +250,7 @@
         more = {"file_descriptors": 4_100, "link_mbps": 1_000.0, "disk_mb": 0}
         self.limits = {"entry": front | more, "agent": side | more}
         self.max_attempts = 3
+        self.is_closing = False
         zones = "abc"
         self.entries = [
             Program(self, "entry", 1 + n, zones[n % 3]) for n in range(entries)
@@ -281,11 +283,14 @@
         return self
 
     def __exit__(self, *_):
+        self.is_closing = True
+        time.sleep(0.7)
         processes = [item.process for item in self.entries + self.agents + self.runners]
         for process in processes:
             if process is not None and process.poll() is None:
                 process.kill()
                 process.wait()
+
         self._temporary.cleanup()
 
     def write_config(self, version, routes=None):
@@ -320,6 +325,29 @@
         name = json.loads(value)[0]
         return next((entry for entry in self.entries if entry.name == name), None)
 
+    def enforce_memory(self, restart_s=0.5):
+        """Kill and restart programs over their memory limit until the process ends.
+
+        DEPLOY.md: "A process that exceeds `memory_mb` is killed", and "a process that
+        exits or is killed is restarted after a short delay".
+        """
+
+        def watch():
+            while not self.is_closing:
+                for program in self.entries + self.agents:
+                    used, limit = program.resident_mb(), program.memory_mb
+                    if used > limit and not self.is_closing:
+                        self.record.add(
+                            "over_memory", name=program.name, used=used, limit=limit
+                        )
+                        program.kill()
+                        time.sleep(restart_s)
+                        if not self.is_closing:
+                            program.start()
+                time.sleep(0.05)
+
+        threading.Thread(target=watch, daemon=True).start()
+
     def wait_until(self, is_true, within_s, what):
         deadline = time.monotonic() + within_s
         while not is_true():
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -40,7 +40,7 @@
         self.lease_end_ms = 0
         self.state = "ready"
         self.leaves_at = None
-        self.silent_orders = 0
+        self.silenced = 0  # how often the open channels went silent
         self.record_file = open(args.record, "ab", buffering=0)  # noqa: SIM115
         threading.Thread(target=self._tick, daemon=True).start()
 
@@ -188,11 +188,26 @@
 
     life = None
 
+    def setup(self):
+        super().setup()
+        self.since = self.life.silenced
+
+    def _is_silent(self):
+        """Wait for the peer to give up if this channel has gone silent."""
+        if self.since == self.life.silenced:
+            return False
+        while self.connection.recv(4_096):
+            pass
+        self.close_connection = True
+        return True
+
     def do_GET(self):  # noqa: N802
         self.answer(200, {})
 
     def do_POST(self):  # noqa: N802
         life, body = self.life, self.read_body()
+        if self._is_silent():
+            return
         if self.headers.get("Expected-Instance") != life.args.id:
             self.answer(421, {})
             return
@@ -206,6 +221,8 @@
             self.answer(404, {})
             return
         status, content = calls[self.path](body)
+        if self._is_silent():
+            return
         content |= {"clock_ms": life.clock_ms, "born": life.args.born}
         self.answer(status, content)
 
@@ -253,6 +270,12 @@
         wake.set()
 
     signal.signal(signal.SIGTERM, lambda *_: threading.Thread(target=drain).start())
+
+    def silence(*_):
+        life.silenced += 1
+        life.record("channels_silent")
+
+    signal.signal(signal.SIGUSR1, silence)
     life.record("up", born=args.born)
     sequence, is_acked = 0, False
     while life.leaves_at is None or time.monotonic() < life.leaves_at:
