--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A timed submission with many tasks: its progress outgrows a value of the store."""
+"""Timed submissions with many repetitions take more memory than an entry has."""
 
 import pathlib
 import sys
@@ -9,57 +9,65 @@
 
 import harness  # noqa: E402
 
-TIMED = "c0000000000000c3"
-TASKS, TIMES, INTERVAL_MS = 100, 400, 145
+TIMED, TASKS, TIMES, INTERVAL_MS = 24, 10, 2_880, 60_000  # two days
 PROBE_EVERY_S = 2.0
-FED_S = 62.0
+FED_S = 40.0
 FINISH_S = 14.0
+ENDS_THAT_COUNT = 3  # RULES.md, Fault
 
 
 def case():
-    with harness.Deployment(HERE / "record.txt", hosts=8) as found:
+    with harness.Deployment(HERE / "record.txt", hosts=4) as found:
+        found.enforce_memory()
         step = {"count": 1, "cpu": 500, "task_memory_mb": 16, "estimated_ms": 500}
         if harness.is_troubled():
-            small = {"count": TASKS, "cpu": 10, "task_memory_mb": 1}
-            status = found.submit(
-                TIMED,
-                [small | {"estimated_ms": 300}],
-                specification="work_ms=300",
-                repetitions=TIMES,
-                first_run_ms=int(time.time() * 1_000) + 500,
-                interval_ms=INTERVAL_MS,
-            )
-            if status != 200:
-                raise harness.CannotRunError("the timed submission was not accepted")
-        accepted = {}
+            for number in range(TIMED):
+                status = found.submit(
+                    f"c{number:015x}",
+                    [step | {"count": TASKS}],
+                    specification="work_ms=500",
+                    repetitions=TIMES,
+                    first_run_ms=int(time.time() * 1_000) + 3_600_000,
+                    interval_ms=INTERVAL_MS,
+                )
+                if status != 200:
+                    raise harness.CannotRunError("a timed submission was refused")
+                time.sleep(0.1)
+        accepted = []
         began_at = time.monotonic()
         number = 0
         while time.monotonic() < began_at + FED_S:
             number += 1
             id = f"{number:016x}"
-            if found.submit(id, [step], specification="work_ms=500") == 200:
-                accepted[id] = time.time()
+            node = found.entries[number % len(found.entries)]
+            if found.submit(id, [step], node, specification="work_ms=500") == 200:
+                accepted.append(id)
             time.sleep(PROBE_EVERY_S)
         time.sleep(FINISH_S)
-        states = {id: found.state(id) for id in accepted}
         begun = {start["task"].split(".")[0] for start in found.record.lines("start")}
-        lost = sorted(id for id in accepted if id not in begun)
-        last = max(s["at"] for s in found.record.lines("start"))
+        lost = [id for id in accepted if id not in begun]
+        states = {id: found.state(id) for id in lost}
+        ends = [line["name"] for line in found.record.lines("over_memory")]
+        often = [n for n in set(ends) if ends.count(n) >= ENDS_THAT_COUNT]
         found.record.add(
             "summary",
+            sent=number,
             accepted=len(accepted),
             never_begun=len(lost),
-            last_start_ago_s=round(time.time() - last, 1),
-            timed_starts=len(found.starts(TIMED)),
+            states=states,
+            over_memory={name: ends.count(name) for name in set(ends)},
         )
-        if not accepted:
-            raise harness.CannotRunError("nothing was accepted")
-        if lost and all(states[id] in ("queued", "running", "") for id in lost):
-            return (
-                f"LOST: {len(lost)} of {len(accepted)} accepted submissions never "
-                f"began; the last start was {time.time() - last:.0f} s ago"
+        why = []
+        if len(often) >= 2:
+            why.append(
+                f"Fault: {len(ends)} ends over the memory limit on {len(set(ends))} "
+                f"of {len(found.entries)} entries"
+            )
+        if lost:
+            why.append(
+                f"LOST: {len(lost)} of {len(accepted)} accepted submissions never began"
             )
-        return ""
+        return "; ".join(why)
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,6 @@
-"""A late report of a crashed runner reaches an agent that has just been restarted."""
+"""A flapping runner makes jobs fail of which no run has ended as failed."""
 
-import json
 import pathlib
-import signal
 import sys
 import time
 
@@ -10,114 +8,54 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 
 import harness  # noqa: E402
-import runner as runner_standin  # noqa: E402
 
-JOB, OTHER = "d0000000000000d4", "e0000000000000e5"
-WATCHED_S = 6.0
-
-
-def overlaps(found):
-    """Return the pairs of runs of one task that were there at the same time."""
-    spans = []
-    for start in found.starts(JOB):
-        ends = [
-            line["at"]
-            for line in found.record.lines()
-            if line["at"] >= start["at"]
-            and line.get("runner") == start["runner"]
-            and (
-                line["event"] in ("crash", "left")
-                or (
-                    line["event"] == "end"
-                    and line["task"] == start["task"]
-                    and line["run"] == start["run"]
-                )
-            )
-        ]
-        spans.append((start["at"], min(ends, default=time.time()), start))
-    return [
-        (a[2], b[2], round(min(a[1], b[1]) - b[0], 3))
-        for i, a in enumerate(spans)
-        for b in spans[i + 1 :]
-        if a[2]["task"] == b[2]["task"] and b[0] < a[1]
-    ]
+LASTING, BATCH = "a0000000000000a1", "b0000000000000b2"
+FLAP_S, PERIOD_S = 6.5, 1.4
+WATCHED_S = 14.0
 
 
 def case():
-    def cpu(number):
-        return 64_000 if number == 0 else 96_000
-
-    with harness.Deployment(HERE / "record.txt", hosts=6, cpu=cpu) as found:
-        # Each runner crashes once and starts again; long before what follows.
-        old = {}
-        for item in found.runners:
-            beats = [
-                line
-                for line in found.record.lines("beat")
-                if line["runner"] == item.id and line["is_acked"]
-            ]
-            if not beats:
-                raise harness.CannotRunError("a runner has not reported")
-            old[item] = (item.id, beats[-1]["body"])
-            item.crash()
-            time.sleep(0.3)
-            item.start()
-        time.sleep(6.0)
-        # Other work fills the larger hosts for a while, so that the job goes to the
-        # smallest one.
-        wide = {"count": 5, "cpu": 60_000, "task_memory_mb": 256}
-        wide |= {"estimated_ms": 5_000}
-        if found.submit(OTHER, [wide], specification="work_ms=5000") != 200:
-            raise harness.CannotRunError("the submission was not accepted")
-        found.wait_until(lambda: len(found.starts(OTHER)) == 5, 5, "starts")
-        step = {"count": 1, "cpu": 2_000, "task_memory_mb": 256, "estimated_ms": 30_000}
-        if found.submit(JOB, [step], specification="work_ms=30000") != 200:
-            raise harness.CannotRunError("the submission was not accepted")
-        found.wait_until(lambda: found.starts(JOB), 5, "start")
-        found.wait_until(lambda: len(found.ends(OTHER)) == 5, 10, "ends")
-        time.sleep(1.0)
-        (start,) = found.starts(JOB)
-        item = next(r for r in found.runners if r.id == start["runner"])
-        acked = len(
-            [
-                b
-                for b in found.record.lines("beat")
-                if b["runner"] == item.id and b["is_acked"]
-            ]
-        )
+    def labels(number):
+        return ["b" if number == 0 else "a", f"r1-{number // 3}"]
+
+    with harness.Deployment(HERE / "record.txt", hosts=10, labels=labels) as found:
+        step = {"count": 1, "cpu": 2_000, "task_memory_mb": 256, "estimated_ms": 4_000}
+        step |= {"requirements": "b"}
+        lasting = step | {"long_running": True, "image": "im-1"}
+        for id, steps, spec in (
+            (LASTING, [lasting], "lasts"),
+            (BATCH, [step], "work_ms=4000"),
+        ):
+            if found.submit(id, steps, specification=spec) != 200:
+                raise harness.CannotRunError("a submission was not accepted")
         found.wait_until(
-            lambda: (
-                len(
-                    [
-                        b
-                        for b in found.record.lines("beat")
-                        if b["runner"] == item.id and b["is_acked"]
-                    ]
-                )
-                > acked
-            ),
-            4,
-            "report",
+            lambda: found.starts(LASTING) and found.starts(BATCH), 5, "first starts"
         )
-        item.agent.signal(signal.SIGKILL)
-        item.agent.process.wait()
-        item.agent.start()
+        time.sleep(1.0)
         if harness.is_troubled():
-            id, body = old[item]
-            deadline = time.monotonic() + 3.0
-            while not runner_standin.send(item.agent.control, "PUT", id, body):
-                if time.monotonic() > deadline:
-                    raise harness.CannotRunError("the late report did not arrive")
-                time.sleep(0.02)
-            found.record.add("late_report", runner=id, body=json.dumps(body))
-        time.sleep(WATCHED_S)
-        pairs = overlaps(found)
-        if pairs:
-            a, b, for_s = pairs[0]
-            return (
-                f"TWICE: run {a['run']} on {a['runner']} and run {b['run']} on "
-                f"{b['runner']} of {a['task']} at the same time for {for_s} s"
-            )
+            until = time.monotonic() + FLAP_S
+            while time.monotonic() < until:
+                found.runners[0].crash()
+                time.sleep(PERIOD_S / 2)
+                found.runners[0].start()
+                time.sleep(PERIOD_S / 2)
+            found.record.add("flap_ended")
+        else:
+            time.sleep(FLAP_S)
+        failed = set()
+        until = time.monotonic() + WATCHED_S
+        while time.monotonic() < until:
+            for id in (LASTING, BATCH):
+                if found.state(id) == "failed":
+                    failed.add(id)
+            time.sleep(1.0)
+        ends = [end for id in (LASTING, BATCH) for end in found.ends(id)]
+        if any(end["how"] == "failed" for end in ends):
+            raise harness.CannotRunError("a run has ended as failed")
+        if failed:
+            return f"LOST: {sorted(failed)} shown as failed; no run ended as failed"
+        if len({start["run"] for start in found.starts(LASTING)}) < 1:
+            raise harness.CannotRunError("the lasting task never ran")
         return ""
 
 
