--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,29 +10,42 @@
 import harness  # noqa: E402
 
 TIMED, TASKS, TIMES, INTERVAL_MS = 24, 10, 2_880, 60_000  # two days
+RETRIES = 4  # as the clients of the sites
+NEEDED_TASKS = 600_000
 PROBE_EVERY_S = 2.0
 FED_S = 40.0
 FINISH_S = 14.0
 ENDS_THAT_COUNT = 3  # RULES.md, Fault
 
 
+def hand_in(found, number, step):
+    """Hand a timed submission in, with a client's retries; return if it is kept."""
+    first_run_ms = int(time.time() * 1_000) + 3_600_000
+    for attempt in range(1 + RETRIES):
+        node = found.entries[(number + attempt) % len(found.entries)]
+        status = found.submit(
+            f"c{number:015x}",
+            [step | {"count": TASKS}],
+            node,
+            specification="work_ms=500",
+            repetitions=TIMES,
+            first_run_ms=first_run_ms,
+            interval_ms=INTERVAL_MS,
+        )
+        if status == 200:
+            return True
+        time.sleep(0.5)
+    return False
+
+
 def case():
     with harness.Deployment(HERE / "record.txt", hosts=4) as found:
         found.enforce_memory()
         step = {"count": 1, "cpu": 500, "task_memory_mb": 16, "estimated_ms": 500}
         if harness.is_troubled():
-            for number in range(TIMED):
-                status = found.submit(
-                    f"c{number:015x}",
-                    [step | {"count": TASKS}],
-                    specification="work_ms=500",
-                    repetitions=TIMES,
-                    first_run_ms=int(time.time() * 1_000) + 3_600_000,
-                    interval_ms=INTERVAL_MS,
-                )
-                if status != 200:
-                    raise harness.CannotRunError("a timed submission was refused")
-                time.sleep(0.1)
+            kept = sum(hand_in(found, number, step) for number in range(TIMED))
+            if kept * TASKS * TIMES < NEEDED_TASKS:
+                raise harness.CannotRunError(f"only {kept} timed ones were accepted")
         accepted = []
         began_at = time.monotonic()
         number = 0
