--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -67,7 +67,7 @@
             if run["stop_at"] is not None and now >= run["stop_at"]:
                 self._end(key, "stopped")
             elif run["work_ms"] is not None and now >= run["begun"] + run["work_ms"]:
-                self._end(key, "done")
+                self._end(key, run["how"])
 
     def _end(self, key, how):
         del self.running[key]
@@ -109,6 +109,7 @@
                 "begun": self.clock_ms,
                 "work_ms": int(found.group(1)) if found else None,
                 "stop_at": None,
+                "how": "failed" if "fails" in body["specification"] else "done",
             }
             self.record(
                 "start",
