--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -22,6 +22,7 @@
 TICK_S = 0.02
 STARTUP_MS = 300
 STOP_MS = 50
+LATE_S = 9.0  # kinds: 2 to 12 s later
 
 
 class Life:
@@ -40,7 +41,7 @@
         self.lease_end_ms = 0
         self.state = "ready"
         self.leaves_at = None
-        self.silenced = 0  # how often the open channels went silent
+        self.starts_to_lose = 0
         self.record_file = open(args.record, "ab", buffering=0)  # noqa: SIM115
         threading.Thread(target=self._tick, daemon=True).start()
 
@@ -189,26 +190,11 @@
 
     life = None
 
-    def setup(self):
-        super().setup()
-        self.since = self.life.silenced
-
-    def _is_silent(self):
-        """Wait for the peer to give up if this channel has gone silent."""
-        if self.since == self.life.silenced:
-            return False
-        while self.connection.recv(4_096):
-            pass
-        self.close_connection = True
-        return True
-
     def do_GET(self):  # noqa: N802
         self.answer(200, {})
 
     def do_POST(self):  # noqa: N802
         life, body = self.life, self.read_body()
-        if self._is_silent():
-            return
         if self.headers.get("Expected-Instance") != life.args.id:
             self.answer(421, {})
             return
@@ -221,9 +207,16 @@
         if self.path not in calls:
             self.answer(404, {})
             return
-        status, content = calls[self.path](body)
-        if self._is_silent():
+        if self.path == "/api/run-start" and life.starts_to_lose:
+            life.starts_to_lose -= 1
+            life.record("start_unanswered", task=body["task"], run=body["run"])
+            # It is carried out late, and the channel returns nothing further.
+            threading.Timer(LATE_S, life.start, [body]).start()
+            while self.connection.recv(4_096):
+                pass
+            self.close_connection = True
             return
+        status, content = calls[self.path](body)
         content |= {"clock_ms": life.clock_ms, "born": life.args.born}
         self.answer(status, content)
 
@@ -255,6 +248,7 @@
     parser.add_argument("--hold-max-ms", type=int, default=6_000)
     parser.add_argument("--beat-s", type=float, default=1.5)
     parser.add_argument("--drain-s", type=float, default=6.0)
+    parser.add_argument("--lost-starts", type=int, default=3)
     args = parser.parse_args()
     args.born = args.born or int(time.time() * 1_000)
     life = Life(args)
@@ -272,11 +266,10 @@
 
     signal.signal(signal.SIGTERM, lambda *_: threading.Thread(target=drain).start())
 
-    def silence(*_):
-        life.silenced += 1
-        life.record("channels_silent")
+    def lose_starts(*_):
+        life.starts_to_lose = args.lost_starts
 
-    signal.signal(signal.SIGUSR1, silence)
+    signal.signal(signal.SIGUSR1, lose_starts)
     life.record("up", born=args.born)
     sequence, is_acked = 0, False
     while life.leaves_at is None or time.monotonic() < life.leaves_at:
