--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A flapping runner makes jobs fail of which no run has ended as failed."""
+"""A timed submission with many tasks: its progress outgrows a value of the store."""
 
 import pathlib
 import sys
@@ -9,53 +9,56 @@
 
 import harness  # noqa: E402
 
-LASTING, BATCH = "a0000000000000a1", "b0000000000000b2"
-FLAP_S, PERIOD_S = 6.5, 1.4
-WATCHED_S = 14.0
+TIMED = "c0000000000000c3"
+TASKS, TIMES, INTERVAL_MS = 100, 300, 270
+PROBE_EVERY_S = 2.0
+FED_S = 72.0
+FINISH_S = 14.0
 
 
 def case():
-    def labels(number):
-        return ["b" if number == 0 else "a", f"r1-{number // 3}"]
-
-    with harness.Deployment(HERE / "record.txt", hosts=10, labels=labels) as found:
-        step = {"count": 1, "cpu": 2_000, "task_memory_mb": 256, "estimated_ms": 4_000}
-        step |= {"requirements": "b"}
-        lasting = step | {"long_running": True, "image": "im-1"}
-        for id, steps, spec in (
-            (LASTING, [lasting], "lasts"),
-            (BATCH, [step], "work_ms=4000"),
-        ):
-            if found.submit(id, steps, specification=spec) != 200:
-                raise harness.CannotRunError("a submission was not accepted")
-        found.wait_until(
-            lambda: found.starts(LASTING) and found.starts(BATCH), 5, "first starts"
-        )
-        time.sleep(1.0)
+    with harness.Deployment(HERE / "record.txt", hosts=8) as found:
+        step = {"count": 1, "cpu": 500, "task_memory_mb": 16, "estimated_ms": 500}
         if harness.is_troubled():
-            until = time.monotonic() + FLAP_S
-            while time.monotonic() < until:
-                found.runners[0].crash()
-                time.sleep(PERIOD_S / 2)
-                found.runners[0].start()
-                time.sleep(PERIOD_S / 2)
-            found.record.add("flap_ended")
-        else:
-            time.sleep(FLAP_S)
-        failed = set()
-        until = time.monotonic() + WATCHED_S
-        while time.monotonic() < until:
-            for id in (LASTING, BATCH):
-                if found.state(id) == "failed":
-                    failed.add(id)
-            time.sleep(1.0)
-        ends = [end for id in (LASTING, BATCH) for end in found.ends(id)]
-        if any(end["how"] == "failed" for end in ends):
-            raise harness.CannotRunError("a run has ended as failed")
-        if failed:
-            return f"LOST: {sorted(failed)} shown as failed; no run ended as failed"
-        if len({start["run"] for start in found.starts(LASTING)}) < 1:
-            raise harness.CannotRunError("the lasting task never ran")
+            small = {"count": TASKS, "cpu": 10, "task_memory_mb": 1}
+            status = found.submit(
+                TIMED,
+                [small | {"estimated_ms": 600, "checkpointing": True}],
+                specification="work_ms=600 saves",
+                repetitions=TIMES,
+                first_run_ms=int(time.time() * 1_000) + 500,
+                interval_ms=INTERVAL_MS,
+            )
+            if status != 200:
+                raise harness.CannotRunError("the timed submission was not accepted")
+        accepted = {}
+        began_at = time.monotonic()
+        number = 0
+        while time.monotonic() < began_at + FED_S:
+            number += 1
+            id = f"{number:016x}"
+            if found.submit(id, [step], specification="work_ms=500") == 200:
+                accepted[id] = time.time()
+            time.sleep(PROBE_EVERY_S)
+        time.sleep(FINISH_S)
+        states = {id: found.state(id) for id in accepted}
+        begun = {start["task"].split(".")[0] for start in found.record.lines("start")}
+        lost = sorted(id for id in accepted if id not in begun)
+        last = max(s["at"] for s in found.record.lines("start"))
+        found.record.add(
+            "summary",
+            accepted=len(accepted),
+            never_begun=len(lost),
+            last_start_ago_s=round(time.time() - last, 1),
+            timed_starts=len(found.starts(TIMED)),
+        )
+        if not accepted:
+            raise harness.CannotRunError("nothing was accepted")
+        if lost and all(states[id] in ("queued", "running", "") for id in lost):
+            return (
+                f"LOST: {len(lost)} of {len(accepted)} accepted submissions never "
+                f"began; the last start was {time.time() - last:.0f} s ago"
+            )
         return ""
 
 
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -14,6 +14,7 @@
 import sys
 import threading
 import time
+import zlib
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
@@ -22,6 +23,7 @@
 TICK_S = 0.02
 STARTUP_MS = 300
 STOP_MS = 50
+CHECKPOINT_MS = 500
 LATE_S = 9.0  # kinds: 2 to 12 s later
 
 
@@ -71,13 +73,18 @@
                 self._end(key, run["how"])
 
     def _end(self, key, how):
-        del self.running[key]
+        run = self.running.pop(key)
         self.end_number += 1
         self.highest[key[0]] = max(self.highest.get(key[0], 0), key[1])
-        self.ended.append([self.end_number, key[0], key[1], how, ""])
+        self.ended.append([self.end_number, key[0], key[1], how, self._saved(run)])
         self.record("end", task=key[0], run=key[1], how=how, n=self.end_number)
         self.lock.notify_all()
 
+    def _saved(self, run):
+        """Return the checkpoint of a run, a new value for each interval of work."""
+        number = (self.clock_ms - run["begun"]) // CHECKPOINT_MS
+        return f"{run['seed'] + number:016x}" if run["saves"] and number else ""
+
     def _extend(self, deadline_ms):
         most = self.clock_ms + self.args.hold_max_ms
         self.lease_end_ms = max(self.lease_end_ms, min(deadline_ms, most))
@@ -110,6 +117,8 @@
                 "begun": self.clock_ms,
                 "work_ms": int(found.group(1)) if found else None,
                 "stop_at": None,
+                "saves": "saves" in body["specification"],
+                "seed": zlib.crc32(task.encode()) << 24,
                 "how": "failed" if "fails" in body["specification"] else "done",
             }
             self.record(
