--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -149,9 +149,9 @@
 
     def count_waiting(self) -> int:
         return sum(
-            task.phase is state.Phase.WAITING
+            waiting
             for job in self.scheduler.open_jobs.values()
-            for task in job.tasks.values()
+            for _, waiting in job.occurrences.waiting_counts(time.time())
         )
 
 
--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -70,7 +70,7 @@
     """Serves the callers' interface, and runs the scheduler while elected."""
 
     def __init__(self, node: settings.Node) -> None:
-        kv_store = store.Store(node.store_address)
+        kv_store = store.Store(node.store_address, node.max_value_bytes)
         config = queues.ConfigWatcher(
             kv_store, operator.CONFIG_KEY, operator.read_config
         )
--- a/src/bilberrypass/platform/settings.py
+++ b/src/bilberrypass/platform/settings.py
@@ -8,6 +8,7 @@
 import yaml
 
 from bilberrypass import errors
+from bilberrypass.scheduling import keyvalue
 
 SETTINGS_PATH_VARIABLE: t.Final = "BILBERRYPASS_CONFIG"
 _MS: t.Final = 1_000.0
@@ -24,6 +25,7 @@
     runner_reports_address: str
     peer_address: str
     store_address: str
+    max_value_bytes: int
     memory_mb: int
     cores: float
     link_mbps: float
@@ -53,6 +55,7 @@
 
 class _Platform(msgspec.Struct):
     address: str
+    value_bytes: int = keyvalue.DEFAULT_MAX_VALUE_BYTES
 
 
 class _Limits(msgspec.Struct):
@@ -116,6 +119,7 @@
         runner_reports_address=decoded.listen_addresses.control,
         peer_address=f"{decoded.ip_address}:{first_port}",
         store_address=decoded.platform.address,
+        max_value_bytes=decoded.platform.value_bytes,
         memory_mb=int(decoded.limits.memory_mb),
         cores=decoded.limits.cpu_share * decoded.limits.cores,
         link_mbps=decoded.limits.link_mbps,
--- a/src/bilberrypass/platform/store.py
+++ b/src/bilberrypass/platform/store.py
@@ -74,9 +74,14 @@
     ----------
     address : str
         IP address and port.
+    max_value_bytes : int, optional
+        Limit of one value.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, max_value_bytes: int = keyvalue.DEFAULT_MAX_VALUE_BYTES
+    ) -> None:
+        self.max_value_bytes = max_value_bytes
         self._client = http.Client(address, connections=8)
 
     def _call(
--- a/src/bilberrypass/scheduling/durations.py
+++ b/src/bilberrypass/scheduling/durations.py
@@ -135,7 +135,7 @@
         )
         if took_s and took_s > 0:
             ends.append(math.log(took_s * self._speeds.get(task.host, 1.0)))
-        if not task.job.open_steps.get((task.key.occurrence, task.key.step)):
+        if not task.job.occurrences.open_count(task.key.occurrence, task.key.step):
             queue = task.job.job.queue
             prior = self._priors.pop(queue, None) or duration_priors.DurationPrior()
             self._priors[queue] = prior  # the queue seen last is at the end
@@ -198,7 +198,7 @@
         return learned.outlook
 
     def _outlook(self, job: state.JobState, now: float) -> Outlook:
-        occurrence = job.first_open_occurrence()
+        occurrence = job.occurrences.first_open()
         steps = job.job.steps
         found = [
             self._step_outlook(job, occurrence, number, now)
@@ -217,10 +217,12 @@
         self, job: state.JobState, occurrence: int, number: int, now: float
     ) -> _StepOutlook:
         step = job.job.steps[number]
-        is_blocked = any(job.open_steps[occurrence, earlier] for earlier in step.after)
+        open_count = job.occurrences.open_count(occurrence, number)
+        is_blocked = any(
+            job.occurrences.open_count(occurrence, earlier) for earlier in step.after
+        )
         is_begun = not is_blocked and (
-            job.status is not state.Status.QUEUED
-            or job.open_steps[occurrence, number] < step.count
+            job.status is not state.Status.QUEUED or open_count < step.count
         )
         progressed = self._progressed(job, occurrence, number) if is_begun else []
         step_s, error = self._expect(job, number, progressed)
@@ -231,12 +233,12 @@
         work = step.count * cores * step_s
         if not is_begun:
             return _StepOutlook(work, work, longest_s, full_s, error)
-        left_s = sum_s = 0.0
-        for task in job.step_tasks[occurrence, number]:
-            if task.phase is not state.Phase.DONE:
-                task_left_s = self._remaining_s(task, step_s, now)
-                sum_s += task_left_s
-                left_s = max(left_s, task_left_s)
+        open_step = job.occurrences.find_step(occurrence, number)
+        begun = [] if open_step is None else list(open_step.tasks.values())
+        lefts_s = [self._remaining_s(task, step_s, now) for task in begun]
+        fresh = open_count - len(begun)
+        left_s = max([*lefts_s, step_s * bool(fresh)])
+        sum_s = sum(lefts_s) + step_s * fresh
         return _StepOutlook(cores * sum_s, work, left_s, full_s, error)
 
     def _expect(
@@ -262,7 +264,8 @@
     ) -> list[float]:
         """Return the durations that the progress of a step's running tasks shows."""
         found = []
-        for task in job.step_tasks.get((occurrence, number), ()):
+        step = job.occurrences.find_step(occurrence, number)
+        for task in step.tasks.values() if step is not None else ():
             if task.phase is state.Phase.RUNNING:
                 full_s = task.progress.full_s()
                 if full_s is not None:
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -166,7 +166,9 @@
         ------
         errors.Error
             STORE_DOWN or ``ran`` NO if the job certainly is not stored; else it may be.
+            BODY_TOO_LARGE if the store cannot hold it.
         """
+        self._submissions.check_size(job)
         self._gate.check(job, deadline)
         try:
             is_new = self._change_with_fallback(
--- a/src/bilberrypass/scheduling/forecast_publishing.py
+++ b/src/bilberrypass/scheduling/forecast_publishing.py
@@ -63,8 +63,9 @@
 
 def work_left_core_s(job: state.JobState) -> float:
     """Return the work of a job that is not done, in core-seconds by its estimates."""
-    occurrence = job.first_open_occurrence()
-    counts = [job.open_steps[occurrence, n] for n in range(len(job.job.steps))]
+    found = job.occurrences
+    occurrence = found.first_open()
+    counts = [found.open_count(occurrence, n) for n in range(len(job.job.steps))]
     return durations.work_core_s(job.job.steps, counts)
 
 
@@ -170,7 +171,6 @@
         """Keep the job if it ranks best of its kind, so that waits are not too long."""
         kind = self._kinds[job.job.id]
         sample = state.JobState(job.job, now)
-        sample.tasks, sample.step_tasks = {}, {}  # they are many, and not needed
         known = self._samples.get(kind)
         if known is not None:
             known.accepted_at = now
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -9,7 +9,14 @@
 
 from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import circuit_breaker, committing, jobs, keyvalue, state
+from bilberrypass.scheduling import (
+    circuit_breaker,
+    committing,
+    jobs,
+    keyvalue,
+    state,
+    stored_progress,
+)
 
 INTAKE_PREFIX: t.Final = "intake/"
 JOB_PREFIX: t.Final = "intake/job/"
@@ -46,6 +53,23 @@
         """How long the store has failed as this process sees it, 0 if it works."""
         return self._breaker.outage_age_s
 
+    def check_size(self, job: jobs.Job) -> None:
+        """Raise if a job is too large to be stored.
+
+        Raises
+        ------
+        errors.Refused
+            BODY_TOO_LARGE, with its size and the limit in bytes.
+        """
+        size = len(stored_progress.encode_job(job))
+        if size > self._store.max_value_bytes:
+            raise errors.Refused(
+                errors.Kind.BODY_TOO_LARGE,
+                f"job {job.id} takes {size} bytes in the store, which holds "
+                f"{self._store.max_value_bytes}; submit several jobs",
+                ran=errors.Ran.NO,
+            )
+
     def submit(self, job: jobs.Job, deadline: float) -> bool:
         """Store a job and return whether it is new; idempotent by the job's id.
 
@@ -55,10 +79,12 @@
             STORE_DOWN or OVERLOADED if the job certainly is not stored,
             STORE_UNCERTAIN if it may be.
         """
-        key, value = JOB_PREFIX + job.id, state.encode_job(job)
+        key, value = JOB_PREFIX + job.id, stored_progress.encode_job(job)
 
         def encode_again(refused: bytes) -> bytes:
-            return state.encode_job(job._replace(waited_s=_decode_waited(refused)))
+            return stored_progress.encode_job(
+                job._replace(waited_s=_decode_waited(refused))
+            )
 
         return self._create(key, value, deadline, REFUSED_PREFIX + job.id, encode_again)
 
@@ -197,7 +223,7 @@
         if item is None:
             return state.Status.QUEUED
         try:
-            return state.decode_progress(item.value).status
+            return stored_progress.decode(item.value).status
         except msgspec.MsgspecError as exc:
             raise errors.Error(
                 errors.Kind.INTERNAL, f"the stored progress of {id} is unreadable"
@@ -338,7 +364,7 @@
 
 def _decode(key: str, value: bytes) -> jobs.Job | None:
     try:
-        return state.decode_job(value)
+        return stored_progress.decode_job(value)
     except msgspec.MsgspecError as exc:
         decisions.record("intake.unreadable", key=key, why=str(exc))
         return None
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -5,8 +5,6 @@
 from bilberrypass import errors
 
 MAX_STEPS: t.Final = 64  # limits the work that one malformed submission causes
-MAX_TASKS: t.Final = 4_096
-MAX_REPETITIONS: t.Final = 10_000
 MAX_AMOUNT: t.Final = 1 << 53  # exact in JSON, and stored in 64 bits
 MILLI_PER_CORE: t.Final = 1_000
 
@@ -111,16 +109,16 @@
         _raise_bad_field(
             "steps", f"has {len(job.steps)} entries; submit 1 to {MAX_STEPS}"
         )
-    if not 0 <= job.repetitions <= MAX_REPETITIONS:
-        _raise_bad_field("repetitions", f"must be between 0 and {MAX_REPETITIONS}")
-    if sum(step.count for step in job.steps) > MAX_TASKS:
-        _raise_bad_field(
-            "steps", f"have more than {MAX_TASKS} tasks; submit several jobs"
-        )
+    if not 0 <= job.repetitions <= MAX_AMOUNT:
+        _raise_bad_field("repetitions", f"must be between 0 and {MAX_AMOUNT}")
+    if job.interval_s < 0:
+        _raise_bad_field("interval_ms", "is negative; use 0 or more")
     for number, step in enumerate(job.steps):
         where = f"steps[{number}]"
-        if step.count < 1:
-            _raise_bad_field(f"{where}.count", "must be at least 1")
+        if not 1 <= step.count <= MAX_AMOUNT:
+            _raise_bad_field(f"{where}.count", f"must be between 1 and {MAX_AMOUNT}")
+        if step.estimate_s < 0:
+            _raise_bad_field(f"{where}.estimated_ms", "is negative; use 0 or more")
         amounts = (
             *(step.cpu_milli, step.memory_mb, step.gpus),
             *(step.max_per_host, step.latency_target_ms, step.max_unavailable),
--- a/src/bilberrypass/scheduling/keyvalue.py
+++ b/src/bilberrypass/scheduling/keyvalue.py
@@ -7,6 +7,7 @@
 from bilberrypass import errors
 
 MAX_COMMIT_ENTRIES: t.Final = 32  # of one transaction, as stores allow
+DEFAULT_MAX_VALUE_BYTES: t.Final = 1 << 20
 
 
 class Item(t.NamedTuple):
@@ -99,9 +100,11 @@
 
     Every method raises ``errors.Error`` with STORE_DOWN if the call certainly had
     no effect, and with STORE_UNCERTAIN if it may still take effect. Deadlines are
-    on ``clock.now``.
+    on ``clock.now``. ``max_value_bytes`` is the limit of one value.
     """
 
+    max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES
+
     @abc.abstractmethod
     def get(self, key: str, deadline: float) -> Lookup:
         """Return a key's current state, and the revision after which to watch it."""
--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -53,6 +53,7 @@
         jobs: abc.Collection[state.JobState],
         fleet: abc.Collection[hosts.Host],
         now: float,
+        unix_now: float,
     ) -> None:
         """Log one line if the interval has passed; ``now`` is on ``clock.now``."""
         if now < self._next_at or not jobs:
@@ -60,7 +61,7 @@
         self._next_at = now + _LOG_INTERVAL_S
         decisions.record(
             "scheduler.load",
-            **_job_figures(jobs),
+            **_job_figures(jobs, unix_now),
             **_host_figures(fleet, now),
             largest_gaps=_observe_gaps(fleet, now),
             waits={
@@ -85,12 +86,14 @@
     }
 
 
-def _job_figures(jobs: abc.Collection[state.JobState]) -> dict[str, t.Any]:
+def _job_figures(
+    jobs: abc.Collection[state.JobState], unix_now: float
+) -> dict[str, t.Any]:
     idle_jobs = fillers = others = 0
     for job in jobs:
-        waiting = [t for t in job.tasks.values() if t.phase is state.Phase.WAITING]
-        fillers += sum(task.step.is_filler for task in waiting)
-        others += sum(not task.step.is_filler for task in waiting)
+        for step, waiting in job.occurrences.waiting_counts(unix_now):
+            fillers += waiting * step.is_filler
+            others += waiting * (not step.is_filler)
         idle_jobs += not job.has_runs
     return {
         "jobs": len(jobs),
--- a/src/bilberrypass/scheduling/loading.py
+++ b/src/bilberrypass/scheduling/loading.py
@@ -21,6 +21,7 @@
     initial: intake.InitialState,
     quarantine: job_quarantine.JobQuarantine,
     now: float,
+    max_bytes: int,
 ) -> dict[str, state.JobState]:
     """Return the states of all jobs that can be restored; set the others aside.
 
@@ -33,6 +34,8 @@
         not be started again.
     now : float
         Time on ``clock.now``.
+    max_bytes : int
+        Limit of a value in the store.
     """
     progress = {
         item.key.removeprefix(committing.PROGRESS_PREFIX): item
@@ -41,7 +44,7 @@
     restored = {}
     for job in initial.jobs:
         try:
-            job_state = state.JobState(job, accepted_at(job, now, 0.0))
+            job_state = state.JobState(job, accepted_at(job, now, 0.0), max_bytes)
             item = progress.get(job.id)
             if item is not None:
                 job_state.restore(item.value, item.revision, now)
--- a/src/bilberrypass/scheduling/ordering.py
+++ b/src/bilberrypass/scheduling/ordering.py
@@ -136,7 +136,7 @@
     value = _FIXED_VALUE + _VALUE_OF_MEAN_WORK * outlook.work / mean_work
     age_s = now - job.accepted_at
     if job.job.repetitions:
-        age_s = unix_now - job.due_at(job.first_open_occurrence())
+        age_s = unix_now - job.occurrences.due_at(job.occurrences.first_open())
     weight = _lateness_weight(age_s + remaining_s, allowed_s)
     density = weight * min(_MAX_VALUE, value) / outlook.left
     chance = None
--- a/src/bilberrypass/scheduling/passing_over.py
+++ b/src/bilberrypass/scheduling/passing_over.py
@@ -115,7 +115,7 @@
             time_left_s=round(chance.time_left_s, 2),
             needed_s=round(chance.needed_s, 2),
             left_core_s=round(chance.left, 1),
-            open_tasks=sum(job.open_steps.values()),
+            open_tasks=job.occurrences.count_open_tasks(),
         )
 
 
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -22,6 +22,7 @@
     room_plan,
     state,
     wait_figures,
+    waiting_tasks,
 )
 
 if t.TYPE_CHECKING:
@@ -166,21 +167,20 @@
     ) -> None:
         started: list[state.Task] = []
         unplaced: list[state.Task] = []
-        for tasks in job.eligible_steps(unix_now):
-            due = [
+        for step in job.eligible_steps(unix_now):
+            suspects = [
                 task
-                for task in tasks
-                if task.phase is state.Phase.WAITING and now >= task.not_before
+                for task in step.tasks.values()
+                if task.is_waiting and now >= task.not_before and task.crashes
             ]
-            waiting = [task for task in due if not task.crashes]
+            waiting = waiting_tasks.find(step, job.room_for_tasks(), now)
             if waiting:
-                placed = self._place_step(waiting, queue, usable, full, now)
-                started += waiting[:placed]
-                unplaced += waiting[placed : placed + 1]
-            for task in due:
-                if task.crashes:
-                    is_placed = self._place_suspect(task, queue, usable, now)
-                    (started if is_placed else unplaced).append(task)
+                started += self._place_step(waiting, queue, usable, full, now)
+                if waiting:
+                    unplaced.append(waiting[0])
+            for task in suspects:
+                is_placed = self._place_suspect(task, queue, usable, now)
+                (started if is_placed else unplaced).append(task)
         if started or not unplaced:
             job.idle_since = 0.0
         elif self._is_starved(job, now) and not self._is_crowded(usable, queue):
@@ -204,22 +204,22 @@
 
     def _place_step(
         self,
-        waiting: list[state.Task],
+        waiting: waiting_tasks.WaitingTasks,
         queue: jobs.Queue,
         usable: list[hosts.Host],
         full: full_demands.FullDemands,
         now: float,
-    ) -> int:
-        """Start the first tasks of a step that fit; return their number."""
+    ) -> list[state.Task]:
+        """Start the first tasks of a step that fit; return and remove them."""
         step, service = waiting[0].step, queue.service
         owner = backfilling.precedence(waiting[0].job, queue)
         if full.covers(step, service):
             self._reserve(waiting, queue, owner, now)
-            return 0
+            return []
         guard = self._reservations.guard(waiting[0], owner)
         if guard is not None and full.covers_held(step, service, guard):
             self._reserve(waiting, queue, owner, now, was_held_back=True)
-            return 0
+            return []
         chooser = self._make_chooser(waiting[0], service, usable, now, guard)
         for count, task in enumerate(waiting):
             host = chooser.choose(task)
@@ -229,16 +229,18 @@
                     full.add_held(step, service, guard)
                 else:
                     full.add(step, service)
-                self._reservations.on_placed(waiting[:count])
-                self._reserve(waiting[count:], queue, owner, now, was_held_back)
-                return count
+                started = waiting.pop_first(count)
+                self._reservations.on_placed(started)
+                self._reserve(waiting, queue, owner, now, was_held_back)
+                return started
             self._start_run(task, host, now)
-        self._reservations.on_placed(waiting)
-        return len(waiting)
+        started = waiting.pop_first(len(waiting))
+        self._reservations.on_placed(started)
+        return started
 
     def _reserve(
         self,
-        waiting: list[state.Task],
+        waiting: waiting_tasks.WaitingTasks,
         queue: jobs.Queue,
         owner: backfilling.Precedence,
         now: float,
@@ -342,6 +344,7 @@
     def _start_run(self, task: state.Task, host: hosts.Host, now: float) -> None:
         """Assign a task to a host as a new run, which is ordered once it is stored."""
         self._crowded.clear()
+        task.job.begin_task(task)
         task.run += 1
         task.host, task.life = host.name, host.life
         task.phase = state.Phase.ORDERED
--- a/src/bilberrypass/scheduling/progress_queue.py
+++ b/src/bilberrypass/scheduling/progress_queue.py
@@ -10,6 +10,7 @@
     estimate_publishing,
     job_quarantine,
     state,
+    stored_progress,
 )
 
 Effect = abc.Callable[[], None]
@@ -81,7 +82,7 @@
         for write in group:
             job = jobs[write.job]
             job.revision = revision
-            job.stored_status = state.Status(state.decode_progress(write.value).status)
+            job.stored_status = state.Status(stored_progress.decode(write.value).status)
             job.drop_tasks_if_final()
             for effect in self._in_flight.pop(write.job):
                 effect()
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -51,7 +51,7 @@
 
     def restore_runs(self, job: state.JobState) -> None:
         """Add the runs that an earlier scheduler ordered for a job to their hosts."""
-        for task in job.tasks.values():
+        for task in job.occurrences.begun_tasks():
             if task.is_active:
                 self._get_host(task.host).add(task)
 
@@ -337,7 +337,7 @@
 
     def stop_job(self, job: state.JobState) -> None:
         """Stop all runs of a job that was cancelled or has failed."""
-        for task in job.tasks.values():
+        for task in job.occurrences.begun_tasks():
             if task.phase not in (state.Phase.ORDERED, state.Phase.RUNNING):
                 continue
             host = self._scheduler.hosts[task.host]
--- a/src/bilberrypass/scheduling/reservations.py
+++ b/src/bilberrypass/scheduling/reservations.py
@@ -14,6 +14,7 @@
     reservation_promises,
     room_plan,
     state,
+    waiting_tasks,
 )
 
 MAX_HOST_SHARE: t.Final = 0.125
@@ -144,7 +145,7 @@
 
     def reserve(
         self,
-        waiting: list[state.Task],
+        waiting: waiting_tasks.WaitingTasks,
         owner: backfilling.Precedence,
         chooser: placement.StepPlacement,
         was_held_back: bool = False,
@@ -153,7 +154,7 @@
 
         Parameters
         ----------
-        waiting : list of state.Task
+        waiting : waiting_tasks.WaitingTasks
             The tasks of the step that wait, at least one.
         owner : backfilling.Precedence
             The precedence of their job.
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -123,6 +123,7 @@
         self._evacuations = evacuated
         self._events: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self._orders: dict[str, list[messages.Order]] = collections.defaultdict(list)
+        self._max_bytes = store.max_value_bytes
         self._committer = committing.Committer(
             store, epoch, self._on_stored, on_leadership_lost
         )
@@ -259,14 +260,21 @@
                 evacuations.stop_late_starts(
                     self._evacuations, self.hosts.values(), self._stop_run
                 )
-                self._load_log.tick(self.open_jobs.values(), self.hosts.values(), now)
+                self._load_log.tick(
+                    self.open_jobs.values(),
+                    self.hosts.values(),
+                    now,
+                    self.fleet_clock.unix_time(now),
+                )
                 _open_jobs.set(len(self.open_jobs))
             self._placer.place(now)
             self._progress.write(self.jobs)
             self._flush_orders()
 
     def _load(self, initial: intake.InitialState) -> None:
-        self.jobs = loading.restore_jobs(initial, self.quarantine, clock.now())
+        self.jobs = loading.restore_jobs(
+            initial, self.quarantine, clock.now(), self._max_bytes
+        )
         if initial.interference:
             self.estimates.restore(initial.interference)
         self.is_loaded = True
@@ -290,7 +298,7 @@
             return
         try:
             at = loading.accepted_at(job, clock.now(), self._intake_read_until)
-            added = state.JobState(job, at)
+            added = state.JobState(job, at, self._max_bytes)
             self.durations.mean_work.add(job)
         except Exception as exc:
             self.quarantine.add(job.id, "intake", exc)
@@ -360,7 +368,9 @@
         """Return a task of a job that is not final, or None."""
         key = jobs.TaskKey.parse(name)
         job = self.open_jobs.get(key.job) if key is not None else None
-        return job.tasks.get(key) if job is not None and key is not None else None
+        if job is None or key is None:
+            return None
+        return job.occurrences.find_task(key)
 
     def write_progress(self, job: state.JobState, effect: Event | None = None) -> None:
         """Mark a job's progress for writing; ``effect`` is called once it is stored."""
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -1,13 +1,18 @@
 """The progress of a job, in the scheduler's memory and in the store."""
 
+import collections.abc as abc
 import enum
 import time
 import typing as t
 
-import msgspec
-
 from bilberrypass import crash_limits
-from bilberrypass.scheduling import jobs, stragglers
+from bilberrypass.scheduling import (
+    jobs,
+    keyvalue,
+    occurrences,
+    stored_progress,
+    stragglers,
+)
 
 
 class Phase(enum.IntEnum):
@@ -35,29 +40,8 @@
 
 FINAL: t.Final = (Status.COMPLETED, Status.FAILED, Status.CANCELLED)
 
-
-class StoredTask(t.NamedTuple):
-    """The stored record of a task with at least one run; other tasks have none."""
-
-    occurrence: int
-    step: int
-    index: int
-    phase: int
-    run: int
-    host: str
-    life: int
-    failures: int
-    checkpoint: str
-    crashes: list[crash_limits.Crash] = []  # noqa: RUF012
-    cleared_run: int = 0
-
-
-class StoredJob(t.NamedTuple):
-    """The stored progress of a job; ``finished_at`` is Unix time, 0 before the end."""
-
-    status: str
-    tasks: list[StoredTask]
-    finished_at: float = 0.0
+# The rest of a stored value is left for checkpoints, which grow while tasks run.
+_MAX_SHARE_BEGUN: t.Final = 0.75
 
 
 class Task:
@@ -126,6 +110,11 @@
         """Return whether a run may exist on a host."""
         return self.phase in ACTIVE
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the task waits for a run."""
+        return self.phase is Phase.WAITING
+
     def add_crash(self, crash: crash_limits.Crash) -> bool:
         """Count a crash of a runner under a run; return False if it does not count."""
         if self.phase is Phase.DONE or not self.cleared_run < crash.run <= self.run:
@@ -161,52 +150,66 @@
 
 
 class JobState:
-    """A job with its tasks; owned by the scheduler's thread.
+    """A job with its open tasks; owned by the scheduler's thread.
 
     The times are on ``clock.now``: ``accepted_at``, ``final_since`` (0 before the final
     status) and ``idle_since``, since when no task runs and no host accepts one (0 if
     it does). ``finished_at`` is Unix time, for the stored record only.
+    ``is_unstorable`` is set once the progress was refused for good: only the status is
+    stored from then on.
+
+    Parameters
+    ----------
+    job : jobs.Job
+        The submission.
+    accepted_at : float
+        When it was accepted, on ``clock.now``.
+    max_bytes : int, optional
+        Limit of the stored progress; as many tasks may be open as fit.
     """
 
     __slots__ = (
         "__weakref__",
+        "_bare_bytes",
+        "_max_bytes",
+        "_unencoded_rows",
         "accepted_at",
         "cancelled",
         "failed",
         "final_since",
         "finished_at",
         "idle_since",
+        "is_unstorable",
         "job",
-        "open_steps",
+        "occurrences",
         "revision",
-        "stored_status",
         "status",
-        "step_tasks",
-        "tasks",
+        "stored_status",
     )
 
-    def __init__(self, job: jobs.Job, accepted_at: float) -> None:
+    def __init__(
+        self,
+        job: jobs.Job,
+        accepted_at: float,
+        max_bytes: int = keyvalue.DEFAULT_MAX_VALUE_BYTES,
+    ) -> None:
         self.job = job
         self.accepted_at = accepted_at
-        self.tasks: dict[jobs.TaskKey, Task] = {}
         self.status = Status.QUEUED
         self.stored_status = Status.QUEUED
         self.cancelled = False
         self.failed = False
+        self.is_unstorable = False
         self.finished_at = 0.0
         self.final_since = 0.0
         self.idle_since = 0.0
         self.revision = 0
-        self.open_steps: dict[tuple[int, int], int] = {}
-        self.step_tasks: dict[tuple[int, int], list[Task]] = {}
-        for occurrence in range(max(1, job.repetitions)):
-            for number, step in enumerate(job.steps):
-                self.open_steps[occurrence, number] = step.count
-                found = self.step_tasks[occurrence, number] = []
-                for index in range(step.count):
-                    key = jobs.TaskKey(job.id, occurrence, number, index)
-                    self.tasks[key] = Task(self, key, step)
-                    found.append(self.tasks[key])
+        self.occurrences = occurrences.Occurrences(job, self._make_task)
+        self._max_bytes = max_bytes
+        self._bare_bytes = self._unencoded_rows = 0
+
+    def _make_task(self, key: jobs.TaskKey, step: jobs.Step) -> Task:
+        return Task(self, key, step)
 
     @property
     def is_final(self) -> bool:
@@ -216,41 +219,36 @@
     @property
     def has_runs(self) -> bool:
         """Return whether a run of any task may exist on a host."""
-        return any(task.is_active for task in self.tasks.values())
+        return any(task.is_active for task in self.occurrences.begun_tasks())
 
     def count_runs(self) -> int:
         """Return the number of tasks of which a run may exist on a host."""
-        return sum(task.is_active for task in self.tasks.values())
+        return sum(task.is_active for task in self.occurrences.begun_tasks())
+
+    def eligible_steps(self, now: float) -> abc.Iterator[occurrences.StepProgress]:
+        """Yield the steps whose tasks may run at the Unix time ``now``.
 
-    def eligible_steps(self, now: float) -> list[list[Task]]:
-        """Return the tasks of each step that may run at the Unix time ``now``."""
+        See ``Occurrences.eligible_steps``.
+        """
         if self.cancelled or self.failed:
-            return []
-        return [
-            self.step_tasks[occurrence, number]
-            for (occurrence, number), count in self.open_steps.items()
-            if count and self._is_step_due(occurrence, self.job.steps[number], now)
-        ]
-
-    def _is_step_due(self, occurrence: int, step: jobs.Step, now: float) -> bool:
-        if self.job.repetitions and now < self.due_at(occurrence):
-            return False
-        return not any(self.open_steps[occurrence, n] for n in step.after)
+            return iter(())
+        return self.occurrences.eligible_steps(now)
 
-    def due_at(self, occurrence: int) -> float:
-        """Return the Unix time before which an occurrence of the job may not start."""
-        return self.job.first_run_at + occurrence * self.job.interval_s
+    def room_for_tasks(self) -> int:
+        """Return how many more tasks may begin so that the progress can be stored."""
+        left = int(self._max_bytes * _MAX_SHARE_BEGUN) - self._bare_bytes
+        row_bytes = stored_progress.MAX_ROW_BYTES + len(self.job.steps)
+        return max(0, left // row_bytes - self._unencoded_rows)
 
-    def first_open_occurrence(self) -> int:
-        """Return the first occurrence with a task that is not done, 0 without any."""
-        found = (occurrence for (occurrence, _), n in self.open_steps.items() if n)
-        return next(found, 0)
+    def begin_task(self, task: Task) -> None:
+        """Keep a task from its first run on, until it is done."""
+        self._unencoded_rows += self.occurrences.begin_task(task)
 
     def finish_task(self, task: Task) -> None:
-        """Mark a task as done and count it off its step."""
+        """Mark a task as done and drop it."""
         if task.phase is not Phase.DONE:
             task.phase = Phase.DONE
-            self.open_steps[task.key.occurrence, task.key.step] -= 1
+            self.occurrences.finish_task(task)
 
     def update_status(self, now: float) -> None:
         """Update the status from the tasks; ``now`` is on ``clock.now``."""
@@ -259,11 +257,9 @@
         if self.cancelled or self.failed:
             if not self.has_runs:
                 self.status = Status.CANCELLED if self.cancelled else Status.FAILED
-        elif not any(self.open_steps.values()):
+        elif not self.occurrences.has_open_tasks:
             self.status = Status.COMPLETED
-        elif self.status is Status.QUEUED and any(
-            task.phase is not Phase.WAITING for task in self.tasks.values()
-        ):
+        elif self.status is Status.QUEUED and self.occurrences.has_begun_work:
             self.status = Status.RUNNING
         if self.is_final:
             self.final_since = now
@@ -272,19 +268,26 @@
     def drop_tasks_if_final(self) -> None:
         """Drop the tasks to save memory once the final status is stored."""
         if self.is_final and self.stored_status in FINAL:
-            self.tasks = {}
-            self.step_tasks = {}
-            self.open_steps = {}
+            self.occurrences.clear()
+
+    @property
+    def status_to_store(self) -> Status:
+        """The status that callers are told once it is stored."""
+        return Status.FAILED if self.failed else self.status
 
     def encode(self) -> bytes:
         """Return the progress in its stored form."""
-        tasks = []
-        if not self.is_final:
-            tasks = [
-                _make_stored_task(task) for task in self.tasks.values() if task.run
-            ]
-        status = Status.FAILED if self.failed else self.status
-        return _encode(StoredJob(status.value, tasks, self.finished_at))
+        status = self.status_to_store
+        if self.is_final or self.is_unstorable:
+            stored = stored_progress.StoredJob(status.value, [], self.finished_at)
+            return stored_progress.encode(stored).value
+        rows = [_make_stored_task(task) for task in self.occurrences.begun_tasks()]
+        stored = stored_progress.StoredJob(
+            status.value, rows, occurrences=self.occurrences.to_stored()
+        )
+        value, self._bare_bytes = stored_progress.encode(stored, self._max_bytes)
+        self._unencoded_rows = 0
+        return value
 
     def restore(self, value: bytes, revision: int, now: float) -> None:
         """Restore the progress from its stored value and revision.
@@ -292,7 +295,7 @@
         The retention period of a final job begins anew at ``now``, on ``clock.now``:
         its end was stored with another process's time of day.
         """
-        stored = decode_progress(value)
+        stored = stored_progress.decode(value)
         self.revision = revision
         self.status = self.stored_status = Status(stored.status)
         self.finished_at = stored.finished_at
@@ -301,23 +304,32 @@
             self.status = Status.RUNNING
         if self.is_final:
             self.final_since = now
-        for row in stored.tasks:
-            key = jobs.TaskKey(self.job.id, row.occurrence, row.step, row.index)
-            task = self.tasks.get(key)
-            if task is None:
-                continue
-            task.run, task.host, task.life = row.run, row.host, row.life
-            task.failures, task.checkpoint = row.failures, row.checkpoint
-            task.crashes, task.cleared_run = list(row.crashes), row.cleared_run
-            if row.phase == Phase.DONE:
-                self.finish_task(task)
-            else:
-                task.phase = Phase(row.phase)
-
-
-def _make_stored_task(task: Task) -> StoredTask:
+            return
+        done = []
+        if stored.occurrences is None:
+            restored = self.occurrences.restore_earlier_form(stored.tasks)
+        else:
+            restored = self.occurrences.restore(stored.occurrences, stored.tasks)
+        for task, row in restored:
+            _restore_task(task, row)
+            if task.phase is Phase.DONE:
+                done.append(task)
+        for task in done:
+            self.occurrences.finish_task(task)
+        begun = sum(1 for _ in self.occurrences.begun_tasks())
+        self._bare_bytes = begun * stored_progress.MAX_ROW_BYTES
+
+
+def _restore_task(task: Task, row: stored_progress.StoredTask) -> None:
+    task.run, task.host, task.life = row.run, row.host, row.life
+    task.failures, task.checkpoint = row.failures, row.checkpoint
+    task.crashes, task.cleared_run = list(row.crashes), row.cleared_run
+    task.phase = Phase(row.phase)
+
+
+def _make_stored_task(task: Task) -> stored_progress.StoredTask:
     phase = Phase.ORDERED if task.phase is Phase.RUNNING else task.phase
-    return StoredTask(
+    return stored_progress.StoredTask(
         task.key.occurrence,
         task.key.step,
         task.key.index,
@@ -330,23 +342,3 @@
         task.crashes,
         task.cleared_run,
     )
-
-
-_encode = msgspec.msgpack.Encoder().encode
-_job_decoder = msgspec.msgpack.Decoder(jobs.Job)
-_progress_decoder = msgspec.msgpack.Decoder(StoredJob)
-
-
-def encode_job(job: jobs.Job) -> bytes:
-    """Return a job in its stored form."""
-    return _encode(job)
-
-
-def decode_job(value: bytes) -> jobs.Job:
-    """Decode a job from its stored form."""
-    return _job_decoder.decode(value)
-
-
-def decode_progress(value: bytes) -> StoredJob:
-    """Decode the progress of a job from its stored form."""
-    return _progress_decoder.decode(value)
--- a/src/bilberrypass/scheduling/stop_monitor.py
+++ b/src/bilberrypass/scheduling/stop_monitor.py
@@ -81,7 +81,7 @@
             task
             for job in stopping
             if now - self._stopping_since[job.job.id] > _OVERDUE_AFTER_S
-            for task in job.tasks.values()
+            for task in job.occurrences.begun_tasks()
             if task.is_active
         ]
         self._overdue = len(overdue)
--- a/testing/platform/test_malformed_bytes.py
+++ b/testing/platform/test_malformed_bytes.py
@@ -10,7 +10,7 @@
 from bilberrypass import errors
 from bilberrypass.hosting import runs
 from bilberrypass.platform import front, http, operator, runner, store
-from bilberrypass.scheduling import election, keyvalue, state
+from bilberrypass.scheduling import election, keyvalue, state, stored_progress
 from testing import collecting, fixtures
 
 _DEEP = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
@@ -56,7 +56,7 @@
 def _read_job(body):
     job = front.read_job("a" * 16, "q", body)
     state.JobState(job, 0.0)
-    return state.encode_job(job)
+    return stored_progress.encode_job(job)
 
 
 def _read_lists(body):
--- a/testing/platform/test_wire.py
+++ b/testing/platform/test_wire.py
@@ -120,7 +120,10 @@
         b'{"specification": "x", "steps": [{"count": 0}]}',
         b'{"specification": "x", "steps": [{"count": 1, "after": [0]}]}',
         b'{"specification": "x", "steps": [{"count": 1, "cpu": -1}]}',
-        b'{"specification": "x", "steps": [{"count": 1000000}]}',
+        b'{"specification": "x", "steps": [{"count": 9007199254740993}]}',
+        b'{"specification": "x", "steps": [{"count": 1, "estimated_ms": -1}]}',
+        b'{"specification": "x", "steps": [{"count": 1}], "repetitions": -1}',
+        b'{"specification": "x", "steps": [{"count": 1}], "interval_ms": -1}',
         b'{"specification": "x", "steps": [{"count": 2, "gang": true}]}',
     )
     for body in bodies:
@@ -129,6 +132,13 @@
         assert exc.ran is errors.Ran.NO
 
 
+def test_number_of_tasks_and_times_is_not_limited():
+    """The pages name no limit, and only open tasks take memory."""
+    body = b'{"specification":"x","steps":[{"count":1000000}],"repetitions":10000000}'
+    job = front.read_job("a" * 16, "q", body)
+    assert (job.steps[0].count, job.repetitions) == (1_000_000, 10_000_000)
+
+
 def test_runner_report_is_decoded():
     body = (
         b'{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,'
--- a/testing/scheduling/admissions.py
+++ b/testing/scheduling/admissions.py
@@ -13,7 +13,7 @@
     queue_forecast,
     state,
 )
-from testing.scheduling import overloads
+from testing.scheduling import job_tasks, overloads
 
 POOL = queue_forecast.Pool("p", False)
 _RETRIES = 4
@@ -112,18 +112,17 @@
             task = what
             free += task.step.cpu_milli
             task.job.finish_task(task)
-            if not any(task.job.open_steps.values()):
+            if not task.job.occurrences.has_open_tasks:
                 task.job.update_status(now)
                 ended_at[task.key.job] = now
                 open_jobs.remove(task.job)
         is_full = False
         for job in overloads.by_rank(open_jobs, now, learned):
-            for task in itertools.chain(*job.eligible_steps(now)):
-                if task.phase is not state.Phase.WAITING:
-                    continue
+            for task in job_tasks.waiting(job, now):
                 if task.step.cpu_milli > free:
                     is_full = True
                     continue
+                job.begin_task(task)
                 task.phase = state.Phase.RUNNING
                 free -= task.step.cpu_milli
                 end_at = (
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -14,7 +14,7 @@
     queues,
     scheduler,
     sending,
-    state,
+    stored_progress,
 )
 from testing import fixtures
 from testing.standins import keyvalues
@@ -205,7 +205,7 @@
 
     def stored(self, id="a" * 16):
         """Return the stored progress of a job."""
-        return state.decode_progress(self.store.items[f"progress/{id}"].value)
+        return stored_progress.decode(self.store.items[f"progress/{id}"].value)
 
     def await_status(self, status, *hosts, id="a" * 16):
         """Report from the given hosts until a job has a status."""
--- a/testing/scheduling/overloads.py
+++ b/testing/scheduling/overloads.py
@@ -1,12 +1,12 @@
 """Batch jobs that compete for a fixed number of cores, in simulated time."""
 
 import heapq
-import itertools
 import math
 import random
 import typing as t
 
 from bilberrypass.scheduling import durations, jobs, ordering, passing_over, state
+from testing.scheduling import job_tasks
 
 CORES = 200
 END_S = 52.0
@@ -136,7 +136,7 @@
     """Return the critical paths in all and of the open steps, by the estimates."""
     steps = job.job.steps
     total_s = [step.estimate_s for step in steps]
-    left_s = [s * bool(job.open_steps[0, n]) for n, s in enumerate(total_s)]
+    left_s = [s * bool(job.occurrences.open_count(0, n)) for n, s in enumerate(total_s)]
     return durations.path_s(steps, total_s), durations.path_s(steps, left_s)
 
 
@@ -145,7 +145,7 @@
 
     def key(job):
         steps = job.job.steps
-        counts = [job.open_steps[0, number] for number in range(len(steps))]
+        counts = [job.occurrences.open_count(0, number) for number in range(len(steps))]
         left = durations.work_core_s(steps, counts)
         work = durations.work_core_s(steps, [step.count for step in steps])
         total_s, left_s = _paths_s(job)
@@ -200,13 +200,13 @@
             del running[task]
             task.job.finish_task(task)
             learned.observe_end(task, durations.took_s(task, now))
-            if not any(task.job.open_steps.values()):
+            if not task.job.occurrences.has_open_tasks:
                 ended_at[task.key.job] = now
                 open_jobs.remove(task.job)
         for job in order(open_jobs, now, learned):
-            for waiting in itertools.chain(*job.eligible_steps(now)):
-                is_waiting = waiting.phase is state.Phase.WAITING
-                if is_waiting and waiting.step.cpu_milli <= free:
+            for waiting in job_tasks.waiting(job, now):
+                if waiting.step.cpu_milli <= free:
+                    job.begin_task(waiting)
                     waiting.phase, waiting.started_at = state.Phase.RUNNING, now
                     job.status = state.Status.RUNNING
                     free -= waiting.step.cpu_milli
--- a/testing/scheduling/streams.py
+++ b/testing/scheduling/streams.py
@@ -129,7 +129,7 @@
         if done >= 1.0:
             host.remove(task)
             task.job.finish_task(task)
-            if not any(task.job.open_steps.values()):
+            if not task.job.occurrences.has_open_tasks:
                 self.ends[job] = self.elapsed_s
                 self.scheduler.open_jobs.pop(job)
 
--- a/testing/scheduling/test_crash_counting.py
+++ b/testing/scheduling/test_crash_counting.py
@@ -2,8 +2,10 @@
 
 import time
 
+import msgspec
+
 from bilberrypass import clock, crash_limits
-from bilberrypass.scheduling import jobs, messages, state
+from bilberrypass.scheduling import jobs, messages, state, stored_progress
 from testing import collecting, events, fixtures
 from testing.scheduling import clusters
 
@@ -13,7 +15,8 @@
 
 
 def _task(cluster, id=JOB, index=0):
-    return cluster.scheduler.jobs[id].tasks[jobs.TaskKey(id, 0, 0, index)]
+    job = cluster.scheduler.jobs[id]
+    return job.occurrences.find_task(jobs.TaskKey(id, 0, 0, index))
 
 
 def _run(host):
@@ -447,8 +450,8 @@
 
 def test_progress_without_crashes_of_an_earlier_release_is_read():
     row = (0, 0, 0, 1, 1, "h1", 7, 0, "")
-    value = state._encode(("running", [row], 0.0))
-    (task,) = state.decode_progress(value).tasks
+    value = msgspec.msgpack.encode(("running", [row], 0.0))
+    (task,) = stored_progress.decode(value).tasks
     assert (task.crashes, task.cleared_run) == ([], 0)
 
 
--- a/testing/scheduling/test_durations.py
+++ b/testing/scheduling/test_durations.py
@@ -5,7 +5,7 @@
 
 from bilberrypass.scheduling import duration_priors, durations, hosts, jobs, state
 from testing import collecting
-from testing.scheduling import clusters
+from testing.scheduling import clusters, job_tasks
 
 NOW = 1_000.0
 
@@ -36,7 +36,7 @@
 def test_ends_within_a_step_correct_an_estimate_that_is_far_wrong():
     job = _job(estimate_s=1.0)
     learned = durations.Durations({})
-    first, second, *_ = job.tasks.values()
+    first, second, *_ = job_tasks.begin_all(job)
     _end(learned, first, 5.0)
     assert 3.0 < learned.task_s(job, 0, 0) < 5.0
     _end(learned, second, 5.0)
@@ -47,7 +47,7 @@
     """One task in twenty takes seven times as long as the others of its step."""
     job = _job()
     learned = durations.Durations({})
-    for task, took_s in zip(job.tasks.values(), (14.0, 2.1, 1.9), strict=False):
+    for task, took_s in zip(job_tasks.begin_all(job), (14.0, 2.1, 1.9), strict=False):
         _end(learned, task, took_s)
     assert 1.9 < learned.task_s(job, 0, 0) < 2.3
 
@@ -55,7 +55,7 @@
 def test_progress_tells_the_duration_before_any_task_has_ended():
     job = _job(estimate_s=1.0)
     learned = durations.Durations({})
-    for task in job.tasks.values():
+    for task in job_tasks.begin_all(job):
         _start(task)
         task.progress.observe(0, 100, NOW)
         task.progress.observe(20, 100, NOW + 1.0)
@@ -70,7 +70,7 @@
     """
     job = _job(is_filler=True)
     learned = durations.Durations({})
-    task = next(iter(job.tasks.values()))
+    task = job_tasks.begin_all(job)[0]
     _start(task)
     task.pace = 25
     for second in range(5):
@@ -83,7 +83,7 @@
 
 def test_resumed_run_counts_by_what_it_did_itself():
     job = _job(has_checkpoints=True)
-    task = next(iter(job.tasks.values()))
+    task = job_tasks.begin_all(job)[0]
     _start(task)
     task.progress.observe(60, 100, NOW)
     task.progress.observe(80, 100, NOW + 1.0)
@@ -99,7 +99,7 @@
     learned = durations.Durations(fleet)
     slow, other = _job(), _job(id="b")
     learned.outlook(slow, NOW)
-    first, second, *_ = slow.tasks.values()
+    first, second, *_ = job_tasks.begin_all(slow)
     _start(first, "a")
     _start(second, "b")
     assert learned.remaining_s(first, NOW) > 4 * learned.remaining_s(second, NOW)
@@ -125,12 +125,12 @@
 
 def test_service_never_ends_and_step_without_estimate_is_learned():
     learned = durations.Durations({})
-    lasting = next(iter(_job(is_service=True).tasks.values()))
+    lasting = job_tasks.begin_all(_job(is_service=True))[0]
     assert learned.expected_end(lasting, NOW) == math.inf
     _end(learned, lasting, 300.0)
     unknown = _job(estimate_s=0.0)
     assert learned.task_s(unknown, 0, 0) == 0.0
-    _end(learned, next(iter(unknown.tasks.values())), 3.0)
+    _end(learned, job_tasks.begin_all(unknown)[0], 3.0)
     assert math.isclose(learned.task_s(unknown, 0, 0), 3.0)
 
 
--- a/testing/scheduling/test_intake.py
+++ b/testing/scheduling/test_intake.py
@@ -4,7 +4,7 @@
 import time
 
 from bilberrypass import clock, errors
-from bilberrypass.scheduling import intake, jobs, state
+from bilberrypass.scheduling import intake, jobs, stored_progress
 from testing import collecting, fixtures
 from testing.scheduling import clusters
 from testing.standins import keyvalues
@@ -27,7 +27,7 @@
         store = cluster.store
         host = cluster.add_host("h1")
         with store._lock:
-            store._change(intake.JOB_PREFIX + ID, state.encode_job(_job()))
+            store._change(intake.JOB_PREFIX + ID, stored_progress.encode_job(_job()))
             store._change(intake.CANCEL_PREFIX + ID, b"")
             store._oldest = store.revision
             store._history.clear()
@@ -108,4 +108,15 @@
         assert not host.orders
 
 
+def test_job_that_the_store_cannot_hold_is_refused_with_its_size():
+    """It was sent to the store again and again until its caller gave up."""
+    store = keyvalues.Store()
+    submissions = intake.Submissions(store)
+    job = jobs.Job(ID, "q", "x" * store.max_value_bytes, (STEP,), time.time())
+    exc = fixtures.error_of(errors.Refused, submissions.check_size, job)
+    assert (exc.kind, exc.ran) == (errors.Kind.BODY_TOO_LARGE, errors.Ran.NO)
+    assert str(store.max_value_bytes) in exc.detail, exc
+    submissions.check_size(job._replace(spec="x"))
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_ordering.py
+++ b/testing/scheduling/test_ordering.py
@@ -3,7 +3,7 @@
 from bilberrypass import clock
 from bilberrypass.scheduling import durations, jobs, ordering, state
 from testing import collecting
-from testing.scheduling import clusters, overloads
+from testing.scheduling import clusters, job_tasks, overloads
 
 QUEUE = jobs.Queue("q", "p", priority=2, stretch=2.0, latency_objective_s=1.0)
 MEAN_WORK = 50.0  # core-seconds
@@ -58,7 +58,7 @@
         _job("begun", 6.0, 5.0, 5.0, now=now),
         _job("fresh", 1.0, 5.0, 5.0, now=now),
     )
-    begun.finish_task(next(iter(begun.tasks.values())))
+    begun.finish_task(job_tasks.begin_all(begun)[0])
     assert _rank(begun, now) < _rank(fresh, now)
 
 
@@ -71,7 +71,7 @@
         for id in ("begun", "a fresh one")
     )
     assert _rank(fresh, now) < _rank(begun, now)
-    for task in list(begun.tasks.values())[:3]:
+    for task in job_tasks.begin_all(begun)[:3]:
         task.phase = state.Phase.RUNNING
         task.progress.observe(0, 100, now - 4.0)
         task.progress.observe(80, 100, now)
@@ -85,7 +85,7 @@
     small, large = _job("small", 1.0, 5.0, now=now), _job("large", 1.0, 9.0, now=now)
     assert _rank(small, now) < _rank(large, now)
     two = _job("two", 6.0, 9.0, 2.0, now=now)
-    two.finish_task(next(iter(two.tasks.values())))
+    two.finish_task(job_tasks.begin_all(two)[0])
     assert _rank(two, now) < _rank(small, now)
 
 
@@ -102,7 +102,7 @@
     step = jobs.Step(1, 7_000, estimate_s=5.0)
     job = jobs.Job("r", "q", "", (step,), 0.0, 3, unix_now - 200.0, 100.0)
     repeated = state.JobState(job, now - 300.0)
-    for task in list(repeated.tasks.values())[:2]:
+    for task in job_tasks.begin_all(repeated)[:2]:
         repeated.finish_task(task)
     once = _job("once", 1.0, 5.0, now=now)
     found = ordering.rank(repeated, QUEUE, now, unix_now, ROOM, _learned())
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -96,7 +96,7 @@
         host.agent, host.leased_s = 2, 30.0
         cluster.run_task(host)
         host.report()
-        (task,) = cluster.scheduler.jobs["a" * 16].tasks.values()
+        (task,) = cluster.scheduler.jobs["a" * 16].occurrences.begun_tasks()
         time.sleep(hosts.SILENCE_TIMEOUT_S + 0.2)
         host.agent, host.life, host.rows = 1, 1_000, {}
         host.report()
@@ -111,7 +111,7 @@
         cluster.run_task(host)
         host.report()
         found = cluster.scheduler.hosts["h1"]
-        (task,) = cluster.scheduler.jobs["a" * 16].tasks.values()
+        (task,) = cluster.scheduler.jobs["a" * 16].occurrences.begun_tasks()
         found.reported_at -= 5.0
         host.agent, host.life, host.rows = 1, 1_000, {}
         for _ in range(3):
@@ -180,7 +180,7 @@
         cluster.run_task(host)
         host.report()
         cluster.elect_scheduler()
-        (task,) = cluster.scheduler.jobs["a" * 16].tasks.values()
+        (task,) = cluster.scheduler.jobs["a" * 16].occurrences.begun_tasks()
         rows = host.rows
         host.agent, host.life, host.rows = 1, 1_000, {}
         assert host.report().lease_s == 0.0
--- a/testing/scheduling/test_refusing.py
+++ b/testing/scheduling/test_refusing.py
@@ -12,7 +12,7 @@
     queue_forecast,
     queues,
     refusing,
-    state,
+    stored_progress,
 )
 from testing import collecting, fixtures
 from testing.scheduling import clusters
@@ -104,7 +104,7 @@
         fixtures.error_of(Refused, entry.check).retry_after_s for _ in range(2)
     )
     assert entry.submit()
-    stored = state.decode_job(entry.store.items[intake.JOB_PREFIX + ID].value)
+    stored = stored_progress.decode_job(entry.store.items[intake.JOB_PREFIX + ID].value)
     assert abs(stored.waited_s - told_s) < 1e-6, (stored.waited_s, told_s)
     assert loading.accepted_at(stored, 500.0, 500.0) == 500.0 - stored.waited_s
 
--- a/testing/scheduling/test_rules.py
+++ b/testing/scheduling/test_rules.py
@@ -5,7 +5,7 @@
 from bilberrypass import clock, errors
 from bilberrypass.scheduling import jobs, state
 from testing import collecting, fixtures
-from testing.scheduling import clusters
+from testing.scheduling import clusters, job_tasks
 
 STEP = jobs.Step(1, cpu_milli=100)
 Verb = clusters.Verb
@@ -190,20 +190,22 @@
 def test_progress_is_restored_from_its_stored_form():
     job = jobs.Job("a" * 16, "q", "", (STEP._replace(count=3),), 1.0)
     before = state.JobState(job, 1.0)
-    tasks = list(before.tasks.values())
-    before.finish_task(tasks[0])
+    tasks = job_tasks.begin_all(before)
     tasks[0].run = 1
+    before.finish_task(tasks[0])
     tasks[1].phase, tasks[1].run, tasks[1].host = state.Phase.RUNNING, 4, "h"
     tasks[1].failures, tasks[1].checkpoint, tasks[1].life = 2, "c", 77
     before.update_status(2.0)
     after = state.JobState(job, 1.0)
     after.restore(before.encode(), 9, 3.0)
-    first, second, third = after.tasks.values()
-    assert first.phase is state.Phase.DONE and third.phase is state.Phase.WAITING
+    second, third = after.occurrences.begun_tasks()
+    assert [second.key.index, third.key.index] == [1, 2]
+    assert after.occurrences.open_count(0, 0) == 2
+    assert third.phase is state.Phase.WAITING
     assert second.phase is state.Phase.ORDERED and second.run == 4
     assert (second.host, second.life) == ("h", 77)
     assert (second.failures, second.checkpoint) == (2, "c")
-    assert after.open_steps == before.open_steps
+    assert after.occurrences.to_stored() == before.occurrences.to_stored()
 
 
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_unasked.py
+++ b/testing/scheduling/test_unasked.py
@@ -3,7 +3,7 @@
 import time
 
 from bilberrypass import clock
-from bilberrypass.scheduling import jobs, messages, state
+from bilberrypass.scheduling import jobs, messages, state, stored_progress
 from testing import collecting, fixtures
 from testing.scheduling import clusters
 
@@ -119,7 +119,9 @@
     with clusters.running_cluster() as cluster:
         host = cluster.add_host("h1")
         cluster.store.hold_commits = 1_000_000
-        cluster.store.put("intake/job/" + "a" * 16, state.encode_job(_job("a" * 16)))
+        cluster.store.put(
+            "intake/job/" + "a" * 16, stored_progress.encode_job(_job("a" * 16))
+        )
         fixtures.wait_until(lambda: cluster.store.held_commits, 5.0, "the write")
         cluster.store.put("intake/cancel/" + "a" * 16, b"")
         job = cluster.scheduler.jobs["a" * 16]
--- a/testing/scheduling/test_wait_figures.py
+++ b/testing/scheduling/test_wait_figures.py
@@ -31,7 +31,7 @@
     lines = []
     with mock.patch.object(decisions, "record", lambda event, **f: lines.append(f)):
         logger = load.LoadLogger(placer.waits)
-        logger.tick(stream.jobs.values(), stream.hosts.values(), stream.now)
+        logger.tick(stream.jobs.values(), stream.hosts.values(), stream.now, 0.0)
     assert lines[0]["largest_gaps"] == {"p-16c": (10.0, 60_000)}
     assert lines[0]["waits"] == {"h/q/": [0.1, 0.1]}
 
