Show a cancelled job as cancelled though its last attempt fails

Callers saw `failed` for good for a job that they had cancelled, if the last allowed run of a task failed before the stop arrived.

Cause: Reconciler._record_failure marked the job as failing whatever its state, and the stored status of a failing job is `failed`.

Change: a failed run of a job that is cancelled or failing already only counts.

Result: scheduling.test_rules, test_cancelled_job_whose_last_attempt_fails_is_not_shown_as_failed: `running` for 5 s on (stored as `failed`), passes now.

--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -295,7 +295,9 @@
         queue = self._scheduler.queue_of(task.job)
         if task.step.is_service or queue is None:
             return
-        if task.failures >= queue.max_attempts and not task.job.failed:
+        if task.job.cancelled or task.job.failed:
+            return
+        if task.failures >= queue.max_attempts:
             task.job.failed = True
             decisions.record(
                 "job.failing",
--- a/testing/scheduling/test_rules.py
+++ b/testing/scheduling/test_rules.py
@@ -187,6 +187,20 @@
         assert not host.orders and cluster.status() == "queued"
 
 
+def test_cancelled_job_whose_last_attempt_fails_is_not_shown_as_failed():
+    """Its run fails before the stop arrives; the job was stored as failed for good."""
+    with clusters.running_cluster(max_attempts=1) as cluster:
+        host = cluster.add_host("h1")
+        order = cluster.run_task(host)
+        host.report()
+        cluster.submissions.cancel("a" * 16, clock.now() + 2)
+        fixtures.wait_until(
+            lambda: cluster.scheduler.jobs["a" * 16].cancelled, 5.0, "the cancel"
+        )
+        host.end_run((order.task, order.run), "failed")
+        cluster.await_status("cancelled", host)
+
+
 def test_progress_is_restored_from_its_stored_form():
     job = jobs.Job("a" * 16, "q", "", (STEP._replace(count=3),), 1.0)
     before = state.JobState(job, 1.0)
