Fail a job that cannot be stored, instead of holding up all others

Cause: the committer took every answer but 200, 404 and 412 for a passing failure and wrote the same group again without end. One group is written at a time, and a start is ordered only once it is stored. A job that could not be encoded was left alone, but its ends never settled, and an end that is not noted holds up all later ends of its runner.

Change: an answer of the store that no retry helps is an error kind of its own, STORE_REJECTED. Each job of a refused group is written by itself; one that is refused alone or cannot be encoded fails, and only its status is written from then on. Values are written together up to the size of one. New: commit.rejected, commit.extra_rejected, bilberrypass_commits_rejected.

--- a/src/bilberrypass/errors.py
+++ b/src/bilberrypass/errors.py
@@ -39,6 +39,7 @@
     KEY_REUSED = "KEY_REUSED"
     STORE_DOWN = "STORE_DOWN"
     STORE_UNCERTAIN = "STORE_UNCERTAIN"
+    STORE_REJECTED = "STORE_REJECTED"
     CONFLICT = "CONFLICT"
     PRECONDITION_REQUIRED = "PRECONDITION_REQUIRED"
     NEVER_FITS = "NEVER_FITS"
@@ -99,6 +100,7 @@
     ),
     Kind.STORE_DOWN: ErrorResponse(503, "The store is out of reach", _NO, True),
     Kind.STORE_UNCERTAIN: ErrorResponse(503, "The store's answer was lost", _NO, True),
+    Kind.STORE_REJECTED: ErrorResponse(503, "The store refuses the value", _NO, False),
     Kind.CONFLICT: ErrorResponse(412, "Somebody else changed it first", _NO, False),
     Kind.PRECONDITION_REQUIRED: ErrorResponse(428, "If-Match is missing", _NO, False),
     Kind.NEVER_FITS: ErrorResponse(422, "No host could ever hold it", _NO, False),
--- a/src/bilberrypass/platform/store.py
+++ b/src/bilberrypass/platform/store.py
@@ -14,6 +14,8 @@
 
 _WATCH_MARGIN_S: t.Final = 0.8  # a watch times out this long after its wait
 _MS: t.Final = 1_000
+_RETRIED_STATUSES: t.Final = (408, 429)
+_MAX_SHOWN_BYTES: t.Final = 120
 
 _calls = prometheus.Counter("bilberrypass_store_calls", "Calls to the store", ["call"])
 _failures = prometheus.Counter(
@@ -107,6 +109,10 @@
         if found.status in accepted:
             return found
         _failures.labels(name).inc()
+        if 400 <= found.status < 500 and found.status not in _RETRIED_STATUSES:
+            raise keyvalue.Rejected(
+                f"{name} answered {found.status}: {found.body[:_MAX_SHOWN_BYTES]!r}"
+            )
         is_rejected = found.status in (429, 503)
         raise errors.Error(
             errors.Kind.STORE_DOWN if is_rejected else errors.Kind.STORE_UNCERTAIN,
--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import logbook
+import prometheus_client as prometheus
 
 from bilberrypass import clock, errors
 from bilberrypass.observing import decisions
@@ -13,6 +14,11 @@
 
 _log = logbook.Logger("commit")
 
+_rejected_commits = prometheus.Counter(
+    "bilberrypass_commits_rejected",
+    "Writes of progress that the store refused for good",
+)
+
 PROGRESS_PREFIX: t.Final = "progress/"
 INTERFERENCE_KEY: t.Final = "interference"
 FORECAST_KEY: t.Final = election.KEY + "/forecast"  # read by the watch of that key
@@ -31,15 +37,28 @@
     job: str
     value: bytes
     expected_revision: int
+    status: str = ""
 
 
 OnStored = abc.Callable[[list[ProgressWrite], int], None]
+OnRejected = abc.Callable[[ProgressWrite, keyvalue.Rejected], None]
+
+
+class _Outcome(t.NamedTuple):
+    """What became of a part of a group: stored at a revision, or refused for good."""
+
+    part: list[ProgressWrite]
+    revision: int
+    rejected: keyvalue.Rejected | None = None
 
 
 @t.final
 class Committer:
     """Writes one group at a time, retrying until it is stored or leadership is lost.
 
+    Of a group that the store refuses for good, each job is written by itself, so that
+    no other job waits for the one at fault.
+
     Parameters
     ----------
     store : keyvalue.Store
@@ -47,7 +66,10 @@
     epoch : int
         Each transaction requires that the election's key has this revision.
     on_stored : callable
-        Called with the group and its revision, on the committer's thread.
+        Called with the group, or a part of it, and its revision, on the committer's
+        thread.
+    on_rejected : callable
+        Called with the write of a job that the store refuses for good, and the error.
     on_leadership_lost : callable
         Called with the reason when a precondition shows that another process leads.
     """
@@ -57,11 +79,13 @@
         store: keyvalue.Store,
         epoch: int,
         on_stored: OnStored,
+        on_rejected: OnRejected,
         on_leadership_lost: abc.Callable[[str], None],
     ) -> None:
         self._store = store
         self._epoch = epoch
         self._on_stored = on_stored
+        self._on_rejected = on_rejected
         self._on_leadership_lost = on_leadership_lost
         self._group: list[ProgressWrite] | None = None
         self._extra: list[keyvalue.Put] = []
@@ -114,14 +138,50 @@
                 group = self._group
             if self._stopping or group is None:
                 return
-            revision = self._write(group)
-            if revision is None:
+            outcomes = self._write_parts(group, self._extra)
+            if outcomes is None:
                 return
             self._group = None
-            self._on_stored(group, revision)
+            for part, revision, rejected in outcomes:
+                if rejected is None:
+                    self._on_stored(part, revision)
+                else:
+                    self._on_rejected(part[0], rejected)
+
+    def _write_parts(
+        self, group: list[ProgressWrite], extra: list[keyvalue.Put]
+    ) -> list[_Outcome] | None:
+        """Write a group, job by job if the store refuses it; None as ``_write``."""
+        try:
+            revision = self._write(group, extra)
+            return None if revision is None else [_Outcome(group, revision)]
+        except keyvalue.Rejected as exc:
+            _rejected_commits.inc()
+            decisions.record(
+                "commit.rejected",
+                jobs={write.job: len(write.value) for write in group},
+                why=exc.detail,
+            )
+            if len(group) == 1:
+                return [_Outcome(group, 0, exc)]
+        outcomes: list[_Outcome] = []
+        for write in group:
+            found = self._write_parts([write], [])
+            if found is None:
+                return None
+            outcomes += found
+        return outcomes
+
+    def _write(
+        self, group: list[ProgressWrite], extra: list[keyvalue.Put]
+    ) -> int | None:
+        """Retry a group until it is stored; None if leadership is lost or on stop.
 
-    def _write(self, group: list[ProgressWrite]) -> int | None:
-        """Retry a group until it is stored; None if leadership is lost or on stop."""
+        Raises
+        ------
+        keyvalue.Rejected
+            The store refuses the group for good, also without ``extra``.
+        """
         expected = {
             PROGRESS_PREFIX + write.job: write.expected_revision for write in group
         }
@@ -129,7 +189,7 @@
         puts = [
             keyvalue.Put(PROGRESS_PREFIX + write.job, write.value) for write in group
         ]
-        puts += self._extra
+        puts += extra
         while not self._stopping:
             try:
                 revision = self._store.commit(
@@ -139,6 +199,14 @@
                 return revision
             except keyvalue.PreconditionFailed as exc:
                 return self._resolve_conflict(group, exc.items)
+            except keyvalue.Rejected as exc:
+                if len(puts) == len(group):
+                    raise
+                decisions.record(
+                    "commit.extra_rejected",
+                    keys={put.key: len(put.value) for put in extra},
+                    why=exc.detail,
+                )
             except errors.Error as exc:
                 self._commits.failed(exc)
             del puts[len(group) :]  # estimates would be out of date when stored
--- a/src/bilberrypass/scheduling/keyvalue.py
+++ b/src/bilberrypass/scheduling/keyvalue.py
@@ -79,6 +79,13 @@
         super().__init__(errors.Kind.STALE, f"lease {id} has ended; request a new one")
 
 
+class Rejected(errors.Error):
+    """The store refused a call for good; it had no effect, and a retry has none."""
+
+    def __init__(self, why: str) -> None:
+        super().__init__(errors.Kind.STORE_REJECTED, why)
+
+
 class PreconditionFailed(errors.Error):
     """A commit changed nothing, because a key was at another revision.
 
@@ -150,6 +157,8 @@
             A key was at another revision, so nothing was changed.
         LeaseLost
             A lease in ``puts`` has ended, so nothing was changed.
+        Rejected
+            The store will never accept the commit; nothing was changed.
         """
 
     @abc.abstractmethod
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -298,15 +298,14 @@
         if task.job.cancelled or task.job.failed:
             return
         if task.failures >= queue.max_attempts:
-            task.job.failed = True
-            decisions.record(
-                "job.failing",
-                job=task.job.job.id,
-                task=str(task.key),
-                host=host.name,
-                why=f"{task.failures} runs of a task failed",
-            )
-            self.stop_job(task.job)
+            why = f"{task.failures} runs of a task failed"
+            self.fail_job(task.job, why, task=str(task.key), host=host.name)
+
+    def fail_job(self, job: state.JobState, why: str, **fields: t.Any) -> None:
+        """Fail a job, unless it was cancelled, and stop its runs."""
+        job.failed = job.failed or not job.cancelled
+        decisions.record("job.failing", job=job.job.id, why=why, **fields)
+        self.stop_job(job)
 
     def _requeue(
         self,
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -14,7 +14,6 @@
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     cleaning,
-    committing,
     durations,
     estimate_publishing,
     evacuations,
@@ -124,11 +123,8 @@
         self._events: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self._orders: dict[str, list[messages.Order]] = collections.defaultdict(list)
         self._max_bytes = store.max_value_bytes
-        self._committer = committing.Committer(
-            store, epoch, self._on_stored, on_leadership_lost
-        )
         self._progress = progress_queue.ProgressQueue(
-            self._committer, self.publisher, self.quarantine
+            self, store, self._events.put, on_leadership_lost
         )
         self._intake_watcher = intake.IntakeWatcher(
             store, self._on_loaded, self._on_job, self._on_cancel, self._on_intake_read
@@ -136,7 +132,7 @@
         self._cleaner = cleaning.Cleaner(store, epoch, self._expired, self._on_removed)
         self._sender = make_sender(self._on_orders_failed)
         self._reconciler = reconciling.Reconciler(self)
-        self._responder = responding.Responder(self, self._events.put)
+        self.responder = responding.Responder(self, self._events.put)
         self._placer = placing.Placer(self)
         self._migrator = migration.Migrator(self)
         self._load_log = load.LoadLogger(self._placer.waits)
@@ -144,7 +140,7 @@
 
     def start(self) -> None:
         """Start the threads that load, schedule, write and clean up jobs."""
-        self._committer.start()
+        self._progress.start()
         self._intake_watcher.start()
         self._cleaner.start()
         self._evacuations.start()
@@ -153,7 +149,7 @@
     def stop(self) -> None:
         """Stop the threads; runs on hosts continue."""
         self._events.put(None)
-        self._committer.stop()
+        self._progress.stop()
         self._intake_watcher.stop()
         self._cleaner.stop()
         self._evacuations.stop()
@@ -164,7 +160,7 @@
 
     def report(self, report: messages.Report) -> messages.ReportResponse:
         """Apply a report; the response grants a lease if the agent knows its runner."""
-        return self._responder.respond(report)
+        return self.responder.respond(report)
 
     def lease_s(self, now: float) -> float:
         """Return the duration of a lease granted now."""
@@ -200,9 +196,6 @@
     def _on_intake_read(self, until: float) -> None:
         self._events.put(lambda: self._set_intake_read(until))
 
-    def _on_stored(self, group: list[committing.ProgressWrite], revision: int) -> None:
-        self._events.put(lambda: self._apply_stored(group, revision))
-
     def _on_orders_failed(self, host: str, orders: list[messages.Order]) -> None:
         self._events.put(lambda: self._reconciler.on_orders_failed(host, orders))
 
@@ -268,7 +261,7 @@
                 )
                 _open_jobs.set(len(self.open_jobs))
             self._placer.place(now)
-            self._progress.write(self.jobs)
+            self._progress.write()
             self._flush_orders()
 
     def _load(self, initial: intake.InitialState) -> None:
@@ -386,16 +379,14 @@
         host.sent[order.task, order.run] = hosts.SentOrder(host.agent, clock.now())
         self._orders[host.name].append(order)
 
+    def fail_job(self, job: state.JobState, why: str) -> None:
+        """Fail a job, unless it was cancelled, and stop its runs."""
+        self._reconciler.fail_job(job, why)
+
     def _stop_run(self, host: hosts.Host, task: state.Task) -> None:
         task.phase = state.Phase.STOPPING
         self.queue_order(host, reconciling.make_order(task, messages.Verb.STOP))
 
-    def _apply_stored(
-        self, group: list[committing.ProgressWrite], revision: int
-    ) -> None:
-        self._progress.apply_stored(group, revision, self.jobs)
-        self._responder.on_stored()
-
     def _flush_orders(self) -> None:
         for name, orders in self._orders.items():
             host = self.hosts[name]
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -102,4 +102,19 @@
         assert exc.kind is errors.Kind.STORE_UNCERTAIN
 
 
+def test_value_that_the_store_refuses_for_good_is_told_from_an_outage():
+    """The answer counted as an outage, and the write was repeated without end."""
+    with _client() as (client, app):
+        put = keyvalue.Put("k", bytes(app.store.max_value_bytes + 1))
+        exc = fixtures.error_of(
+            keyvalue.Rejected, client.commit, {}, [put], _deadline()
+        )
+        assert exc.kind is errors.Kind.STORE_REJECTED and exc.ran is errors.Ran.NO
+        assert "413" in exc.detail, exc
+        for status in (408, 429, 500, 503):
+            app.error_status = status
+            exc = fixtures.error_of(errors.Error, client.commit, {}, [], _deadline())
+            assert not isinstance(exc, keyvalue.Rejected), status
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_election.py
+++ b/testing/scheduling/test_election.py
@@ -112,7 +112,11 @@
 def _committer(store, epoch):
     stored, losses = [], []
     committer = committing.Committer(
-        store, epoch, lambda group, revision: stored.append(revision), losses.append
+        store,
+        epoch,
+        lambda group, revision: stored.append(revision),
+        lambda write, exc: None,
+        losses.append,
     )
     committer.start()
     return committer, stored, losses
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -19,6 +19,8 @@
     coming commits that take effect but get no answer. ``hold_commits`` is the number
     of coming commits that get no answer and are kept in ``held_commits``;
     ``apply_held_commits`` applies those whose preconditions still hold.
+    ``max_bytes`` limits the values of keys by their prefix, as ``max_value_bytes`` does
+    those of all.
     """
 
     def __init__(self):
@@ -33,6 +35,7 @@
         self.lose_answers = 0
         self.hold_commits = 0
         self.held_commits: list[tuple] = []
+        self.max_bytes: dict[str, int] = {}
         self.calls: list[str] = []
 
     def _begin_call(self, name):
@@ -145,6 +148,9 @@
         for put in puts:
             if put.lease and put.lease not in self._leases:
                 raise keyvalue.LeaseLost(put.lease)
+            limits = [n for key, n in self.max_bytes.items() if put.key.startswith(key)]
+            if len(put.value) > min([self.max_value_bytes, *limits]):
+                raise keyvalue.Rejected(f"{put.key}: {len(put.value)} bytes")
         revision = self.revision + 1
         for put in puts:
             self._change(put.key, put.value, put.lease, revision)
--- a/testing/standins/kvhttp.py
+++ b/testing/standins/kvhttp.py
@@ -47,6 +47,8 @@
             return 404, {}
         except keyvalue.HistoryLost:
             return 410, {}
+        except keyvalue.Rejected as exc:
+            return 413, {"error": exc.detail}
         except errors.Error:
             return 503, {}
 
