Drop a host's counts and orders of what no longer runs there

Cause: Host.step_counts kept a zero for each step of each occurrence that ever ran on the host, and Host.sent the stop of each run that the leader did not know.

Change: both entries go with the run.

Result: scheduling.test_open_tasks, test_host_forgets_the_steps_and_orders_of_what_ran, fails without the change of hosts.py.

--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -166,7 +166,9 @@
         self.service_count += sign * step.is_service
         self.service_cpu += sign * step.cpu_milli * step.is_service
         key = jobs.step_key(task.key)
-        self.step_counts[key] = self.step_counts.get(key, 0) + sign
+        count = self.step_counts.pop(key, 0) + sign
+        if count:
+            self.step_counts[key] = count
 
     @property
     def answered_at(self) -> float:
@@ -238,6 +240,7 @@
     def settle(self, key: RowKey, end: int) -> None:
         """Record that a final row is stored; ``end`` is the number of the end."""
         self.pending.discard(key)
+        self.sent.pop(key, None)
         self.settled[key] = end
         self.open_ends.pop(end, None)
         self.last_stored = max(self.last_stored, end)
@@ -271,6 +274,8 @@
             self.open_ends.clear()
             self.pending.clear()
             self.settled.clear()
+        for key in self.sent.keys() - self.tasks.keys():
+            del self.sent[key]
         self.failures = 0.0
         self.avoid_until = 0.0
         self.speed = stragglers.SpeedEstimate()
--- a/testing/scheduling/test_open_tasks.py
+++ b/testing/scheduling/test_open_tasks.py
@@ -8,11 +8,12 @@
 from bilberrypass.scheduling import (
     jobs,
     keyvalue,
+    messages,
     state,
     stored_progress,
 )
 from testing import collecting, fixtures
-from testing.scheduling import job_tasks
+from testing.scheduling import clusters, job_tasks
 
 STEP = jobs.Step(1, cpu_milli=100)
 ID = "a" * 16
@@ -211,4 +212,26 @@
         assert len(done) == len(set(done)) == expected, seed
 
 
+def test_host_forgets_the_steps_and_orders_of_what_ran():
+    """A count for each step that ever ran stayed in the leader's memory."""
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        for number in range(3):
+            cluster.submit(STEP, id=f"{number:016x}")
+            (order,) = [
+                o for o in host.await_orders(1) if o.verb == clusters.Verb.START
+            ]
+            host.execute_orders()
+            host.end_run((order.task, order.run), "done")
+            cluster.await_status("completed", host, id=f"{number:016x}")
+        host.rows["gone.0.0.0", 1] = messages.RunRow(
+            "gone.0.0.0", 1, int(clusters.State.RUNNING)
+        )
+        host.await_orders(1, clusters.Verb.STOP)
+        host.execute_orders()
+        fixtures.wait_until(lambda: not host.report() or not host.rows, 5.0, "the end")
+        known = cluster.scheduler.hosts["h1"]
+        assert known.step_counts == {} and known.sent == {}
+
+
 load_tests = collecting.hook(__name__)
