Bound the estimates of interference, in memory and in the store

Cause: an estimate stayed for each pair of images that ever met on a host, at the leader, at each agent and in one value of the store, whatever the length of the images' names. A value that outgrows the store would be refused each four seconds.

Change: the newest 4,096 pairs are kept; the newest that fit into a value are stored.

--- a/src/bilberrypass/hosting/filler_paces.py
+++ b/src/bilberrypass/hosting/filler_paces.py
@@ -38,8 +38,13 @@
     ) -> None:
         """Update the estimates of interference between images from the scheduler."""
         for row in estimates:
-            self._interference_estimates[row.service, row.filler] = row.per_core
-            self._cautious_estimates[row.service, row.filler] = row.cautious_per_core
+            pair = row.service, row.filler
+            self._interference_estimates.pop(pair, None)  # the newest are at the end
+            self._interference_estimates[pair] = row.per_core
+            self._cautious_estimates[pair] = row.cautious_per_core
+        while len(self._interference_estimates) > messages.MAX_INTERFERENCE_PAIRS:
+            oldest = next(iter(self._interference_estimates))
+            del self._interference_estimates[oldest], self._cautious_estimates[oldest]
 
     def update_courses(
         self, courses: abc.Iterable[messages.MarginCourse], now: float
--- a/src/bilberrypass/scheduling/estimate_publishing.py
+++ b/src/bilberrypass/scheduling/estimate_publishing.py
@@ -27,10 +27,13 @@
     ----------
     estimates : interference.Estimates
         The estimates of the scheduler.
+    max_bytes : int
+        Limit of a value in the store.
     """
 
-    def __init__(self, estimates: interference.Estimates) -> None:
+    def __init__(self, estimates: interference.Estimates, max_bytes: int) -> None:
         self._estimates = estimates
+        self._max_bytes = max_bytes
         self._stored_at = 0.0
         self.next_forecast: abc.Callable[[], keyvalue.Put | None] = _no_forecast
 
@@ -61,7 +64,8 @@
         if now < self._stored_at + _STORE_INTERVAL_S:
             return None
         self._stored_at = now
-        return keyvalue.Put(committing.INTERFERENCE_KEY, self._estimates.encode())
+        value = self._estimates.encode(self._max_bytes)
+        return keyvalue.Put(committing.INTERFERENCE_KEY, value)
 
 
 def _no_forecast() -> None:
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -14,7 +14,7 @@
 import prometheus_client as prometheus
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import messages, service_loads
+from bilberrypass.scheduling import keyvalue, messages, service_loads
 
 # Without observations, a filler on a sixteenth of a host takes a third of the target
 # as margin.
@@ -32,6 +32,7 @@
 _KNOWN_VARIANCE_SHARE: t.Final = 0.5  # of the prior's, at most, for a known pair
 _PRIOR_WEIGHT: t.Final = 1.0  # in pairs
 _RELATE_INTERVAL: t.Final = 40  # observations
+_MAX_ROW_BYTES: t.Final = 32  # of a stored estimate without the names
 
 Pair = tuple[str, str]
 
@@ -116,10 +117,13 @@
         for filler, x in used.items():
             mean, variance = found[filler]
             gain = variance * x / total_variance
+            self._pairs.pop((service, filler), None)  # the newest are at the end
             self._pairs[service, filler] = Estimate(
                 min(_MAX_LOSS, max(0.0, mean + gain * error)),
                 variance * (1.0 - gain * x) + _DRIFT_SD**2,
             )
+        while len(self._pairs) > messages.MAX_INTERFERENCE_PAIRS:
+            del self._pairs[next(iter(self._pairs))]
         self._observations += 1
         if self._observations % _RELATE_INTERVAL == 0:
             self._update_levels()
@@ -186,9 +190,15 @@
             for pair in pairs
         ]
 
-    def encode(self) -> bytes:
-        """Return all estimates in their stored form."""
-        rows = [_StoredEstimate(*pair, *found) for pair, found in self._pairs.items()]
+    def encode(self, max_bytes: int = keyvalue.DEFAULT_MAX_VALUE_BYTES) -> bytes:
+        """Return the newest estimates, as many as fit, in their stored form."""
+        rows, left = [], max_bytes - _MAX_ROW_BYTES
+        for pair, found in reversed(self._pairs.items()):
+            left -= _MAX_ROW_BYTES + sum(len(image.encode()) for image in pair)
+            if left < 0:
+                break
+            rows.append(_StoredEstimate(*pair, *found))
+        rows.reverse()
         return msgspec.msgpack.encode(_StoredEstimates(margin_losses=rows))
 
     def restore(self, value: bytes) -> None:
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -163,6 +163,9 @@
     crashes: list[RunnerCrash] = []  # noqa: RUF012
 
 
+MAX_INTERFERENCE_PAIRS: t.Final = 4_096  # of images; the least recent are dropped
+
+
 class InterferenceEstimate(t.NamedTuple):
     """Loss of a service's margin per core of a filler; both named by image.
 
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -107,7 +107,10 @@
         self.open_jobs: dict[str, state.JobState] = {}
         self.quarantine = job_quarantine.JobQuarantine()
         self.estimates = interference.Estimates()
-        self.publisher = estimate_publishing.EstimatePublisher(self.estimates)
+        self._max_bytes = store.max_value_bytes
+        self.publisher = estimate_publishing.EstimatePublisher(
+            self.estimates, self._max_bytes
+        )
         self.fleet_clock = fleet_clock.FleetClock()
         self.durations = durations.Durations(self.hosts)
         self._early_cancellations: dict[str, float] = {}  # times on clock.now
@@ -122,7 +125,6 @@
         self._evacuations = evacuated
         self._events: queue.SimpleQueue[Event | None] = queue.SimpleQueue()
         self._orders: dict[str, list[messages.Order]] = collections.defaultdict(list)
-        self._max_bytes = store.max_value_bytes
         self._progress = progress_queue.ProgressQueue(
             self, store, self._events.put, on_leadership_lost
         )
@@ -233,10 +235,11 @@
             try:
                 event = self._events.get(timeout=TICK_INTERVAL_S)
             except queue.Empty:
-                event = _no_event
-            if event is None:
-                return
-            event()
+                pass
+            else:
+                if event is None:
+                    return
+                event()
             time.sleep(_EVENT_BATCH_S)
             while not self._events.empty():
                 event = self._events.get()
@@ -393,7 +396,3 @@
             if host.address:
                 self._sender.send(name, host.address, orders, host.agent, host.sequence)
         self._orders.clear()
-
-
-def _no_event() -> None:
-    """Do nothing; stands for an event when the wait for one timed out."""
--- a/testing/scheduling/test_interference.py
+++ b/testing/scheduling/test_interference.py
@@ -5,7 +5,7 @@
 import msgspec
 import prometheus_client as prometheus
 
-from bilberrypass.scheduling import interference, jobs
+from bilberrypass.scheduling import interference, jobs, messages
 from testing import collecting
 from testing.scheduling import clusters
 
@@ -119,4 +119,21 @@
         assert cluster.scheduler.estimates.loss("s", "f") == expected
 
 
+def test_estimates_are_bounded_in_memory_and_in_the_store():
+    """A pair stayed for each two images that ever met, in memory and in the store."""
+    estimates = interference.Estimates()
+    for number in range(messages.MAX_INTERFERENCE_PAIRS + 50):
+        estimates.observe(f"service-{number}", 0.2, {"f": 0.1})
+    estimates.observe("long" * 1_000, 0.2, {"f": 0.1})
+    assert len(estimates.rows_of({"service-49"}, set(), 16)) == 0
+    assert len(estimates.rows_of({"service-99"}, set(), 16)) == 1
+    for limit in (200, 5_000, 100_000, 1 << 20):
+        assert len(estimates.encode(limit)) <= limit
+    restored = interference.Estimates()
+    restored.restore(estimates.encode(5_000))
+    newest = f"service-{messages.MAX_INTERFERENCE_PAIRS + 49}"
+    assert restored.loss(newest, "f") == estimates.loss(newest, "f")
+    assert not restored.rows_of({"service-99"}, set(), 16)
+
+
 load_tests = collecting.hook(__name__)
