Send the orders of a host in parts that one message can hold

Cause: all orders queued for a host went in one call. Beyond the limit of a message, 64 MiB, the call failed, and the orders were resent together with all that came since: no order reached the host any more, stops of other jobs included.

Change: orders are sent in parts of at most 4 MiB; a part that fails is reported by itself.

Result: scheduling.test_order_delivery, test_orders_that_exceed_one_message_are_sent_in_parts, fails without the change (all 71 orders are reported as failed), and passes with it.

--- a/src/bilberrypass/scheduling/sending.py
+++ b/src/bilberrypass/scheduling/sending.py
@@ -20,6 +20,8 @@
 _CALL_TIMEOUT_S: t.Final = 1.0  # a round trip within a region takes milliseconds
 _MAX_ATTEMPTS: t.Final = 3
 _MAX_LOGGED_STOPS: t.Final = 10
+_MAX_CALL_BYTES: t.Final = 4 << 20  # a tenth of a second on a link of a host
+_ORDER_BYTES: t.Final = 100  # without the texts of its job
 
 
 OnSendFailed = cabc.Callable[[str, list[messages.Order]], None]
@@ -137,14 +139,17 @@
                 if queued is None:
                     self._sending_hosts.discard(host)
                     return
-            try:
-                is_taken = self._try_send(host, address, queued)
-            except Exception:
-                # The loop goes on, or no order would reach the host again.
-                _log.exception("sending: orders to {} failed unexpectedly", host)
-                is_taken = False
-            if not is_taken:
-                self._on_failed(host, queued.orders)
+            for part in _split(queued.orders):
+                try:
+                    is_taken = self._try_send(
+                        host, address, queued._replace(orders=part)
+                    )
+                except Exception:
+                    # The loop goes on, or no order would reach the host again.
+                    _log.exception("sending: orders to {} failed unexpectedly", host)
+                    is_taken = False
+                if not is_taken:
+                    self._on_failed(host, part)
 
     def _try_send(self, host: str, address: str, queued: _Queue) -> bool:
         orders = queued.orders
@@ -166,6 +171,22 @@
         return False
 
 
+def _split(orders: list[messages.Order]) -> cabc.Iterator[list[messages.Order]]:
+    """Yield the orders in parts that one call can carry in time."""
+    part: list[messages.Order] = []
+    size = 0
+    for order in orders:
+        texts = order.spec, order.checkpoint, order.image
+        order_bytes = _ORDER_BYTES + sum(map(len, texts))
+        if part and size + order_bytes > _MAX_CALL_BYTES:
+            yield part
+            part, size = [], 0
+        part.append(order)
+        size += order_bytes
+    if part:
+        yield part
+
+
 def _record_failure(
     event: str, host: str, orders: list[messages.Order], **fields: t.Any
 ) -> None:
--- a/testing/scheduling/test_order_delivery.py
+++ b/testing/scheduling/test_order_delivery.py
@@ -126,4 +126,29 @@
         server.stop(0)
 
 
+def test_orders_that_exceed_one_message_are_sent_in_parts():
+    """They exceeded the limit of a message, and no order reached the host any more."""
+    received, failed = [], []
+
+    def serve(req):
+        received.extend(order.task for order in req.orders)
+        return messages.OrdersResponse(True, 1)
+
+    server = channels.Server("127.0.0.1:0", {messages.ORDERS: serve}, threads=1)
+    server.start()
+    sender = sending.PeerOrderSender(1, "s:1", lambda *args: failed.append(args))
+    spec = "s" * (1 << 20)
+    orders = [
+        messages.Order(Verb.START, f"{'a' * 16}.0.0.{n}", 1, 1, spec) for n in range(70)
+    ]
+    stop = messages.Order(Verb.STOP, f"{'b' * 16}.0.0.0", 1, 1)
+    try:
+        sender.send("h1", server.address, [*orders, stop], 5, 1)
+        fixtures.wait_until(lambda: stop.task in received or failed, 20.0, "the stop")
+        assert not failed and received == [o.task for o in [*orders, stop]]
+    finally:
+        sender.stop()
+        server.stop(0)
+
+
 load_tests = collecting.hook(__name__)
