Leave checkpoints out of a report that cannot hold them

Cause: an agent's report has the checkpoint of each run, and nothing bounds one. A report beyond the limit of a message, 64 MiB, was refused, and so was each one after it: the host counted as silent.

Change: checkpoints beyond 8 MiB of a report are left out, those of ended runs last. The scheduler keeps what it has of a run, so a task resumes from an earlier checkpoint.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -9,7 +9,13 @@
 
 from bilberrypass import clock, errors, supervision
 from bilberrypass.connection import channels
-from bilberrypass.hosting import crash_monitor, run_events, runner, session
+from bilberrypass.hosting import (
+    crash_monitor,
+    report_size,
+    run_events,
+    runner,
+    session,
+)
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import messages
 
@@ -307,7 +313,7 @@
             current.info if current else None,
             round(current.answered_ago_s, 3) if current else 0.0,
             max(0.0, self._latest_lease_end() - sent_at),
-            current.table.rows() if current else [],
+            report_size.limit_checkpoints(current.table.rows()) if current else [],
             self._is_leaving,
             self._challenge,
             time.time(),
