Let no value of another writer hold up an election or a new leader

Callers saw that no job began any more after one odd value had been left in the store.

Cause: any value under the election's key counted as a leader's, so that all candidates waited for it for good. A deeply nested value of the estimates raised RecursionError, which the decoders of msgpack did not tell from a fault of the program: each leader failed while it loaded. Impossible numbers of stored jobs, progress and estimates (not finite, negative, contradictory) were found later, in rounds of placement.

Change: a leader's key has a lease; one without is replaced at its revision. Unreadable msgpack is one error, deep nesting included. A stored job is checked like a submitted one and has to stand under its own id; negative times that earlier releases accepted count as 0.

--- a/src/bilberrypass/platform/store.py
+++ b/src/bilberrypass/platform/store.py
@@ -30,6 +30,7 @@
     key: str
     value: bytes = b""
     revision: int = 0
+    lease: int = 0
     # "tombstone" marks the removal of the key; such an event has no value.
     tombstone: bool = False
 
@@ -65,7 +66,7 @@
 
 
 def _convert_item(found: _Item) -> keyvalue.Item:
-    return keyvalue.Item(found.key, found.value, found.revision)
+    return keyvalue.Item(found.key, found.value, found.revision, found.lease)
 
 
 @t.final
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -38,14 +38,16 @@
 
 
 def decode_leader(item: keyvalue.Item | None) -> Leader | None:
-    """Return the leader that the election's key names; None if there is no key.
+    """Return the leader that the election's key names; None if there is no leader.
+
+    A leader's key is attached to a lease; one without comes from another writer.
 
     Raises
     ------
     errors.Error
         STORE_UNCERTAIN if the value cannot be read; the key is held all the same.
     """
-    if item is None:
+    if item is None or not item.lease:
         return None
     try:
         value = decoding.decode_json(item.value, _Value)
@@ -163,7 +165,7 @@
                 if leader is None or self._is_predecessor(leader):
                     if self._wait_for_other_candidate(lookup.revision):
                         continue
-                    self._campaign(0 if leader is None else leader.epoch)
+                    self._campaign(lookup.item.revision if lookup.item else 0)
                     continue
                 self._await_key_change(lookup.revision, read_at)
             except errors.Error as exc:
@@ -209,7 +211,11 @@
         return leader.epoch != self._epoch and leader.address == self._address
 
     def _campaign(self, replaced: int) -> None:
-        """Acquire the key with a new lease, if it still has the given revision."""
+        """Acquire the key with a new lease, if it still has the given revision.
+
+        The revision is 0 if there is no key. A key that is there is not a leader's, or
+        is that of this process's predecessor.
+        """
         deadline = clock.now() + _STORE_CALL_TIMEOUT_S
         sent_at = clock.now()
         lease = self._store.grant(LEASE_TTL_S, deadline)
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bilberrypass import clock, errors, supervision
+from bilberrypass import clock, decoding, errors, supervision
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     circuit_breaker,
@@ -224,7 +224,7 @@
             return state.Status.QUEUED
         try:
             return stored_progress.decode(item.value).status
-        except msgspec.MsgspecError as exc:
+        except decoding.UnreadableError as exc:
             raise errors.Error(
                 errors.Kind.INTERNAL, f"the stored progress of {id} is unreadable"
             ) from exc
@@ -353,18 +353,36 @@
     return msgspec.msgpack.encode(min(waited_s, _MAX_WAITED_S))
 
 
+_waited_decoder = msgspec.msgpack.Decoder(float)
+
+
 def _decode_waited(value: bytes) -> float:
     """Return how long the caller of a refused job was told to stay away."""
     try:
-        waited_s = msgspec.msgpack.decode(value, type=float)
-    except msgspec.MsgspecError:
+        waited_s = decoding.decode_msgpack(value, _waited_decoder)
+    except decoding.UnreadableError:
         return 0.0
     return waited_s if 0 <= waited_s <= _MAX_WAITED_S else 0.0
 
 
+def _without_negatives(job: jobs.Job) -> jobs.Job:
+    """Return a job without the negative times that earlier releases accepted."""
+    steps = tuple(
+        step._replace(estimate_s=0.0) if step.estimate_s < 0 else step
+        for step in job.steps
+    )
+    interval_s = 0.0 if job.interval_s < 0 else job.interval_s
+    return job._replace(steps=steps, interval_s=interval_s)
+
+
 def _decode(key: str, value: bytes) -> jobs.Job | None:
+    """Return a stored job; None if no entry can have stored it."""
     try:
-        return stored_progress.decode_job(value)
-    except msgspec.MsgspecError as exc:
+        job = _without_negatives(stored_progress.decode_job(value))
+        jobs.check(job)
+        if key != JOB_PREFIX + job.id:
+            raise decoding.UnreadableError(f"it is the value of job {job.id[:40]!r}")
+    except (decoding.UnreadableError, errors.Refused) as exc:
         decisions.record("intake.unreadable", key=key, why=str(exc))
         return None
+    return job
--- a/src/bilberrypass/scheduling/interference.py
+++ b/src/bilberrypass/scheduling/interference.py
@@ -13,6 +13,7 @@
 import msgspec
 import prometheus_client as prometheus
 
+from bilberrypass import decoding
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import keyvalue, messages, service_loads
 
@@ -207,8 +208,11 @@
         If they cannot be read, the current ones stay.
         """
         try:
-            found = msgspec.msgpack.decode(value, type=_StoredEstimates)
-        except msgspec.MsgspecError as exc:
+            found = decoding.decode_msgpack(value, _decoder)
+            for row in found["margin_losses"]:
+                if not (0 <= row.mean <= _MAX_LOSS and 0 <= row.variance < math.inf):
+                    raise decoding.UnreadableError(f"impossible figures: {row[2:]}")
+        except decoding.UnreadableError as exc:
             _unreadable_records.inc()
             decisions.record("interference.unreadable", why=str(exc))
             return
@@ -234,6 +238,9 @@
     margin_losses: list[_StoredEstimate]
 
 
+_decoder = msgspec.msgpack.Decoder(_StoredEstimates)
+
+
 def _mean_levels(
     known: dict[Pair, float], others: dict[str, float], which: int
 ) -> dict[str, float]:
--- a/src/bilberrypass/scheduling/jobs.py
+++ b/src/bilberrypass/scheduling/jobs.py
@@ -1,5 +1,6 @@
 """The job model: a job has ordered steps, and each step has identical tasks."""
 
+import math
 import typing as t
 
 from bilberrypass import errors
@@ -109,6 +110,9 @@
         _raise_bad_field(
             "steps", f"has {len(job.steps)} entries; submit 1 to {MAX_STEPS}"
         )
+    times = job.accepted_at, job.first_run_at, job.interval_s, job.waited_s
+    if not all(map(math.isfinite, times)):
+        _raise_bad_field("first_run_ms, interval_ms", "must be finite numbers")
     if not 0 <= job.repetitions <= MAX_AMOUNT:
         _raise_bad_field("repetitions", f"must be between 0 and {MAX_AMOUNT}")
     if job.interval_s < 0:
@@ -117,8 +121,8 @@
         where = f"steps[{number}]"
         if not 1 <= step.count <= MAX_AMOUNT:
             _raise_bad_field(f"{where}.count", f"must be between 1 and {MAX_AMOUNT}")
-        if step.estimate_s < 0:
-            _raise_bad_field(f"{where}.estimated_ms", "is negative; use 0 or more")
+        if not 0 <= step.estimate_s < math.inf:
+            _raise_bad_field(f"{where}.estimated_ms", "must be a number from 0 on")
         amounts = (
             *(step.cpu_milli, step.memory_mb, step.gpus),
             *(step.max_per_host, step.latency_target_ms, step.max_unavailable),
--- a/src/bilberrypass/scheduling/keyvalue.py
+++ b/src/bilberrypass/scheduling/keyvalue.py
@@ -11,11 +11,12 @@
 
 
 class Item(t.NamedTuple):
-    """A key with its value and the revision of its last change."""
+    """A key with its value, the revision of its last change, and its lease or 0."""
 
     key: str
     value: bytes
     revision: int
+    lease: int = 0
 
 
 class Lookup(t.NamedTuple):
--- a/src/bilberrypass/scheduling/occurrences.py
+++ b/src/bilberrypass/scheduling/occurrences.py
@@ -117,7 +117,7 @@
     def find_step(self, occurrence: int, number: int) -> StepProgress | None:
         """Return a step of an occurrence that has begun and is not done, or None."""
         steps = self._open.get(occurrence, ())
-        return steps[number] if number < len(steps) else None
+        return steps[number] if 0 <= number < len(steps) else None
 
     def find_task(self, key: jobs.TaskKey) -> "state.Task | None":
         """Return a task that has begun and is not done, or None."""
@@ -231,14 +231,28 @@
         stored: stored_progress.StoredOccurrences,
         rows: abc.Iterable[stored_progress.StoredTask],
     ) -> abc.Iterator[tuple["state.Task", stored_progress.StoredTask]]:
-        """Restore what is stored, and yield the tasks with their rows."""
+        """Restore what is stored, and yield the tasks with their rows.
+
+        Raises
+        ------
+        ValueError
+            The numbers contradict each other or the job.
+        """
+        if not 0 <= stored.next <= self.total:
+            raise ValueError(f"{stored.next} of {self.total} occurrences have begun")
         self.next = stored.next
         for number, next_indices in stored.open:
+            if not 0 <= number < self.next:
+                raise ValueError(f"occurrence {number} is open and has not begun")
             steps = self._open[number] = self._make_steps(number)
             for step, next_index in zip(steps, next_indices, strict=True):
+                if not 0 <= next_index <= step.step.count:
+                    raise ValueError(f"step {step.key} has no task {next_index}")
                 step.next_index = next_index
         for row in rows:
-            step = self._open[row.occurrence][row.step]
+            step = self.find_step(row.occurrence, row.step)
+            if step is None or not 0 <= row.index < step.next_index:
+                raise ValueError(f"task {row[:3]} has not begun")
             task = step.tasks[row.index] = step.make_task(row.index)
             yield task, row
 
@@ -261,8 +275,8 @@
 
     def _has_task(self, row: stored_progress.StoredTask) -> bool:
         steps = self._job.steps
-        is_known = row.occurrence < self.total and row.step < len(steps)
-        return is_known and row.index < steps[row.step].count
+        is_known = 0 <= row.occurrence < self.total and 0 <= row.step < len(steps)
+        return is_known and 0 <= row.index < steps[row.step].count
 
 
 def _unblocked(steps: Steps) -> abc.Iterator[StepProgress]:
--- a/src/bilberrypass/scheduling/queue_forecast.py
+++ b/src/bilberrypass/scheduling/queue_forecast.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from bilberrypass import decoding
+
 MAX_ROWS: t.Final = 64  # of a record; jobs of the others are accepted
 MAX_RECORD_BYTES: t.Final = 16_384
 MAX_NAME_BYTES: t.Final = 160  # of a queue; the jobs of longer ones are accepted
@@ -123,12 +125,12 @@
 
     Raises
     ------
-    msgspec.MsgspecError, ValueError
+    ValueError
         It cannot be read, or holds figures that no leader writes.
     """
     if len(value) > MAX_RECORD_BYTES:
         raise ValueError(f"the record has {len(value)} bytes")
-    record = _decoder.decode(value)
+    record = decoding.decode_msgpack(value, _decoder)
     for row in record.rows:
         if not (math.isfinite(row.wait_s) and row.wait_s >= 0 and row.rate > 0):
             raise ValueError(f"the row of {row.queue} has impossible figures")
--- a/src/bilberrypass/scheduling/refusing.py
+++ b/src/bilberrypass/scheduling/refusing.py
@@ -4,7 +4,6 @@
 import threading
 import typing as t
 
-import msgspec
 import prometheus_client as prometheus
 
 from bilberrypass import clock, errors
@@ -68,7 +67,7 @@
             return
         try:
             record = queue_forecast.decode(change.value)
-        except (msgspec.MsgspecError, ValueError) as exc:
+        except ValueError as exc:
             _unreadable.inc()
             decisions.record("forecast.unreadable", why=str(exc))
             return
--- a/src/bilberrypass/scheduling/stored_progress.py
+++ b/src/bilberrypass/scheduling/stored_progress.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberrypass import crash_limits
+from bilberrypass import crash_limits, decoding
 from bilberrypass.scheduling import jobs
 
 # Of a stored task without checkpoint and crashes, with its share of the occurrence.
@@ -113,8 +113,14 @@
 
 
 def decode_job(value: bytes) -> jobs.Job:
-    """Decode a job from its stored form."""
-    return _job_decoder.decode(value)
+    """Decode a job from its stored form.
+
+    Raises
+    ------
+    decoding.UnreadableError
+        The value has another form.
+    """
+    return decoding.decode_msgpack(value, _job_decoder)
 
 
 def encode(stored: StoredJob, max_bytes: int | None = None) -> EncodedProgress:
@@ -175,10 +181,10 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    decoding.UnreadableError
         The value has neither form.
     """
-    found = _progress_decoder.decode(value)
+    found = decoding.decode_msgpack(value, _progress_decoder)
     if isinstance(found, tuple):
         return StoredJob(*found)
     hosts = found["hosts"]
@@ -187,6 +193,6 @@
             StoredTask(*row[:5], *hosts[row.host], *row[6:]) for row in found["tasks"]
         ]
     except IndexError as exc:
-        raise msgspec.ValidationError("a task is on a host that is not listed") from exc
+        raise decoding.UnreadableError("a task is on a host not listed") from exc
     occurrences = StoredOccurrences(found["next"], found["open"])
     return StoredJob(found["status"], tasks, occurrences=occurrences)
--- a/testing/platform/test_malformed_bytes.py
+++ b/testing/platform/test_malformed_bytes.py
@@ -72,7 +72,7 @@
 
 
 def _read_leader(body):
-    return election.decode_leader(keyvalue.Item(election.KEY, body, 4))
+    return election.decode_leader(keyvalue.Item(election.KEY, body, 4, 9))
 
 
 _DECODERS = {
--- a/testing/platform/test_odd_entries.py
+++ b/testing/platform/test_odd_entries.py
@@ -9,8 +9,10 @@
 import tempfile
 import threading
 
+import msgspec
 import urllib3
 
+from bilberrypass.scheduling import jobs
 from testing import collecting, fixtures, programs
 from testing.standins import kvhttp, runhttp
 
@@ -24,6 +26,7 @@
 }
 _DEEP = b"[" * 100_000 + b"]" * 100_000
 _MISSING = object()
+_ROUNDS = 5
 _DESCRIPTION_AGE_S = 4.0  # an agent starts nothing for a runner that is silent so long
 _ODD_VALUES = (
     _MISSING,
@@ -176,8 +179,8 @@
             assert program.process.poll() is None and program.process.pid == pid
             failures = [
                 line
-                for line in program.log.read_text(errors="replace").splitlines()
-                if "Traceback" in line or "failed; it begins again" in line
+                for part in ("supervision", "scheduler", "commit", "channels", "front")
+                for line in program.decision_log_lines(f"log.{part}")
             ]
             assert not failures, (program.role, failures[:3])
 
@@ -236,4 +239,99 @@
         assert len(found.agent.decision_log_lines("runner.new_life")) == 1
 
 
+_STORE_KEYS = (
+    *("leader", "leader/forecast", "interference", "refused/{}", "intake/other"),
+    *("intake/job/{}", "intake/cancel/{}", "progress/{}", "op/evacuate/elsewhere"),
+)
+
+
+def _job_value(**fields):
+    job = jobs.Job("c" * 16, "h.example/q/", "x", (jobs.Step(1, 100),), 0.0)
+    return msgspec.msgpack.encode(job._replace(**fields))
+
+
+def _odd_values(key):
+    """Return values that no program writes, by the form of the others under the key."""
+    step, nan = jobs.Step(1, 100), float("nan")
+    pack, deep = msgspec.msgpack.encode, b"\x91" * 100_000 + b"\x00"
+    values = [b"", b"\xc1", b"\xff" * 300, _DEEP, deep, b"\x81\xa1x" + deep, b"null"]
+    values += [b"x" * 1_000_000, pack({"x": 1}), pack([]), pack(1 << 63), pack(nan)]
+    if key == "leader":
+        values += [b'["n","10.0.0.1:99999",5]', b'["n","a",1e99]', b'["n","",9]']
+        values += [b'["n","127.0.0.1:1",5]', b'["n","unix:/x\\u0000",5]']
+    if key == "leader/forecast":
+        row = ["h.example/q/", 1, False, 1e300, 1e-300, 1.0]
+        values += [pack([1 << 62, 1 << 62, 3.0, [row]]), pack([1, 1, nan, []])]
+    if key == "interference":
+        rows = (["s", "f", nan, 1.0], ["s", "f", 1e300, -1.0], ["s", "f", -1.0, nan])
+        values += [pack({"margin_losses": [row]}) for row in rows]
+    if key.startswith("intake/job/"):
+        odd_steps = (
+            *(step._replace(count=-1), step._replace(cpu_milli=-(1 << 40))),
+            *(step._replace(estimate_s=nan), step._replace(after=(7,))),
+            *(step._replace(count=1 << 63), step._replace(estimate_s=-1.0)),
+        )
+        values += [_job_value(steps=(odd,)) for odd in odd_steps]
+        values += [_job_value(steps=()), _job_value(id="d" * 16), _job_value(id="")]
+        times = ("accepted_at", "first_run_at", "interval_s", "waited_s")
+        values += [_job_value(repetitions=3, **{name: nan}) for name in times]
+        values += [_job_value(repetitions=3, interval_s=-1e300)]
+    if key.startswith("progress/"):
+        host, row = ["h", 5], [0, 0, 0, 1, 1, 0, 0, "", [], 0]
+        base = {"status": "running", "next": 1, "open": [[0, [1]]], "hosts": [host]}
+        for fields in (
+            {"tasks": [[9, *row[1:]]]},
+            {"tasks": [[0, 9, *row[2:]]]},
+            {"tasks": [[0, 0, 9, *row[3:]]]},
+            {"tasks": [[0, 0, 0, 9, *row[4:]]]},
+            {"tasks": [], "next": -1},
+            {"tasks": [], "next": 1 << 62},
+            {"tasks": [], "open": [[0, [-1]]]},
+            {"tasks": [], "open": [[0, [1 << 62]]]},
+            {"tasks": [], "open": [[5, [0]]]},
+            {"tasks": [], "status": "odd"},
+        ):
+            values.append(pack(base | fields))
+        values.append(pack(["running", [[0, 0, 1 << 40, 1, 1, "h", 5, 0, ""]], 0.0]))
+    return values
+
+
+def _put_odd_values(store, only=None):
+    """Leave odd values under one or all of the keys that the programs read."""
+    for number, pattern in enumerate(_STORE_KEYS):
+        for count, value in enumerate(_odd_values(pattern)):
+            id = f"{number:08x}{count:08x}"
+            if only in (None, number):
+                if pattern.startswith("progress/"):
+                    store.put("intake/job/" + id, _job_value(id=id))
+                store.put(pattern.format(id), value)
+
+
+def test_odd_values_in_the_store_hold_up_no_job():
+    """Each key that the programs read, while they run and when they are elected."""
+    with _system() as found:
+        found.begin_reports()
+        found.run_job("a" * 16)
+        for number in range(len(_STORE_KEYS)):
+            _put_odd_values(found.store, number)
+            found.run_job(f"{number:016x}"[::-1])
+        found.assert_sound()
+
+
+def test_odd_values_in_the_store_hold_up_no_new_leader():
+    """One unreadable value ended each process that was elected, one after the other."""
+    with _system() as found:
+        found.begin_reports()
+        _put_odd_values(found.store)
+        for number in range(_ROUNDS):
+            for key in _STORE_KEYS:
+                if "{}" not in key:
+                    values = _odd_values(key)
+                    found.store.put(key, values[-1 - number * len(values) // _ROUNDS])
+            found.entry.end()
+            found.entry.start()
+            fixtures.wait_until(found.entry.is_ready, 20.0, "the entry")
+            found.run_job(f"{number:016x}"[::-1])
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_election.py
+++ b/testing/scheduling/test_election.py
@@ -95,6 +95,23 @@
     member.release_leadership()
 
 
+def test_key_of_another_writer_holds_up_no_election():
+    """Each candidate waited for the end of a leader that was none, for good."""
+    for value in (b"[" * 9_999, b"", b'["n","10.0.0.1:99999",5]', b'["n","a:1",1e99]'):
+        store = keyvalues.Store()
+        candidate = _Candidate()
+        member = election.Election(store, "e0", "10.0.0.0:1", candidate)
+        member.start()
+        fixtures.wait_until(lambda c=candidate: c.leading_epoch, 2.0, "a leader")
+        first = candidate.leading_epoch
+        store.put(election.KEY, value)
+        fixtures.wait_until(
+            lambda c=candidate, n=first: c.leading_epoch > n, 3.0, "the next term"
+        )
+        assert election.decode_leader(store.items[election.KEY]).name == "e0"
+        member.release_leadership()
+
+
 def test_delayed_candidate_is_elected_only_without_another():
     store = keyvalues.Store()
     weak, strong = _Candidate(), _Candidate()
--- a/testing/standins/keyvalues.py
+++ b/testing/standins/keyvalues.py
@@ -60,7 +60,7 @@
         if value is None:
             self.items.pop(key, None)
         else:
-            self.items[key] = keyvalue.Item(key, value, self.revision)
+            self.items[key] = keyvalue.Item(key, value, self.revision, lease)
             if lease:
                 self._lease_by_key[key] = lease
         self._history.append(keyvalue.Change(key, value, self.revision))
--- a/testing/standins/kvhttp.py
+++ b/testing/standins/kvhttp.py
@@ -16,7 +16,7 @@
         "value": base64.b64encode(item.value).decode(),
         "revision": item.revision,
         "created": item.revision,
-        "lease": 0,
+        "lease": item.lease,
     }
 
 
