Start nothing on a runner that leaves

Cause: a start without an answer is repeated until there is one, and nothing looked at whether the runner drains meanwhile.

Change: the agent refuses a start on a runner that drains; what was never sent is rejected, what may have been carried out is stopped, which bars it. Log lines of rejected starts say `leaving`.

--- a/src/bilberrypass/hosting/admission.py
+++ b/src/bilberrypass/hosting/admission.py
@@ -14,6 +14,7 @@
 
     ADMITTED = enum.auto()
     NO_ROOM = enum.auto()
+    LEAVING = enum.auto()
     UNKNOWN = enum.auto()  # until runs that the agent has found are described
 
 
--- a/src/bilberrypass/hosting/run_events.py
+++ b/src/bilberrypass/hosting/run_events.py
@@ -134,6 +134,13 @@
     return stops[:_MAX_LOGGED_RUNS]
 
 
+def record_rejected(run: runs.Run, life: int, reason: str) -> None:
+    """Record a start that the runner refused, or that it was not asked for."""
+    decisions.record(
+        "start.rejected", task=run.key[0], run=run.key[1], life=life, reason=reason
+    )
+
+
 def record_barred(run: runs.Run, life: int) -> None:
     """Record a start that is not executed, because its agent's grant had a gap."""
     decisions.record("start.barred", task=run.key[0], run=run.key[1], life=life)
--- a/src/bilberrypass/hosting/session.py
+++ b/src/bilberrypass/hosting/session.py
@@ -36,6 +36,7 @@
 _STRAY_THREADS: t.Final = 2
 # Refusals after which the run is not on the runner and cannot start there.
 _BARRED_REASONS: t.Final = ("old",)
+_REFUSED: t.Final = (admission.Admission.NO_ROOM, admission.Admission.LEAVING)
 _ENDED_OUTCOME: t.Final = "the session has ended"
 
 
@@ -235,11 +236,12 @@
             admitted = self._admit(run)
             is_overdue = clock.now() > reject_at
             is_unknown = admitted is admission.Admission.UNKNOWN
-            if admitted is admission.Admission.NO_ROOM or (is_unknown and is_overdue):
+            if admitted in _REFUSED or (is_unknown and is_overdue):
+                is_leaving = admitted is admission.Admission.LEAVING
                 if is_uncertain:
                     self._stop_run(run)
                 else:
-                    self._reject(run, "room")
+                    self._reject(run, "leaving" if is_leaving else "room")
                 return
             if lease_end_ms is None or is_unknown:
                 if is_overdue and not is_uncertain:
@@ -282,19 +284,15 @@
             return
 
     def _admit(self, run: runs.Run) -> admission.Admission:
-        """Decide on a start by the runner's capacity, if it was reported recently."""
+        """Decide on a start by the runner's state and recently reported capacity."""
+        if self.info.is_draining:
+            return admission.Admission.LEAVING
         if clock.now() - self.described_at > _MAX_DESCRIPTION_AGE_S:
             return admission.Admission.UNKNOWN
         return self.table.admit(run, self.info)
 
     def _reject(self, run: runs.Run, reason: str) -> None:
-        decisions.record(
-            "start.rejected",
-            task=run.key[0],
-            run=run.key[1],
-            life=self.info.life,
-            reason=reason,
-        )
+        run_events.record_rejected(run, self.info.life, reason)
         self.table.record_rejection(run, reason)
 
     def _stop_run(self, run: runs.Run) -> None:
@@ -364,10 +362,10 @@
                 # The next report of the runner starts a new session.
                 self._ended.wait(_POLL_RETRY_INTERVAL_S)
                 continue
+            unexpected = self.table.apply_snapshot(snapshot, requested_at)
             if not self.is_confirmed:
                 self.is_confirmed = True
                 self._changed.set()
-            unexpected = self.table.apply_snapshot(snapshot, requested_at)
             run_events.record_found(self.info, unexpected.found)
             self._stop_monitor.check(self.table, snapshot, requested_at)
             for key in unexpected.strays:
--- a/testing/hosting/test_orders.py
+++ b/testing/hosting/test_orders.py
@@ -87,6 +87,28 @@
         assert not runner.started, runner.started
 
 
+def test_start_without_an_answer_is_not_repeated_once_the_runner_leaves():
+    """It was repeated until it was answered, seconds after the acknowledgement."""
+    runner = _RecordingRunner()
+    runner.orders_to_lose = 1_000
+    with sessions.session_with(runner) as current:
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        fixtures.wait_until(lambda: runner.orders_to_lose < 1_000, 5.0, "an attempt")
+        current.info = current.info._replace(is_draining=True)
+        runner.orders_to_lose = 0
+        sessions.await_state(current, State.GONE)
+        assert not runner.started and runner.highest_ended[sessions.TASK] == 1
+
+
+def test_start_on_a_runner_that_leaves_is_rejected_at_once():
+    runner = runners.Runner()
+    with sessions.session_with(runner) as current:
+        current.info = current.info._replace(is_draining=True)
+        current.execute_orders(sessions.EPOCH, [sessions.order(Verb.START)])
+        assert sessions.await_state(current, State.REJECTED).outcome == "leaving"
+        assert not runner.started
+
+
 def test_refused_start_is_rejected_with_reason():
     runner = runners.Runner(max_runs=0)
     with sessions.session_with(runner) as current:
