--- a/testing/hosting/systems.py
+++ b/testing/hosting/systems.py
@@ -54,8 +54,11 @@
         self.responses.append(self._cluster.scheduler.report(report))
         return self.responses[-1]
 
-    def restart_agent(self, clock_step_s):
-        """Start the next agent after a step of the time of day; return its number."""
+    def restart_agent(self, clock_step_s, first_life=LIFE):
+        """Start the next agent after a step of the time of day; return its number.
+
+        The first report that it gets is of ``first_life``.
+        """
         self._stop_agent()
         earlier, self._agent = self._agent, self._create_agent()
         step = int(clock_step_s * 1_000_000)
@@ -63,7 +66,7 @@
         self.reports.clear()
         self.responses.clear()
         self._agent.start()
-        self.begin_life(LIFE)
+        self.begin_life(first_life)
         return self._agent._incarnation
 
     def begin_life(self, life):
--- a/testing/hosting/test_restart.py
+++ b/testing/hosting/test_restart.py
@@ -135,6 +135,25 @@
         assert list(crash["age_s"]) == [f"{order.task}/1"]
 
 
+def test_late_report_of_a_crashed_life_reaches_no_scheduler_from_a_new_agent():
+    """It was believed, and the tasks of the true life were started a second time."""
+    with systems.running_system() as (cluster, host, process):
+        cluster.submit(jobs.Step(1, cpu_milli=100))
+        (order,) = host.await_orders()
+        host.deliver([order])
+        fixtures.wait_until(lambda: process.runner.running, 5.0, "the run")
+        host.restart_agent(1.0, first_life=_LIFE - 500)
+        fixtures.wait_until(lambda: len(host.reports) > 2, 5.0, "reports")
+        host.begin_life(_LIFE)
+        host.await_report(_LIFE)
+        assert all(
+            r.runner is None or r.runner.life == _LIFE for r in list(host.reports)
+        )
+        task = cluster.scheduler.find_open_task(order.task)
+        assert (task.run, task.host) == (1, "h1")
+        assert process.runner.started == [(order.task, order.run)]
+
+
 def test_restarted_agent_is_accepted_at_once():
     with systems.running_system() as (cluster, host, _):
         found = cluster.scheduler.hosts["h1"]
