Count a job as running once a runner has begun a task of it

Cause: the status became running with the first order, and did not go back when the order was never carried out.

Change: a report that lists a run as running, or an end, makes the status running, and it is written then: one more write a job. test_jobs_that_have_not_started_are_counted took an order for a start; it now asserts three waiting jobs until the order is carried out, and two then. test_unfinished_job_is_not_removed carries its order out before it asks.

--- a/src/bilberrypass/scheduling/occurrences.py
+++ b/src/bilberrypass/scheduling/occurrences.py
@@ -96,15 +96,6 @@
         """Whether a task is not done."""
         return bool(self._open) or self.next < self.total
 
-    @property
-    def has_begun_work(self) -> bool:
-        """Whether a task is done, or has a run that counts."""
-        return self.next > len(self._open) or any(
-            len(step.tasks) < step.next_index
-            or not all(task.is_waiting for task in step.tasks.values())
-            for step in self._open_steps()
-        )
-
     def _open_steps(self) -> abc.Iterator[StepProgress]:
         for steps in self._open.values():
             yield from steps
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -167,6 +167,7 @@
     ) -> None:
         started: list[state.Task] = []
         unplaced: list[state.Task] = []
+        is_first = not job.occurrences.next
         for step in job.eligible_steps(unix_now):
             suspects = [
                 task
@@ -186,7 +187,7 @@
         elif self._is_starved(job, now) and not self._is_crowded(usable, queue):
             started += self._start_starved(unplaced[0], queue, usable, now)
         if started:
-            if job.status is state.Status.QUEUED:
+            if is_first:
                 _wait_seconds.observe(now - job.accepted_at)
                 self.waits.observe(job, now)
             runs = [(task, task.run) for task in started]
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -191,9 +191,11 @@
         task.figure, task.pace = row.figure, row.pace
         if row.state == State.RUNNING:
             self._update_progress(host, task, row)
-        if row.state == State.RUNNING:
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
+            if not task.job.has_begun:
+                task.job.has_begun = True
+                self._scheduler.write_progress(task.job)
             self._crash_counter.clear_outlived(task, host.answered_at)
         if row.state in (State.STARTING, State.RUNNING):
             self._resend_lost_order(host, task)
@@ -251,7 +253,7 @@
     ) -> None:
         """Process the end of a run; it is noted at the host once it is stored."""
         job = task.job
-        task.may_have_ended = False
+        task.may_have_ended, job.has_begun = False, True
         _ends.labels(row.outcome).inc()
         host.remove(task)
         if row.outcome == "done":
@@ -293,9 +295,8 @@
         task.avoided_host = host.name
         host.record_failure(clock.now())
         queue = self._scheduler.queue_of(task.job)
-        if task.step.is_service or queue is None:
-            return
-        if task.job.cancelled or task.job.failed:
+        is_ending = task.job.cancelled or task.job.failed
+        if task.step.is_service or queue is None or is_ending:
             return
         if task.failures >= queue.max_attempts:
             why = f"{task.failures} runs of a task failed"
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -155,6 +155,7 @@
     The times are on ``clock.now``: ``accepted_at``, ``final_since`` (0 before the final
     status) and ``idle_since``, since when no task runs and no host accepts one (0 if
     it does). ``finished_at`` is Unix time, for the stored record only.
+    ``has_begun`` is set once a runner has begun a task, which an order does not show.
     ``is_unstorable`` is set once the progress was refused for good: only the status is
     stored from then on.
 
@@ -178,6 +179,7 @@
         "failed",
         "final_since",
         "finished_at",
+        "has_begun",
         "idle_since",
         "is_unstorable",
         "job",
@@ -199,6 +201,7 @@
         self.stored_status = Status.QUEUED
         self.cancelled = False
         self.failed = False
+        self.has_begun = False
         self.is_unstorable = False
         self.finished_at = 0.0
         self.final_since = 0.0
@@ -259,7 +262,7 @@
                 self.status = Status.CANCELLED if self.cancelled else Status.FAILED
         elif not self.occurrences.has_open_tasks:
             self.status = Status.COMPLETED
-        elif self.status is Status.QUEUED and self.occurrences.has_begun_work:
+        elif self.status is Status.QUEUED and self.has_begun:
             self.status = Status.RUNNING
         if self.is_final:
             self.final_since = now
@@ -302,6 +305,7 @@
         self.failed = self.status is Status.FAILED
         if self.failed and not stored.finished_at:
             self.status = Status.RUNNING
+        self.has_begun = self.status is not Status.QUEUED
         if self.is_final:
             self.final_since = now
             return
--- a/testing/scheduling/test_cleaning.py
+++ b/testing/scheduling/test_cleaning.py
@@ -34,6 +34,8 @@
         host = cluster.add_host("h1")
         cluster.submit(STEP)
         host.await_orders(1)
+        host.execute_orders()
+        cluster.await_status("running", host)
         cluster.scheduler._cleaner.clean()
         assert cluster.status() == "running"
         assert all(
--- a/testing/scheduling/test_rules.py
+++ b/testing/scheduling/test_rules.py
@@ -164,18 +164,53 @@
         assert cluster.submissions.read_status(job.id, clock.now() + 1) == "completed"
 
 
+def _await_waiting(cluster, host, count):
+    fixtures.wait_until(
+        lambda: (
+            host.report() and cluster.scheduler.count_waiting(clusters.QUEUE) == count
+        ),
+        5.0,
+        f"{count} waiting jobs",
+    )
+
+
 def test_jobs_that_have_not_started_are_counted():
+    """A job counted as started once it was ordered, though no runner had begun it."""
     with clusters.running_cluster() as cluster:
         host = cluster.add_host("h1", cpu=1_000)
         for id in ("a" * 16, "b" * 16, "c" * 16):
             cluster.submit(STEP._replace(cpu_milli=1_000), id=id)
-        fixtures.wait_until(
-            lambda: (
-                host.report() and cluster.scheduler.count_waiting(clusters.QUEUE) == 2
-            ),
-            5.0,
-            "two waiting jobs",
-        )
+        host.await_orders(1)
+        _await_waiting(cluster, host, 3)
+        host.execute_orders()
+        _await_waiting(cluster, host, 2)
+
+
+def test_job_whose_order_was_never_carried_out_waits():
+    """Its status stayed `running` for good, though its host was silent throughout."""
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.submit(STEP, id="a" * 16)
+        host.await_orders(1)
+        other = cluster.add_host("h2", cpu=0)
+
+        def is_requeued():
+            other.report()
+            return not cluster.scheduler.hosts["h1"].tasks
+
+        fixtures.wait_until(is_requeued, 5.0, "the end of the lease")
+        _await_waiting(cluster, other, 1)
+        assert cluster.status() == "queued"
+
+
+def test_status_of_a_begun_job_outlives_the_leader():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.run_task(host)
+        cluster.await_status("running", host)
+        cluster.elect_scheduler()
+        assert cluster.status() == "running"
+        assert cluster.scheduler.count_waiting(clusters.QUEUE) == 0
 
 
 def test_job_of_a_removed_queue_waits():
