End a failing job under the next leader, and fail none if every commit is refused

The status alone is stored of such a job, so the next leader had no task whose end would make the status final: the job stayed in the store for good. And one refused write was taken for a fault of its job, though a store may refuse every commit for a while: all jobs would have failed, one after the other.

Change: a new leader stops a failing job again, which writes its end. Before a job fails, the store has to take a commit that changes nothing; until then the write is repeated.

Result: scheduling.test_refused_writes, two more tests, which fail on the commit before.

--- a/src/bilberrypass/scheduling/committing.py
+++ b/src/bilberrypass/scheduling/committing.py
@@ -151,19 +151,26 @@
     def _write_parts(
         self, group: list[ProgressWrite], extra: list[keyvalue.Put]
     ) -> list[_Outcome] | None:
-        """Write a group, job by job if the store refuses it; None as ``_write``."""
-        try:
-            revision = self._write(group, extra)
-            return None if revision is None else [_Outcome(group, revision)]
-        except keyvalue.Rejected as exc:
-            _rejected_commits.inc()
-            decisions.record(
-                "commit.rejected",
-                jobs={write.job: len(write.value) for write in group},
-                why=exc.detail,
-            )
-            if len(group) == 1:
-                return [_Outcome(group, 0, exc)]
+        """Write a group, job by job if the store refuses it; None as ``_write``.
+
+        A store that refuses every commit has a fault of its own: the write is repeated.
+        """
+        while True:
+            try:
+                revision = self._write(group, extra)
+                return None if revision is None else [_Outcome(group, revision)]
+            except keyvalue.Rejected as exc:
+                _rejected_commits.inc()
+                decisions.record(
+                    "commit.rejected",
+                    jobs={write.job: len(write.value) for write in group},
+                    why=exc.detail,
+                )
+                if len(group) > 1:
+                    break
+                if self._accepts_commits():
+                    return [_Outcome(group, 0, exc)]
+            time.sleep(_RETRY_INTERVAL_S)
         outcomes: list[_Outcome] = []
         for write in group:
             found = self._write_parts([write], [])
@@ -172,6 +179,20 @@
             outcomes += found
         return outcomes
 
+    def _accepts_commits(self) -> bool:
+        """Return whether the store takes a commit that changes nothing."""
+        try:
+            self._store.commit(
+                {election.KEY: self._epoch},
+                [],
+                clock.now() + _COMMIT_TIMEOUT_S,
+                [PROGRESS_PREFIX],
+            )
+        except errors.Error as exc:
+            self._commits.failed(exc)
+            return False
+        return True
+
     def _write(
         self, group: list[ProgressWrite], extra: list[keyvalue.Put]
     ) -> int | None:
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -279,6 +279,8 @@
             if not job_state.is_final:
                 self.open_jobs[job_state.job.id] = job_state
                 self._reconciler.restore_runs(job_state)
+            if job_state.failed and not job_state.is_final:
+                self._reconciler.stop_job(job_state)
         for id in initial.cancelled:
             self._cancel(id)
         decisions.record(
--- a/testing/scheduling/test_refused_writes.py
+++ b/testing/scheduling/test_refused_writes.py
@@ -1,7 +1,9 @@
 """Writes that the store refuses for good, and jobs that hold up no others."""
 
+from unittest import mock
+
 from bilberrypass import clock
-from bilberrypass.scheduling import jobs
+from bilberrypass.scheduling import jobs, keyvalue
 from testing import collecting, events, fixtures
 from testing.scheduling import clusters
 
@@ -72,6 +74,52 @@
         assert not cluster.lost_leadership
 
 
+def test_failing_job_ends_though_the_leader_changes():
+    """Without its tasks in the store, no end of a run made its status final."""
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.submit(STEP, id=BAD)
+        host.await_orders(1)
+        (order,) = host.execute_orders()
+        host.report()
+        cluster.store.max_bytes[f"progress/{BAD}"] = 40
+        cluster.scheduler.write_progress(cluster.scheduler.jobs[BAD])
+        fixtures.wait_until(lambda: cluster.status(BAD) == "failed", 5.0, "the failure")
+        assert not cluster.stored(BAD).finished_at
+        cluster.elect_scheduler()
+
+        def has_ended():
+            host.report()
+            host.execute_orders()
+            return cluster.stored(BAD).finished_at
+
+        fixtures.wait_until(has_ended, 5.0, "the end")
+        assert host.rows.get((order.task, order.run)) is None or (
+            host.rows[order.task, order.run].outcome == "stopped"
+        )
+
+
+def test_store_that_refuses_every_commit_fails_no_job():
+    """An answer that a retry does not help may still be the store's own fault."""
+    with clusters.running_cluster() as cluster, events.recorded() as found:
+        host = cluster.add_host("h1")
+        cluster.submit(STEP, id=GOOD)
+        fixtures.wait_until(lambda: GOOD in cluster.scheduler.jobs, 5.0, "the job")
+        commit = cluster.store.commit
+        with mock.patch.object(cluster.store, "commit", _reject):
+            cluster.scheduler.write_progress(cluster.scheduler.jobs[GOOD])
+            fixtures.wait_until(
+                lambda: len(found.named("commit.rejected")) > 1, 5.0, "the refusals"
+            )
+        assert cluster.store.commit == commit
+        _await_good_end(cluster, host)
+        assert not found.named("job.failing")
+
+
+def _reject(expected, puts, deadline, removed=()):
+    raise keyvalue.Rejected("commit answered 403")
+
+
 def test_refused_estimates_hold_up_no_job():
     """They are written in the same transaction as the progress of jobs."""
     with clusters.running_cluster() as cluster, events.recorded() as found:
