Compare a runner's labels whatever their order

Cause: a runner may list its labels in another order in each report; the filter of reports would then have taken them for contradictions. Read, not seen.

Change: the labels of a report are compared as a set.

Result: hosting.test_report_filter, test_labels_may_come_in_any_order.

--- a/src/bilberrypass/hosting/report_filter.py
+++ b/src/bilberrypass/hosting/report_filter.py
@@ -15,7 +15,7 @@
     """What a runner says of itself and does not change within one life."""
 
     service: str
-    labels: tuple[str, ...]
+    labels: frozenset[str]
 
 
 class _Ignored(t.NamedTuple):
@@ -31,7 +31,7 @@
 
 
 def _describe(info: messages.RunnerInfo) -> _Description:
-    return _Description(info.service, info.labels)
+    return _Description(info.service, frozenset(info.labels))
 
 
 @t.final
--- a/testing/hosting/test_report_filter.py
+++ b/testing/hosting/test_report_filter.py
@@ -25,6 +25,11 @@
     ]
 
 
+def test_labels_may_come_in_any_order():
+    first, second = TRUE._replace(labels=("a", "b")), TRUE._replace(labels=("b", "a"))
+    assert _play([(second, 2), (first, 3)], first) == [True, True]
+
+
 def test_late_reports_between_newer_ones_never_count():
     """A runner that drains would be used again."""
     reports = [(TRUE, 10), (TRUE, 7), (TRUE, 8), (TRUE, 11), (TRUE, 9), (TRUE, 10)]
