Record a report that contradicts the others of its runner

Cause: such a report was ignored without a line, so that operators could not see that another writer names their runner.

--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -149,6 +149,8 @@
                 assert self._filter is not None
                 if self._filter.accepts(info, sequence, clock.now()):
                     self._update_info(current, info)
+                elif self._filter.contradicts(info):
+                    _record_ignored(info, "it contradicts the reports before it")
                 return
         client = self._connector.connect(info.id, info.life, address)
         if current is not None and not self._is_present(info, client):
@@ -189,9 +191,7 @@
         else:
             why = "" if life == info.life else f"the runner states life {life}"
         if why:
-            decisions.record(
-                "runner.report_ignored", runner=info.id, life=info.life, why=why
-            )
+            _record_ignored(info, why)
         return not why
 
     def handle_runner_exit(self, id: str) -> None:
@@ -371,3 +371,7 @@
                 response.noted, [tuple(key) for key in response.settled]
             )
         return True
+
+
+def _record_ignored(info: messages.RunnerInfo, why: str) -> None:
+    decisions.record("runner.report_ignored", runner=info.id, life=info.life, why=why)
--- a/src/bilberrypass/hosting/report_filter.py
+++ b/src/bilberrypass/hosting/report_filter.py
@@ -65,6 +65,10 @@
         self._ignored.clear()
         return True
 
+    def contradicts(self, info: messages.RunnerInfo) -> bool:
+        """Return whether a report says something else than those that count."""
+        return _describe(info) != self._description
+
     def _ends_series(
         self, description: _Description, sequence: int, now: float
     ) -> bool:
--- a/testing/hosting/test_agent.py
+++ b/testing/hosting/test_agent.py
@@ -53,6 +53,17 @@
         assert old.table.rows()[0].state == sessions.State.GONE
 
 
+def test_report_that_contradicts_the_others_is_ignored_and_recorded():
+    with _agent() as (running_agent, runners_by_address), events.recorded() as found:
+        runners_by_address["a:1"] = runners.Runner(1_000)
+        _report(running_agent, 1_000, 1)
+        odd = sessions.info(1_000)._replace(service="ghost")
+        running_agent.handle_runner_report(odd, "a:1", 2)
+        assert running_agent._session.info.service != "ghost"
+        (line,) = found.named("runner.report_ignored")
+        assert "contradicts" in line["why"]
+
+
 def test_late_report_of_old_life_is_ignored():
     with _agent() as (running_agent, runners_by_address):
         runners_by_address["a:1"] = runners.Runner(2_000)
