Encode the progress of a job in one pass over its tasks

Change: a task is encoded from one plain tuple; characters stand for bytes where only a lower bound of the checkpoints is needed.

--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -280,15 +280,14 @@
 
     def encode(self) -> bytes:
         """Return the progress in its stored form."""
-        status = self.status_to_store
+        status = self.status_to_store.value
         if self.is_final or self.is_unstorable:
-            stored = stored_progress.StoredJob(status.value, [], self.finished_at)
-            return stored_progress.encode(stored).value
-        rows = [_make_stored_task(task) for task in self.occurrences.begun_tasks()]
-        stored = stored_progress.StoredJob(
-            status.value, rows, occurrences=self.occurrences.to_stored()
+            return stored_progress.encode_ended(status, self.finished_at)
+        hosts: stored_progress.Hosts = {}
+        rows = [_make_row(task, hosts) for task in self.occurrences.begun_tasks()]
+        value, self._bare_bytes = stored_progress.encode_open(
+            status, self.occurrences.to_stored(), hosts, rows, self._max_bytes
         )
-        value, self._bare_bytes = stored_progress.encode(stored, self._max_bytes)
         self._unencoded_rows = 0
         return value
 
@@ -331,16 +330,17 @@
     task.phase = Phase(row.phase)
 
 
-def _make_stored_task(task: Task) -> stored_progress.StoredTask:
+def _make_row(task: Task, hosts: stored_progress.Hosts) -> stored_progress.RowFields:
+    """Return the stored form of a task, and number its host among ``hosts``."""
+    key = task.key
     phase = Phase.ORDERED if task.phase is Phase.RUNNING else task.phase
-    return stored_progress.StoredTask(
-        task.key.occurrence,
-        task.key.step,
-        task.key.index,
-        int(phase),
+    return (
+        key.occurrence,
+        key.step,
+        key.index,
+        phase.value,
         task.run,
-        task.host,
-        task.life,
+        hosts.setdefault((task.host, task.life), len(hosts)),
         task.failures,
         task.checkpoint,
         task.crashes,
--- a/src/bilberrypass/scheduling/stored_progress.py
+++ b/src/bilberrypass/scheduling/stored_progress.py
@@ -77,7 +77,11 @@
     finished_at: float = 0.0
 
 
-class _Row(t.NamedTuple):
+# Hosts of runs, each with the runner's life, by their number in the rows.
+Hosts = dict[tuple[str, int], int]
+
+
+class Row(t.NamedTuple):
     """A ``StoredTask`` whose host and life stand in a list of their own."""
 
     occurrence: int
@@ -92,6 +96,12 @@
     cleared_run: int
 
 
+# The fields of a Row; a plain tuple is made faster.
+RowFields = tuple[int, int, int, int, int, int, int, str, list[crash_limits.Crash], int]
+_PHASE: t.Final = Row._fields.index("phase")
+_CHECKPOINT: t.Final = Row._fields.index("checkpoint")
+
+
 class _OpenJob(t.TypedDict):
     """The form of jobs that are not final; a map, where the other form is an array."""
 
@@ -99,7 +109,7 @@
     next: int
     open: list[StoredOccurrence]
     hosts: list[tuple[str, int]]
-    tasks: list[_Row]
+    tasks: list[Row]
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -123,57 +133,58 @@
     return decoding.decode_msgpack(value, _job_decoder)
 
 
-def encode(stored: StoredJob, max_bytes: int | None = None) -> EncodedProgress:
-    """Return the progress of a job in its stored form.
+def encode_ended(status: str, finished_at: float) -> bytes:
+    """Return the progress of an ended job in its stored form."""
+    return _encode(_EarlierJob(status, [], finished_at))
+
+
+def encode_open(
+    status: str,
+    occurrences: StoredOccurrences,
+    hosts: Hosts,
+    rows: list[RowFields],
+    max_bytes: int,
+) -> EncodedProgress:
+    """Return the progress of an open job in its stored form.
 
     Parameters
     ----------
-    stored : StoredJob
-        The progress; only that of an ended job has no ``occurrences``.
-    max_bytes : int, optional
+    status : str
+        The job's status.
+    occurrences : StoredOccurrences
+        Its occurrences.
+    hosts : Hosts
+        The hosts that the rows name, in the order of their numbers.
+    rows : list of RowFields
+        Its tasks that have begun and are not done.
+    max_bytes : int
         A longer value is stored without some checkpoints, first those of tasks with a
         run, whose host reports them again. It is still longer if the rest is.
     """
-    if stored.occurrences is None:
-        value = _encode(_EarlierJob(*stored[:3]))
-        return EncodedProgress(value, len(value))
-    value = _encode(_make_open_job(stored, stored.occurrences))
-    if max_bytes is None or len(value) <= max_bytes:
-        checkpoints = sum(len(task.checkpoint.encode()) for task in stored.tasks)
+
+    def encode(rows: list[RowFields]) -> bytes:
+        found = {"status": status, "next": occurrences.next, "open": occurrences.open}
+        return _encode(found | {"hosts": list(hosts), "tasks": rows})
+
+    value = encode(rows)
+    if len(value) <= max_bytes:
+        # A checkpoint has at least as many bytes as characters.
+        checkpoints = sum(len(row[_CHECKPOINT]) for row in rows)
         return EncodedProgress(value, len(value) - checkpoints)
-    tasks = [task._replace(checkpoint="") for task in stored.tasks]
-    bare = _encode(_make_open_job(stored._replace(tasks=tasks), stored.occurrences))
-    left = max_bytes - len(bare)
-    by_need = sorted(enumerate(stored.tasks), key=lambda item: item[1].phase)
-    for number, task in by_need:
-        size = len(task.checkpoint.encode()) + _STRING_HEADER_BYTES
-        if task.checkpoint and size <= left:
+    bare_rows = [_without_checkpoint(row) for row in rows]
+    bare_bytes = len(encode(bare_rows))
+    left = max_bytes - bare_bytes
+    kept = bare_rows
+    for number, row in sorted(enumerate(rows), key=lambda item: item[1][_PHASE]):
+        size = len(row[_CHECKPOINT].encode()) + _STRING_HEADER_BYTES
+        if row[_CHECKPOINT] and size <= left:
             left -= size
-            tasks[number] = task
-    value = _encode(_make_open_job(stored._replace(tasks=tasks), stored.occurrences))
-    return EncodedProgress(value, len(bare))
-
-
-def _make_open_job(stored: StoredJob, occurrences: StoredOccurrences) -> _OpenJob:
-    hosts: dict[tuple[str, int], int] = {}
-    rows = [
-        _Row(
-            *task[:5],
-            hosts.setdefault((task.host, task.life), len(hosts)),
-            task.failures,
-            task.checkpoint,
-            task.crashes,
-            task.cleared_run,
-        )
-        for task in stored.tasks
-    ]
-    return _OpenJob(
-        status=stored.status,
-        next=occurrences.next,
-        open=occurrences.open,
-        hosts=list(hosts),
-        tasks=rows,
-    )
+            kept[number] = row
+    return EncodedProgress(encode(kept), bare_bytes)
+
+
+def _without_checkpoint(row: RowFields) -> RowFields:
+    return (*row[:_CHECKPOINT], "", *row[_CHECKPOINT + 1 :])
 
 
 def decode(value: bytes) -> StoredJob:
