Count a job as begun from its first order on in its expected durations

Cause: the status of a job became running only once a runner had begun a task of it, and the rank took the status for whether its tasks were on their way. For up to two seconds a job that had just been placed ranked as if nothing of it ran, behind jobs that were not begun.

Change: what has begun is asked of the occurrences, as before the status changed.

Result: scheduling.test_durations, test_job_counts_as_begun_from_its_first_order_on, fails on the commit before.

--- a/src/bilberrypass/scheduling/durations.py
+++ b/src/bilberrypass/scheduling/durations.py
@@ -191,8 +191,8 @@
         if learned.outlook is None or now >= learned.fresh_until:
             if now >= self._speeds_due_at:
                 self._update_speeds(now)
-            is_queued = job.status is state.Status.QUEUED
-            refresh_s = _QUEUED_REFRESH_S if is_queued else _RUNNING_REFRESH_S
+            has_begun = bool(job.occurrences.next)
+            refresh_s = _RUNNING_REFRESH_S if has_begun else _QUEUED_REFRESH_S
             learned.outlook = self._outlook(job, now)
             learned.fresh_until = now + refresh_s
         return learned.outlook
@@ -222,7 +222,7 @@
             job.occurrences.open_count(occurrence, earlier) for earlier in step.after
         )
         is_begun = not is_blocked and (
-            job.status is not state.Status.QUEUED or open_count < step.count
+            bool(job.occurrences.next) or open_count < step.count
         )
         progressed = self._progressed(job, occurrence, number) if is_begun else []
         step_s, error = self._expect(job, number, progressed)
--- a/testing/scheduling/test_durations.py
+++ b/testing/scheduling/test_durations.py
@@ -134,6 +134,21 @@
     assert math.isclose(learned.task_s(unknown, 0, 0), 3.0)
 
 
+def test_job_counts_as_begun_from_its_first_order_on():
+    """Until its host reports, its rank was that of a job of which nothing runs."""
+    ordered, untouched = _job(count=4), _job(count=4, id="b")
+    for job in (ordered, untouched):
+        job.status = state.Status.QUEUED
+    learned = durations.Durations({})
+    prior = learned._priors["q"] = duration_priors.DurationPrior()
+    for _ in range(30):
+        prior.observe(2.0, [math.log(2.0), math.log(2.0), math.log(8.0)])
+    for task in job_tasks.begin_all(ordered):
+        task.phase, task.host = state.Phase.ORDERED, "h"
+    before, after = learned.outlook(untouched, NOW), learned.outlook(ordered, NOW)
+    assert after.path_left_s < before.path_left_s
+
+
 def test_new_leader_begins_with_the_estimates_and_learns_again():
     """What was learned is not stored: the next leader must do without, at once."""
     with clusters.running_cluster() as cluster:
