Replace an agent's estimates as a whole

Cause: the bound on an agent's estimates of interference removed and set each pair anew, while another thread sets the paces of fillers by them: for a moment a pair could be missing.

Change: the maps are built aside and replaced.

Result: hosting.test_pacing and scheduling.test_interference pass.

--- a/src/bilberrypass/hosting/filler_paces.py
+++ b/src/bilberrypass/hosting/filler_paces.py
@@ -37,14 +37,18 @@
         self, estimates: abc.Iterable[messages.InterferenceEstimate]
     ) -> None:
         """Update the estimates of interference between images from the scheduler."""
-        for row in estimates:
-            pair = row.service, row.filler
-            self._interference_estimates.pop(pair, None)  # the newest are at the end
-            self._interference_estimates[pair] = row.per_core
-            self._cautious_estimates[pair] = row.cautious_per_core
-        while len(self._interference_estimates) > messages.MAX_INTERFERENCE_PAIRS:
-            oldest = next(iter(self._interference_estimates))
-            del self._interference_estimates[oldest], self._cautious_estimates[oldest]
+        newest = {(row.service, row.filler): row for row in estimates}
+        if not newest:
+            return
+        # Another thread reads the paces meanwhile, so the maps are replaced as a whole.
+        self._interference_estimates = _keep_newest(
+            self._interference_estimates,
+            {pair: row.per_core for pair, row in newest.items()},
+        )
+        self._cautious_estimates = _keep_newest(
+            self._cautious_estimates,
+            {pair: row.cautious_per_core for pair, row in newest.items()},
+        )
 
     def update_courses(
         self, courses: abc.Iterable[messages.MarginCourse], now: float
@@ -111,3 +115,13 @@
         """Return the margin that a service is about to lose to its own load."""
         course = self._courses.get(task.rpartition(".")[0])
         return course.coming_loss(now) if course is not None else 0.0
+
+
+def _keep_newest(
+    known: dict[tuple[str, str], float], newest: dict[tuple[str, str], float]
+) -> dict[tuple[str, str], float]:
+    """Return estimates by pairs of images, without the oldest ones beyond the limit."""
+    found = {pair: value for pair, value in known.items() if pair not in newest}
+    found |= newest
+    excess = len(found) - messages.MAX_INTERFERENCE_PAIRS
+    return dict(list(found.items())[max(0, excess) :])
