Show a wrong count of waiting jobs at a takeover

Case 7 of the review: while a newly elected entry loads the jobs, it answers 0 for the number of waiting jobs, though 1,000 wait (MIXED).

--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -23,6 +23,7 @@
 from testing.standins import keyvalues, kvhttp  # noqa: E402
 
 _STORE_THREADS = 64
+_STORE_ANSWER_S = 0.004
 _MAX_BODY_BYTES = 8 << 20
 _BOUNDS = {  # of ringkas-bilberry-grown
     "contact_ms": 4_000,
@@ -69,6 +70,14 @@
     return value
 
 
+class _Store(kvhttp.StoreApplication):
+    """The store, with an answer after 4 ms as the pages say."""
+
+    def _serve(self, environ):
+        time.sleep(_STORE_ANSWER_S)
+        return super()._serve(environ)
+
+
 class World:
     """The processes of one test, on loopback addresses of their own.
 
@@ -88,7 +97,7 @@
         self._last_ip = 0
         self._processes = []
         self.entries, self.agents, self.runners = [], [], []
-        self.kv = kvhttp.StoreApplication(keyvalues.Store())
+        self.kv = _Store(keyvalues.Store())
         address = f"{self.next_ip()}:{fixtures.free_port()}"
         self._store = serving.Listener(
             address, self.kv, _STORE_THREADS, _MAX_BODY_BYTES
