--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -223,7 +223,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "capacity": runner.capacity,
-            "labels": ["a", f"r-{options.zone}"],
+            "labels": ["a", f"r-{options.zone}", *options.label],
             "clock_ms": runner.clock_ms,
             "sequence": sequence,
             "born": runner.born,
@@ -258,6 +258,7 @@
     parser.add_argument("--cpu", type=int, default=64_000)
     parser.add_argument("--hold-max-ms", type=int, default=6_000)
     parser.add_argument("--unguarded", action="store_true")
+    parser.add_argument("--label", action="append", default=[])
     options = parser.parse_args()
     record = Record(options.record, options.name)
     runner = Runner(options, record)
