--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -57,9 +57,7 @@
     def _take_deadline(self, body):
         if body.get("deadline_ms") is not None:
             most = self.clock_ms + self.hold_max_ms
-            self._lease_end_ms = max(
-                self._lease_end_ms, min(body["deadline_ms"], most)
-            )
+            self._lease_end_ms = max(self._lease_end_ms, min(body["deadline_ms"], most))
 
     def _is_fenced(self, body):
         token = body.get("fencing_token", 0)
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -1,4 +1,4 @@
-"""A small deployment as processes: entries, agents, runners and the platform's store."""
+"""A small deployment: entries, agents and runners as processes, and the store."""
 
 import contextlib
 import http.client
@@ -264,7 +264,9 @@
             text = response.read()
             status = response.status
         except (OSError, http.client.HTTPException) as exc:
-            self._world.note("call", method=method, path=path, failed=type(exc).__name__)
+            self._world.note(
+                "call", method=method, path=path, failed=type(exc).__name__
+            )
             return None, None
         finally:
             conn.close()
