Show a job that is failed though no runner started its task

Case 6 of the review: starts without an answer count as begun when the runner that hung crashes. After three such crashes the job is shown as failed, and no runner has ever started its task (LOST). It takes the place of the count of waiting jobs at a takeover, which is less grave; the case of the leader's change becomes 10.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,5 @@
-"""The elected entry is stopped as planned while jobs wait; the other takes over."""
+"""A machine is removed and the elected entry is killed; a lasting task has to move."""
 
-import concurrent.futures
 import pathlib
 import signal
 import sys
@@ -11,52 +10,54 @@
 
 import world  # noqa: E402
 
-_WAITING = 1_000
-_SPEC_BYTES = 3_500
-_VISIBLE_S = 3.0 + 2.0
-_WATCH_S = 12.0
-_POLL_INTERVAL_S = 0.015
-_SENDERS = 8
+_HOSTS = 6
+_JOB = "00000000000000aa"
+_AFTER_LAST_RUN_S = 6.0
+_IDLE_S = 3.0
+_WATCH_S = 20.0
 
 
 def play(found):
     """Return why the rule is broken, or an empty string."""
-    leader = _find_leader(found)
+    won = world.wait_until(lambda: found.logged("election.won"), 5.0)
+    leader = next(entry for entry in found.entries if f'"{entry.name}"' in won[-1])
     other = next(entry for entry in found.entries if entry is not leader)
-    if leader.submit("00000000000000aa", {"cpu": 60_000}, cpu=60_000, count=2) != 200:
-        raise RuntimeError("the first job was not accepted")
-    if not world.wait_until(lambda: len(found.events("start")) >= 3, 8.0):
-        raise RuntimeError("the first job is not at work")
-    filling = {"cpu": 10_000, "work_ms": 1_000, "text": "x" * _SPEC_BYTES}
-    ids = [f"{0xBA000 + number:016x}" for number in range(_WAITING)]
-    with concurrent.futures.ThreadPoolExecutor(_SENDERS) as pool:
-        answers = list(pool.map(lambda id: other.submit(id, filling, cpu=10_000), ids))
-    if answers.count(200) != _WAITING:
-        raise RuntimeError(f"only {answers.count(200)} jobs were accepted")
-    time.sleep(_VISIBLE_S + 1.0)
-    status, content = other.call("GET", world.PREFIX)
-    if status != 200 or content["waiting"] != _WAITING:
-        raise RuntimeError(f"before the disruption: {status} {content}")
+    accepted = other.submit(
+        _JOB, {"cpu": 8_000}, count=2, cpu=8_000, anti_affinity=1, long_running=True
+    )
+    if accepted != 200:
+        raise RuntimeError(f"the job was answered {accepted}")
+    if not world.wait_until(lambda: len(_starts(found)) == 2, 8.0):
+        raise RuntimeError("the tasks are not at work")
+    world.wait_until(lambda: other.state(_JOB) == "running", 5.0)
+    time.sleep(3.0)
+    _, name, fields = _starts(found)[0]
+    number = next(n for n, r in enumerate(found.runners) if r.name == name)
+    lost_at = time.monotonic()
     if world.has_trouble():
-        leader.signal(signal.SIGTERM)
-    until = time.monotonic() + _WATCH_S
-    while time.monotonic() < until:
-        status, content = other.call("GET", world.PREFIX)
-        if status == 200 and 2 * content["waiting"] < _WAITING:
-            begun = [f for _, _, f in found.events("start") if f["task"][:16] in ids]
-            if not begun:
-                return (
-                    f"MIXED: {content['waiting']} given as waiting of {_WAITING}, "
-                    "none of which has begun"
-                )
-        time.sleep(_POLL_INTERVAL_S)
+        found.runners[number].crash()
+        found.agents[number].signal(signal.SIGKILL)
+        leader.signal(signal.SIGKILL)
+    started_at = world.wait_until(
+        lambda: [
+            at
+            for at, _, other_fields in _starts(found)
+            if other_fields["task"] == fields["task"] and at > lost_at
+        ],
+        _WATCH_S,
+    )
+    if not world.has_trouble():
+        return "LOST: the task was started again" if started_at else ""
+    idle_s = (started_at[0] if started_at else time.monotonic()) - lost_at
+    found.note("idle", task=fields["task"], seconds=round(idle_s, 2))
+    if idle_s > _AFTER_LAST_RUN_S + _IDLE_S:
+        return f"LOST: a task that lasts had nothing running for {idle_s:.1f} s"
     return ""
 
 
-def _find_leader(found):
-    won = world.wait_until(lambda: found.logged("election.won"), 5.0)
-    return next(entry for entry in found.entries if f'"{entry.name}"' in won[-1])
+def _starts(found):
+    return [e for e in found.events("start") if e[2]["task"].startswith(_JOB)]
 
 
 if __name__ == "__main__":
-    world.main(play, _HERE, entries=2, hosts=2)
+    world.main(play, _HERE, entries=2, hosts=_HOSTS)
--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -9,6 +9,7 @@
 import http.client
 import http.server
 import json
+import signal
 import threading
 import time
 
@@ -170,7 +171,8 @@
                     self._end(key, "lapsed")
 
 
-def _make_handler(runner):
+def _make_handler(runner, hangs):
+    """Return the handler; no start is answered or executed while ``hangs`` is set."""
     calls = {
         "/api/run-start": runner.start,
         "/api/run-stop": runner.stop,
@@ -189,6 +191,8 @@
                 self._answer(421, {})
             elif self.path not in calls:
                 self._answer(404, {})
+            elif hangs.is_set() and self.path == "/api/run-start":
+                threading.Event().wait()  # neither executed nor answered
             else:
                 with runner.lock:
                     status, content = calls[self.path](body)
@@ -257,12 +261,18 @@
     parser.add_argument("--hold-max-ms", type=int, default=6_000)
     parser.add_argument("--unguarded", action="store_true")
     parser.add_argument("--label", action="append", default=[])
+    parser.add_argument("--hangs", action="store_true", help="as after SIGUSR1")
     options = parser.parse_args()
     record = Record(options.record, options.name)
     runner = Runner(options, record)
     host, _, port = options.listen.rpartition(":")
     http.server.ThreadingHTTPServer.request_queue_size = 128
-    server = http.server.ThreadingHTTPServer((host, int(port)), _make_handler(runner))
+    hangs = threading.Event()
+    if options.hangs:
+        hangs.set()
+    signal.signal(signal.SIGUSR1, lambda *_: hangs.set())
+    handler = _make_handler(runner, hangs)
+    server = http.server.ThreadingHTTPServer((host, int(port)), handler)
     server.daemon_threads = True
     threading.Thread(target=server.serve_forever, daemon=True).start()
     record.add("up", id=runner.id, born=runner.born)
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -327,6 +327,17 @@
         log = self._world.temp / f"{self.name}.log"
         self.process = self._world.popen(command, log, env)
 
+    def hang(self):
+        """Let this life and the next ones neither execute nor answer starts."""
+        self._world.note("hang", runner=self.name)
+        self._options = self._options | {"hangs": True}
+        self.process.send_signal(signal.SIGUSR1)
+
+    def recover(self):
+        """Let the next life answer starts."""
+        self._world.note("recover", runner=self.name)
+        self._options = {k: v for k, v in self._options.items() if k != "hangs"}
+
     def crash(self):
         """Kill the process."""
         self._world.note("crash", runner=self.name)
