--- a/soak/checker.py
+++ b/soak/checker.py
@@ -293,6 +293,8 @@
         ]
 
     def _check_completed(self, job: submissions.Job) -> None:
+        if job.is_long_running:
+            self._record("LOST", f"{job.id}: reported as completed, and it was to last")
         for name in self._all_task_names(job):
             if not self._tasks.get(name, _Task()).done:
                 self._record(
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -284,7 +284,7 @@
             now = time.monotonic()
             for key in list(runner.running):
                 at, outcome = life.planned_ends.setdefault(
-                    key, self._draw_end(key[0], now)
+                    key, self._draw_end(*key, now)
                 )
                 if now >= at and outcome == _CRASH:
                     self._crash_under_task()
@@ -293,14 +293,15 @@
                     with contextlib.suppress(KeyError):  # the run ended in the meantime
                         runner.end_run(*key, outcome)
 
-    def _draw_end(self, task: str, now: float) -> tuple[float, str]:
+    def _draw_end(self, task: str, run: int, now: float) -> tuple[float, str]:
         """Return when and with which outcome a new run ends unless it is stopped."""
         job = self._invariants.jobs[task.split(".")[0]]
         if job.is_deadly(task):
             # Each run of a task crashes at the same age.
             return now + random.Random(task).choice(_CRASH_AGES_S), _CRASH
         if job.is_long_running:
-            return now + self._rng.uniform(5, 60), "failed"
+            how = random.Random(f"{task} {run}").choice(("failed", "done"))
+            return now + self._rng.uniform(5, 60), how
         if job.body["specification"].startswith(SLOW):
             return now + self._rng.uniform(6, 20), "done"
         is_always_failing = job.body["specification"].startswith("poison")
--- a/src/bilberrypass/scheduling/occurrences.py
+++ b/src/bilberrypass/scheduling/occurrences.py
@@ -264,6 +264,30 @@
             step.add(task)
             yield task, row
 
+    def reopen_services(self, room: int) -> abc.Iterator["state.Task"]:
+        """Keep the tasks of services that have begun and are not kept; yield them.
+
+        Earlier releases dropped them as done when a run of theirs ended so. At most
+        ``room`` are kept: as many as can be stored.
+        """
+        services = [n for n, step in enumerate(self._job.steps) if step.is_service]
+        for number in range(self.next) if services else ():
+            steps = self._open.get(number)
+            if steps is None:
+                steps = self._make_steps(number)
+                for found in steps:
+                    found.next_index = found.step.count
+            for found in map(steps.__getitem__, services):
+                for index in range(found.next_index):
+                    if index in found.tasks:
+                        continue
+                    if not room:
+                        return
+                    room -= 1
+                    self._open.setdefault(number, steps)
+                    task = found.tasks[index] = found.make_task(index)
+                    yield task
+
     def _has_task(self, row: stored_progress.StoredTask) -> bool:
         steps = self._job.steps
         is_known = 0 <= row.occurrence < self.total and 0 <= row.step < len(steps)
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -256,7 +256,7 @@
         task.may_have_ended, job.has_begun = False, True
         _ends.labels(row.outcome).inc()
         host.remove(task)
-        if row.outcome == "done":
+        if task.is_finished_by(row.outcome):
             host.record_success()
             job.finish_task(task)
             took_s = durations.took_s(task, host.reported_at)
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -42,6 +42,8 @@
 
 # The rest of a stored value is left for checkpoints, which grow while tasks run.
 _MAX_SHARE_BEGUN: t.Final = 0.75
+# More than the runs that a task can have had, whose number is not known.
+_REOPENED_RUN: t.Final = 1 << 31
 
 
 class Task:
@@ -143,6 +145,13 @@
         """Return the seconds since the start; None if an earlier scheduler ordered."""
         return round(now - self.started_at, 2) if self.started_at else None
 
+    def is_finished_by(self, outcome: str) -> bool:
+        """Return whether an end of the newest run finishes the task.
+
+        A task of a service lasts until its job is cancelled, however its runs end.
+        """
+        return outcome == "done" and not self.step.is_service
+
     def is_end_expected(self, host: str, life: int, run: int) -> bool:
         """Return whether the end of a run counts that counted as gone before."""
         newest = (self.host, self.life, self.run)
@@ -315,12 +324,17 @@
             restored = self.occurrences.restore(stored.occurrences, stored.tasks)
         for task, row in restored:
             _restore_task(task, row)
-            if task.phase is Phase.DONE:
+            if task.phase is Phase.DONE and task.step.is_service:
+                task.phase = Phase.WAITING
+            elif task.phase is Phase.DONE:
                 done.append(task)
         for task in done:
             self.occurrences.finish_task(task)
         begun = sum(1 for _ in self.occurrences.begun_tasks())
         self._bare_bytes = begun * stored_progress.MAX_ROW_BYTES
+        for task in self.occurrences.reopen_services(self.room_for_tasks()):
+            task.run = _REOPENED_RUN
+            self._unencoded_rows += 1
 
 
 def _restore_task(task: Task, row: stored_progress.StoredTask) -> None:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -359,4 +359,16 @@
     assert first == second and first
 
 
+def test_lasting_job_that_is_reported_as_completed_breaks_lost():
+    step = {"count": 1, "cpu": 1_000, "long_running": True}
+    job = _job(steps=[step])
+    invariants = _checker(job)
+    invariants.on_run_started("h1", _task(), 1, "s", "")
+    invariants.on_run_ended("h1", _task(), 1, "done")
+    invariants.on_run_started("h2", _task(), 2, "s", "")
+    assert not invariants.violations
+    invariants.on_state_received(job, "completed")
+    assert [found.rule for found in invariants.violations] == ["LOST"]
+
+
 load_tests = collecting.hook(__name__)
