--- a/src/bilberrypass/hosting/agent.py
+++ b/src/bilberrypass/hosting/agent.py
@@ -343,6 +343,8 @@
         if not response.is_leader or response.epoch < self._epoch:
             _reports.labels("not_leader").inc()
             self._scheduler_calls.failed(f"{peer.address} is not the leader")
+            if response.leader and not response.is_leader:
+                self._set_scheduler(response.leader, response.epoch)
             return False
         self._scheduler_calls.worked()
         self._is_lookup_due = response.is_cut_off
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -12,12 +12,15 @@
 from bilberrypass.scheduling import keyvalue
 
 KEY: t.Final = "leader"
+# Written with each election, without a lease: its revision is the latest epoch.
+TERM_KEY: t.Final = KEY + "/term"
 # outlasts a slow response of the store, and allows a fast takeover
 LEASE_TTL_S: t.Final = 2.0
 _RENEW_INTERVAL_S: t.Final = 0.5  # four attempts within the lease
 _STORE_CALL_TIMEOUT_S: t.Final = 1.0
 _WATCH_TIMEOUT_S: t.Final = 2.0
 _RETRY_INTERVAL_S: t.Final = 0.3
+_UNINFORMED_DELAY_S: t.Final = 0.5  # time for an election among the others
 
 
 OnOtherKey = cabc.Callable[[keyvalue.Change, float], None]
@@ -63,6 +66,16 @@
     def on_elected(self, epoch: int) -> None:
         """Start to lead, after this process was elected with an epoch."""
 
+    def is_informed(self, predecessor: int) -> bool:
+        """Return whether this process knows how long an earlier leader granted.
+
+        Parameters
+        ----------
+        predecessor : int
+            The epoch of the latest leader, 0 if there was none.
+        """
+        return True
+
     @abc.abstractmethod
     def on_leadership_lost(self, epoch: int) -> None:
         """Stop leading, after the leadership of an epoch was lost or released."""
@@ -105,6 +118,7 @@
         self._lease: keyvalue.Lease | None = None
         self._leader: Leader | None = None
         self._epoch = 0
+        self._predecessor = 0
         self._last_contact_at = 0.0
         self._store_reads = decisions.Dependency("election.store")
         self._renewals = decisions.Dependency("election.renewal")
@@ -131,6 +145,11 @@
         """Send time of the latest successful grant or renewal, on ``clock.now``."""
         return self._last_contact_at
 
+    @property
+    def predecessor(self) -> int:
+        """The epoch of the leader before this process's latest election, or 0."""
+        return self._predecessor
+
     def release_leadership(self) -> None:
         """Revoke the lease, so that another process can be elected at once."""
         self._stopping.set()
@@ -142,6 +161,18 @@
             except errors.Error as exc:
                 decisions.record("election.revoke_failed", why=str(exc))
 
+    def on_leader_notice(self, leader: Leader) -> int:
+        """Follow a later leader that introduces itself; return the epoch known now.
+
+        This process may be the only one that the store turns away.
+        """
+        known = self._leader
+        if known is None or known.epoch < leader.epoch:
+            if self._epoch:
+                self.step_down("a later leader introduced itself")
+            self._update_leader(leader)
+        return self._leader.epoch if self._leader else 0
+
     def step_down(self, why: str) -> None:
         """Stop leading, because another process may have been elected."""
         epoch, self._epoch = self._epoch, 0
@@ -163,9 +194,7 @@
                 leader = decode_leader(lookup.item)
                 self._update_leader(leader)
                 if leader is None or self._is_predecessor(leader):
-                    if self._wait_for_other_candidate(lookup.revision):
-                        continue
-                    self._campaign(lookup.item.revision if lookup.item else 0)
+                    self._acquire(lookup)
                     continue
                 self._await_key_change(lookup.revision, read_at)
             except errors.Error as exc:
@@ -196,11 +225,31 @@
         if self._epoch and (leader is None or leader.epoch != self._epoch):
             self.step_down("the election key is free or held by another process")
 
-    def _wait_for_other_candidate(self, revision: int) -> bool:
-        """Wait for stronger hosts to acquire the key; return whether it changed."""
-        if not self._candidacy_delay_s:
+    def _acquire(self, lookup: keyvalue.Lookup) -> None:
+        """Acquire the key, unless a process that should lead rather does so first."""
+        term = self._store.get(TERM_KEY, clock.now() + _STORE_CALL_TIMEOUT_S).item
+        self._predecessor = term.revision if term else 0
+        delay_s = self._candidacy_delay_s
+        replaced = lookup.item
+        if not self._candidate.is_informed(self._predecessor):
+            delay_s = max(delay_s, _UNINFORMED_DELAY_S)
+            if replaced is not None and replaced.revision == self._predecessor:
+                # That of this process's predecessor; others may acquire a free key.
+                self._store.commit(
+                    {KEY: replaced.revision},
+                    [],
+                    clock.now() + _STORE_CALL_TIMEOUT_S,
+                    [KEY],
+                )
+                return
+        if not self._has_other_candidate(lookup.revision, delay_s):
+            self._campaign(replaced.revision if replaced else 0)
+
+    def _has_other_candidate(self, revision: int, delay_s: float) -> bool:
+        """Wait for others to acquire the key; return whether it changed."""
+        if not delay_s:
             return False
-        batch = self._store.watch(KEY, revision, self._candidacy_delay_s)
+        batch = self._store.watch(KEY, revision, delay_s)
         return any(change.key == KEY for change in batch.changes)
 
     def _is_predecessor(self, leader: Leader) -> bool:
@@ -220,9 +269,13 @@
         sent_at = clock.now()
         lease = self._store.grant(LEASE_TTL_S, deadline)
         value = msgspec.json.encode(_Value(self._name, self._address, lease.id))
-        put = keyvalue.Put(KEY, value, lease.id)
+        puts = [
+            keyvalue.Put(KEY, value, lease.id),
+            keyvalue.Put(TERM_KEY, self._name.encode()),
+        ]
+        expected = {KEY: replaced, TERM_KEY: self._predecessor}
         try:
-            epoch = self._store.commit({KEY: replaced}, [put], deadline)
+            epoch = self._store.commit(expected, puts, deadline)
         except keyvalue.PreconditionFailed as exc:
             self._update_leader(decode_leader(exc.items.get(KEY)))
             return
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -22,6 +22,7 @@
     refusing,
     scheduler,
     sending,
+    standby,
 )
 
 # a few round trips; without a response, the store is read instead
@@ -95,9 +96,19 @@
         self._election = election.Election(
             store, name, peer_address, self, candidacy_delay_s, self._gate.on_change
         )
+        self._standby = standby.Standby(
+            name,
+            peer_address,
+            cfg.lease_s,
+            self._election,
+            store,
+            lambda: self._scheduler,
+        )
         self._server = channels.Server(
             peer_address,
             {
+                messages.STANDBY: self._standby.serve_request,
+                messages.LEADER: self._standby.serve_notice,
                 messages.REPORT: self._serve_report,
                 messages.STATE: self._serve_state,
                 messages.WAITING: self._serve_waiting,
@@ -113,10 +124,12 @@
         self._server.start()
         self._config.start()
         self._election.start()
+        self._standby.start()
 
     def release_leadership(self) -> None:
         """Release the leadership, so that another entry can be elected at once."""
         self._election.release_leadership()
+        self._standby.stop()
 
     def stop(self) -> None:
         """Stop serving peers, after a grace period for calls in progress."""
@@ -135,6 +148,7 @@
 
     def on_elected(self, epoch: int) -> None:
         """Start a scheduler, after this process was elected with an epoch."""
+        earlier_grants_end = self._standby.begin_leading(epoch)
         with self._lock:
             self._scheduler = scheduler.Scheduler(
                 self._store,
@@ -147,9 +161,14 @@
                     epoch, self._address, on_failed
                 ),
                 self._make_evacuations(),
+                earlier_grants_end,
             )
             self._scheduler.start()
 
+    def is_informed(self, predecessor: int) -> bool:
+        """Return whether this process knows how long an earlier leader granted."""
+        return self._standby.succession.is_informed(predecessor)
+
     def on_leadership_lost(self, epoch: int) -> None:
         """Stop the scheduler, after the leadership of an epoch was lost."""
         with self._lock:
@@ -329,7 +348,9 @@
         current = self._scheduler
         if current is None:
             leader = self._election.leader
-            return messages.ReportResponse(False, leader.epoch if leader else 0)
+            if leader is None:
+                return messages.ReportResponse(False, 0)
+            return messages.ReportResponse(False, leader.epoch, leader=leader.address)
         return current.report(report)
 
     def _serve_submit(self, req: messages.SubmitRequest) -> messages.SubmitResponse:
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -198,6 +198,7 @@
     cannot reach the store, so that another process may have been elected. A report
     that does not count, since it may be the late report of a replaced agent, is
     granted no lease; an agent that returns the ``challenge`` of the response is alive.
+    A process that does not lead names the ``leader`` with that epoch by its address.
     """
 
     is_leader: bool
@@ -210,6 +211,50 @@
     is_counted: bool = True
     challenge: str = ""
     courses: list[MarginCourse] = []  # noqa: RUF012
+    leader: str = ""
+
+
+class StandbyRequest(t.NamedTuple):
+    """An entry's regular request to the leader that it may succeed.
+
+    ``heard_at`` is that of the latest response of the leader with this ``epoch``, 0
+    without one. ``yields`` says that the entry has lost the store, and that it counts
+    the leader's leases in if it is elected soon. One that ``is_leaving`` will not be.
+    """
+
+    name: str
+    epoch: int
+    heard_at: float = 0.0
+    yields: bool = False
+    is_leaving: bool = False
+
+
+class StandbyResponse(t.NamedTuple):
+    """The leader's response to a standby; ``epoch`` is 0 if it does not lead.
+
+    ``heard_at`` is the leader's time, for the next request. ``lacks_store`` asks the
+    standby whether it has lost the store too. ``unknown_left_s`` is the time after
+    which no lease of an earlier leader is left.
+    """
+
+    epoch: int
+    heard_at: float = 0.0
+    lacks_store: bool = False
+    unknown_left_s: float = 0.0
+
+
+class LeaderNotice(t.NamedTuple):
+    """Tells an entry who leads, in case it cannot read that from the store."""
+
+    name: str
+    address: str
+    epoch: int
+
+
+class LeaderNoticeResponse(t.NamedTuple):
+    """The epoch of the leader that the entry knows."""
+
+    epoch: int
 
 
 class StateRequest(t.NamedTuple):
@@ -273,4 +318,6 @@
 STATUS: t.Final = channels.Method("JobStatus", StateRequest, StateResponse)
 SUBMIT: t.Final = channels.Method("JobSubmit", SubmitRequest, SubmitResponse)
 CANCEL: t.Final = channels.Method("JobCancel", CancelRequest, CancelResponse)
+STANDBY: t.Final = channels.Method("Standby", StandbyRequest, StandbyResponse)
+LEADER: t.Final = channels.Method("LeaderNotice", LeaderNotice, LeaderNoticeResponse)
 WAITING: t.Final = channels.Method("JobsWaiting", WaitingRequest, WaitingResponse)
--- a/src/bilberrypass/scheduling/responding.py
+++ b/src/bilberrypass/scheduling/responding.py
@@ -45,7 +45,7 @@
         """Apply a report; the response grants a lease if the agent knows its runner."""
         owner = self._scheduler
         now = clock.now()
-        lease_s = owner.lease_s(now) if report.runner is not None else 0.0
+        lease_s = owner.grants.lease_s(now) if report.runner is not None else 0.0
         host = owner.hosts.get(report.host)
         if host is None:
             owner.unknown_leases_end = max(owner.unknown_leases_end, now + lease_s)
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     estimate_publishing,
     evacuations,
     fleet_clock,
+    grants,
     hosts,
     intake,
     interference,
@@ -45,10 +46,6 @@
 # tasks for 3 s.
 _MAX_INTAKE_AGE_S: t.Final = 2.7
 STORE_CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election lease
-# No lease lasts longer than this after the last response of the store: the next
-# leader waits as long before it restarts the runs of hosts that it cannot reach.
-STORE_CONTACT_TIMEOUT_S: t.Final = 12.0
-_MAX_UNKNOWN_LEASE_S: t.Final = STORE_CONTACT_TIMEOUT_S + 0.3
 
 _open_jobs = prometheus.Gauge("bilberrypass_jobs_open", "Jobs that are not final")
 
@@ -87,6 +84,9 @@
         Returns the sender of orders, given the callback for orders that failed.
     evacuated : evacuations.Evacuations
         The failure domains in which no run may start.
+    earlier_grants_end : float, optional
+        When the leases of earlier schedulers have ended, on ``clock.now``; without it,
+        nothing is known of them.
     """
 
     def __init__(
@@ -99,6 +99,7 @@
         on_leadership_lost: abc.Callable[[str], None],
         make_sender: abc.Callable[[sending.OnSendFailed], sending.OrderSender],
         evacuated: evacuations.Evacuations = evacuations.NONE,
+        earlier_grants_end: float = 0.0,
     ) -> None:
         self.epoch = epoch
         self.cfg = cfg
@@ -118,7 +119,10 @@
         self._intake_read_until = 0.0
         self._elected_at = clock.now()
         # Granted by earlier schedulers, and by this one until it has loaded.
-        self.unknown_leases_end = self._elected_at + _MAX_UNKNOWN_LEASE_S
+        self.unknown_leases_end = earlier_grants_end or grants.unknown_grants_end(
+            self._elected_at
+        )
+        self.grants = grants.Grants(epoch, cfg.lease_s, last_contact_at)
         self._table = table
         self._on_leadership_lost = on_leadership_lost
         self._last_contact_at = last_contact_at
@@ -164,11 +168,6 @@
         """Apply a report; the response grants a lease if the agent knows its runner."""
         return self.responder.respond(report)
 
-    def lease_s(self, now: float) -> float:
-        """Return the duration of a lease granted now."""
-        allowed_s = self._last_contact_at() + STORE_CONTACT_TIMEOUT_S - now
-        return max(0.0, min(self.cfg.lease_s, allowed_s))
-
     @property
     def is_cut_off(self) -> bool:
         """Return whether the store has not responded recently, so another may lead."""
--- a/testing/hosting/test_agent.py
+++ b/testing/hosting/test_agent.py
@@ -236,4 +236,29 @@
         }
 
 
+def test_agent_follows_the_leader_that_a_process_it_reports_to_names():
+    """The store may turn the agent away, and the leader that it had."""
+
+    def deposed(req):
+        return messages.ReportResponse(False, 9, leader=second.address)
+
+    reports = []
+
+    def leading(req):
+        reports.append(req)
+        return messages.ReportResponse(True, 9, lease_s=1.0)
+
+    with _agent() as (running_agent, _):
+        first = channels.Server("127.0.0.1:0", {messages.REPORT: deposed}, threads=2)
+        second = channels.Server("127.0.0.1:0", {messages.REPORT: leading}, threads=2)
+        for server in (first, second):
+            server.start()
+        try:
+            running_agent._set_scheduler(first.address, 8)
+            fixtures.wait_until(lambda: reports, 3.0, "a report to the leader")
+        finally:
+            for server in (first, second):
+                server.stop(0)
+
+
 load_tests = collecting.hook(__name__)
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -4,6 +4,7 @@
 
 from bilberrypass import clock
 from bilberrypass.scheduling import (
+    grants,
     hosts,
     intake,
     messages,
@@ -75,7 +76,7 @@
             cluster.lost_leadership.append,
             lambda on_failed: clusters.RecordingOrderSender(cluster),
         )
-        successor.unknown_leases_end -= scheduler.STORE_CONTACT_TIMEOUT_S  # a slow load
+        successor.unknown_leases_end -= grants.STORE_CONTACT_TIMEOUT_S  # a slow load
         cluster.scheduler = successor
         granted_at = clock.now()
         lease_s = host.report().lease_s
