Let a report without a runner not fail the wait for the next life

Cause: the test read the life of the latest report's runner, and an agent sends a report without a runner while the next life has not stated itself.

Change: such a report does not satisfy the condition, which asks for the same life as before within the same time.

--- a/testing/hosting/test_restart.py
+++ b/testing/hosting/test_restart.py
@@ -98,7 +98,9 @@
 
         def has_begun():
             host.begin_life(_LIFE_AFTER_CLOCK_STEP)
-            return host.reports[-1].runner.life == _LIFE_AFTER_CLOCK_STEP
+            # A report has no runner until the next life has stated itself.
+            info = host.reports[-1].runner
+            return info is not None and info.life == _LIFE_AFTER_CLOCK_STEP
 
         fixtures.wait_until(has_begun, 6.0, "a session with the next life")
 
