--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -8,6 +8,7 @@
 from bilberrypass import clock, crash_limits
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
+    attempt_limits,
     backfilling,
     forecast_publishing,
     full_demands,
@@ -143,10 +144,12 @@
         learned = self._scheduler.durations
         quarantine = self._scheduler.quarantine
         found: list[tuple[ordering.Rank, state.JobState, jobs.Queue]] = []
-        for id, job in self._scheduler.open_jobs.items():
+        for id, job in list(self._scheduler.open_jobs.items()):
             queue = self._scheduler.queue_of(job)
             if queue is None or job.cancelled or job.failed or id in quarantine:
                 continue
+            if attempt_limits.fail_if_spent(self._scheduler, job, queue):
+                continue
             try:
                 rank = ordering.rank(job, queue, now, unix_now, room, learned)
             except Exception as exc:
@@ -184,7 +187,9 @@
                 (started if is_placed else unplaced).append(task)
         if started or not unplaced:
             job.idle_since = 0.0
-        elif self._is_starved(job, now) and not self._is_crowded(usable, queue):
+        elif job.is_idle_for(_STARVED_AFTER_S, now) and not self._is_crowded(
+            usable, queue
+        ):
             started += self._start_starved(unplaced[0], queue, usable, now)
         if started:
             if is_first:
@@ -289,14 +294,6 @@
         self._start_run(task, host, now)
         return True
 
-    def _is_starved(self, job: state.JobState, now: float) -> bool:
-        """Return whether a job that no host accepts has been idle for too long."""
-        if job.has_runs:
-            job.idle_since = 0.0
-            return False
-        job.idle_since = job.idle_since or now
-        return now - job.idle_since >= _STARVED_AFTER_S
-
     def _is_crowded(self, usable: list[hosts.Host], queue: jobs.Queue) -> bool:
         found = self._crowded.get(queue.service)
         if found is None:
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -7,6 +7,7 @@
 from bilberrypass import clock
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
+    attempt_limits,
     crash_counting,
     durations,
     host_figures,
@@ -291,16 +292,14 @@
         self._scheduler.write_progress(job, settle)
 
     def _record_failure(self, host: hosts.Host, task: state.Task) -> None:
+        job = task.job
         task.failures += 1
+        job.most_failures = max(job.most_failures, task.failures)
         task.avoided_host = host.name
         host.record_failure(clock.now())
-        queue = self._scheduler.queue_of(task.job)
-        is_ending = task.job.cancelled or task.job.failed
-        if task.step.is_service or queue is None or is_ending:
-            return
-        if task.failures >= queue.max_attempts:
-            why = f"{task.failures} runs of a task failed"
-            self.fail_job(task.job, why, task=str(task.key), host=host.name)
+        queue = self._scheduler.queue_of(job)
+        if queue is not None and not (job.cancelled or job.failed):
+            attempt_limits.fail_if_spent(self._scheduler, job, queue)
 
     def fail_job(self, job: state.JobState, why: str, **fields: t.Any) -> None:
         """Fail a job, unless it was cancelled, and stop its runs."""
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -383,9 +383,9 @@
         host.sent[order.task, order.run] = hosts.SentOrder(host.agent, clock.now())
         self._orders[host.name].append(order)
 
-    def fail_job(self, job: state.JobState, why: str) -> None:
+    def fail_job(self, job: state.JobState, why: str, **fields: t.Any) -> None:
         """Fail a job, unless it was cancelled, and stop its runs."""
-        self._reconciler.fail_job(job, why)
+        self._reconciler.fail_job(job, why, **fields)
 
     def _stop_run(self, host: hosts.Host, task: state.Task) -> None:
         task.phase = state.Phase.STOPPING
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -165,6 +165,7 @@
     status) and ``idle_since``, since when no task runs and no host accepts one (0 if
     it does). ``finished_at`` is Unix time, for the stored record only.
     ``has_begun`` is set once a runner has begun a task, which an order does not show.
+    ``most_failures`` is the most that a task had, also one that is done by now.
     ``is_unstorable`` is set once the progress was refused for good: only the status is
     stored from then on.
 
@@ -192,6 +193,7 @@
         "idle_since",
         "is_unstorable",
         "job",
+        "most_failures",
         "occurrences",
         "revision",
         "status",
@@ -215,6 +217,7 @@
         self.finished_at = 0.0
         self.final_since = 0.0
         self.idle_since = 0.0
+        self.most_failures = 0
         self.revision = 0
         self.occurrences = occurrences.Occurrences(job, self._make_task)
         self._max_bytes = max_bytes
@@ -237,6 +240,14 @@
         """Return the number of tasks of which a run may exist on a host."""
         return sum(task.is_active for task in self.occurrences.begun_tasks())
 
+    def is_idle_for(self, duration_s: float, now: float) -> bool:
+        """Return whether a job that no host accepts has had no run for so long."""
+        if self.has_runs:
+            self.idle_since = 0.0
+            return False
+        self.idle_since = self.idle_since or now
+        return now - self.idle_since >= duration_s
+
     def eligible_steps(self, now: float) -> abc.Iterator[occurrences.StepProgress]:
         """Yield the steps whose tasks may run at the Unix time ``now``.
 
@@ -324,6 +335,7 @@
             restored = self.occurrences.restore(stored.occurrences, stored.tasks)
         for task, row in restored:
             _restore_task(task, row)
+            self.most_failures = max(self.most_failures, task.failures)
             if task.phase is Phase.DONE and task.step.is_service:
                 task.phase = Phase.WAITING
             elif task.phase is Phase.DONE:
