--- a/src/bilberrypass/crash_limits.py
+++ b/src/bilberrypass/crash_limits.py
@@ -21,6 +21,7 @@
 SUSPECT_SPACING_S: t.Final = 0.5
 MAX_SUSPECTS: t.Final = 4  # that may start on a host within that time
 QUIET_S: t.Final = 0.3  # without a start, before a run that is to be alone
+HOLD_S: t.Final = 1.0  # in which a host becomes quiet, and several rounds begin
 MAX_RESERVED_SHARE: t.Final = 0.25
 
 
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -91,6 +91,8 @@
         )
         self._reserved_for: state.Task | None = None
         self._reserved_until = 0.0
+        self._held_for: state.Task | None = None
+        self._held_until = 0.0
 
     def accept_report(self, report: messages.Report, at: float) -> bool:
         """Record the sender of a report; return False if the report does not count.
@@ -196,10 +198,38 @@
             and (str(task.key), task.run) in self.tasks
         )
 
-    def can_isolate(self, isolation: crash_limits.Isolation, now: float) -> bool:
-        """Return whether a run can start here as far apart from others as it needs."""
-        if self.is_reserved(now):
+    def hold_for(self, task: state.Task, now: float) -> None:
+        """Keep others from starting, so that a run that is to be alone soon can."""
+        self._held_for = task
+        self._held_until = now + crash_limits.HOLD_S
+
+    def is_held_for(self, task: state.Task, now: float) -> bool:
+        """Return whether the host is held for a task, which still waits."""
+        return task is self._held_for and task.is_waiting and now < self._held_until
+
+    def is_held(self, task: state.Task | None, now: float) -> bool:
+        """Return whether the host is held for another task than this one."""
+        held_for = self._held_for
+        if held_for is None or held_for is task:
             return False
+        return self.is_held_for(held_for, now)
+
+    def can_isolate(
+        self,
+        isolation: crash_limits.Isolation,
+        now: float,
+        task: state.Task | None = None,
+        needs_quiet: bool = True,
+    ) -> bool:
+        """Return whether a run can start here as far apart from others as it needs.
+
+        ``task`` is the suspect, None for others. Without ``needs_quiet``, a run that is
+        to be alone may come soon after others.
+        """
+        if self.is_reserved(now) or self.is_held(task, now):
+            return False
+        if isolation is crash_limits.Isolation.ALONE and not needs_quiet:
+            return True
         if isolation is crash_limits.Isolation.ALONE:
             return now - self.last_start_at >= crash_limits.QUIET_S
         if isolation is crash_limits.Isolation.NONE:
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -42,8 +42,11 @@
     is_starved : bool
         Whether a filler may start where it slows services beyond the limit; the
         host's agent then reduces its pace as far as the services need.
-    isolation : crash_limits.Isolation
-        How far the tasks, which may crash their runner, are kept apart from others.
+    suspect : state.Task, optional
+        The only task to be placed, which is kept apart from others as far as it needs
+        if it may crash its runner.
+    needs_quiet : bool
+        Whether a suspect that is to be alone needs a host that started nothing lately.
     guard : room_guard.RoomGuard, optional
         Keeps room for other work; without one, all room may be used.
     """
@@ -57,12 +60,15 @@
         estimates: interference.Estimates,
         now: float,
         is_starved: bool = False,
-        isolation: crash_limits.Isolation = crash_limits.Isolation.NONE,
+        suspect: state.Task | None = None,
         guard: room_guard.RoomGuard | None = None,
+        needs_quiet: bool = True,
     ) -> None:
         self._guard = guard
         self._step, self._key, self._service = step, key, service
-        self._isolation = isolation
+        self._suspect, self._needs_quiet = suspect, needs_quiet
+        crashes = () if suspect is None else suspect.crashes
+        self._isolation = crash_limits.choose_isolation(crashes)
         self._estimates, self._now, self._is_starved = estimates, now, is_starved
         # Negative scores; among equals the first candidate wins.
         self._heap: list[tuple[int, int, hosts.Host]] = []
@@ -124,7 +130,9 @@
         step, runner = self._step, host.runner
         if runner is None or runner.service != self._service:
             return False
-        if not host.can_isolate(self._isolation, self._now):
+        if not host.can_isolate(
+            self._isolation, self._now, self._suspect, self._needs_quiet
+        ):
             return False
         if step.required_label and step.required_label not in runner.labels:
             return False
@@ -141,6 +149,7 @@
     now: float,
     is_starved: bool = False,
     guard: room_guard.RoomGuard | None = None,
+    needs_quiet: bool = True,
 ) -> hosts.Host | None:
     """Return the best host for one task, or None; see ``StepPlacement``.
 
@@ -149,7 +158,6 @@
     one image share hosts, so that fillers can be matched to that image.
     """
     key = jobs.step_key(task.key)
-    isolation = crash_limits.choose_isolation(task.crashes)
     found = StepPlacement(
         task.step,
         key,
@@ -158,8 +166,9 @@
         estimates,
         now,
         is_starved,
-        isolation,
+        task,
         guard,
+        needs_quiet,
     )
     return found.choose(task)
 
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -5,7 +5,7 @@
 
 import prometheus_client as prometheus
 
-from bilberrypass import clock, crash_limits
+from bilberrypass import clock
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     attempt_limits,
@@ -13,6 +13,7 @@
     forecast_publishing,
     full_demands,
     hosts,
+    isolating,
     jobs,
     messages,
     ordering,
@@ -283,12 +284,11 @@
         now: float,
     ) -> bool:
         """Start a task that may crash its runner, apart from others; return success."""
-        isolation = crash_limits.choose_isolation(task.crashes)
-        if isolation is crash_limits.Isolation.ALONE:
-            reserved = sum(host.is_reserved(now) for host in usable)
-            if reserved >= crash_limits.max_reserved_hosts(len(usable)):
-                return False
-        host = self._choose_host(task, queue, usable, now)
+
+        def choose(needs_quiet: bool) -> hosts.Host | None:
+            return self._choose_host(task, queue, usable, now, needs_quiet=needs_quiet)
+
+        host = isolating.choose_host(task, usable, choose, now)
         if host is None:
             return False
         self._start_run(task, host, now)
@@ -331,12 +331,13 @@
         usable: list[hosts.Host],
         now: float,
         is_starved: bool = False,
+        needs_quiet: bool = True,
     ) -> hosts.Host | None:
         owner = backfilling.precedence(task.job, queue)
         guard = self._reservations.guard(task, owner)
         estimates = self._scheduler.estimates
         return placement.choose_host(
-            task, queue.service, usable, estimates, now, is_starved, guard
+            task, queue.service, usable, estimates, now, is_starved, guard, needs_quiet
         )
 
     def _start_run(self, task: state.Task, host: hosts.Host, now: float) -> None:
--- a/testing/scheduling/test_crash_counting.py
+++ b/testing/scheduling/test_crash_counting.py
@@ -1,5 +1,6 @@
 """Tasks that take down their runners, and innocent ones that were beside them."""
 
+import itertools
 import time
 
 import msgspec
@@ -430,6 +431,51 @@
         host.await_orders(1)
 
 
+def _await_start_beside_small_tasks(cluster, host, task):
+    """Let small tasks start and end on a host until a task starts there."""
+    numbers = itertools.count(1)
+
+    def has_started():
+        cluster.submit(STEP, id=f"{next(numbers):016x}")
+        started = {order.task for order in host.execute_orders()}
+        for key, row in list(host.rows.items()):
+            if row.state == clusters.State.RUNNING and key[0] != task:
+                host.end_run(key, "done")
+        host.report()
+        return task in started
+
+    fixtures.wait_until(has_started, 6.0, "the start beside small tasks")
+
+
+def test_last_start_is_not_kept_out_by_small_tasks_that_start_again_and_again():
+    """A lasting task waited for a quiet host, and got none (review/7)."""
+    for step in (STEP, STEP._replace(is_service=True)):
+        with clusters.running_cluster() as cluster, events.recorded() as found:
+            host = cluster.add_host("h1")
+            cluster.submit(step)
+            _crash_runs(cluster, host, 2)
+            lost_at = time.monotonic()
+            _await_start_beside_small_tasks(cluster, host, str(_task(cluster).key))
+            assert time.monotonic() - lost_at < 3.0
+            assert 0 < len(found.named("host.held")) <= 2
+
+
+def test_host_is_held_for_a_suspect_that_still_waits_only():
+    with clusters.running_cluster() as cluster:
+        host = cluster.add_host("h1")
+        cluster.submit(STEP)
+        _crash_runs(cluster, host, 2)
+        held, task = cluster.scheduler.hosts["h1"], _task(cluster)
+        now = clock.now()
+        held.hold_for(task, now)
+        assert held.is_held(None, now) and not held.is_held(task, now)
+        assert not held.is_held(None, now + crash_limits.HOLD_S)
+        cluster.submissions.cancel(JOB, clock.now() + 1)
+        cluster.await_status("cancelled", host)
+        cluster.submit(STEP, id="b" * 16)
+        host.await_orders(1)
+
+
 def test_suspect_prefers_the_host_with_the_fewest_runs():
     with clusters.running_cluster() as cluster:
         busy = cluster.add_host("h1")
