--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -5,7 +5,7 @@
 import typing as t
 
 from bilberrypass import clock
-from bilberrypass.hosting import admission, runner
+from bilberrypass.hosting import admission, runner, settled_runs
 from bilberrypass.scheduling import messages
 
 State = messages.RunState
@@ -15,9 +15,8 @@
 
 # A runner needs up to 0.9 s to stop a run and to list its end.
 _MAX_LISTING_DELAY_S: t.Final = 1.0
-# A sender repeats an unanswered call for a few seconds, and it may arrive later.
-_SETTLED_RETENTION_S: t.Final = 30.0
-_MAX_SETTLED_TASKS: t.Final = 10_000
+# An executed start is listed by each answer after that, on the same machine.
+_START_LISTING_DELAY_S: t.Final = 0.1
 
 
 class Run:
@@ -27,6 +26,8 @@
     snapshot requested after that time can show that the run is missing. ``listed_at``
     is when the first snapshot that lists the run was requested. ``started_at`` is the
     earliest time at which the runner may have begun the run, None if it has not.
+    ``was_unlisted`` is set while the runner has not answered the start, and a later
+    snapshot does not list the run, which so had not begun by then.
     ``begun_clock_ms`` is what the runner's clock showed when the run first was there.
     ``holds_room`` is set from the admission of the start on.
     """
@@ -47,6 +48,7 @@
         "started_at",
         "state",
         "stop_wanted_at",
+        "was_unlisted",
     )
 
     def __init__(self, key: RunKey, state: messages.RunState) -> None:
@@ -65,6 +67,7 @@
         self.started_at: float | None = None
         self.begun_clock_ms: int | None = None
         self.stop_wanted_at: float | None = None
+        self.was_unlisted = False
 
     @property
     def is_final(self) -> bool:
@@ -98,13 +101,6 @@
     strays: list[RunKey]
 
 
-class _SettledRun(t.NamedTuple):
-    """The highest settled run of a task, and the time until which it is kept."""
-
-    run: int
-    kept_until: float
-
-
 def _is_overdue(run: Run, requested_at: float) -> bool:
     """Return whether a snapshot should show the effect of the last answered order."""
     return (
@@ -126,7 +122,7 @@
     def __init__(self, changed: threading.Event) -> None:
         self._lock = threading.Lock()
         self._runs: dict[RunKey, Run] = {}
-        self._settled: dict[str, _SettledRun] = {}  # by task, the oldest first
+        self._settled = settled_runs.SettledRuns()
         self._changed = changed
         self._acknowledged_end = 0
         self._has_strays = False
@@ -146,7 +142,7 @@
                     return None
                 run = self._runs[key] = Run(key, State.STARTING)
                 run.order = order
-                if self._is_settled(key):
+                if key in self._settled:
                     run.state, run.outcome = State.REJECTED, "settled"
                     self._changed.set()
                     return None
@@ -195,6 +191,7 @@
         ``clock_ms`` is the runner's clock at its answer, 0 if it is not known.
         """
         with self._lock:
+            run.was_unlisted = False
             if run.begun_clock_ms is None and clock_ms:
                 run.begun_clock_ms = clock_ms
             if run.state is State.STARTING:
@@ -247,7 +244,7 @@
         with self._lock:
             for key, row in present.items():
                 run = self._runs.get(key)
-                if run is None and self._is_settled(key):
+                if run is None and key in self._settled:
                     # The scheduler has settled the run and does not track it any more.
                     strays.append(key)
                     continue
@@ -262,7 +259,7 @@
                     strays.append(key)
                 elif run.state is State.STARTING:
                     run.state, run.answered_at = State.RUNNING, requested_at
-                run.holds_room = True
+                run.holds_room, run.was_unlisted = True, False
                 if run.listed_at is None:
                     run.listed_at = requested_at
                 if run.started_at is None:
@@ -276,8 +273,10 @@
                     found[end.task, end.run] = end.outcome
             self._has_strays = bool(strays)
             if snapshot.has_all_ends:
+                answered_at = clock.now()
                 for run in self._runs.values():
                     self._check_missing(run, present, requested_at)
+                    self._check_begun(run, present, answered_at)
         return Unexpected(found, strays)
 
     def _record_end(self, end: runner.EndedRun) -> bool:
@@ -305,6 +304,15 @@
             run.state, run.outcome = State.GONE, "missing"
             self._changed.set()
 
+    def _check_begun(
+        self, run: Run, present: abc.Container[RunKey], answered_at: float
+    ) -> None:
+        """Note that a start without an answer has not been executed yet."""
+        is_unanswered = run.state is State.STARTING and run.started_at is not None
+        if is_unanswered and run.key not in present:
+            assert run.started_at is not None
+            run.was_unlisted |= answered_at > run.started_at + _START_LISTING_DELAY_S
+
     def mark_all_gone(self, outcome: str) -> dict[RunKey, messages.RunState]:
         """Set all runs that are not final to GONE, and return their earlier states."""
         live = {}
@@ -330,30 +338,7 @@
                     and run.end_number <= self._acknowledged_end
                 ):
                     del self._runs[key]
-                    self._remember_settled(key)
-
-    def _remember_settled(self, key: RunKey) -> None:
-        task, number = key
-        earlier = self._settled.pop(task, None)
-        if earlier is not None:
-            number = max(number, earlier.run)
-        now = clock.now()
-        self._settled[task] = _SettledRun(number, now + _SETTLED_RETENTION_S)
-        while len(self._settled) > _MAX_SETTLED_TASKS or self._is_oldest_expired(now):
-            del self._settled[next(iter(self._settled))]
-
-    def _is_oldest_expired(self, now: float) -> bool:
-        return self._settled[next(iter(self._settled))].kept_until <= now
-
-    def _is_settled(self, key: RunKey) -> bool:
-        """Return whether a run, or a later one of its task, was settled recently."""
-        task, number = key
-        settled = self._settled.get(task)
-        return (
-            settled is not None
-            and number <= settled.run
-            and settled.kept_until > clock.now()
-        )
+                    self._settled.add(key)
 
     @property
     def acknowledged_end(self) -> int:
@@ -385,7 +370,9 @@
             return [
                 run
                 for run in self._runs.values()
-                if not run.is_final and run.started_at is not None
+                if not run.is_final
+                and run.started_at is not None
+                and not run.was_unlisted
             ]
 
     def live_runs(self) -> list[Run]:
--- a/testing/hosting/test_crash_monitor.py
+++ b/testing/hosting/test_crash_monitor.py
@@ -69,6 +69,52 @@
         assert [run.task for run in _await_crash(current).runs] == [sessions.TASK]
 
 
+def test_start_that_a_hung_runner_never_listed_is_not_blamed():
+    """Its job failed after three crashes, though no runner had begun it (review/6).
+
+    The runner answers polls, and neither executes nor answers starts.
+    """
+    found = runners.Runner()
+
+    def hang(*args):
+        time.sleep(0.05)
+        raise errors.Error(errors.Kind.ANSWER_LOST, "no answer")
+
+    executed, found.start = found.start, hang
+    with sessions.session_with(found) as current:
+        _order_start(current)
+        (run,) = fixtures.wait_until(current.table.live_runs, 2.0, "the run")
+        fixtures.wait_until(lambda: run.was_unlisted, 3.0, "a list without the run")
+        found.start = executed
+        sessions.await_state(current, State.RUNNING)
+        assert [run.key for run in current.table.started_runs()] == [run.key]
+    found = runners.Runner()
+    found.start = hang
+    with sessions.session_with(found) as current:
+        _order_start(current)
+        (run,) = fixtures.wait_until(current.table.live_runs, 2.0, "the run")
+        fixtures.wait_until(lambda: run.was_unlisted, 3.0, "a list without the run")
+        found.has_left = True
+        assert _await_crash(current).runs == []
+
+
+def test_start_that_silenced_its_runner_is_blamed():
+    """A runner that answers nothing after a start may have been taken down by it."""
+    found = runners.Runner()
+
+    def fall_silent(*args):
+        found.is_silent = True
+        raise errors.Error(errors.Kind.ANSWER_LOST, "no answer")
+
+    found.start = fall_silent
+    with sessions.session_with(found) as current:
+        _order_start(current)
+        for _ in fixtures.polls(1.5):
+            assert current.describe_crash() is None
+        found.has_left = True
+        assert [run.task for run in _await_crash(current).runs] == [sessions.TASK]
+
+
 def test_silent_runner_has_not_crashed():
     """A runner that is cut off, or whose host lost power, does not answer at all."""
     found = runners.Runner()
