--- a/src/bilberrypass/scheduling/grants.py
+++ b/src/bilberrypass/scheduling/grants.py
@@ -101,10 +101,12 @@
             until = known.yielded_until
             if req.yields and req.epoch == self._epoch and req.heard_at:
                 until = max(until, req.heard_at + YIELD_S)
+            listed = {n: s for n, s in self._standbys.items() if now <= s.listed_until}
             if req.is_leaving:
-                self._standbys.pop(req.name, None)
+                listed.pop(req.name, None)
             else:
-                self._standbys[req.name] = _Standby(now + LISTED_S, until)
+                listed[req.name] = _Standby(now + LISTED_S, until)
+            self._standbys = listed
         return messages.StandbyResponse(
             self._epoch,
             now,
