--- a/src/bilberrypass/hosting/runs.py
+++ b/src/bilberrypass/hosting/runs.py
@@ -308,9 +308,9 @@
         self, run: Run, present: abc.Container[RunKey], answered_at: float
     ) -> None:
         """Note that a start without an answer has not been executed yet."""
-        is_unanswered = run.state is State.STARTING and run.started_at is not None
-        if is_unanswered and run.key not in present:
-            assert run.started_at is not None
+        if run.state is not State.STARTING or run.key in present:
+            return
+        if run.started_at is not None:
             run.was_unlisted |= answered_at > run.started_at + _START_LISTING_DELAY_S
 
     def mark_all_gone(self, outcome: str) -> dict[RunKey, messages.RunState]:
