Drop what a standby knows of one leader once it follows another

Cause: while releases are mixed, an entry of the earlier one may lead between two of this one. It extends its leases without consent and writes no term, so that the next leader could take its predecessor's predecessor for the last one. Found by reading.

Change: a listing counts until its entry follows another leader.

Result: scheduling.test_succession, test_standby_that_followed_a_later_leader_counts_on_no_earlier_one, fails without the change and passes with it.

--- a/src/bilberrypass/scheduling/succession.py
+++ b/src/bilberrypass/scheduling/succession.py
@@ -57,8 +57,9 @@
     def make_request(self, epoch: int, has_lost_store: bool) -> messages.StandbyRequest:
         """Return the next request to a leader, and remember if it yields."""
         with self._lock:
-            found = self._listing
-            heard_at = found.heard_at if found and found.epoch == epoch else 0.0
+            if self._listing is not None and self._listing.epoch != epoch:
+                self._listing = None  # an entry of an earlier release may list none
+            heard_at = self._listing.heard_at if self._listing else 0.0
             # The bound of an election that was won already counts no later consent.
             yields = has_lost_store and epoch > self._own_epoch
             if yields:
--- a/testing/scheduling/test_succession.py
+++ b/testing/scheduling/test_succession.py
@@ -162,6 +162,15 @@
         assert known.is_informed(7) and not known.is_informed(8)
 
 
+def test_standby_that_followed_a_later_leader_counts_on_no_earlier_one():
+    """One of an earlier release extends its leases without consent, and lists none."""
+    with _clock_at(50.0):
+        known = succession.Succession("e1", LEASE_S)
+        known.record_response(49.0, messages.StandbyResponse(7, 10.0))
+        known.make_request(8, False)
+        assert known.begin_leading(9, 7) == grants.unknown_grants_end(50.0)
+
+
 def test_second_successor_counts_the_leases_before_the_first():
     """Two changes of the leader in a row, the first after an outage with consent."""
     world, leader, _ = _world()
