--- a/testing/scheduling/test_attempt_limits.py
+++ b/testing/scheduling/test_attempt_limits.py
@@ -8,13 +8,16 @@
 Verb = clusters.Verb
 
 
-def _fail_run(host):
-    """Wait for one order to start, and let its run fail."""
+def _start(host):
+    """Wait for one order to start, execute it, and return the run."""
     host.await_orders(1)
     (order,) = (o for o in host.execute_orders() if o.verb == Verb.START)
-    number = host.end_run((order.task, order.run), "failed")
+    return order.task, order.run
+
+
+def _fail(host, key):
+    number = host.end_run(key, "failed")
     fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "the end's note")
-    return order
 
 
 def _assert_no_start(host):
@@ -28,13 +31,10 @@
     with clusters.running_cluster(max_attempts=2) as cluster:
         host, table = cluster.add_host("h1"), cluster.table
         cluster.submit(STEP)
-        _fail_run(host)
-        host.await_orders(1)
-        host.execute_orders()
+        _fail(host, _start(host))
+        key = _start(host)
         cluster.table = clusters.queues.RouteTable(table.config._replace(routes=()))
-        (key,) = host.rows
-        number = host.end_run(key, "failed")
-        fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "its note")
+        _fail(host, key)
         _assert_no_start(host)
         cluster.table = table
         cluster.await_status("failed", host)
@@ -45,10 +45,8 @@
     with clusters.running_cluster(max_attempts=3) as cluster:
         host = cluster.add_host("h1")
         cluster.submit(STEP)
-        _fail_run(host)
-        host.await_orders(1)
-        host.execute_orders()
-        (key,) = host.rows
+        _fail(host, _start(host))
+        key = _start(host)
         host.is_draining = True  # keeps the task waiting
         host.end_run(key, "failed")
         host.report()
@@ -63,12 +61,9 @@
     with clusters.running_cluster(max_attempts=1) as cluster:
         host, table = cluster.add_host("h1"), cluster.table
         cluster.submit(STEP)
-        host.await_orders(1)
-        host.execute_orders()
+        key = _start(host)
         cluster.table = None
-        (key,) = host.rows
-        number = host.end_run(key, "failed")
-        fixtures.wait_until(lambda: host.report().noted >= number, 5.0, "its note")
+        _fail(host, key)
         cluster.elect_scheduler()
         cluster.table = table
         cluster.await_status("failed", host)
@@ -79,10 +74,8 @@
     with clusters.running_cluster(max_attempts=3) as cluster:
         host = cluster.add_host("h1")
         cluster.submit(STEP, STEP._replace(after=(0,)))
-        _fail_run(host)
-        host.await_orders(1)
-        host.execute_orders()
-        (key,) = host.rows
+        _fail(host, _start(host))
+        key = _start(host)
         cluster.table = clusters.table(max_attempts=1)
         host.end_run(key, "done")
         (order,) = host.await_orders(1)
@@ -94,9 +87,11 @@
         host = cluster.add_host("h1")
         cluster.submit(STEP._replace(is_service=True))
         for _ in range(3):
-            _fail_run(host)
+            _fail(host, _start(host))
         cluster.table = clusters.table(max_attempts=1)
-        assert _fail_run(host).run == 4
+        key = _start(host)
+        assert key[1] == 4
+        _fail(host, key)
         host.await_orders(1)
 
 
