Let a late departure delist no later process of an entry

Cause: a leader dropped a standby by its name. A departure that arrives after the entry has started again took the new process off the list, which counts on being asked for its consent; a lease could then outlast what it waits for once elected. Found by reading, not seen.

Change: a departure counts only if it answers the latest response that the entry got.

--- a/src/bilberrypass/scheduling/grants.py
+++ b/src/bilberrypass/scheduling/grants.py
@@ -38,10 +38,11 @@
 
 
 class _Standby(t.NamedTuple):
-    """When a standby counts as gone, and until when it has yielded."""
+    """Until when a standby is listed and has yielded, and when it was last answered."""
 
     listed_until: float
     yielded_until: float
+    answered_at: float
 
 
 @t.final
@@ -93,19 +94,20 @@
         """List a standby, and take its consent if it yields.
 
         Its consent counts from the response that the request answers, so that a late
-        request extends nothing.
+        request extends nothing. A departure counts if it answers the latest response:
+        that of an earlier process of the entry may be late.
         """
         now = clock.now()
         with self._lock:
-            known = self._standbys.get(req.name, _Standby(0.0, 0.0))
+            known = self._standbys.get(req.name, _Standby(0.0, 0.0, 0.0))
             until = known.yielded_until
             if req.yields and req.epoch == self._epoch and req.heard_at:
                 until = max(until, req.heard_at + YIELD_S)
             listed = {n: s for n, s in self._standbys.items() if now <= s.listed_until}
-            if req.is_leaving:
+            if not req.is_leaving:
+                listed[req.name] = _Standby(now + LISTED_S, until, now)
+            elif req.heard_at >= known.answered_at:
                 listed.pop(req.name, None)
-            else:
-                listed[req.name] = _Standby(now + LISTED_S, until)
             self._standbys = listed
         return messages.StandbyResponse(
             self._epoch,
--- a/testing/scheduling/test_succession.py
+++ b/testing/scheduling/test_succession.py
@@ -104,6 +104,22 @@
     assert _latest_end(world, epoch) > world.now + LEASE_S / 2
 
 
+def test_late_departure_of_an_earlier_process_delists_no_later_one():
+    """The later process would count on being asked for its consent."""
+    with _clock_at(50.0):
+        granting = grants.Grants(7, LEASE_S, lambda: 44.0)
+        known = succession.Succession("e1", LEASE_S)
+        first = granting.respond(known.make_request(7, False), 0.0)
+        known.record_response(50.0, first)
+        known.leave()
+        late = known.make_request(7, False)
+    with _clock_at(51.0):
+        restarted = succession.Succession("e1", LEASE_S)
+        granting.respond(restarted.make_request(7, False), 0.0)
+        granting.respond(late, 0.0)
+        assert granting.lease_s(51.0) == 0.0
+
+
 def test_standby_that_left_counts_on_nothing():
     """The leader does not ask it for consent any more."""
     world, leader, (left, _) = _world()
