Keep a notice to the earlier leader while it is pending

Cause: a standby's thread that had read the earlier leader just before its entry was elected cleared the notice to that leader, which then went on until its leases ended. Found by reading, not seen.

Change: a notice is sent while the entry leads, and dropped once it is known or over.

Result: scheduling.test_standby and scheduling.test_entry pass; no test brings the race about.

--- a/src/bilberrypass/scheduling/standby.py
+++ b/src/bilberrypass/scheduling/standby.py
@@ -118,11 +118,11 @@
     def _run(self) -> None:
         while not self._stopping.wait(_REQUEST_INTERVAL_S):
             leader = self._followed_leader()
+            pending = self._notice
             if leader is not None:
-                self._notice = None
                 self._send_request(leader)
-            elif self._notice is not None:
-                self._send_notice(self._notice)
+            elif pending is not None and self._current() is not None:
+                self._send_notice(pending)
 
     def _followed_leader(self) -> election.Leader | None:
         """Return the leader if it is another entry."""
@@ -171,5 +171,6 @@
             is_known = False
         else:
             is_known = response.epoch >= pending.notice.epoch
-        if is_known or clock.now() > pending.until:
+        is_over = is_known or clock.now() > pending.until
+        if is_over and self._notice is pending:
             self._notice = None
