Let the runner of the third review have labels and many short runs

Cause: two cases need a runner with a label, and one of them ten thousand runs. Change: the runner sends its reports itself, with labels, and one thread ends the runs of a life.

--- a/review/standins3/runner.py
+++ b/review/standins3/runner.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import heapq
 import socket
 import threading
 import time
@@ -15,6 +16,7 @@
 from testing.standins import link, runhttp, runners
 
 _REPORT_INTERVAL_S = 1.5
+_END_INTERVAL_S = 0.01
 _MAX_LEASE_MS = 6_000  # hold_max_ms
 _THREADS = 24
 _MAX_BODY_BYTES = 4 << 20
@@ -33,26 +35,30 @@
     """
 
     def __init__(self, born, name, record, duration_s):
-        super().__init__(born, max_lease_ms=_MAX_LEASE_MS)
+        super().__init__(born, max_runs=100_000, max_lease_ms=_MAX_LEASE_MS)
         self._name, self._record, self._task_s = name, record, duration_s
-        self._begun_at, self.outcomes = {}, []
+        self._begun_at, self.outcomes, self._due = {}, [], []
         self.is_up = True
         self.on_started = self._on_started
+        threading.Thread(target=self._end_due_runs, daemon=True).start()
 
     def _on_started(self, task):
-        run = max(run for name, run in self.running if name == task)
+        _, run = next(reversed(self.running))
         self._begun_at[task, run] = time.monotonic()
         self._record.write("run started", runner=self._name, task=task, run=run)
         duration_s = self._task_s(task)
         if duration_s is not None:
-            timer = threading.Timer(duration_s, self._finish, (task, run))
-            timer.daemon = True
-            timer.start()
-
-    def _finish(self, task, run):
-        with self._lock:
-            if self.is_up and (task, run) in self.running:
-                self._end((task, run), "done")
+            due = (time.monotonic() + duration_s, task, run)
+            heapq.heappush(self._due, due)
+
+    def _end_due_runs(self):
+        while self.is_up:
+            time.sleep(_END_INTERVAL_S)
+            with self._lock:
+                while self._due and self._due[0][0] <= time.monotonic():
+                    key = heapq.heappop(self._due)[1:]
+                    if key in self.running:
+                        self._end(key, "done")
 
     def _end(self, key, outcome):
         if self.is_up:
@@ -90,11 +96,16 @@
         Returns the seconds that a run of a task takes, or None if it lasts.
     cpu_milli : int
         Its capacity.
+    labels : sequence of str
+        Its kind, its rack and further labels.
     """
 
-    def __init__(self, record, name, control, duration_s, cpu_milli=64_000):
+    def __init__(
+        self, record, name, control, duration_s, cpu_milli=64_000, labels=("a", "r1")
+    ):
         self.name, self._record, self._control = name, record, control
         self._duration_s, self._cpu_milli = duration_s, cpu_milli
+        self._labels = list(labels)
         self._port = _free_port()
         self.address = f"127.0.0.1:{self._port}"
         self._listeners, self._lives, self._link = [], [], None
@@ -150,18 +161,30 @@
             if self.is_up:
                 self._sequence += 1
                 with contextlib.suppress(urllib3.exceptions.HTTPError):
-                    runhttp.send_report(
-                        self._control,
-                        self.name,
-                        self.address,
-                        self._born,
-                        self._sequence,
-                        cpu_milli=self._cpu_milli,
-                        timeout=1.0,
-                        retries=False,
-                    )
+                    self._send_report()
             self._due.wait(_REPORT_INTERVAL_S)
 
+    def _send_report(self):
+        body = {
+            "service": "planner",
+            "address": self.address,
+            "zone": "penang-a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {
+                "cpu": self._cpu_milli,
+                "task_memory_mb": 256_000,
+                "gpu": 0,
+            },
+            "labels": self._labels,
+            "born": self._born,
+            "sequence": self._sequence,
+        }
+        url = f"http://{self._control}/api/instances/{self.name}"
+        urllib3.request("PUT", url, json=body, timeout=1.0, retries=False)
+
     def stop(self):
         """Stop the reports, and all lives of the runner."""
         self._stopping.set()
