End all processes of a review script that could not start

Cause: the harness ended its processes only once its context had been entered; the first trial, whose entries never became ready, left five processes and the store behind. Change: a failed start ends them as well.

--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -220,6 +220,14 @@
         return f"{self._base}.{number}"
 
     def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def _start(self):
         if not (ROOT / "target" / "deps").is_dir():
             raise CannotRun("target/deps is missing: run the build of the deploy file")
         self._start_store()
@@ -233,7 +241,6 @@
         for program in (*self.entries, *self.agents):
             program.start()
         await_true(lambda: all(e.is_ready() for e in self.entries), 40, "the entries")
-        return self
 
     def __exit__(self, *_):
         for program in (*self.entries, *self.agents):
