--- a/benchmarks/open_tasks.py
+++ b/benchmarks/open_tasks.py
@@ -2,15 +2,18 @@
 
     python -m benchmarks.open_tasks memory
     python -m benchmarks.open_tasks progress
+    python -m benchmarks.open_tasks held
     python -m benchmarks.open_tasks load
 
 Prints the points, and the line of least squares through them. ``load`` elects a
-scheduler over a store in memory that holds the jobs.
+scheduler over a store in memory that holds the jobs. ``held`` shows what the budget of
+open work counts (``scheduling/work_budget.py``).
 """
 
 import argparse
 import collections.abc as abc
 import contextlib
+import functools
 import gc
 import io
 import time
@@ -18,7 +21,15 @@
 
 from benchmarks import measuring
 from bilberrypass import clock
-from bilberrypass.scheduling import committing, intake, jobs, state, stored_progress
+from bilberrypass.scheduling import (
+    committing,
+    hosts,
+    intake,
+    jobs,
+    state,
+    stored_progress,
+    work_budget,
+)
 from testing.scheduling import clusters, job_tasks
 from testing.standins import keyvalues
 
@@ -57,7 +68,7 @@
     return job_state
 
 
-def _memory_of(make: abc.Callable[[], state.JobState]) -> int:
+def _memory_of(make: abc.Callable[[], object]) -> int:
     tracemalloc.start()
     try:
         kept = make()
@@ -92,6 +103,56 @@
     _print_line("bytes of a job by running tasks", by_open)
 
 
+def _between_steps(steps: int, times: int, has_distinct: bool) -> state.JobState:
+    """Return a job whose occurrences all wait for their second step.
+
+    With ``has_distinct``, no two are as far in the first step, and a task is left.
+    """
+    step = _STEP._replace(count=times + 1 if has_distinct else 1)
+    chain = (step, *(step._replace(after=(n,)) for n in range(steps - 1)))
+    job = jobs.Job("a" * 16, "", "", chain, 0.0, times, _DUE_AT, 0.0)
+    job_state = state.JobState(job, 0.0)
+    for number in range(times):
+        index = number if has_distinct else 0
+        job_state.begin_task(
+            state.Task(job_state, jobs.TaskKey(job.id, number, 0, index), step)
+        )
+        for task in list(job_state.occurrences.begun_tasks()):
+            job_state.finish_task(task)
+    return job_state
+
+
+def _run_on_host(count: int) -> tuple[state.JobState, hosts.Host]:
+    job_state = state.JobState(_job("a" * 16, count, 1), 0.0)
+    host = hosts.Host("side-zone-a-101", 0.0)
+    for number, task in enumerate(_begin_due(job_state, _DUE_AT)):
+        task.host, task.started_at = host.name, clock.now()
+        host.add(task)
+        host.sent[str(task.key), 1] = hosts.SentOrder(1 << 41, clock.now())
+        task.progress.observe(number % 100, 100, clock.now())
+    return job_state, host
+
+
+def _measure_held() -> None:
+    for has_distinct in (False, True):
+        points = [
+            (
+                steps,
+                _memory_of(functools.partial(_between_steps, steps, 500, has_distinct)),
+            )
+            for steps in (2, 8, 64)
+        ]
+        shown = [(steps, held / 500) for steps, held in points]
+        kind = "distinct" if has_distinct else "alike"
+        _print_line(f"bytes of an open occurrence by steps, {kind}", shown)
+    counted = [(n, work_budget.occurrence_bytes(n)) for n in (2, 8, 64)]
+    _print_line("counted for an occurrence", counted)
+    by_tasks = [
+        (count, _memory_of(lambda n=count: _run_on_host(n))) for count in (10, 5_000)
+    ]
+    _print_line(f"bytes by tasks on a host, {work_budget.TASK_BYTES} counted", by_tasks)
+
+
 def _measure_progress() -> None:
     by_ran = [
         (times * 100, len(_play("a" * 16, times, 100, 50).encode()))
@@ -161,11 +222,12 @@
 def main() -> None:
     """Print one block for what is asked."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=["memory", "progress", "load"])
+    parser.add_argument("what", choices=["memory", "progress", "held", "load"])
     what = parser.parse_args().what
     measures = {
         "memory": _measure_memory,
         "progress": _measure_progress,
+        "held": _measure_held,
         "load": _measure_load,
     }
     measures[what]()
--- a/src/bilberrypass/scheduling/intake.py
+++ b/src/bilberrypass/scheduling/intake.py
@@ -298,7 +298,9 @@
                     for item in listing.items:
                         self._dispatch(item.key, item.value)
                 self._on_read(sent_at)
-                self._watch(listing.revision)
+                revision = listing.revision
+                del listing  # the watch takes long
+                self._watch(revision)
             except errors.Error as exc:
                 self._store_reads.failed(exc)
                 self._stopping.wait(_RETRY_INTERVAL_S)
--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -6,7 +6,14 @@
 import prometheus_client as prometheus
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, jobs, room_plan, state, wait_figures
+from bilberrypass.scheduling import (
+    hosts,
+    jobs,
+    room_plan,
+    state,
+    wait_figures,
+    work_budget,
+)
 
 _LOG_INTERVAL_S: t.Final = 2.0  # 30 lines a minute
 _FULL_PACE_PERCENT: t.Final = 100
@@ -42,10 +49,15 @@
     ----------
     waits : wait_figures.FirstStartWaits
         The waits of the jobs that have started.
+    budget : work_budget.WorkBudget
+        What all jobs hold.
     """
 
-    def __init__(self, waits: wait_figures.FirstStartWaits) -> None:
+    def __init__(
+        self, waits: wait_figures.FirstStartWaits, budget: work_budget.WorkBudget
+    ) -> None:
         self._waits = waits
+        self._budget = budget
         self._next_at = 0.0
 
     def tick(
@@ -63,6 +75,7 @@
             "scheduler.load",
             **_job_figures(jobs, unix_now),
             **_host_figures(fleet, now),
+            **self._budget.figures(),
             largest_gaps=_observe_gaps(fleet, now),
             waits={
                 queue: [round(mean_s, 2) for mean_s in waits]
--- a/src/bilberrypass/scheduling/loading.py
+++ b/src/bilberrypass/scheduling/loading.py
@@ -1,8 +1,20 @@
 """Restores the jobs of a new scheduler from the stored state."""
 
 import time
+import typing as t
 
-from bilberrypass.scheduling import committing, intake, job_quarantine, jobs, state
+from bilberrypass.observing import decisions
+from bilberrypass.scheduling import (
+    committing,
+    intake,
+    job_quarantine,
+    jobs,
+    state,
+    work_budget,
+)
+
+if t.TYPE_CHECKING:
+    from bilberrypass.scheduling import scheduler
 
 
 def accepted_at(job: jobs.Job, now: float, not_before: float) -> float:
@@ -22,6 +34,7 @@
     quarantine: job_quarantine.JobQuarantine,
     now: float,
     max_bytes: int,
+    budget: work_budget.WorkBudget,
 ) -> dict[str, state.JobState]:
     """Return the states of all jobs that can be restored; set the others aside.
 
@@ -36,6 +49,8 @@
         Time on ``clock.now``.
     max_bytes : int
         Limit of a value in the store.
+    budget : work_budget.WorkBudget
+        Counts what the jobs hold.
     """
     progress = {
         item.key.removeprefix(committing.PROGRESS_PREFIX): item
@@ -43,14 +58,27 @@
     }
     restored = {}
     for job in initial.jobs:
+        job_state = state.JobState(job, accepted_at(job, now, 0.0), max_bytes, budget)
         try:
-            job_state = state.JobState(job, accepted_at(job, now, 0.0), max_bytes)
-            item = progress.get(job.id)
+            item = progress.pop(job.id, None)
             if item is not None:
                 job_state.restore(item.value, item.revision, now)
                 job_state.drop_tasks_if_final()
         except Exception as exc:
+            job_state.release()
             quarantine.add(job.id, "stored progress", exc)
         else:
             restored[job.id] = job_state
     return restored
+
+
+def record_loaded(owner: "scheduler.Scheduler", took_s: float) -> None:
+    """Log what a scheduler has loaded, and the memory that it counts for that."""
+    decisions.record(
+        "scheduler.loaded",
+        epoch=owner.epoch,
+        jobs=len(owner.jobs),
+        open=len(owner.open_jobs),
+        took_s=round(took_s, 3),
+        **owner.budget.figures(),
+    )
--- a/src/bilberrypass/scheduling/occurrences.py
+++ b/src/bilberrypass/scheduling/occurrences.py
@@ -1,65 +1,19 @@
 """The occurrences of a job, of which only the open ones take memory."""
 
+import collections
 import collections.abc as abc
 import typing as t
 
-from bilberrypass.scheduling import jobs, stored_progress
+from bilberrypass.scheduling import jobs, step_progress, stored_progress
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import state
 
-MakeTask = abc.Callable[[jobs.TaskKey, jobs.Step], "state.Task"]
+_NO_TASKS: t.Final[abc.Mapping[int, "state.Task"]] = {}
 
 
-@t.final
-class StepProgress:
-    """The tasks of one step in one occurrence of a job.
-
-    Tasks begin in the order of their index, and are dropped when they are done, so that
-    memory is needed for open tasks only. ``tasks`` maps the indices of those that have
-    begun and are not done; all others before ``next_index`` are done.
-
-    Parameters
-    ----------
-    key : jobs.StepKey
-        The job, the occurrence and the number of the step.
-    step : jobs.Step
-        What the tasks need.
-    make_task : callable
-        Returns a new task.
-    """
-
-    __slots__ = ("_make_task", "key", "next_index", "step", "tasks")
-
-    def __init__(self, key: jobs.StepKey, step: jobs.Step, make_task: MakeTask) -> None:
-        self.key, self.step, self._make_task = key, step, make_task
-        self.next_index = 0
-        self.tasks: dict[int, state.Task] = {}
-
-    @property
-    def open_count(self) -> int:
-        """The number of tasks that are not done."""
-        return self.fresh_count + len(self.tasks)
-
-    @property
-    def fresh_count(self) -> int:
-        """The number of tasks that have not begun."""
-        return self.step.count - self.next_index
-
-    def make_task(self, index: int) -> "state.Task":
-        """Return a new object for a task, which has not begun."""
-        return self._make_task(jobs.TaskKey(*self.key, index), self.step)
-
-    def add(self, task: "state.Task") -> None:
-        """Keep a task, and those before it that have not begun."""
-        index = task.key.index
-        for skipped in range(self.next_index, index):
-            self.tasks[skipped] = self.make_task(skipped)
-        self.next_index = max(self.next_index, index + 1)
-        self.tasks[index] = task
-
-
-Steps = tuple[StepProgress, ...]
+# The begun tasks of one occurrence by step and index; steps without any are left out.
+_TasksBySteps = dict[int, dict[int, "state.Task"]]
 
 
 @t.final
@@ -77,43 +31,62 @@
         Returns a new task of it.
     """
 
-    __slots__ = ("_job", "_make_task", "_open", "_upcoming", "next")
+    __slots__ = ("_job", "_make_task", "_open", "_shapes", "_tasks", "next")
 
-    def __init__(self, job: jobs.Job, make_task: MakeTask) -> None:
+    def __init__(self, job: jobs.Job, make_task: step_progress.MakeTask) -> None:
         self._job = job
         self._make_task = make_task
         self.next = 0
-        self._open: dict[int, Steps] = {}
-        self._upcoming: Steps = ()  # of the next occurrence, once it is due
+        self._open: dict[int, step_progress.Shape] = {}
+        self._tasks: dict[int, _TasksBySteps] = {}
+        self._shapes = step_progress.Shapes(job.steps)
 
     @property
     def total(self) -> int:
         """The number of all occurrences."""
         return max(1, self._job.repetitions)
 
+    @property
+    def open_occurrences(self) -> int:
+        """The number of occurrences that have begun and are not done."""
+        return len(self._open)
+
     @property
     def has_open_tasks(self) -> bool:
         """Whether a task is not done."""
         return bool(self._open) or self.next < self.total
 
-    def _open_steps(self) -> abc.Iterator[StepProgress]:
-        for steps in self._open.values():
-            yield from steps
-
     def begun_tasks(self) -> abc.Iterator["state.Task"]:
         """Yield the tasks that have begun and are not done."""
-        for step in self._open_steps():
-            yield from step.tasks.values()
+        for by_step in self._tasks.values():
+            for tasks in by_step.values():
+                yield from tasks.values()
+
+    def _read_step(
+        self, occurrence: int, number: int, shape: step_progress.Shape
+    ) -> step_progress.StepProgress:
+        by_step = self._tasks.get(occurrence)
+        return step_progress.StepProgress(
+            (self._job.id, occurrence, number),
+            self._job.steps[number],
+            shape.next_indices[number],
+            _NO_TASKS if by_step is None else by_step.get(number, _NO_TASKS),
+            self._make_task,
+        )
 
-    def find_step(self, occurrence: int, number: int) -> StepProgress | None:
+    def find_step(
+        self, occurrence: int, number: int
+    ) -> step_progress.StepProgress | None:
         """Return a step of an occurrence that has begun and is not done, or None."""
-        steps = self._open.get(occurrence, ())
-        return steps[number] if 0 <= number < len(steps) else None
+        shape = self._open.get(occurrence)
+        if shape is None or not 0 <= number < len(self._job.steps):
+            return None
+        return self._read_step(occurrence, number, shape)
 
     def find_task(self, key: jobs.TaskKey) -> "state.Task | None":
         """Return a task that has begun and is not done, or None."""
-        step = self.find_step(key.occurrence, key.step)
-        return None if step is None else step.tasks.get(key.index)
+        by_step = self._tasks.get(key.occurrence, {})
+        return by_step.get(key.step, _NO_TASKS).get(key.index)
 
     def first_open(self) -> int:
         """Return the first occurrence with a task that is not done, 0 without any."""
@@ -129,20 +102,29 @@
         is_fresh = self.next <= occurrence < self.total
         return self._job.steps[number].count if is_fresh else 0
 
+    def _fresh_counts(self) -> list[int]:
+        """Return how many tasks of each step have not begun in open occurrences."""
+        counts = [0] * len(self._job.steps)
+        for shape, alike in collections.Counter(self._open.values()).items():
+            for number, next_index in enumerate(shape.next_indices):
+                counts[number] += alike * (self._job.steps[number].count - next_index)
+        return counts
+
     def count_open_tasks(self) -> int:
         """Return the number of tasks that are not done, in all occurrences."""
         each = sum(step.count for step in self._job.steps)
-        begun = sum(step.open_count for step in self._open_steps())
-        return begun + (self.total - self.next) * each
+        begun = sum(1 for _ in self.begun_tasks())
+        return begun + sum(self._fresh_counts()) + (self.total - self.next) * each
 
     def waiting_counts(self, now: float) -> abc.Iterator[tuple[jobs.Step, int]]:
         """Yield steps with the number of their tasks that wait at a Unix time."""
-        for found in self._open_steps():
-            waiting = sum(task.is_waiting for task in found.tasks.values())
-            yield found.step, found.fresh_count + waiting
         fresh = max(0, self._count_due(now) - self.next)
-        for step in self._job.steps if fresh else ():
-            yield step, fresh * step.count
+        waiting = collections.Counter(
+            task.key.step for task in self.begun_tasks() if task.is_waiting
+        )
+        for number, in_open in enumerate(self._fresh_counts()):
+            step = self._job.steps[number]
+            yield step, in_open + waiting[number] + fresh * step.count
 
     def _count_due(self, now: float) -> int:
         """Return how many occurrences are due at a Unix time."""
@@ -159,61 +141,101 @@
         """Return the Unix time before which an occurrence may not start."""
         return self._job.first_run_at + occurrence * self._job.interval_s
 
-    def eligible_steps(self, now: float) -> abc.Iterator[StepProgress]:
+    def eligible_steps(
+        self, now: float, passed: abc.Container[int] = ()
+    ) -> abc.Iterator[step_progress.StepProgress]:
         """Yield the steps whose tasks may run at the Unix time ``now``.
 
         An occurrence follows only if the caller has begun a task of the one before it.
+
+        Parameters
+        ----------
+        now : float
+            Unix time.
+        passed : container of int, optional
+            Steps that are left out where none of their tasks has begun; the caller may
+            add to it meanwhile.
         """
-        for steps in list(self._open.values()):
-            yield from _unblocked(steps)
+        for occurrence, shape in list(self._open.items()):
+            by_step = self._tasks.get(occurrence)
+            numbers = shape.eligible
+            if by_step is not None:
+                numbers = self._shapes.eligible(shape.next_indices, by_step)
+            for number in numbers:
+                if number not in passed or (by_step and number in by_step):
+                    yield self._read_step(occurrence, number, shape)
         while self.next < self.total:
             upcoming = self.next
             if self._job.repetitions and now < self.due_at(upcoming):
                 return
-            self._upcoming = self._upcoming or self._make_steps(upcoming)
-            yield from _unblocked(self._upcoming)
+            shape = self._shapes.fresh()
+            for number in shape.eligible:
+                if number not in passed:
+                    yield self._read_step(upcoming, number, shape)
             if self.next == upcoming:
                 return
 
-    def _make_steps(self, occurrence: int) -> Steps:
-        return tuple(
-            StepProgress((self._job.id, occurrence, number), step, self._make_task)
-            for number, step in enumerate(self._job.steps)
-        )
+    def begin_task(self, task: "state.Task") -> int:
+        """Keep a task from its first run on, and those before it that have not begun.
 
-    def begin_task(self, task: "state.Task") -> bool:
-        """Keep a task from its first run on; return False if it had begun before."""
-        occurrence = task.key.occurrence
+        Returns
+        -------
+        int
+            How many tasks are kept that were not, 0 if this one had begun before.
+        """
+        occurrence, number, index = task.key[1:]
         if occurrence == self.next:
-            self._open[occurrence] = self._upcoming or self._make_steps(occurrence)
-            self._upcoming = ()
+            self._open[occurrence] = self._shapes.fresh()
             self.next += 1
-        step = self._open[occurrence][task.key.step]
-        if task.key.index < step.next_index:
+        next_indices = self._open[occurrence].next_indices
+        next_index = next_indices[number]
+        if index < next_index:
+            return 0
+        tasks = self._tasks.setdefault(occurrence, {}).setdefault(number, {})
+        for skipped in range(next_index, index):
+            key = task.key._replace(index=skipped)
+            tasks[skipped] = self._make_task(key, self._job.steps[number])
+        tasks[index] = task
+        changed = list(next_indices)
+        changed[number] = index + 1
+        self._open[occurrence] = self._shapes.find(tuple(changed))
+        self._shapes.forget_unused(self._open.values())
+        return index + 1 - next_index
+
+    def finish_task(self, task: "state.Task") -> bool:
+        """Drop a task that is done; return whether it was the last of its occurrence.
+
+        Raises
+        ------
+        KeyError
+            The task has not begun, or was done before.
+        """
+        occurrence, number, index = task.key[1:]
+        by_step = self._tasks[occurrence]
+        del by_step[number][index]
+        if not by_step[number]:
+            del by_step[number]
+        if by_step:
+            return False
+        del self._tasks[occurrence]
+        if self._open[occurrence].eligible:
             return False
-        step.add(task)
+        del self._open[occurrence]
         return True
 
-    def finish_task(self, task: "state.Task") -> None:
-        """Drop a task that is done."""
-        occurrence = task.key.occurrence
-        steps = self._open[occurrence]
-        del steps[task.key.step].tasks[task.key.index]
-        if not any(step.open_count for step in steps):
-            del self._open[occurrence]
-
     def clear(self) -> None:
         """Drop all tasks of a job that has ended."""
         self._open.clear()
-        self._upcoming = ()
+        self._tasks.clear()
+        self._shapes.clear()
 
     def to_stored(self) -> stored_progress.StoredOccurrences:
         """Return what is stored of the occurrences, without the tasks."""
         return stored_progress.StoredOccurrences(
             self.next,
             [
-                stored_progress.StoredOccurrence(n, [step.next_index for step in steps])
-                for n, steps in self._open.items()
+                stored_progress.StoredOccurrence(number, shape.next_indices)
+                for number, shape in self._open.items()
             ],
         )
 
@@ -232,20 +254,32 @@
         if not 0 <= stored.next <= self.total:
             raise ValueError(f"{stored.next} of {self.total} occurrences have begun")
         self.next = stored.next
+        steps = self._job.steps
         for number, next_indices in stored.open:
             if not 0 <= number < self.next:
                 raise ValueError(f"occurrence {number} is open and has not begun")
-            steps = self._open[number] = self._make_steps(number)
             for step, next_index in zip(steps, next_indices, strict=True):
-                if not 0 <= next_index <= step.step.count:
-                    raise ValueError(f"step {step.key} has no task {next_index}")
-                step.next_index = next_index
+                if not 0 <= next_index <= step.count:
+                    raise ValueError(
+                        f"occurrence {number}: a step has no task {next_index}"
+                    )
+            self._open[number] = self._shapes.find(next_indices)
         for row in rows:
-            step = self.find_step(row.occurrence, row.step)
-            if step is None or not 0 <= row.index < step.next_index:
+            shape = self._open.get(row.occurrence)
+            if (
+                shape is None
+                or not 0 <= row.step < len(steps)
+                or not 0 <= row.index < shape.next_indices[row.step]
+            ):
                 raise ValueError(f"task {row[:3]} has not begun")
-            task = step.tasks[row.index] = step.make_task(row.index)
-            yield task, row
+            yield self._restore_task(row), row
+
+    def _restore_task(self, row: stored_progress.StoredTask) -> "state.Task":
+        key = jobs.TaskKey(self._job.id, row.occurrence, row.step, row.index)
+        task = self._make_task(key, self._job.steps[row.step])
+        by_step = self._tasks.setdefault(row.occurrence, {})
+        by_step.setdefault(row.step, {})[row.index] = task
+        return task
 
     def restore_earlier_form(
         self, rows: abc.Iterable[stored_progress.StoredTask]
@@ -257,11 +291,13 @@
         known = [row for row in rows if self._has_task(row)]
         self.next = max((row.occurrence for row in known), default=-1) + 1
         for number in range(self.next):
-            self._open[number] = self._make_steps(number)
+            self._open[number] = self._shapes.fresh()
         for row in known:
-            step = self._open[row.occurrence][row.step]
-            task = step.tasks.get(row.index) or step.make_task(row.index)
-            step.add(task)
+            key = jobs.TaskKey(self._job.id, row.occurrence, row.step, row.index)
+            task = self.find_task(key)
+            if task is None:
+                task = self._make_task(key, self._job.steps[row.step])
+                self.begin_task(task)
             yield task, row
 
     def reopen_services(self, room: int) -> abc.Iterator["state.Task"]:
@@ -270,33 +306,30 @@
         Earlier releases dropped them as done when a run of theirs ended so. At most
         ``room`` are kept: as many as can be stored.
         """
-        services = [n for n, step in enumerate(self._job.steps) if step.is_service]
-        for number in range(self.next) if services else ():
-            steps = self._open.get(number)
-            if steps is None:
-                steps = self._make_steps(number)
-                for found in steps:
-                    found.next_index = found.step.count
-            for found in map(steps.__getitem__, services):
-                for index in range(found.next_index):
-                    if index in found.tasks:
+        steps = self._job.steps
+        services = [number for number, step in enumerate(steps) if step.is_service]
+        all_begun = tuple(step.count for step in steps)
+        for occurrence in range(self.next) if services else ():
+            shape = self._open.get(occurrence)
+            next_indices = all_begun if shape is None else shape.next_indices
+            for number in services:
+                begun = self._tasks.get(occurrence, {}).get(number, _NO_TASKS)
+                if len(begun) == next_indices[number]:
+                    continue
+                for index in range(next_indices[number]):
+                    if index in begun:
                         continue
                     if not room:
                         return
                     room -= 1
-                    self._open.setdefault(number, steps)
-                    task = found.tasks[index] = found.make_task(index)
+                    self._open.setdefault(occurrence, self._shapes.find(next_indices))
+                    key = jobs.TaskKey(self._job.id, occurrence, number, index)
+                    task = self._make_task(key, steps[number])
+                    by_step = self._tasks.setdefault(occurrence, {})
+                    by_step.setdefault(number, {})[index] = task
                     yield task
 
     def _has_task(self, row: stored_progress.StoredTask) -> bool:
         steps = self._job.steps
         is_known = 0 <= row.occurrence < self.total and 0 <= row.step < len(steps)
         return is_known and 0 <= row.index < steps[row.step].count
-
-
-def _unblocked(steps: Steps) -> abc.Iterator[StepProgress]:
-    """Yield the steps with open tasks that no earlier step blocks."""
-    for found in steps:
-        is_blocked = any(steps[earlier].open_count for earlier in found.step.after)
-        if found.open_count and not is_blocked:
-            yield found
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -172,17 +172,20 @@
         started: list[state.Task] = []
         unplaced: list[state.Task] = []
         is_first = not job.occurrences.next
-        for step in job.eligible_steps(unix_now):
+        passed: set[int] = set()  # steps of which no host can hold a fresh task
+        for step in job.eligible_steps(unix_now, passed):
             suspects = [
                 task
                 for task in step.tasks.values()
                 if task.is_waiting and now >= task.not_before and task.crashes
             ]
-            waiting = waiting_tasks.find(step, job.room_for_tasks(), now)
+            waiting = waiting_tasks.find(step, job.room_for_tasks(step), now)
             if waiting:
                 started += self._place_step(waiting, queue, usable, full, now)
                 if waiting:
                     unplaced.append(waiting[0])
+                    if not step.step.max_per_host:
+                        passed.add(step.key[2])
             for task in suspects:
                 is_placed = self._place_suspect(task, queue, usable, now)
                 (started if is_placed else unplaced).append(task)
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -188,7 +188,7 @@
         if task.job.cancelled or task.job.failed:
             self._stop_monitor.on_row(host, row)
         if row.checkpoint:
-            task.checkpoint = row.checkpoint
+            task.job.keep_checkpoint(task, row.checkpoint)
         task.figure, task.pace = row.figure, row.pace
         if row.state == State.RUNNING:
             self._update_progress(host, task, row)
--- a/src/bilberrypass/scheduling/refusing.py
+++ b/src/bilberrypass/scheduling/refusing.py
@@ -6,14 +6,16 @@
 
 import prometheus_client as prometheus
 
-from bilberrypass import clock, errors
+from bilberrypass import clock, decoding, errors
 from bilberrypass.observing import decisions
 from bilberrypass.scheduling import (
     admission,
     committing,
+    intake_limit,
     jobs,
     keyvalue,
     queue_forecast,
+    retry_advice,
 )
 
 _decided = prometheus.Counter(
@@ -22,13 +24,15 @@
 _unreadable = prometheus.Counter(
     "bilberrypass_forecasts_unreadable", "Stored forecasts that could not be read"
 )
+# Callers return over so many seconds, in the order of their refusals.
+_MAX_RETURN_S: t.Final = 5.0
 
 MakeRefused = abc.Callable[[str, float, float], bool]
 
 
 @t.final
 class Gate:
-    """Keeps the forecast of the leader, and refuses submissions of one entry by it.
+    """Refuses submissions of one entry by the leader's forecast and its limit.
 
     Parameters
     ----------
@@ -41,7 +45,7 @@
     leader_epoch : callable
         Returns the epoch of the leader, 0 without one.
     is_enabled : bool
-        Whether anything is refused.
+        Whether anything is refused by the forecast.
     """
 
     def __init__(
@@ -56,13 +60,22 @@
         self._leader_epoch = leader_epoch
         self._is_enabled = is_enabled
         self._admission = admission.Admission()
+        self._limit = intake_limit.Limit()
+        self._returns = retry_advice.ReturnSchedule()
         self._lock = threading.Lock()
 
     def on_change(self, change: keyvalue.Change, known_since: float) -> None:
         """Take in a change of a key that was made after ``known_since``.
 
-        A forecast that cannot be read counts as absent.
+        A record that cannot be read counts as absent.
         """
+        if change.key == intake_limit.LIMIT_KEY and change.value is not None:
+            try:
+                limit = intake_limit.decode(change.value)
+            except decoding.UnreadableError as exc:
+                decisions.record("intake.limit_unreadable", why=str(exc))
+                return
+            self._limit.update(limit, known_since)
         if change.key != committing.FORECAST_KEY or change.value is None:
             return
         try:
@@ -75,7 +88,7 @@
             self._admission.update(record, known_since)
 
     def check(self, job: jobs.Job, deadline: float) -> None:
-        """Refuse a job that is forecast to end long after it is of use.
+        """Refuse a job for which there is no memory, or that would end far too late.
 
         It is refused only once no earlier attempt of its submission can take effect.
         If the store does not confirm that, the job goes on as without a forecast.
@@ -85,6 +98,9 @@
         errors.Refused
             OVERLOADED, with the time after which the caller may return.
         """
+        now = clock.now()
+        if self._limit.is_full(self._leader_epoch(), now):
+            self._refuse_for_memory(job, now, deadline)
         queue = self._queue_of(job.queue) if self._is_enabled else None
         if queue is None:
             return
@@ -94,11 +110,7 @@
         _decided.labels(verdict.why).inc()
         if not verdict.is_refused:
             return
-        try:
-            if not self._make_refused(job.id, verdict.retry_after_s, deadline):
-                return
-        except errors.Error as exc:
-            decisions.record("job.rejection_failed", job=job.id, why=str(exc))
+        if not self._rule_out(job, verdict.retry_after_s, deadline):
             return
         decisions.record(
             "job.rejected",
@@ -117,3 +129,26 @@
             f"{verdict.useful_s:.0f} s; it is not stored, retry later",
             retry_after_s=verdict.retry_after_s,
         )
+
+    def _rule_out(self, job: jobs.Job, retry_after_s: float, deadline: float) -> bool:
+        """Return whether no earlier attempt of a submission can take effect."""
+        try:
+            return self._make_refused(job.id, retry_after_s, deadline)
+        except errors.Error as exc:
+            decisions.record("job.rejection_failed", job=job.id, why=str(exc))
+            return False
+
+    def _refuse_for_memory(self, job: jobs.Job, now: float, deadline: float) -> None:
+        retry_after_s = float(self._returns.assign(now, 0.0, _MAX_RETURN_S))
+        if not self._rule_out(job, retry_after_s, deadline):
+            return
+        _decided.labels("no memory").inc()
+        decisions.record(
+            "job.rejected_for_memory", job=job.id, retry_after_s=retry_after_s
+        )
+        raise errors.Refused(
+            errors.Kind.OVERLOADED,
+            "the accepted jobs take all the memory that the scheduler has for jobs; "
+            "the job is not stored, retry later",
+            retry_after_s=retry_after_s,
+        )
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -21,6 +21,7 @@
     grants,
     hosts,
     intake,
+    intake_limit,
     interference,
     job_quarantine,
     jobs,
@@ -36,6 +37,7 @@
     responding,
     sending,
     state,
+    work_budget,
 )
 
 _log = logbook.Logger("scheduler")
@@ -107,6 +109,7 @@
         self.hosts: dict[str, hosts.Host] = {}
         self.open_jobs: dict[str, state.JobState] = {}
         self.quarantine = job_quarantine.JobQuarantine()
+        self.budget = work_budget.WorkBudget()
         self.estimates = interference.Estimates()
         self._max_bytes = store.max_value_bytes
         self.publisher = estimate_publishing.EstimatePublisher(
@@ -136,12 +139,13 @@
             store, self._on_loaded, self._on_job, self._on_cancel, self._on_intake_read
         )
         self._cleaner = cleaning.Cleaner(store, epoch, self._expired, self._on_removed)
+        self._intake_limit = intake_limit.Publisher(store, epoch, self.budget)
         self._sender = make_sender(self._on_orders_failed)
         self._reconciler = reconciling.Reconciler(self)
         self.responder = responding.Responder(self, self._events.put)
         self._placer = placing.Placer(self)
         self._migrator = migration.Migrator(self)
-        self._load_log = load.LoadLogger(self._placer.waits)
+        self._load_log = load.LoadLogger(self._placer.waits, self.budget)
         self._thread = threading.Thread(target=self._run, name="scheduler", daemon=True)
 
     def start(self) -> None:
@@ -149,6 +153,7 @@
         self._progress.start()
         self._intake_watcher.start()
         self._cleaner.start()
+        self._intake_limit.start()
         self._evacuations.start()
         self._thread.start()
 
@@ -158,6 +163,7 @@
         self._progress.stop()
         self._intake_watcher.stop()
         self._cleaner.stop()
+        self._intake_limit.stop()
         self._evacuations.stop()
         self._sender.stop()
         self.quarantine.stop()
@@ -217,8 +223,8 @@
 
     def _remove_jobs(self, ids: list[str]) -> None:
         for id in ids:
-            if id not in self._progress:
-                self.jobs.pop(id, None)
+            if id not in self._progress and (job := self.jobs.pop(id, None)):
+                job.release()
             self._early_cancellations.pop(id, None)
 
     def _run(self) -> None:
@@ -268,7 +274,7 @@
 
     def _load(self, initial: intake.InitialState) -> None:
         self.jobs = loading.restore_jobs(
-            initial, self.quarantine, clock.now(), self._max_bytes
+            initial, self.quarantine, clock.now(), self._max_bytes, self.budget
         )
         if initial.interference:
             self.estimates.restore(initial.interference)
@@ -282,21 +288,15 @@
                 self._reconciler.stop_job(job_state)
         for id in initial.cancelled:
             self._cancel(id)
-        decisions.record(
-            "scheduler.loaded",
-            epoch=self.epoch,
-            jobs=len(self.jobs),
-            open=len(self.open_jobs),
-            took_s=round(clock.now() - self._elected_at, 3),
-        )
+        loading.record_loaded(self, clock.now() - self._elected_at)
 
     def _add(self, job: jobs.Job) -> None:
         if job.id in self.jobs or job.id in self.quarantine:
             return
         try:
             at = loading.accepted_at(job, clock.now(), self._intake_read_until)
-            added = state.JobState(job, at, self._max_bytes)
             self.durations.mean_work.add(job)
+            added = state.JobState(job, at, self._max_bytes, self.budget)
         except Exception as exc:
             self.quarantine.add(job.id, "intake", exc)
             return
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -10,8 +10,11 @@
     jobs,
     keyvalue,
     occurrences,
+    open_work,
+    step_progress,
     stored_progress,
     stragglers,
+    work_budget,
 )
 
 
@@ -40,8 +43,6 @@
 
 FINAL: t.Final = (Status.COMPLETED, Status.FAILED, Status.CANCELLED)
 
-# The rest of a stored value is left for checkpoints, which grow while tasks run.
-_MAX_SHARE_BEGUN: t.Final = 0.75
 # More than the runs that a task can have had, whose number is not known.
 _REOPENED_RUN: t.Final = 1 << 31
 
@@ -177,13 +178,13 @@
         When it was accepted, on ``clock.now``.
     max_bytes : int, optional
         Limit of the stored progress; as many tasks may be open as fit.
+    budget : work_budget.WorkBudget, optional
+        What all jobs of the scheduler hold; without one, the job is the only one.
     """
 
     __slots__ = (
         "__weakref__",
-        "_bare_bytes",
         "_max_bytes",
-        "_unencoded_rows",
         "accepted_at",
         "cancelled",
         "failed",
@@ -195,6 +196,7 @@
         "job",
         "most_failures",
         "occurrences",
+        "open_work",
         "revision",
         "status",
         "stored_status",
@@ -205,6 +207,7 @@
         job: jobs.Job,
         accepted_at: float,
         max_bytes: int = keyvalue.DEFAULT_MAX_VALUE_BYTES,
+        budget: work_budget.WorkBudget | None = None,
     ) -> None:
         self.job = job
         self.accepted_at = accepted_at
@@ -221,7 +224,9 @@
         self.revision = 0
         self.occurrences = occurrences.Occurrences(job, self._make_task)
         self._max_bytes = max_bytes
-        self._bare_bytes = self._unencoded_rows = 0
+        self.open_work = open_work.OpenWork(
+            job, max_bytes, budget or work_budget.WorkBudget()
+        )
 
     def _make_task(self, key: jobs.TaskKey, step: jobs.Step) -> Task:
         return Task(self, key, step)
@@ -248,30 +253,43 @@
         self.idle_since = self.idle_since or now
         return now - self.idle_since >= duration_s
 
-    def eligible_steps(self, now: float) -> abc.Iterator[occurrences.StepProgress]:
+    def eligible_steps(
+        self, now: float, passed: abc.Container[int] = ()
+    ) -> abc.Iterator[step_progress.StepProgress]:
         """Yield the steps whose tasks may run at the Unix time ``now``.
 
         See ``Occurrences.eligible_steps``.
         """
         if self.cancelled or self.failed:
             return iter(())
-        return self.occurrences.eligible_steps(now)
+        return self.occurrences.eligible_steps(now, passed)
+
+    def room_for_tasks(self, step: step_progress.StepProgress) -> int:
+        """Return how many more tasks of a step may begin.
 
-    def room_for_tasks(self) -> int:
-        """Return how many more tasks may begin so that the progress can be stored."""
-        left = int(self._max_bytes * _MAX_SHARE_BEGUN) - self._bare_bytes
-        row_bytes = stored_progress.MAX_ROW_BYTES + len(self.job.steps)
-        return max(0, left // row_bytes - self._unencoded_rows)
+        Their progress has to fit into its stored value, and the tasks into memory
+        beside those of other jobs.
+        """
+        if step.key[1] < self.occurrences.next:
+            return self.open_work.room_to_go_on()
+        return self.open_work.room_to_open()
 
     def begin_task(self, task: Task) -> None:
         """Keep a task from its first run on, until it is done."""
-        self._unencoded_rows += self.occurrences.begin_task(task)
+        opened = int(task.key.occurrence >= self.occurrences.next)
+        self.open_work.add(opened, self.occurrences.begin_task(task))
 
     def finish_task(self, task: Task) -> None:
         """Mark a task as done and drop it."""
         if task.phase is not Phase.DONE:
             task.phase = Phase.DONE
-            self.occurrences.finish_task(task)
+            is_last = self.occurrences.finish_task(task)
+            self.open_work.add(-int(is_last), -1, -len(task.checkpoint))
+
+    def keep_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keep the newest checkpoint of a task that has begun and is not done."""
+        self.open_work.add(0, 0, len(checkpoint) - len(task.checkpoint))
+        task.checkpoint = checkpoint
 
     def update_status(self, now: float) -> None:
         """Update the status from the tasks; ``now`` is on ``clock.now``."""
@@ -292,6 +310,11 @@
         """Drop the tasks to save memory once the final status is stored."""
         if self.is_final and self.stored_status in FINAL:
             self.occurrences.clear()
+            self.open_work.drop()
+
+    def release(self) -> None:
+        """Return what the job holds of the budget, once the scheduler drops it."""
+        self.open_work.release()
 
     @property
     def status_to_store(self) -> Status:
@@ -305,10 +328,10 @@
             return stored_progress.encode_ended(status, self.finished_at)
         hosts: stored_progress.Hosts = {}
         rows = [_make_row(task, hosts) for task in self.occurrences.begun_tasks()]
-        value, self._bare_bytes = stored_progress.encode_open(
+        value, bare_bytes = stored_progress.encode_open(
             status, self.occurrences.to_stored(), hosts, rows, self._max_bytes
         )
-        self._unencoded_rows = 0
+        self.open_work.record_encoded(bare_bytes)
         return value
 
     def restore(self, value: bytes, revision: int, now: float) -> None:
@@ -342,11 +365,14 @@
                 done.append(task)
         for task in done:
             self.occurrences.finish_task(task)
-        begun = sum(1 for _ in self.occurrences.begun_tasks())
-        self._bare_bytes = begun * stored_progress.MAX_ROW_BYTES
-        for task in self.occurrences.reopen_services(self.room_for_tasks()):
+        begun = list(self.occurrences.begun_tasks())
+        checkpoints = sum(len(task.checkpoint) for task in begun)
+        opened = self.occurrences.open_occurrences
+        self.open_work.add(opened, len(begun), checkpoints)
+        for task in self.occurrences.reopen_services(self.open_work.room_to_go_on()):
             task.run = _REOPENED_RUN
-            self._unencoded_rows += 1
+            self.open_work.add(self.occurrences.open_occurrences - opened, 1)
+            opened = self.occurrences.open_occurrences
 
 
 def _restore_task(task: Task, row: stored_progress.StoredTask) -> None:
--- a/src/bilberrypass/scheduling/stored_progress.py
+++ b/src/bilberrypass/scheduling/stored_progress.py
@@ -7,8 +7,9 @@
 from bilberrypass import crash_limits, decoding
 from bilberrypass.scheduling import jobs
 
-# Of a stored task without checkpoint and crashes, with its share of the occurrence.
+# Of a stored task without checkpoint and crashes, with its share of the list of hosts.
 MAX_ROW_BYTES: t.Final = 48
+_OCCURRENCE_HEADER_BYTES: t.Final = 4  # of a pair, and of a list of up to 64 numbers
 _STRING_HEADER_BYTES: t.Final = 5
 
 
@@ -36,7 +37,7 @@
     """
 
     number: int
-    next_indices: list[int]
+    next_indices: tuple[int, ...]
 
 
 class StoredOccurrences(t.NamedTuple):
@@ -117,6 +118,18 @@
 _progress_decoder = msgspec.msgpack.Decoder(_EarlierJob | _OpenJob)
 
 
+def max_occurrence_bytes(job: jobs.Job) -> int:
+    """Return the most bytes that an open occurrence of a job takes, without rows."""
+    numbers = [max(1, job.repetitions), *(step.count for step in job.steps)]
+    return _OCCURRENCE_HEADER_BYTES + sum(map(_integer_bytes, numbers))
+
+
+def _integer_bytes(most: int) -> int:
+    """Return the bytes of an integer from 0 to ``most``, as msgpack has it."""
+    sizes = ((0x7F, 1), (0xFF, 2), (0xFFFF, 3), (0xFFFFFFFF, 5))
+    return next((size for limit, size in sizes if most <= limit), 9)
+
+
 def encode_job(job: jobs.Job) -> bytes:
     """Return a job in its stored form."""
     return _encode(job)
--- a/src/bilberrypass/scheduling/waiting_tasks.py
+++ b/src/bilberrypass/scheduling/waiting_tasks.py
@@ -3,7 +3,7 @@
 import collections.abc as abc
 import typing as t
 
-from bilberrypass.scheduling import occurrences, state
+from bilberrypass.scheduling import state, step_progress
 
 
 @t.final
@@ -15,7 +15,7 @@
 
     Parameters
     ----------
-    step : occurrences.StepProgress
+    step : step_progress.StepProgress
         The step.
     begun : sequence of state.Task
         Its tasks that had a run and may start again.
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        step: occurrences.StepProgress,
+        step: step_progress.StepProgress,
         begun: abc.Sequence[state.Task],
         fresh: int,
     ) -> None:
@@ -56,7 +56,7 @@
         return removed
 
 
-def find(step: occurrences.StepProgress, room: int, now: float) -> WaitingTasks:
+def find(step: step_progress.StepProgress, room: int, now: float) -> WaitingTasks:
     """Return the tasks of a step that may start at a time, on ``clock.now``.
 
     Suspected of crashing their runner are left out. At most ``room`` are fresh.
--- a/testing/scheduling/job_tasks.py
+++ b/testing/scheduling/job_tasks.py
@@ -18,4 +18,4 @@
 def waiting(job, now):
     """Yield the tasks that may start at a Unix time; the caller lets them begin."""
     for step in job.eligible_steps(now):
-        yield from waiting_tasks.find(step, job.room_for_tasks(), math.inf)
+        yield from waiting_tasks.find(step, job.room_for_tasks(step), math.inf)
--- a/testing/scheduling/test_open_tasks.py
+++ b/testing/scheduling/test_open_tasks.py
@@ -112,6 +112,64 @@
     assert by_index[begun[-1].key.index] == "w" * 1_000
 
 
+def _open_all(job_state):
+    """Let all occurrences that may begin do so, and run their first step."""
+    while found := [t for t in job_tasks.waiting(job_state, DUE_AT) if not t.key.step]:
+        for task in found:
+            job_state.begin_task(task)
+            task.phase = state.Phase.RUNNING
+            job_state.finish_task(task)
+        job_state.encode()
+
+
+def _between_steps(max_bytes=MAX_BYTES):
+    """Return a job with as many occurrences between two steps as may be open."""
+    steps = [STEP, *(STEP._replace(after=(number,)) for number in range(63))]
+    job_state = state.JobState(
+        _job(*steps, repetitions=20_000, interval_s=0.0), 0.0, max_bytes
+    )
+    _open_all(job_state)
+    return job_state
+
+
+def test_open_occurrences_take_memory_in_proportion_to_their_stored_form():
+    """Each had an object for each step, 13 KB with 64 steps and 71 bytes as stored.
+
+    Three accepted jobs exceeded the memory of each leader (review/11).
+    """
+    job_state = _between_steps()
+    assert job_state.occurrences.next > 200
+    assert _size(job_state, set()) <= 4 * len(job_state.encode())
+
+
+def test_job_with_as_many_open_occurrences_as_can_be_stored_goes_on():
+    """They filled the stored value, so that no task could begin any more (review/12).
+
+    Nothing was done then, and the value never shrank.
+    """
+    job_state = _between_steps()
+    opened = job_state.occurrences.next
+    found = list(job_tasks.waiting(job_state, DUE_AT))
+    assert found and all(task.key.occurrence < opened for task in found)
+    while found := list(job_tasks.waiting(job_state, DUE_AT)):
+        for task in found:
+            job_state.begin_task(task)
+            job_state.finish_task(task)
+        assert len(job_state.encode()) <= MAX_BYTES
+    job_state.update_status(1.0)
+    assert job_state.status is state.Status.COMPLETED
+
+
+def test_progress_of_an_earlier_release_full_of_open_occurrences_goes_on():
+    """Its value stayed as full, with the next leader too."""
+    job_state = _between_steps()
+    value = job_state.encode()
+    restored = state.JobState(job_state.job, 0.0, len(value))
+    restored.restore(value, 1, 1.0)
+    restored.encode()
+    assert list(job_tasks.waiting(restored, DUE_AT))
+
+
 def _earlier_value(rows, status="running"):
     return msgspec.msgpack.encode((status, rows, 0.0))
 
--- a/testing/scheduling/test_wait_figures.py
+++ b/testing/scheduling/test_wait_figures.py
@@ -4,7 +4,7 @@
 
 from bilberrypass import clock
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import jobs, load, state, wait_figures
+from bilberrypass.scheduling import jobs, load, state, wait_figures, work_budget
 from testing import collecting
 from testing.scheduling import streams
 
@@ -30,7 +30,7 @@
     placer = stream.scheduler._placer
     lines = []
     with mock.patch.object(decisions, "record", lambda event, **f: lines.append(f)):
-        logger = load.LoadLogger(placer.waits)
+        logger = load.LoadLogger(placer.waits, work_budget.WorkBudget())
         logger.tick(stream.jobs.values(), stream.hosts.values(), stream.now, 0.0)
     assert lines[0]["largest_gaps"] == {"p-16c": (10.0, 60_000)}
     assert lines[0]["waits"] == {"h/q/": [0.1, 0.1]}
