--- a/src/bilberrypass/platform/programs.py
+++ b/src/bilberrypass/platform/programs.py
@@ -85,6 +85,7 @@
             cfg,
             candidacy_delay_s(node),
             lambda: _make_evacuations(node, kv_store),
+            clock.STARTED_AT,
         )
         self._front = front.CallerApplication(self._entry)
         self._listener = serving.Listener(
--- a/src/bilberrypass/scheduling/cleaning.py
+++ b/src/bilberrypass/scheduling/cleaning.py
@@ -6,7 +6,10 @@
 
 from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import committing, election, intake, keyvalue
+from bilberrypass.scheduling import committing, election, intake, keyvalue, state
+
+if t.TYPE_CHECKING:
+    from bilberrypass.scheduling import scheduler
 
 _CLEANUP_INTERVAL_S: t.Final = 10.0
 _COMMIT_TIMEOUT_S: t.Final = 2.0
@@ -20,6 +23,17 @@
     return [prefix + id for prefix in prefixes]
 
 
+def find_expired(owner: "scheduler.Scheduler") -> list[str]:
+    """Return the ids of final or unknown jobs whose retention period is over."""
+    before = clock.now() - owner.cfg.status_s
+    early = list(owner.early_cancellations.items())
+    return [id for id, at in early if at < before] + [
+        id
+        for id, job in list(owner.jobs.items())
+        if job.stored_status in state.FINAL and 0 < job.final_since < before
+    ]
+
+
 @t.final
 class Cleaner:
     """Periodically removes jobs whose retention period is over.
--- a/src/bilberrypass/scheduling/election.py
+++ b/src/bilberrypass/scheduling/election.py
@@ -9,11 +9,12 @@
 
 from bilberrypass import clock, decoding, errors, supervision
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import keyvalue
+from bilberrypass.scheduling import keyvalue, roster
 
 KEY: t.Final = "leader"
 # Written with each election, without a lease: its revision is the latest epoch.
 TERM_KEY: t.Final = KEY + "/term"
+ROSTER_KEY: t.Final = KEY + "/roster"  # what a leader leaves to its successors
 # outlasts a slow response of the store, and allows a fast takeover
 LEASE_TTL_S: t.Final = 2.0
 _RENEW_INTERVAL_S: t.Final = 0.5  # four attempts within the lease
@@ -66,13 +67,15 @@
     def on_elected(self, epoch: int) -> None:
         """Start to lead, after this process was elected with an epoch."""
 
-    def is_informed(self, predecessor: int) -> bool:
+    def is_informed(self, predecessor: int, inherited: roster.Roster | None) -> bool:
         """Return whether this process knows how long an earlier leader granted.
 
         Parameters
         ----------
         predecessor : int
             The epoch of the latest leader, 0 if there was none.
+        inherited : roster.Roster or None
+            What that leader has left.
         """
         return True
 
@@ -119,6 +122,8 @@
         self._leader: Leader | None = None
         self._epoch = 0
         self._predecessor = 0
+        self._inherited: roster.Roster | None = None
+        self._roster_revision = 0
         self._last_contact_at = 0.0
         self._store_reads = decisions.Dependency("election.store")
         self._renewals = decisions.Dependency("election.renewal")
@@ -145,11 +150,25 @@
         """Send time of the latest successful grant or renewal, on ``clock.now``."""
         return self._last_contact_at
 
+    def last_contact_in(self, epoch: int) -> float:
+        """Return ``last_contact_at`` while this process leads for an epoch, else 0."""
+        return self._last_contact_at if self._epoch == epoch else 0.0
+
     @property
     def predecessor(self) -> int:
         """The epoch of the leader before this process's latest election, or 0."""
         return self._predecessor
 
+    @property
+    def inherited(self) -> roster.Roster | None:
+        """What that leader has left to this process, None if nothing."""
+        return self._inherited
+
+    @property
+    def identity(self) -> str:
+        """What tells this entry from a replacement on another machine."""
+        return roster.identity(self._name, self._address)
+
     def release_leadership(self) -> None:
         """Revoke the lease, so that another process can be elected at once."""
         self._stopping.set()
@@ -229,9 +248,12 @@
         """Acquire the key, unless a process that should lead rather does so first."""
         term = self._store.get(TERM_KEY, clock.now() + _STORE_CALL_TIMEOUT_S).item
         self._predecessor = term.revision if term else 0
+        left = self._store.get(ROSTER_KEY, clock.now() + _STORE_CALL_TIMEOUT_S).item
+        self._roster_revision = left.revision if left else 0
+        self._inherited = roster.read(left, self._predecessor)
         delay_s = self._candidacy_delay_s
         replaced = lookup.item
-        if not self._candidate.is_informed(self._predecessor):
+        if not self._candidate.is_informed(self._predecessor, self._inherited):
             delay_s = max(delay_s, _UNINFORMED_DELAY_S)
             if replaced is not None and replaced.revision == self._predecessor:
                 # That of this process's predecessor; others may acquire a free key.
@@ -272,8 +294,16 @@
         puts = [
             keyvalue.Put(KEY, value, lease.id),
             keyvalue.Put(TERM_KEY, self._name.encode()),
+            keyvalue.Put(
+                ROSTER_KEY,
+                roster.encode(roster.inherit(self._inherited, self.identity)),
+            ),
         ]
-        expected = {KEY: replaced, TERM_KEY: self._predecessor}
+        expected = {
+            KEY: replaced,
+            TERM_KEY: self._predecessor,
+            ROSTER_KEY: self._roster_revision,
+        }
         try:
             epoch = self._store.commit(expected, puts, deadline)
         except keyvalue.PreconditionFailed as exc:
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -20,6 +20,7 @@
     messages,
     queues,
     refusing,
+    roster,
     scheduler,
     sending,
     standby,
@@ -61,6 +62,8 @@
         How long a free election key is left to others; see ``election.Election``.
     evacuated : callable
         Returns what follows the evacuations of failure domains, for one scheduler.
+    started_at : float, optional
+        When this process started, on ``clock.now``; now without it.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         evacuated: abc.Callable[
             [], evacuations.Evacuations
         ] = evacuations.NoEvacuations,
+        started_at: float | None = None,
     ) -> None:
         self.name = name
         self._address = peer_address
@@ -103,6 +107,7 @@
             self._election,
             store,
             lambda: self._scheduler,
+            started_at,
         )
         self._server = channels.Server(
             peer_address,
@@ -148,7 +153,7 @@
 
     def on_elected(self, epoch: int) -> None:
         """Start a scheduler, after this process was elected with an epoch."""
-        earlier_grants_end = self._standby.begin_leading(epoch)
+        earlier_leases_end, granting = self._standby.begin_leading(epoch)
         with self._lock:
             self._scheduler = scheduler.Scheduler(
                 self._store,
@@ -161,13 +166,16 @@
                     epoch, self._address, on_failed
                 ),
                 self._make_evacuations(),
-                earlier_grants_end,
+                earlier_leases_end,
+                granting,
             )
             self._scheduler.start()
 
-    def is_informed(self, predecessor: int) -> bool:
+    def is_informed(
+        self, predecessor: int, inherited: roster.Roster | None = None
+    ) -> bool:
         """Return whether this process knows how long an earlier leader granted."""
-        return self._standby.succession.is_informed(predecessor)
+        return self._standby.succession.is_informed(predecessor, inherited)
 
     def on_leadership_lost(self, epoch: int) -> None:
         """Stop the scheduler, after the leadership of an epoch was lost."""
--- a/src/bilberrypass/scheduling/grants.py
+++ b/src/bilberrypass/scheduling/grants.py
@@ -61,15 +61,28 @@
         Duration of a full lease, in seconds.
     last_contact_at : callable
         Returns the send time of the last lease grant or renewal, on ``clock.now``.
+    names : collection of str, optional
+        Entries whose consent is needed from the election on, as the stored roster
+        says; each counts as listed at first.
+    own : str, optional
+        The entry of this leader, which needs no consent of its own.
     """
 
     def __init__(
-        self, epoch: int, lease_s: float, last_contact_at: abc.Callable[[], float]
+        self,
+        epoch: int,
+        lease_s: float,
+        last_contact_at: abc.Callable[[], float],
+        names: abc.Collection[str] = (),
+        own: str = "",
     ) -> None:
         self._epoch = epoch
         self._lease_s = lease_s
         self._last_contact_at = last_contact_at
-        self._standbys: dict[str, _Standby] = {}
+        self._own = own
+        self._required = frozenset(names) - {own}
+        until = clock.now() + LISTED_S
+        self._standbys = {name: _Standby(until, 0.0, 0.0) for name in self._required}
         self._lock = threading.Lock()
 
     def lease_s(self, now: float) -> float:
@@ -82,12 +95,23 @@
     def _can_extend(self, now: float) -> bool:
         """Return whether no standby can have been elected by now."""
         with self._lock:
+            asked = set(self._required)
+            asked.update(n for n, s in self._standbys.items() if now <= s.listed_until)
             return all(
-                now <= standby.yielded_until
-                for standby in self._standbys.values()
-                if now <= standby.listed_until
+                name in self._standbys and now <= self._standbys[name].yielded_until
+                for name in asked
             )
 
+    def listed(self, now: float) -> set[str]:
+        """Return the names of the standbys that were heard of lately."""
+        with self._lock:
+            return {n for n, s in self._standbys.items() if now <= s.listed_until}
+
+    def require(self, names: abc.Collection[str]) -> None:
+        """Extend leases only with the consent of these entries, listed or not."""
+        with self._lock:
+            self._required = frozenset(names) - {self._own}
+
     def respond(
         self, req: messages.StandbyRequest, unknown_grants_end: float
     ) -> messages.StandbyResponse:
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -32,7 +32,7 @@
 
     ``granted_until`` is the latest time, on ``clock.now``, at which a lease of the
     host may expire; until the agent's first report, which sets ``is_grant_known``, it
-    is an estimate of what earlier schedulers granted. ``sent`` maps the runs to their
+    leaves out what earlier schedulers granted. ``sent`` maps the runs to their
     newest order.
     ``pending`` holds final rows whose outcome is being stored. ``settled`` maps those
     that are stored, and that the agent may drop, to the number of the end.
@@ -94,6 +94,15 @@
         self._held_for: state.Task | None = None
         self._held_until = 0.0
 
+    def leased_until(self, earlier_leases_end: float) -> float:
+        """Return when no lease of the host is left, on ``clock.now``.
+
+        ``earlier_leases_end`` bounds those of earlier schedulers.
+        """
+        if self.is_grant_known:
+            return self.granted_until
+        return max(self.granted_until, earlier_leases_end)
+
     def accept_report(self, report: messages.Report, at: float) -> bool:
         """Record the sender of a report; return False if the report does not count.
 
--- a/src/bilberrypass/scheduling/messages.py
+++ b/src/bilberrypass/scheduling/messages.py
@@ -220,6 +220,8 @@
     ``heard_at`` is that of the latest response of the leader with this ``epoch``, 0
     without one. ``yields`` says that the entry has lost the store, and that it counts
     the leader's leases in if it is elected soon. One that ``is_leaving`` will not be.
+    ``age_s`` is the time since its process started, if that never led, else 0: no
+    earlier process of the entry has granted anything since.
     """
 
     name: str
@@ -227,6 +229,7 @@
     heard_at: float = 0.0
     yields: bool = False
     is_leaving: bool = False
+    age_s: float = 0.0
 
 
 class StandbyResponse(t.NamedTuple):
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -59,7 +59,7 @@
     def _get_host(self, name: str) -> hosts.Host:
         host = self._scheduler.hosts.get(name)
         if host is None:
-            host = hosts.Host(name, self._scheduler.unknown_leases_end)
+            host = hosts.Host(name, self._scheduler.unheard_leases_end)
             self._scheduler.hosts[name] = host
         return host
 
@@ -365,7 +365,8 @@
                 decisions.record(
                     "host.ends_stuck", host=host.name, ends=stuck[:10], noted=host.noted
                 )
-            if host.tasks and now > host.granted_until + _LEASE_EXPIRY_MARGIN_S:
+            leased_until = host.leased_until(self._scheduler.earlier_leases_end)
+            if host.tasks and now > leased_until + _LEASE_EXPIRY_MARGIN_S:
                 decisions.record(
                     "host.lapsed",
                     host=host.name,
--- a/src/bilberrypass/scheduling/responding.py
+++ b/src/bilberrypass/scheduling/responding.py
@@ -48,7 +48,7 @@
         lease_s = owner.grants.lease_s(now) if report.runner is not None else 0.0
         host = owner.hosts.get(report.host)
         if host is None:
-            owner.unknown_leases_end = max(owner.unknown_leases_end, now + lease_s)
+            owner.unheard_leases_end = max(owner.unheard_leases_end, now + lease_s)
         elif lease_s:
             host.granted_until = max(host.granted_until, now + lease_s)
         if not self._apply(report, now, lease_s):
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -86,9 +86,11 @@
         Returns the sender of orders, given the callback for orders that failed.
     evacuated : evacuations.Evacuations
         The failure domains in which no run may start.
-    earlier_grants_end : float, optional
+    earlier_leases_end : float, optional
         When the leases of earlier schedulers have ended, on ``clock.now``; without it,
         nothing is known of them.
+    granting : grants.Grants, optional
+        The leases that it may grant.
     """
 
     def __init__(
@@ -101,7 +103,8 @@
         on_leadership_lost: abc.Callable[[str], None],
         make_sender: abc.Callable[[sending.OnSendFailed], sending.OrderSender],
         evacuated: evacuations.Evacuations = evacuations.NONE,
-        earlier_grants_end: float = 0.0,
+        earlier_leases_end: float = 0.0,
+        granting: grants.Grants | None = None,
     ) -> None:
         self.epoch = epoch
         self.cfg = cfg
@@ -117,15 +120,16 @@
         )
         self.fleet_clock = fleet_clock.FleetClock()
         self.durations = durations.Durations(self.hosts)
-        self._early_cancellations: dict[str, float] = {}  # times on clock.now
+        self.early_cancellations: dict[str, float] = {}  # times on clock.now
         self.is_loaded = False
         self._intake_read_until = 0.0
         self._elected_at = clock.now()
-        # Granted by earlier schedulers, and by this one until it has loaded.
-        self.unknown_leases_end = earlier_grants_end or grants.unknown_grants_end(
+        # Lowered once it shows that an earlier leader was gone by then.
+        self.earlier_leases_end = earlier_leases_end or grants.unknown_grants_end(
             self._elected_at
         )
-        self.grants = grants.Grants(epoch, cfg.lease_s, last_contact_at)
+        self.unheard_leases_end = 0.0  # granted by this one until it has loaded
+        self.grants = granting or grants.Grants(epoch, cfg.lease_s, last_contact_at)
         self._table = table
         self._on_leadership_lost = on_leadership_lost
         self._last_contact_at = last_contact_at
@@ -138,7 +142,9 @@
         self._intake_watcher = intake.IntakeWatcher(
             store, self._on_loaded, self._on_job, self._on_cancel, self._on_intake_read
         )
-        self._cleaner = cleaning.Cleaner(store, epoch, self._expired, self._on_removed)
+        self._cleaner = cleaning.Cleaner(
+            store, epoch, lambda: cleaning.find_expired(self), self._on_removed
+        )
         self._intake_limit = intake_limit.Publisher(store, epoch, self.budget)
         self._sender = make_sender(self._on_orders_failed)
         self._reconciler = reconciling.Reconciler(self)
@@ -174,6 +180,11 @@
         """Apply a report; the response grants a lease if the agent knows its runner."""
         return self.responder.respond(report)
 
+    @property
+    def unknown_leases_end(self) -> float:
+        """When leases of hosts have ended that do not report, on ``clock.now``."""
+        return max(self.earlier_leases_end, self.unheard_leases_end)
+
     @property
     def is_cut_off(self) -> bool:
         """Return whether the store has not responded recently, so another may lead."""
@@ -206,16 +217,6 @@
     def _on_orders_failed(self, host: str, orders: list[messages.Order]) -> None:
         self._events.put(lambda: self._reconciler.on_orders_failed(host, orders))
 
-    def _expired(self) -> list[str]:
-        """Return the ids of final or unknown jobs whose retention period is over."""
-        before = clock.now() - self.cfg.status_s
-        early = list(self._early_cancellations.items())
-        return [id for id, at in early if at < before] + [
-            id
-            for id, job in list(self.jobs.items())
-            if job.stored_status in state.FINAL and 0 < job.final_since < before
-        ]
-
     def _on_removed(self, ids: list[str]) -> None:
         self._events.put(lambda: self._remove_jobs(ids))
 
@@ -225,7 +226,7 @@
         for id in ids:
             if id not in self._progress and (job := self.jobs.pop(id, None)):
                 job.release()
-            self._early_cancellations.pop(id, None)
+            self.early_cancellations.pop(id, None)
 
     def _run(self) -> None:
         try:
@@ -302,14 +303,14 @@
             return
         self.jobs[job.id] = self.open_jobs[job.id] = added
         decisions.record("job.seen", job=job.id, queue=job.queue, steps=len(job.steps))
-        if self._early_cancellations.pop(job.id, None):
+        if self.early_cancellations.pop(job.id, None):
             self._cancel(job.id)
 
     def _cancel(self, id: str) -> None:
         job = self.jobs.get(id)
         if job is None:
             # The store lists cancellations before the jobs that they belong to.
-            self._early_cancellations.setdefault(id, clock.now())
+            self.early_cancellations.setdefault(id, clock.now())
             decisions.record("job.cancel_early", job=id)
             return
         if job.cancelled or job.is_final:
@@ -353,7 +354,7 @@
 
     def has_unseen_runs(self, id: str) -> bool:
         """Return whether runs of a job may go on that the scheduler does not track."""
-        is_cancelled = id in self._early_cancellations
+        is_cancelled = id in self.early_cancellations
         return id in self.quarantine and id not in self.jobs and not is_cancelled
 
     def queue_of(self, job: state.JobState) -> jobs.Queue | None:
--- a/src/bilberrypass/scheduling/standby.py
+++ b/src/bilberrypass/scheduling/standby.py
@@ -8,7 +8,14 @@
 from bilberrypass import clock, errors, supervision
 from bilberrypass.connection import channels
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import election, grants, keyvalue, messages, succession
+from bilberrypass.scheduling import (
+    election,
+    grants,
+    keyvalue,
+    messages,
+    roster,
+    succession,
+)
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -42,6 +49,8 @@
         Read while the leader lacks it.
     current : callable
         Returns the scheduler of this entry, None while it does not lead.
+    started_at : float, optional
+        When this process started, on ``clock.now``; now without it.
     """
 
     def __init__(
@@ -52,8 +61,10 @@
         elections: election.Election,
         store: keyvalue.Store,
         current: "abc.Callable[[], scheduler.Scheduler | None]",
+        started_at: float | None = None,
     ) -> None:
-        self.succession = succession.Succession(name, lease_s)
+        self.succession = succession.Succession(elections.identity, lease_s, started_at)
+        self._lease_s = lease_s
         self._name = name
         self._address = address
         self._election = elections
@@ -62,6 +73,8 @@
         self._leader: election.Leader | None = None
         self._peer: channels.Peer | None = None
         self._leader_lacks_store = False
+        self._request_lock = threading.Lock()
+        self._keeper: roster.Keeper | None = None
         self._notice: _Notice | None = None
         self._calls = decisions.Dependency("standby")
         self._stopping = threading.Event()
@@ -79,23 +92,41 @@
         self._stopping.set()
         leader = self._followed_leader()
         if leader is not None:
-            self._send_request(leader)
+            # The first one counts for nothing if the response before it was lost.
+            for _ in range(2):
+                self._send_request(leader)
 
-    def begin_leading(self, epoch: int) -> float:
+    def begin_leading(self, epoch: int) -> tuple[float, grants.Grants]:
         """Introduce this entry to the leader that it followed.
 
         The store may turn that one away, which then goes on as in an outage.
 
         Returns
         -------
-        float
-            When all leases granted before have ended, on ``clock.now``.
+        tuple of float and grants.Grants
+            When all leases granted before have ended, on ``clock.now``, and what the
+            leader of this epoch may grant.
         """
         if self._leader is not None:
             notice = messages.LeaderNotice(self._name, self._address, epoch)
             until = clock.now() + grants.STORE_CONTACT_TIMEOUT_S
             self._notice = _Notice(self._leader.address, notice, until)
-        return self.succession.begin_leading(epoch, self._election.predecessor)
+        inherited, own = self._election.inherited, self._election.identity
+        elected_with = roster.inherit(inherited, own)
+        self._keeper = roster.Keeper(
+            self._store, election.KEY, election.ROSTER_KEY, epoch, own, elected_with
+        )
+        granting = grants.Grants(
+            epoch,
+            self._lease_s,
+            lambda: self._election.last_contact_in(epoch),
+            elected_with.names,
+            own,
+        )
+        leases_end = self.succession.begin_leading(
+            epoch, self._election.predecessor, inherited
+        )
+        return leases_end, granting
 
     # Called on the threads that serve peers.
 
@@ -104,7 +135,13 @@
         current = self._current()
         if current is None:
             return messages.StandbyResponse(0)
-        return current.grants.respond(req, current.unknown_leases_end)
+        current.earlier_leases_end = min(
+            current.earlier_leases_end, self.succession.record_start(req)
+        )
+        response = current.grants.respond(req, current.unknown_leases_end)
+        if req.is_leaving:
+            self._keep_roster(current)
+        return response
 
     def serve_notice(
         self, notice: messages.LeaderNotice
@@ -118,11 +155,19 @@
     def _run(self) -> None:
         while not self._stopping.wait(_REQUEST_INTERVAL_S):
             leader = self._followed_leader()
-            pending = self._notice
+            current, pending = self._current(), self._notice
             if leader is not None:
                 self._send_request(leader)
-            elif pending is not None and self._current() is not None:
-                self._send_notice(pending)
+            elif current is not None:
+                self._keep_roster(current)
+                if pending is not None:
+                    self._send_notice(pending)
+
+    def _keep_roster(self, current: "scheduler.Scheduler") -> None:
+        keeper = self._keeper
+        if keeper is not None and keeper.epoch == current.epoch:
+            have_ended = clock.now() > current.earlier_leases_end
+            keeper.update(current.grants, have_ended)
 
     def _followed_leader(self) -> election.Leader | None:
         """Return the leader if it is another entry."""
@@ -138,22 +183,24 @@
         return self._peer
 
     def _send_request(self, leader: election.Leader) -> None:
-        if leader != self._leader:
-            self._leader, self._leader_lacks_store = leader, False
-        has_lost_store = self._leader_lacks_store and not self._has_store()
-        req = self.succession.make_request(leader.epoch, has_lost_store)
-        sent_at = clock.now()
-        try:
-            response = self._peer_at(leader.address).call(
-                messages.STANDBY, req, time.monotonic() + _REQUEST_TIMEOUT_S
-            )
-        except errors.Error as exc:
-            self._calls.failed(exc)
-            return
-        if response.epoch == leader.epoch:
-            self._calls.worked()
-            self._leader_lacks_store = response.lacks_store
-            self.succession.record_response(sent_at, response)
+        """Send the next request; one at a time, as each quotes the response before."""
+        with self._request_lock:
+            if leader != self._leader:
+                self._leader, self._leader_lacks_store = leader, False
+            has_lost_store = self._leader_lacks_store and not self._has_store()
+            req = self.succession.make_request(leader.epoch, has_lost_store)
+            sent_at = clock.now()
+            try:
+                response = self._peer_at(leader.address).call(
+                    messages.STANDBY, req, time.monotonic() + _REQUEST_TIMEOUT_S
+                )
+            except errors.Error as exc:
+                self._calls.failed(exc)
+                return
+            if response.epoch == leader.epoch:
+                self._calls.worked()
+                self._leader_lacks_store = response.lacks_store
+                self.succession.record_response(sent_at, response)
 
     def _has_store(self) -> bool:
         try:
--- a/src/bilberrypassd.py
+++ b/src/bilberrypassd.py
@@ -3,6 +3,7 @@
 import os
 import sys
 
+from bilberrypass import clock  # noqa: F401, I001  # notes the start of the process
 from bilberrypass.platform import programs
 
 if __name__ == "__main__":
--- a/testing/scheduling/clusters.py
+++ b/testing/scheduling/clusters.py
@@ -161,7 +161,7 @@
     def next_end_number(self, host):
         return next(self._end_numbers)
 
-    def elect_scheduler(self, earlier_grants_end=0.0):
+    def elect_scheduler(self, earlier_leases_end=0.0):
         """Stop the scheduler, if any, and start the next one with a new epoch."""
         if self.scheduler is not None:
             self.scheduler.stop()
@@ -177,7 +177,7 @@
             self.lost_leadership.append,
             lambda on_failed: RecordingOrderSender(self),
             evacuations.StoredEvacuations(self.store, EVACUATION_PREFIX),
-            earlier_grants_end,
+            earlier_leases_end,
         )
         self.scheduler.start()
         fixtures.wait_until(lambda: self.scheduler.is_loaded, 5.0, "the load")
--- a/testing/scheduling/successions.py
+++ b/testing/scheduling/successions.py
@@ -9,10 +9,11 @@
 import contextlib
 import heapq
 import itertools
+import random
 from unittest import mock
 
-from bilberrypass import clock
-from bilberrypass.scheduling import grants, succession
+from bilberrypass import clock, errors
+from bilberrypass.scheduling import grants, keyvalue, roster, succession
 
 LEASE_S = 5.0
 STORE_TTL_S = 2.0
@@ -30,6 +31,13 @@
         self.epoch = 0
         self.holder = None
         self.expires_at = 0.0
+        self.roster = None  # as an item
+        self.revision = 0
+
+    def put_roster(self, value, epoch=0):
+        self.revision = epoch or self.revision + 0.001
+        self.roster = keyvalue.Item("roster", value, self.revision)
+        return self.revision
 
     def go_down(self, now):
         self.down_since = now
@@ -43,6 +51,26 @@
         return self.holder is None or now > self.expires_at
 
 
+class _Connection:
+    """A leader's connection to the store, for its roster; some answers are lost."""
+
+    def __init__(self, world, process):
+        self._world, self._process = world, process
+
+    def commit(self, expected, puts, deadline):
+        world, store = self._world, self._world.store
+        if not world._reaches_store(self._process):
+            raise errors.Error(errors.Kind.STORE_DOWN, "the store is away")
+        held = store.epoch if not store.is_free(world.now) else 0
+        if expected != {"leader": held, "roster": store.roster.revision}:
+            held_item = keyvalue.Item("leader", b"", held)
+            raise keyvalue.PreconditionFailed([held_item, store.roster])
+        revision = store.put_roster(puts[0].value)
+        if world.loses_answers and world.rng.random() < 0.2:
+            raise errors.Error(errors.Kind.STORE_UNCERTAIN, "no answer")
+        return revision
+
+
 class Process:
     """One entry, with a clock, a connection to the store, and what it knows."""
 
@@ -52,14 +80,16 @@
         self.frozen_until = 0.0
         self.has_store = True
         self.peers_cut = set()
+        self.life = 0
         self.epoch = 0
-        self.grants = None
+        self.grants = self.keeper = None
         self.contact_at = 0.0
         self.bound = 0.0
         self.start()
 
     def start(self):
         """Start, or start again without any memory."""
+        self.life += 1
         self.epoch, self.grants = 0, None
         self.leader, self.lacks_store = None, False
         self.is_dead = False
@@ -93,6 +123,8 @@
         self.rng = rng
         self.now = 0.0
         self.yields_without_cause = True
+        self.loses_answers = False
+        self.has_rosters = True  # entries of an earlier release wrote none
         self.store = Store(pauses)
         self._events, self._order = [], itertools.count()
         self._current = None
@@ -107,6 +139,7 @@
         for process in self.processes:
             for step in (self._renew, self._request, self._campaign):
                 self._repeat(process, step, rng.uniform(0, 0.5))
+            self._repeat(process, self._keep_roster, 0.3)
         self.at(0.2, self._report)
 
     @contextlib.contextmanager
@@ -185,20 +218,54 @@
         if not store.is_free(self.now):
             process.leader = store.holder, store.epoch
             return
-        if not process.succession.is_informed(store.epoch) and self.rng.random() < 0.8:
+        inherited = roster.read(store.roster, store.epoch)
+        is_informed = process.succession.is_informed(store.epoch, inherited)
+        if not is_informed and self.rng.random() < 0.8:
             return
         predecessor, store.epoch = store.epoch, store.epoch + 1
         store.holder, store.expires_at = process, self.now + STORE_TTL_S
+        if self.has_rosters:
+            elected_with = roster.inherit(inherited, process.name)
+            store.put_roster(roster.encode(elected_with), store.epoch)
         contact_at = process.local(self.now)
-        self._after(process, self._lead, process, store.epoch, predecessor, contact_at)
+        self._after(
+            process,
+            self._lead,
+            process,
+            (store.epoch, predecessor, inherited),
+            contact_at,
+            process.life,
+        )
 
-    def _lead(self, process, epoch, predecessor, contact_at):
-        process.bound = process.succession.begin_leading(epoch, predecessor)
+    def _lead(self, process, election, contact_at, life):
+        if process.life != life:
+            return
+        epoch, _, inherited = election
+        process.bound = process.succession.begin_leading(*election)
+        elected_with = roster.inherit(inherited, process.name)
+        process.keeper = roster.Keeper(
+            _Connection(self, process),
+            "leader",
+            "roster",
+            epoch,
+            process.name,
+            elected_with,
+        )
         is_short = process.bound < grants.unknown_grants_end(clock.now()) - 1e-9
         true_bound = process.true_time(process.bound)
         self.elections.append((epoch, true_bound, is_short))
         process.epoch, process.contact_at = epoch, contact_at
-        process.grants = grants.Grants(epoch, LEASE_S, lambda: process.contact_at)
+        process.grants = grants.Grants(
+            epoch,
+            LEASE_S,
+            lambda: process.contact_at if process.epoch == epoch else 0.0,
+            elected_with.names if self.has_rosters else (),
+            process.name,
+        )
+
+    def _keep_roster(self, process):
+        if process.epoch and self.has_rosters:
+            process.keeper.update(process.grants, clock.now() > process.bound)
 
     # Standbys.
 
@@ -215,9 +282,18 @@
 
     def _answer(self, leader, standby, req, sent_at):
         if leader.grants is not None and leader.can_reach(standby):
+            self._lower_bound(leader, leader.succession.record_start(req))
             response = leader.grants.respond(req, leader.bound)
             self._after(standby, self._hear, standby, req.epoch, sent_at, response)
 
+    def _lower_bound(self, leader, bound):
+        if self.has_rosters and leader.epoch and bound < leader.bound:
+            leader.bound = bound
+            (index,) = (
+                n for n, found in enumerate(self.elections) if found[0] == leader.epoch
+            )
+            self.elections[index] = leader.epoch, leader.true_time(bound), True
+
     def _hear(self, standby, epoch, sent_at, response):
         if response.epoch == epoch:
             standby.lacks_store = response.lacks_store
@@ -239,9 +315,12 @@
             return
         if self.rng.random() < 0.05:
             leader.frozen_until = self.now + self.rng.uniform(0.1, 6.0)
-        self._on_process(leader, self._grant, leader, leader.grants, now, sent_at)
+        life = leader.life
+        self._on_process(leader, self._grant, leader, leader.grants, now, sent_at, life)
 
-    def _grant(self, leader, granting, now, sent_at):
+    def _grant(self, leader, granting, now, sent_at, life=None):
+        if life not in (None, leader.life):
+            return
         lease_s = granting.lease_s(now)
         if lease_s:
             # The agent counts from its report, whenever it hears of the lease.
@@ -255,3 +334,53 @@
             for granted, end in self.grants
             if granted < elected and end > bound
         ]
+
+
+def led_world(seed=1, entries=3, pauses=False, has_rosters=True):
+    """Return a world in which a leader has listed its standbys."""
+    world = World(random.Random(seed), entries, pauses)
+    world.has_rosters = has_rosters
+    world.yields_without_cause = False
+    world.rng.random = lambda: 0.85  # no freezes but those of the test
+    world.run(5.0)
+    (leader,) = (p for p in world.processes if p.epoch)
+    return world, leader, [p for p in world.processes if p is not leader]
+
+
+def elect_next(world, within_s):
+    """Run until the next election; return it, and check the leases so far."""
+    count = len(world.elections)
+    until = world.now + within_s
+    while len(world.elections) == count and world.now < until:
+        world.run(world.now + 0.05)
+    assert len(world.elections) > count
+    return world.elections[-1]
+
+
+def latest_end(world, epoch):
+    return max(end for granted, end in world.grants if granted == epoch)
+
+
+def bring_trouble(world, rng):
+    """Bring about one fault, or end some."""
+    process = rng.choice(world.processes)
+    kind = rng.choice(("down", "up", "cut", "heal", "kill", "start", "freeze", "part"))
+    if kind == "down" and world.store.down_since is None:
+        world.store.go_down(world.now)
+    elif kind == "up":
+        world.store.return_(world.now)
+    elif kind == "cut":
+        process.has_store = False
+    elif kind == "heal":
+        for each in world.processes:
+            each.has_store, each.peers_cut = True, set()
+    elif kind == "kill":
+        process.is_dead = True
+    elif kind == "start":
+        for each in world.processes:
+            if each.is_dead:
+                each.start()
+    elif kind == "freeze":
+        process.frozen_until = world.now + rng.uniform(0.2, 14.0)
+    else:
+        process.peers_cut = {rng.choice(world.processes).name}
--- a/testing/scheduling/test_cleaning.py
+++ b/testing/scheduling/test_cleaning.py
@@ -76,7 +76,7 @@
     with clusters.running_cluster() as cluster:
         key = "intake/cancel/" + "b" * 16
         cluster.store.put(key, b"")
-        early = cluster.scheduler._early_cancellations
+        early = cluster.scheduler.early_cancellations
         fixtures.wait_until(lambda: early, 2.0, "the cancellation")
         cluster.scheduler._cleaner.clean()
         assert key in cluster.store.items
--- a/testing/scheduling/test_reconciling.py
+++ b/testing/scheduling/test_reconciling.py
@@ -76,7 +76,7 @@
             cluster.lost_leadership.append,
             lambda on_failed: clusters.RecordingOrderSender(cluster),
         )
-        successor.unknown_leases_end -= grants.STORE_CONTACT_TIMEOUT_S  # a slow load
+        successor.earlier_leases_end -= grants.STORE_CONTACT_TIMEOUT_S  # a slow load
         cluster.scheduler = successor
         granted_at = clock.now()
         lease_s = host.report().lease_s
@@ -86,7 +86,7 @@
             cluster.store.list(intake.INTAKE_PREFIX, clock.now() + 1.0)
         )
         successor._load(*initial)
-        left_s = successor.hosts["h1"].granted_until - granted_at
+        left_s = successor.hosts["h1"].leased_until(0.0) - granted_at
         cluster.scheduler = found
         assert left_s >= lease_s, (left_s, lease_s)
 
--- a/testing/scheduling/test_standby.py
+++ b/testing/scheduling/test_standby.py
@@ -10,6 +10,7 @@
     jobs,
     messages,
     queues,
+    roster,
     scheduler,
 )
 from testing import collecting, events, fixtures
@@ -66,7 +67,7 @@
         if not number:
             fixtures.wait_until(lambda: found[0].scheduler, 5.0, "its scheduler")
             # Nothing is known of leaders before the first one for 12 s.
-            found[0].scheduler.unknown_leases_end = clock.now()
+            found[0].scheduler.earlier_leases_end = clock.now()
     try:
         leader = found[0]
         fixtures.wait_until(lambda: _listed(leader) == count - 1, 5.0, "all listed")
@@ -172,12 +173,48 @@
         restarted = _Entry(store, "e0", leader.address)
         try:
             fixtures.wait_until(lambda: restarted.scheduler, 2.0, "the election")
-            assert _unknown_left_s(restarted) > grants.STORE_CONTACT_TIMEOUT_S - 2.0
+            left_s = _unknown_left_s(restarted)
+            # All leases of its earlier process; that one was gone when it started.
+            assert LEASE_S - 2.0 < left_s <= grants.elapsed_at_most(LEASE_S), left_s
             assert store.items[election.TERM_KEY].revision > epoch
         finally:
             restarted.stop()
 
 
+def test_entries_that_all_started_anew_wait_for_one_lease():
+    """They waited 12.4 s after each such kill (review/13)."""
+    with _entries(3) as (leader, others, store):
+        fixtures.wait_until(lambda: _roster_names(store) == 3, 3.0, "the roster")
+        for each in (leader, *others):
+            each.vanish()
+        restarted = [
+            _Entry(store, f"e{number}", each.address)
+            for number, each in enumerate((leader, *others))
+        ]
+        started_at = clock.now()
+        try:
+            (elected,) = fixtures.wait_until(
+                lambda: [each for each in restarted if each.scheduler], 8.0, "a leader"
+            )
+            lease_s = grants.elapsed_at_most(LEASE_S)
+            fixtures.wait_until(
+                lambda: (
+                    clock.now() + _unknown_left_s(elected) <= started_at + lease_s + 0.5
+                ),
+                2.0,
+                "the start of the entry that led",
+            )
+            assert clock.now() + _unknown_left_s(elected) > started_at + LEASE_S - 1.0
+        finally:
+            for each in restarted:
+                each.stop()
+
+
+def _roster_names(store):
+    item = store.items[election.ROSTER_KEY]
+    return len(roster.read(item, store.items[election.TERM_KEY].revision).names)
+
+
 def _lost_host_cluster(cluster, *steps):
     """Start tasks on a host that is lost with its leader; return another host."""
     lost = cluster.add_host("h1", cpu=1_000)
@@ -207,6 +244,17 @@
         assert not lost.is_usable(clock.now())
 
 
+def test_tasks_of_a_lost_host_start_once_the_bound_is_lowered():
+    """What shows that the earlier leader is gone comes after the election."""
+    steps = jobs.Step(1, 400), jobs.Step(1, 400, is_service=True)
+    with clusters.running_cluster() as cluster:
+        other = _lost_host_cluster(cluster, *steps)
+        cluster.elect_scheduler(clock.now() + 20.0)
+        other.report()
+        cluster.scheduler.earlier_leases_end = clock.now()
+        assert sorted(order.run for order in other.await_orders(2)) == [2, 2]
+
+
 def test_runs_of_a_host_that_reports_in_time_are_not_lost_to_the_bound():
     """Its agent slept, and its runner works on under a lease of an earlier leader."""
     with clusters.running_cluster() as cluster:
--- a/testing/scheduling/test_succession.py
+++ b/testing/scheduling/test_succession.py
@@ -13,39 +13,15 @@
 _MAX_IDLE_S = 9.0  # RULES.md, LOST: 6 s after the last run, and 3 s
 
 
-def _world(seed=1, entries=3, pauses=False):
-    """Return a world in which a leader has listed its standbys."""
-    world = successions.World(random.Random(seed), entries, pauses)
-    world.yields_without_cause = False
-    world.rng.random = lambda: 0.85  # no freezes but those of the test
-    world.run(5.0)
-    (leader,) = (p for p in world.processes if p.epoch)
-    return world, leader, [p for p in world.processes if p is not leader]
-
-
-def _elect_next(world, within_s):
-    """Run until the next election; return it, and check the leases so far."""
-    count = len(world.elections)
-    until = world.now + within_s
-    while len(world.elections) == count and world.now < until:
-        world.run(world.now + 0.05)
-    assert len(world.elections) > count
-    return world.elections[-1]
-
-
-def _latest_end(world, epoch):
-    return max(end for granted, end in world.grants if granted == epoch)
-
-
 def test_successor_of_a_killed_leader_waits_for_one_lease_only():
     """It waited 12.3 s, so lasting tasks of a lost host were down too long (review/10).
 
     No lease is extended without the consent of a listed standby.
     """
-    world, leader, _ = _world()
+    world, leader, _ = successions.led_world()
     killed_at = world.now
     leader.is_dead = True
-    _, bound, is_short = _elect_next(world, 4.0)
+    _, bound, is_short = successions.elect_next(world, 4.0)
     assert is_short
     assert bound - killed_at < _MAX_IDLE_S - _MARGIN_S
     assert not world.find_outlasting()
@@ -54,14 +30,14 @@
 def test_leases_outlast_an_outage_while_all_standbys_yield():
     """What runs goes on while the store is away, and nobody takes over meanwhile."""
     for pauses in (True, False):
-        world, leader, _ = _world(pauses=pauses)
+        world, leader, _ = successions.led_world(pauses=pauses)
         epoch, down_at = leader.epoch, world.now
         world.store.go_down(world.now)
         world.run(down_at + 7.0)
-        assert _latest_end(world, epoch) > world.now + LEASE_S / 2
+        assert successions.latest_end(world, epoch) > world.now + LEASE_S / 2
         leader.has_store = False  # another one is elected
         world.store.return_(world.now)
-        _, bound, is_short = _elect_next(world, 4.0)
+        _, bound, is_short = successions.elect_next(world, 4.0)
         assert is_short
         assert bound < world.now + grants.YIELD_S + LEASE_S + _MARGIN_S
         world.run(world.now + 20.0)
@@ -70,38 +46,39 @@
 
 def test_leader_that_alone_has_lost_the_store_extends_no_lease():
     """Its successor does not yield, and other hosts may hear that one already."""
-    world, leader, _ = _world()
+    world, leader, _ = successions.led_world()
     epoch, cut_at = leader.epoch, world.now
     leader.has_store = False
-    _, bound, is_short = _elect_next(world, 4.0)
+    _, bound, is_short = successions.elect_next(world, 4.0)
     world.run(world.now + 20.0)
     assert is_short
-    assert _latest_end(world, epoch) < cut_at + LEASE_S + _MARGIN_S
-    assert _latest_end(world, epoch) <= bound
+    assert successions.latest_end(world, epoch) < cut_at + LEASE_S + _MARGIN_S
+    assert successions.latest_end(world, epoch) <= bound
 
 
 def test_leader_that_cannot_reach_a_standby_extends_no_lease():
     """That standby may be the one that takes over."""
-    world, leader, (lost, _) = _world()
+    world, leader, (lost, _) = successions.led_world()
     epoch, down_at = leader.epoch, world.now
     lost.peers_cut = {p.name for p in world.processes}
     world.store.go_down(world.now)
     world.run(down_at + 10.0)
-    assert _latest_end(world, epoch) < down_at + LEASE_S + _MARGIN_S
+    assert successions.latest_end(world, epoch) < down_at + LEASE_S + _MARGIN_S
 
 
 def test_leader_forgets_a_standby_that_leaves_at_once():
-    world, leader, (left, _) = _world()
+    world, leader, (left, _) = successions.led_world()
     epoch, down_at = leader.epoch, world.now
     with world.on(left):
         left.succession.leave()
         req = left.succession.make_request(epoch, False)
     with world.on(leader):
         leader.grants.respond(req, leader.bound)
+        world._keep_roster(leader)
     left.is_dead = True
     world.store.go_down(world.now)
     world.run(down_at + 7.0)
-    assert _latest_end(world, epoch) > world.now + LEASE_S / 2
+    assert successions.latest_end(world, epoch) > world.now + LEASE_S / 2
 
 
 def test_late_departure_of_an_earlier_process_delists_no_later_one():
@@ -122,7 +99,7 @@
 
 def test_standby_that_left_counts_on_nothing():
     """The leader does not ask it for consent any more."""
-    world, leader, (left, _) = _world()
+    world, leader, (left, _) = successions.led_world()
     with world.on(left):
         left.succession.leave()
         bound = left.succession.begin_leading(leader.epoch + 1, leader.epoch)
@@ -132,7 +109,7 @@
 def test_frozen_leader_grants_no_lease_beyond_the_bound_when_it_wakes():
     """It had read its clock and the consents before it froze."""
     for frozen_s in (3.0, 6.0, 11.0):
-        world, leader, _ = _world()
+        world, leader, _ = successions.led_world()
         now = leader.local(world.now)
         granting, sent_at = leader.grants, world.now
         leader.frozen_until = world.now + frozen_s
@@ -144,7 +121,7 @@
 
 def test_consent_of_a_frozen_standby_extends_nothing_when_it_arrives_late():
     """It counts from the leader's response before, not from its arrival."""
-    world, leader, (standby, other) = _world()
+    world, leader, (standby, other) = successions.led_world()
     with world.on(standby):
         req = standby.succession.make_request(leader.epoch, True)
     with world.on(other):
@@ -159,12 +136,12 @@
         assert leader.grants.lease_s(clock.now()) < LEASE_S / 2
 
 
-def test_entry_that_started_anew_counts_on_nothing():
+def test_entry_that_started_anew_counts_on_nothing_without_a_roster():
     """It has no memory of what an earlier process of it agreed to."""
-    world, leader, (standby, other) = _world()
+    world, leader, (standby, other) = successions.led_world(has_rosters=False)
     standby.start()
     other.is_dead = leader.is_dead = True
-    _, bound, is_short = _elect_next(world, 8.0)
+    _, bound, is_short = successions.elect_next(world, 8.0)
     assert not is_short
     world.run(world.now + 20.0)
     assert not world.find_outlasting()
@@ -189,80 +166,55 @@
 
 def test_second_successor_counts_the_leases_before_the_first():
     """Two changes of the leader in a row, the first after an outage with consent."""
-    world, leader, _ = _world()
+    world, leader, _ = successions.led_world()
     epoch = leader.epoch
     world.store.go_down(world.now)
     world.run(world.now + 5.0)
     leader.has_store = False
     world.store.return_(world.now)
-    _elect_next(world, 4.0)
+    successions.elect_next(world, 4.0)
     world.run(world.now + 1.2)
     (second,) = (p for p in world.processes if p.epoch > epoch)
     second.is_dead = True
-    _, bound, is_short = _elect_next(world, 4.0)
+    _, bound, is_short = successions.elect_next(world, 4.0)
     assert is_short
-    assert bound >= _latest_end(world, epoch)
+    assert bound >= successions.latest_end(world, epoch)
     world.run(world.now + 20.0)
     assert not world.find_outlasting()
 
 
 def test_successor_of_a_leader_it_never_heard_waits_for_the_longest_lease():
     """The first successor was lost before this entry was listed there."""
-    world, leader, _ = _world()
+    world, leader, _ = successions.led_world(has_rosters=False)
     leader.is_dead = True
     while not any(p.epoch and p is not leader for p in world.processes):
         world.run(world.now + 0.01)
     (second,) = (p for p in world.processes if p.epoch and p is not leader)
     second.is_dead = True
-    _, bound, is_short = _elect_next(world, 6.0)
+    _, bound, is_short = successions.elect_next(world, 6.0)
     assert not is_short
     assert bound >= world.now + grants.STORE_CONTACT_TIMEOUT_S - _MARGIN_S
 
 
 def test_leader_that_is_elected_again_knows_its_own_leases():
-    world, leader, others = _world()
+    world, leader, others = successions.led_world()
     for other in others:
         other.is_dead = True
     world.store.go_down(world.now)
     world.run(world.now + 3.0)
     world.store.return_(world.now)
-    _, _, is_short = _elect_next(world, 6.0)
+    _, _, is_short = successions.elect_next(world, 6.0)
     assert is_short
     world.run(world.now + 10.0)
     assert not world.find_outlasting()
 
 
-def _trouble(world, rng):
-    """Bring about one fault, or end some."""
-    process = rng.choice(world.processes)
-    kind = rng.choice(("down", "up", "cut", "heal", "kill", "start", "freeze", "part"))
-    if kind == "down" and world.store.down_since is None:
-        world.store.go_down(world.now)
-    elif kind == "up":
-        world.store.return_(world.now)
-    elif kind == "cut":
-        process.has_store = False
-    elif kind == "heal":
-        for each in world.processes:
-            each.has_store, each.peers_cut = True, set()
-    elif kind == "kill":
-        process.is_dead = True
-    elif kind == "start":
-        for each in world.processes:
-            if each.is_dead:
-                each.start()
-    elif kind == "freeze":
-        process.frozen_until = world.now + rng.uniform(0.2, 14.0)
-    else:
-        process.peers_cut = {rng.choice(world.processes).name}
-
-
 def _play(seed):
     rng = random.Random(seed)
     world = successions.World(rng, rng.randint(1, 4), rng.random() < 0.5)
     world.run(rng.uniform(1.0, 6.0))
     for _ in range(40):
-        _trouble(world, rng)
+        successions.bring_trouble(world, rng)
         world.run(world.now + rng.choice((0.1, 0.6, 2.5, 6.0)))
     return world
 
