--- a/src/bilberrypass/scheduling/loading.py
+++ b/src/bilberrypass/scheduling/loading.py
@@ -58,14 +58,17 @@
     }
     restored = {}
     for job in initial.jobs:
-        job_state = state.JobState(job, accepted_at(job, now, 0.0), max_bytes, budget)
+        job_state = None
         try:
+            at = accepted_at(job, now, 0.0)
+            job_state = state.JobState(job, at, max_bytes, budget)
             item = progress.pop(job.id, None)
             if item is not None:
                 job_state.restore(item.value, item.revision, now)
                 job_state.drop_tasks_if_final()
         except Exception as exc:
-            job_state.release()
+            if job_state is not None:
+                job_state.release()
             quarantine.add(job.id, "stored progress", exc)
         else:
             restored[job.id] = job_state
