--- a/src/bilberrypass/scheduling/durations.py
+++ b/src/bilberrypass/scheduling/durations.py
@@ -7,9 +7,14 @@
 import typing as t
 import weakref
 
-import prometheus_client as prometheus
-
-from bilberrypass.scheduling import duration_priors, hosts, jobs, state, stragglers
+from bilberrypass.scheduling import (
+    duration_priors,
+    hosts,
+    jobs,
+    leader_gauges,
+    state,
+    stragglers,
+)
 
 _WITHIN_STEP_VARIANCE: t.Final = 0.09  # of logarithms; tasks of a step differ by 30%
 _MAX_ENDS: t.Final = 32  # of one step
@@ -25,7 +30,7 @@
 _FULL_PERCENT: t.Final = 100
 _MIN_WORK: t.Final = 1.0  # core-seconds; steps may have no estimate
 
-_ratios = prometheus.Gauge(
+_ratios = leader_gauges.create(
     "bilberrypass_duration_ratio", "True to estimated duration of tasks", ["queue"]
 )
 
--- a/src/bilberrypass/scheduling/entry.py
+++ b/src/bilberrypass/scheduling/entry.py
@@ -18,6 +18,8 @@
     jobs,
     keyvalue,
     messages,
+    peers,
+    queries,
     queues,
     refusing,
     roster,
@@ -26,13 +28,7 @@
     standby,
 )
 
-# a few round trips; without a response, the store is read instead
-_LEADER_QUERY_TIMEOUT_S: t.Final = 0.4
 _RPC_THREADS: t.Final = 48
-_STATUS_READ_TIMEOUT_S: t.Final = 1.0
-# covers the peer's own query of at most _STATUS_READ_TIMEOUT_S and the round trip
-_PEER_STATUS_TIMEOUT_S: t.Final = 1.2
-_PEER_ADDRESS_MAX_AGE_S: t.Final = 60.0
 _STOP_GRACE_S: t.Final = 1.0
 
 T = t.TypeVar("T")
@@ -88,9 +84,7 @@
         self._submissions = intake.Submissions(store)
         self._scheduler: scheduler.Scheduler | None = None
         self._lock = threading.Lock()
-        self._peer: channels.Peer | None = None
         self._paths = changing.ChangePaths()
-        self._peers_seen_at: dict[str, float] = {}
         self._gate = refusing.Gate(
             self._submissions.refuse,
             lambda name: self.table.queues.get(name) if self.table else None,
@@ -100,6 +94,10 @@
         self._election = election.Election(
             store, name, peer_address, self, candidacy_delay_s, self._gate.on_change
         )
+        self._peers = peers.Peers(peer_address, self._election)
+        self._queries = queries.Queries(
+            peer_address, self._submissions, self._peers, lambda: self._scheduler
+        )
         self._standby = standby.Standby(
             name,
             peer_address,
@@ -115,9 +113,9 @@
                 messages.STANDBY: self._standby.serve_request,
                 messages.LEADER: self._standby.serve_notice,
                 messages.REPORT: self._serve_report,
-                messages.STATE: self._serve_state,
-                messages.WAITING: self._serve_waiting,
-                messages.STATUS: self._serve_status,
+                messages.STATE: self._queries.serve_state,
+                messages.WAITING: self._queries.serve_waiting,
+                messages.STATUS: self._queries.serve_status,
                 messages.SUBMIT: self._serve_submit,
                 messages.CANCEL: self._serve_cancel,
             },
@@ -230,10 +228,10 @@
 
         The store may serve the leader's host while it refuses this one.
         """
-        address = self._find_peer()
+        address = self._peers.find()
         if not address:
             return change_locally(deadline)
-        peer = self._peer_at(address)
+        peer = self._peers.at(address)
         return self._paths.change(
             change_locally,
             lambda until: change_remotely(peer, until - clock.now()),
@@ -262,38 +260,7 @@
 
     def status(self, id: str, deadline: float) -> str:
         """Return the stored status of a job; empty if the store has no such job."""
-        req = messages.StateRequest(id, self._address)
-        if self._is_cut_off:
-            response = self._query_peer(req, deadline)
-        else:
-            response = self._query_leader(messages.STATE, req, self._serve_state)
-        if response is not None and response.status:
-            return response.status
-        status = self._submissions.read_status(id, deadline)
-        decisions.record(
-            "job.status_read", job=id, status=status, leader=bool(response)
-        )
-        return status
-
-    @property
-    def _is_cut_off(self) -> bool:
-        """Whether this entry leads but lost contact with the store; others may lead."""
-        current = self._scheduler
-        return current is not None and current.is_cut_off
-
-    def _query_peer(
-        self, req: messages.StateRequest, deadline: float
-    ) -> messages.StateResponse | None:
-        """Return another entry's response; None if there is no peer or response."""
-        address = self._find_peer()
-        if not address:
-            return None
-        until = time.monotonic() + min(_PEER_STATUS_TIMEOUT_S, deadline - clock.now())
-        try:
-            return self._peer_at(address).call(messages.STATUS, req, until)
-        except errors.Error as exc:
-            decisions.record("helper.unanswered", helper=address, why=str(exc))
-            return None
+        return self._queries.status(id, deadline)
 
     def count_waiting(self, queue: str) -> int:
         """Return how many jobs of a queue have not started.
@@ -301,61 +268,16 @@
         Raises
         ------
         errors.Error
-            PEER_UNREACHABLE if the scheduler does not respond.
+            PEER_UNREACHABLE if no scheduler that knows responds.
         """
-        req = messages.WaitingRequest(queue)
-        response = self._query_leader(messages.WAITING, req, self._serve_waiting)
-        if response is None:
-            raise errors.Refused(
-                errors.Kind.PEER_UNREACHABLE,
-                f"no scheduler responded with the waiting jobs of {queue}; retry",
-                retry_after_s=1.0,
-            )
-        return response.waiting
-
-    def _query_leader(
-        self, method: channels.Method, req: t.Any, serve: abc.Callable[[t.Any], t.Any]
-    ) -> t.Any:
-        """Return the leader's response; None without a leader or a timely response."""
-        if self._scheduler is not None:
-            return serve(req)
-        leader = self._election.leader
-        if leader is None or leader.address == self._address:
-            return None
-        try:
-            deadline = time.monotonic() + _LEADER_QUERY_TIMEOUT_S
-            response = self._peer_at(leader.address).call(method, req, deadline)
-        except errors.Error as exc:
-            decisions.record("leader.unanswered", leader=leader.name, why=str(exc))
-            return None
-        return response if response.is_leader else None
-
-    def _find_peer(self) -> str:
-        """Return another entry's address: the leader's or a recent peer's; or empty."""
-        leader = self._election.leader
-        if leader is not None and leader.address != self._address:
-            return leader.address
-        seen_at, address = max(
-            ((at, address) for address, at in list(self._peers_seen_at.items())),
-            default=(0.0, ""),
-        )
-        return address if clock.now() - seen_at < _PEER_ADDRESS_MAX_AGE_S else ""
-
-    def _peer_at(self, address: str) -> channels.Peer:
-        with self._lock:
-            peer = self._peer
-            if peer is None or peer.address != address:
-                if peer is not None:
-                    peer.close()
-                peer = self._peer = channels.Peer(address)
-            return peer
+        return self._queries.count_waiting(queue)
 
     # Called on the threads that serve peers.
 
     def _serve_report(self, report: messages.Report) -> messages.ReportResponse:
         current = self._scheduler
         if current is None:
-            leader = self._election.leader
+            leader = self._peers.leader()
             if leader is None:
                 return messages.ReportResponse(False, 0)
             return messages.ReportResponse(False, leader.epoch, leader=leader.address)
@@ -369,26 +291,6 @@
         is_known = self._submissions.cancel(req.job, clock.now() + req.time_left_s)
         return messages.CancelResponse(is_known)
 
-    def _serve_state(self, req: messages.StateRequest) -> messages.StateResponse:
-        self._peers_seen_at[req.asker] = clock.now()
-        current = self._scheduler
-        if current is None or not current.is_loaded:
-            return messages.StateResponse(False)
-        return messages.StateResponse(True, current.status(req.job))
-
-    def _serve_status(self, req: messages.StateRequest) -> messages.StateResponse:
-        if self._is_cut_off:
-            return messages.StateResponse(False)
-        return messages.StateResponse(
-            True, self.status(req.job, clock.now() + _STATUS_READ_TIMEOUT_S)
-        )
-
-    def _serve_waiting(self, req: messages.WaitingRequest) -> messages.WaitingResponse:
-        current = self._scheduler
-        if current is None or not current.is_loaded:
-            return messages.WaitingResponse(False)
-        return messages.WaitingResponse(True, current.count_waiting(req.queue))
-
 
 def _call_peer(
     peer: channels.Peer,
--- a/src/bilberrypass/scheduling/evacuations.py
+++ b/src/bilberrypass/scheduling/evacuations.py
@@ -5,11 +5,9 @@
 import threading
 import typing as t
 
-import prometheus_client as prometheus
-
 from bilberrypass import clock, errors, supervision
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, keyvalue, state
+from bilberrypass.scheduling import hosts, keyvalue, leader_gauges, state
 
 _READ_TIMEOUT_S: t.Final = 1.0
 _WATCH_TIMEOUT_S: t.Final = 0.7
@@ -22,7 +20,7 @@
 # two reports of its agent. A later start would come too late.
 _START_TIMEOUT_S: t.Final = 1.0
 
-_evacuated = prometheus.Gauge(
+_evacuated = leader_gauges.create(
     "bilberrypass_evacuated_domains", "Failure domains that are evacuated"
 )
 
@@ -137,11 +135,11 @@
             self._set(keys, sent_at)
 
     def _set(self, keys: cabc.Set[str], read_at: float) -> None:
+        if self._stopping.is_set():
+            return
         before = self._domains
         self._domains = frozenset(key.removeprefix(self._prefix) for key in keys)
         self._read_until = max(self._read_until, read_at)
-        if self._domains == before:
-            return
         _evacuated.set(len(self._domains))
         for domain in sorted(self._domains - before):
             decisions.record("domain.evacuated", domain=domain)
--- a/src/bilberrypass/scheduling/forecast_publishing.py
+++ b/src/bilberrypass/scheduling/forecast_publishing.py
@@ -15,6 +15,7 @@
     hosts,
     jobs,
     keyvalue,
+    leader_gauges,
     ordering,
     queue_forecast,
     state,
@@ -30,7 +31,7 @@
     "Completed jobs by forecast end, in tenths of the time of use, and by outcome",
     ["tenth", "outcome"],
 )
-_rows_metric = prometheus.Gauge(
+_rows_metric = leader_gauges.create(
     "bilberrypass_forecast_rows", "Kinds of jobs with a forecast wait"
 )
 
--- a/src/bilberrypass/scheduling/intake_limit.py
+++ b/src/bilberrypass/scheduling/intake_limit.py
@@ -4,11 +4,10 @@
 import typing as t
 
 import msgspec
-import prometheus_client as prometheus
 
 from bilberrypass import clock, decoding, errors, supervision
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import election, keyvalue, work_budget
+from bilberrypass.scheduling import election, keyvalue, leader_gauges, work_budget
 
 LIMIT_KEY: t.Final = election.KEY + "/intake"  # read by the watch of that key
 VALID_S: t.Final = 5.0
@@ -18,7 +17,7 @@
 # Hysteresis, so that the end of one job does not let a burst of others in.
 _RESUME_SHARE: t.Final = 0.95
 
-_is_full = prometheus.Gauge(
+_is_full = leader_gauges.create(
     "bilberrypass_intake_full", "Whether the leader has new jobs refused"
 )
 
@@ -81,7 +80,6 @@
     def stop(self) -> None:
         """Signal the thread to end, without waiting for it."""
         self._stopping.set()
-        _is_full.set(0)
 
     def _run(self) -> None:
         while not self._stopping.wait(_CHECK_INTERVAL_S):
--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -9,6 +9,7 @@
 from bilberrypass.scheduling import (
     hosts,
     jobs,
+    leader_gauges,
     room_plan,
     state,
     wait_figures,
@@ -18,8 +19,9 @@
 _LOG_INTERVAL_S: t.Final = 2.0  # 30 lines a minute
 _FULL_PACE_PERCENT: t.Final = 100
 
+_open_jobs = leader_gauges.create("bilberrypass_jobs_open", "Jobs that are not final")
 _ended_jobs = prometheus.Counter("bilberrypass_jobs_ended", "Jobs ended", ["status"])
-_largest_cores = prometheus.Gauge(
+_largest_cores = leader_gauges.create(
     "bilberrypass_largest_task_cores",
     "Cores of the largest task that fits on a host, by kind of host",
     ["kind"],
@@ -68,6 +70,7 @@
         unix_now: float,
     ) -> None:
         """Log one line if the interval has passed; ``now`` is on ``clock.now``."""
+        _open_jobs.set(len(jobs))
         if now < self._next_at or not jobs:
             return
         self._next_at = now + _LOG_INTERVAL_S
--- a/src/bilberrypass/scheduling/reservations.py
+++ b/src/bilberrypass/scheduling/reservations.py
@@ -10,6 +10,7 @@
     backfilling,
     hosts,
     jobs,
+    leader_gauges,
     placement,
     reservation_promises,
     room_plan,
@@ -25,7 +26,7 @@
 _MAX_SERVICE_SHARE: t.Final = 0.75  # of the cores; services return none
 _MIN_SLACK_S: t.Final = 0.5  # reports are that far apart
 
-_held_hosts = prometheus.Gauge(
+_held_hosts = leader_gauges.create(
     "bilberrypass_hosts_reserved", "Hosts on which room is reserved for a waiting task"
 )
 _changes = prometheus.Counter(
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -8,7 +8,6 @@
 import typing as t
 
 import logbook
-import prometheus_client as prometheus
 
 from bilberrypass import clock
 from bilberrypass.observing import decisions
@@ -26,6 +25,7 @@
     job_quarantine,
     jobs,
     keyvalue,
+    leader_gauges,
     load,
     loading,
     messages,
@@ -49,8 +49,6 @@
 _MAX_INTAKE_AGE_S: t.Final = 2.7
 STORE_CUT_OFF_AFTER_S: t.Final = 2.0  # three renewals of the election lease
 
-_open_jobs = prometheus.Gauge("bilberrypass_jobs_open", "Jobs that are not final")
-
 
 class Settings(t.NamedTuple):
     """Lease duration and retention of final jobs, in seconds, and switches."""
@@ -234,6 +232,7 @@
         except Exception:
             _log.exception("scheduler: failed; the next leader reloads from the store")
             self._on_leadership_lost("the scheduler failed")
+        leader_gauges.reset()
 
     def _run_event_loop(self) -> None:
         next_tick = 0.0
@@ -268,7 +267,6 @@
                     now,
                     self.fleet_clock.unix_time(now),
                 )
-                _open_jobs.set(len(self.open_jobs))
             self._placer.place(now)
             self._progress.write()
             self._flush_orders()
@@ -279,7 +277,6 @@
         )
         if initial.interference:
             self.estimates.restore(initial.interference)
-        self.is_loaded = True
         for job_state in self.jobs.values():
             self.durations.mean_work.add(job_state.job)
             if not job_state.is_final:
@@ -289,6 +286,7 @@
                 self._reconciler.stop_job(job_state)
         for id in initial.cancelled:
             self._cancel(id)
+        self.is_loaded = True  # before, other threads would see a part
         loading.record_loaded(self, clock.now() - self._elected_at)
 
     def _add(self, job: jobs.Job) -> None:
@@ -341,8 +339,8 @@
 
     def usable_hosts(self, now: float) -> list[hosts.Host]:
         """Return the hosts to which new runs may be sent."""
-        usable = [host for host in self.hosts.values() if host.is_usable(now)]
-        return [host for host in usable if not self.is_evacuated(host)]
+        fleet = self.hosts.values()
+        return [h for h in fleet if h.is_usable(now) and not self.is_evacuated(h)]
 
     def is_evacuated(self, host: hosts.Host) -> bool:
         """Return whether operators want nothing to start on a host for now."""
