--- a/src/bilberrypass/crash_limits.py
+++ b/src/bilberrypass/crash_limits.py
@@ -23,6 +23,8 @@
 QUIET_S: t.Final = 0.3  # without a start, before a run that is to be alone
 HOLD_S: t.Final = 1.0  # in which a host becomes quiet, and several rounds begin
 MAX_RESERVED_SHARE: t.Final = 0.25
+# A lasting task may be idle for 3 s before it counts as lost (RULES.md, LOST).
+MAX_LINE_S: t.Final = 3.0
 
 
 class Crash(t.NamedTuple):
@@ -41,6 +43,10 @@
     the earlier ones came soon after its starts: nothing else starts on the host shortly
     before the run, and until it has outlived them, so that a crash is its own. Neither
     may last long, since a crash under many runs makes many innocent suspects.
+
+    One crash makes suspects of all runs of its runner, which then wait in line for
+    ALONE starts. A lasting task that has waited for ``MAX_LINE_S`` is SPACED instead,
+    with the others in line. The next crash under several of them is not the last one.
     """
 
     NONE = 0
@@ -81,18 +87,34 @@
     return crash.min_age_s <= age_s <= _AGE_MARGIN_S + _SPEED_FACTOR * crash.age_s
 
 
-def choose_isolation(crashes: abc.Collection[Crash]) -> Isolation:
-    """Return how the next run of a task with these crashes is isolated."""
+def choose_isolation(
+    crashes: abc.Collection[Crash], is_urgent: bool = False
+) -> Isolation:
+    """Return how the next run of a task with these crashes is isolated.
+
+    ``is_urgent`` says that it has waited for an ALONE start for too long. That counts
+    once only, before it has crashed with others in line.
+    """
     if not crashes:
         return Isolation.NONE
     may_be_last = (
         len(crashes) + 1 >= MAX_UNRELATED_CRASHES
         or _count_related(crashes) + 1 >= MAX_CRASHES
     )
+    if is_urgent and len(crashes) < MAX_CRASHES:
+        return Isolation.SPACED
     is_sudden = max(crash.age_s for crash in crashes) <= _MAX_SUDDEN_AGE_S
     return Isolation.ALONE if may_be_last and is_sudden else Isolation.SPACED
 
 
+def is_shared(age_s: float, others_s: abc.Iterable[float]) -> bool:
+    """Return whether a run that crashed was not alone, by the ages of the others.
+
+    Beside a run that is alone, no other starts shortly before it or later.
+    """
+    return any(other_s < age_s + QUIET_S for other_s in others_s)
+
+
 def probation_s(crashes: abc.Collection[Crash]) -> float:
     """Return the age at which a run has outlived the crashes of its earlier runs.
 
--- a/src/bilberrypass/scheduling/crash_counting.py
+++ b/src/bilberrypass/scheduling/crash_counting.py
@@ -44,7 +44,7 @@
             crashes.pop(host.life, None)  # it has answered since
         host.crash = crashes.pop(host.life, None)
         counted = (
-            self._count_run(host, crash.life, run)
+            self._count_run(host, crash, run)
             for crash in crashes.values()
             for run in crash.runs
         )
@@ -60,11 +60,14 @@
         key = str(task.key), task.run
         for run in host.crash.runs:
             if (run.task, run.run) == key:
-                return self._count_run(host, task.life, run)
+                return self._count_run(host, host.crash, run)
         return None
 
     def _count_run(
-        self, host: hosts.Host, life: int, lost: messages.StartedRun
+        self,
+        host: hosts.Host,
+        runner_crash: messages.RunnerCrash,
+        lost: messages.StartedRun,
     ) -> state.JobState | None:
         """Count a crash against one run; return its job if that is to fail."""
         task = self._scheduler.find_open_task(lost.task)
@@ -77,7 +80,7 @@
             task=lost.task,
             run=lost.run,
             host=host.name,
-            life=life,
+            life=runner_crash.life,
             min_age_s=round(lost.min_age_s, 3),
             age_s=round(lost.age_s, 3),
             crashes=len(task.crashes),
@@ -85,6 +88,8 @@
         self._scheduler.write_progress(task.job)
         if not crash_limits.is_given_up(task.crashes):
             return None
+        if _may_be_innocent(task, runner_crash, lost):
+            return None
         if task.job.cancelled or task.job.failed:
             return None
         task.job.failed = True
@@ -105,3 +110,18 @@
         if task.clear_outlived_crashes(now):
             decisions.record("run.cleared", task=str(task.key), run=task.run)
             self._scheduler.write_progress(task.job)
+
+
+def _may_be_innocent(
+    task: state.Task, runner_crash: messages.RunnerCrash, lost: messages.StartedRun
+) -> bool:
+    """Return whether a lasting task crashed with others of the line that it waited in.
+
+    Its next run is alone, however long it waits.
+    """
+    others_s = [run.age_s for run in runner_crash.runs if run is not lost]
+    return (
+        task.step.is_service
+        and len(task.crashes) <= crash_limits.MAX_CRASHES
+        and crash_limits.is_shared(lost.age_s, others_s)
+    )
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -190,7 +190,7 @@
         """Add a new run, and reserve the host for one that is to be alone."""
         self.add(task)
         self.last_start_at = now
-        isolation = crash_limits.choose_isolation(task.crashes)
+        isolation = task.isolation(now)
         if isolation is not crash_limits.Isolation.NONE:
             self.suspect_starts.append(now)
         if isolation is crash_limits.Isolation.ALONE:
--- a/src/bilberrypass/scheduling/isolating.py
+++ b/src/bilberrypass/scheduling/isolating.py
@@ -29,7 +29,7 @@
     now : float
         Time on ``clock.now``.
     """
-    isolation = crash_limits.choose_isolation(task.crashes)
+    isolation = task.isolation(now)
     if isolation is not crash_limits.Isolation.ALONE:
         return choose(True)
     taken = sum(host.is_reserved(now) or host.is_held(task, now) for host in usable)
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -67,8 +67,9 @@
         self._guard = guard
         self._step, self._key, self._service = step, key, service
         self._suspect, self._needs_quiet = suspect, needs_quiet
-        crashes = () if suspect is None else suspect.crashes
-        self._isolation = crash_limits.choose_isolation(crashes)
+        self._isolation = crash_limits.Isolation.NONE
+        if suspect is not None:
+            self._isolation = suspect.isolation(now)
         self._estimates, self._now, self._is_starved = estimates, now, is_starved
         # Negative scores; among equals the first candidate wins.
         self._heap: list[tuple[int, int, hosts.Host]] = []
--- a/src/bilberrypass/scheduling/state.py
+++ b/src/bilberrypass/scheduling/state.py
@@ -89,23 +89,16 @@
         self.key = key
         self.step = step
         self.phase = Phase.WAITING
-        self.run = 0
-        self.host = ""
-        self.life = 0
+        self.run, self.host, self.life = 0, "", 0
         self.may_have_ended = False
         self.failures = 0
         self.crashes: list[crash_limits.Crash] = []
         self.cleared_run = 0
         self.running_since = 0.0
-        self.checkpoint = ""
-        self.ticket = ""
-        self.not_before = 0.0
-        self.started_at = 0.0
-        self.figure = 0
-        self.pace = 100
+        self.checkpoint = self.ticket = self.avoided_host = ""
+        self.not_before = self.started_at = self.slow_since = 0.0
+        self.figure, self.pace = 0, 100
         self.progress = stragglers.Progress()
-        self.avoided_host = ""
-        self.slow_since = 0.0
         self.is_stored = True
 
     @property
@@ -129,6 +122,15 @@
         self.crashes.append(crash)
         return True
 
+    def isolation(self, now: float) -> crash_limits.Isolation:
+        """Return how far a run that starts now is kept apart from others.
+
+        ``now`` is on ``clock.now``.
+        """
+        waited_s = now - self.not_before
+        is_urgent = self.step.is_service and waited_s > crash_limits.MAX_LINE_S
+        return crash_limits.choose_isolation(self.crashes, is_urgent)
+
     def clear_outlived_crashes(self, now: float) -> bool:
         """Forget the crashes once the newest run has outlived them; return if it has.
 
@@ -213,10 +215,8 @@
         self.accepted_at = accepted_at
         self.status = Status.QUEUED
         self.stored_status = Status.QUEUED
-        self.cancelled = False
-        self.failed = False
-        self.has_begun = False
-        self.is_unstorable = False
+        self.cancelled = self.failed = False
+        self.has_begun = self.is_unstorable = False
         self.finished_at = 0.0
         self.final_since = 0.0
         self.idle_since = 0.0
--- a/testing/test_crash_limits.py
+++ b/testing/test_crash_limits.py
@@ -41,6 +41,21 @@
     assert found == [_Isolation.NONE, _Isolation.SPACED, _Isolation.ALONE]
 
 
+def test_urgent_suspect_is_alone_again_after_a_crash_with_others():
+    found = [
+        crash_limits.choose_isolation(_crashes(*[0.1] * n), True) for n in range(5)
+    ]
+    isolation = crash_limits.Isolation
+    spaced, alone = isolation.SPACED, isolation.ALONE
+    assert found == [isolation.NONE, spaced, spaced, alone, alone]
+
+
+def test_run_beside_older_ones_only_was_alone():
+    assert not crash_limits.is_shared(0.5, [9.0, 1.2])
+    assert crash_limits.is_shared(0.5, [9.0, 0.6])
+    assert crash_limits.is_shared(0.5, [0.1])
+
+
 def test_task_whose_crashes_differ_needs_no_host_to_itself():
     """Many innocent tasks of a storm of crashes would wait for one another."""
     for ages_s, wanted in (
