--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -138,7 +138,7 @@
     def place(self) -> None:
         """Run one round, and store what it placed at once."""
         self.scheduler._placer._place_waiting(clock.now())
-        self.scheduler._dirty.clear()
+        self.scheduler._progress._dirty.clear()
         for host in self.scheduler.hosts.values():
             for task in host.tasks.values():
                 task.is_stored = True
--- a/src/bilberrypass/scheduling/hosts.py
+++ b/src/bilberrypass/scheduling/hosts.py
@@ -7,7 +7,14 @@
 
 from bilberrypass import crash_limits
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import filler_room, jobs, messages, state, stragglers
+from bilberrypass.scheduling import (
+    filler_room,
+    jobs,
+    messages,
+    start_window,
+    state,
+    stragglers,
+)
 
 _MIN_AVOIDANCE_S = 1.0  # after one failure; healthy hosts also have single failures
 _MAX_AVOIDANCE_S = 8.0
@@ -61,6 +68,7 @@
         self.answered_ago_s = 0.0
         self.tasks: dict[RowKey, state.Task] = {}
         self.sent: dict[RowKey, SentOrder] = {}
+        self.starts = start_window.StartWindow()
         self.pending: set[RowKey] = set()
         self.settled: dict[RowKey, int] = {}
         self.open_ends: dict[int, float] = {}
@@ -165,6 +173,7 @@
         if self.tasks.pop((str(task.key), task.run), None) is not None:
             self._update_totals(task, -1)
         self.sent.pop((str(task.key), task.run), None)
+        self.starts.discard((str(task.key), task.run))
 
     def _update_totals(self, task: state.Task, sign: int) -> None:
         step = task.step
@@ -189,6 +198,7 @@
     def record_start(self, task: state.Task, now: float) -> None:
         """Add a new run, and reserve the host for one that is to be alone."""
         self.add(task)
+        self.starts.add((str(task.key), task.run))
         self.last_start_at = now
         isolation = task.isolation(now)
         if isolation is not crash_limits.Isolation.NONE:
--- a/src/bilberrypass/scheduling/load.py
+++ b/src/bilberrypass/scheduling/load.py
@@ -128,6 +128,8 @@
     return {
         "hosts": len(fleet),
         "hosts_usable": sum(host.is_usable(now) for host in fleet),
+        "hosts_start_limited": sum(host.starts.is_full for host in fleet),
+        "starts_pending": sum(len(host.starts) for host in fleet),
         "hosts_avoided": sum(now < host.avoid_until for host in fleet),
         "cores": sum(runner.cpu_milli for runner in runners) // jobs.MILLI_PER_CORE,
         "cores_services": sum(host.service_cpu for host in fleet)
--- a/src/bilberrypass/scheduling/migration.py
+++ b/src/bilberrypass/scheduling/migration.py
@@ -3,7 +3,14 @@
 import typing as t
 
 from bilberrypass.observing import decisions
-from bilberrypass.scheduling import hosts, placement, reconciling, state, stragglers
+from bilberrypass.scheduling import (
+    hosts,
+    messages,
+    orders,
+    placement,
+    state,
+    stragglers,
+)
 
 if t.TYPE_CHECKING:
     from bilberrypass.scheduling import scheduler
@@ -149,7 +156,5 @@
             task.avoided_host = host.name
         task.phase = state.Phase.STOPPING
         task.slow_since = 0.0
-        self._scheduler.queue_order(
-            host, reconciling.make_order(task, reconciling.Verb.STOP)
-        )
+        self._scheduler.queue_order(host, orders.make_order(task, messages.Verb.STOP))
         return True
--- a/src/bilberrypass/scheduling/placement.py
+++ b/src/bilberrypass/scheduling/placement.py
@@ -47,6 +47,8 @@
         if it may crash its runner.
     needs_quiet : bool
         Whether a suspect that is to be alone needs a host that started nothing lately.
+    is_paced : bool
+        Whether hosts that have enough starts before them are passed over.
     guard : room_guard.RoomGuard, optional
         Keeps room for other work; without one, all room may be used.
     """
@@ -63,8 +65,11 @@
         suspect: state.Task | None = None,
         guard: room_guard.RoomGuard | None = None,
         needs_quiet: bool = True,
+        is_paced: bool = False,
     ) -> None:
         self._guard = guard
+        self._is_paced = is_paced
+        self.was_paced = False  # whether a host was passed over for its starts
         self._step, self._key, self._service = step, key, service
         self._suspect, self._needs_quiet = suspect, needs_quiet
         self._isolation = crash_limits.Isolation.NONE
@@ -112,6 +117,9 @@
             return None
         if self._guard is not None and not self._guard.allows(host):
             return None
+        if self._is_paced and host.starts.is_full:
+            self.was_paced = True
+            return None
         score = _score(step, host, self._now)
         if self._guard is not None:
             score -= self._guard.penalty(host)
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -15,13 +15,12 @@
     hosts,
     isolating,
     jobs,
-    messages,
     ordering,
     passing_over,
     placement,
-    reconciling,
     reservations,
     room_plan,
+    start_orders,
     state,
     wait_figures,
     waiting_tasks,
@@ -62,6 +61,10 @@
             room_plan.corrected_end(owner.durations), share
         )
         self._rescuer = passing_over.Rescuer()
+        self._orders = start_orders.StartOrders(owner)
+        # Demands refused in this round: for the starts of hosts, and for their room.
+        self._paced = full_demands.FullDemands()
+        self._refused_first = full_demands.FullDemands()
         self._forecasts = forecast_publishing.ForecastPublisher(owner.epoch)
         if owner.cfg.refuses_hopeless:
             owner.publisher.next_forecast = self._forecasts.put_if_due
@@ -86,6 +89,8 @@
             return
         unix_now = self._scheduler.fleet_clock.unix_time(now)
         full = full_demands.FullDemands()
+        self._paced = full_demands.FullDemands()
+        self._refused_first = full_demands.FullDemands()
         self._crowded.clear()
         self._reservations.begin_round(usable, now)
         ranked = self._ranked_jobs(usable, now, unix_now)
@@ -189,6 +194,8 @@
             for task in suspects:
                 is_placed = self._place_suspect(task, queue, usable, now)
                 (started if is_placed else unplaced).append(task)
+        if unplaced and not started and not job.has_runs:
+            started += self._start_first(unplaced[0], queue, usable, now)
         if started or not unplaced:
             job.idle_since = 0.0
         elif job.is_idle_for(_STARVED_AFTER_S, now) and not self._is_crowded(
@@ -200,7 +207,7 @@
                 _wait_seconds.observe(now - job.accepted_at)
                 self.waits.observe(job, now)
             runs = [(task, task.run) for task in started]
-            self._scheduler.write_progress(job, lambda: self._order_stored(runs))
+            self._scheduler.write_progress(job, lambda: self._orders.order_stored(runs))
             decisions.record(
                 "job.placed",
                 job=job.job.id,
@@ -226,6 +233,8 @@
         if full.covers(step, service):
             self._reserve(waiting, queue, owner, now)
             return []
+        if self._paced.covers(step, service):
+            return []
         guard = self._reservations.guard(waiting[0], owner)
         if guard is not None and full.covers_held(step, service, guard):
             self._reserve(waiting, queue, owner, now, was_held_back=True)
@@ -233,6 +242,11 @@
         chooser = self._make_chooser(waiting[0], service, usable, now, guard)
         for count, task in enumerate(waiting):
             host = chooser.choose(task)
+            if host is None and chooser.was_paced:
+                self._paced.add(step, service)
+                started = waiting.pop_first(count)
+                self._reservations.on_placed(started)
+                return started
             if host is None:
                 was_held_back = guard is not None and guard.has_refused
                 if guard is not None and was_held_back:
@@ -277,6 +291,7 @@
             self._scheduler.estimates,
             now,
             guard=guard,
+            is_paced=True,
         )
 
     def _place_suspect(
@@ -305,6 +320,32 @@
             )
         return found
 
+    def _start_first(
+        self,
+        task: state.Task,
+        queue: jobs.Queue,
+        usable: list[hosts.Host],
+        now: float,
+    ) -> list[state.Task]:
+        """Start a task of a job without runs, though its host has enough starts.
+
+        Hosts start tasks in the order in which they get them. So a job whose turn has
+        come begins behind those that were sent before, not behind all that wait. If
+        few cores are free, the order of the jobs decides.
+        """
+        step, service = task.step, queue.service
+        is_paced = self._paced.covers(step, service)
+        if not is_paced or self._refused_first.covers(step, service):
+            return []
+        if self._is_crowded(usable, queue):
+            return []
+        host = self._choose_host(task, queue, usable, now)
+        if host is None:
+            self._refused_first.add(step, service)
+            return []
+        self._start_run(task, host, now)
+        return [task]
+
     def _start_starved(
         self,
         task: state.Task,
@@ -357,44 +398,3 @@
         task.running_since = 0.0
         host.record_start(task, now)
         _started_runs.inc()
-
-    def _order_stored(self, runs: list[tuple[state.Task, int]]) -> None:
-        """Order runs whose start is stored, unless they were abandoned meanwhile.
-
-        A start that is held back is resent after a report of its host that lacks it.
-        """
-        is_behind = self._scheduler.is_behind(clock.now())
-        for task, run in runs:
-            host = self._scheduler.hosts[task.host]
-            if host.tasks.get((str(task.key), run)) is not task:
-                continue
-            task.is_stored = True
-            is_stopping = task.phase is state.Phase.STOPPING
-            if is_behind and not is_stopping:
-                continue
-            why = self._why_withdrawn(host)
-            if why and not is_stopping:
-                self._withdraw_start(host, task, why)
-                continue
-            verb = messages.Verb.STOP if is_stopping else messages.Verb.START
-            self._scheduler.queue_order(host, reconciling.make_order(task, verb))
-
-    def _why_withdrawn(self, host: hosts.Host) -> str:
-        """Return why a host may no longer start what was placed there, or ""."""
-        if host.is_overcommitted:
-            return "the capacity shrank"
-        is_evacuated = self._scheduler.is_evacuated(host)
-        return "the failure domain is evacuated" if is_evacuated else ""
-
-    def _withdraw_start(self, host: hosts.Host, task: state.Task, why: str) -> None:
-        """Requeue a task whose start was not sent before its host refuses it."""
-        host.remove(task)
-        task.phase = state.Phase.WAITING
-        decisions.record(
-            "start.withdrawn",
-            task=str(task.key),
-            run=task.run,
-            host=host.name,
-            why=why,
-        )
-        self._scheduler.write_progress(task.job)
--- a/src/bilberrypass/scheduling/reconciling.py
+++ b/src/bilberrypass/scheduling/reconciling.py
@@ -13,6 +13,7 @@
     host_figures,
     hosts,
     messages,
+    orders,
     state,
     stop_monitor,
 )
@@ -147,6 +148,7 @@
         for key, task in list(host.tasks.items()):
             if key not in rows:
                 self._handle_missing_run(host, task)
+        host.starts.update(host.reported_at)
 
     def _handle_unknown_run(
         self, host: hosts.Host, key: hosts.RowKey, row: messages.RunRow
@@ -192,6 +194,7 @@
         task.figure, task.pace = row.figure, row.pace
         if row.state == State.RUNNING:
             self._update_progress(host, task, row)
+            host.starts.record_begun((row.task, row.run))
             if task.phase is state.Phase.ORDERED:
                 task.phase = state.Phase.RUNNING
             if not task.job.has_begun:
@@ -246,7 +249,7 @@
             "run.resent", task=str(task.key), run=task.run, host=host.name, verb=verb
         )
         self._scheduler.queue_order(
-            host, make_order(task, verb)._replace(is_repeated=True)
+            host, orders.make_order(task, verb)._replace(is_repeated=True)
         )
 
     def _handle_end(
@@ -256,6 +259,7 @@
         job = task.job
         task.may_have_ended, job.has_begun = False, True
         _ends.labels(row.outcome).inc()
+        host.starts.record_begun((row.task, row.run))
         host.remove(task)
         if task.is_finished_by(row.outcome):
             host.record_success()
@@ -344,13 +348,13 @@
             host = self._scheduler.hosts[task.host]
             task.phase = state.Phase.STOPPING
             if task.is_stored:
-                self._scheduler.queue_order(host, make_order(task, Verb.STOP))
+                self._scheduler.queue_order(host, orders.make_order(task, Verb.STOP))
         self._scheduler.write_progress(job)
 
-    def on_orders_failed(self, name: str, orders: list[messages.Order]) -> None:
+    def on_orders_failed(self, name: str, failed: list[messages.Order]) -> None:
         """Mark orders as undelivered, to resend them after the host's next report."""
         host = self._scheduler.hosts.get(name)
-        for item in orders if host is not None else ():
+        for item in failed if host is not None else ():
             host.sent.pop((item.task, item.run), None)
 
     def tick(self, now: float) -> None:
@@ -375,26 +379,3 @@
                 )
                 for task in list(host.tasks.values()):
                     self._requeue(host, task, "the lease lapsed")
-
-
-def make_order(task: state.Task, verb: Verb) -> messages.Order:
-    """Return an order for the latest run of a task."""
-    key = task.key
-    if verb is Verb.STOP:
-        return messages.Order(verb, str(key), task.run, task.life)
-    step = task.step
-    return messages.Order(
-        verb,
-        str(key),
-        task.run,
-        task.life,
-        task.job.job.spec if verb is Verb.START else "",
-        task.checkpoint if verb is Verb.START else "",
-        task.ticket,
-        step.is_filler,
-        step.latency_target_ms,
-        step.image,
-        step.cpu_milli,
-        memory_mb=step.memory_mb,
-        gpus=step.gpus,
-    )
--- a/src/bilberrypass/scheduling/scheduler.py
+++ b/src/bilberrypass/scheduling/scheduler.py
@@ -30,6 +30,7 @@
     loading,
     messages,
     migration,
+    orders,
     placing,
     progress_queue,
     queues,
@@ -388,11 +389,11 @@
 
     def _stop_run(self, host: hosts.Host, task: state.Task) -> None:
         task.phase = state.Phase.STOPPING
-        self.queue_order(host, reconciling.make_order(task, messages.Verb.STOP))
+        self.queue_order(host, orders.make_order(task, messages.Verb.STOP))
 
     def _flush_orders(self) -> None:
-        for name, orders in self._orders.items():
+        for name, sent in self._orders.items():
             host = self.hosts[name]
             if host.address:
-                self._sender.send(name, host.address, orders, host.agent, host.sequence)
+                self._sender.send(name, host.address, sent, host.agent, host.sequence)
         self._orders.clear()
