--- a/src/bilberrypass/scheduling/work_budget.py
+++ b/src/bilberrypass/scheduling/work_budget.py
@@ -1,5 +1,6 @@
 """Bounds on the memory that accepted work may hold in an entry that leads."""
 
+import sys
 import typing as t
 
 from bilberrypass.scheduling import jobs
@@ -30,14 +31,11 @@
 
     An occurrence and a task of it are included: each job may begin these.
     """
-    texts = len(job.spec) + len(job.queue)
+    held = _JOB_BYTES + sys.getsizeof(job.spec)
     for step in job.steps:
-        texts += len(step.required_label) + len(step.data_rack) + len(step.image)
-        texts += 8 * len(step.after)
-    count = len(job.steps)
-    # A character may take four bytes.
-    base = _JOB_BYTES + _STEP_BYTES * count + 4 * texts
-    return base + occurrence_bytes(count) + TASK_BYTES
+        texts = step.required_label, step.data_rack, step.image
+        held += _STEP_BYTES + sys.getsizeof(step.after) + sum(map(sys.getsizeof, texts))
+    return held + occurrence_bytes(len(job.steps)) + TASK_BYTES
 
 
 @t.final
