Let the host of a test begin its runs as they come

test_refused_writes.test_large_values_are_not_written_together waited for 600 orders at a host that began none of them. Its host now begins each run that it is ordered; the size of the values, the cancellations and the limit that it checks are as before.

--- a/testing/scheduling/test_refused_writes.py
+++ b/testing/scheduling/test_refused_writes.py
@@ -166,12 +166,17 @@
         ids = [f"{number:016x}" for number in range(4)]
         for id in ids:
             cluster.submit(STEP._replace(count=150), id=id)
-        for order in host.await_orders(600):
-            key = order.task, order.run
-            host.rows[key] = clusters.messages.RunRow(
-                *key, int(clusters.State.RUNNING), checkpoint="c" * 60
-            )
-        host.report()
+
+        def are_running():
+            for order in list(host.orders):
+                key = order.task, order.run
+                host.rows[key] = clusters.messages.RunRow(
+                    *key, int(clusters.State.RUNNING), checkpoint="c" * 60
+                )
+            host.report()
+            return len(host.rows) == 600
+
+        fixtures.wait_until(are_running, 5.0, "all runs")
         for id in ids:
             cluster.submissions.cancel(id, clock.now() + 2)
         host.await_orders(600, Verb.STOP)
