--- a/src/bilberrypass/scheduling/full_demands.py
+++ b/src/bilberrypass/scheduling/full_demands.py
@@ -21,6 +21,11 @@
         if not step.max_per_host:
             self._demands.setdefault(_kind(step, service), []).append(_demand(step))
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no demand was refused, but for those of steps spread over hosts."""
+        return not self._demands
+
     def covers(self, step: jobs.Step, service: str) -> bool:
         """Return whether a task that needs no more than this one was refused."""
         demand = _demand(step)
--- a/src/bilberrypass/scheduling/placing.py
+++ b/src/bilberrypass/scheduling/placing.py
@@ -194,7 +194,8 @@
             for task in suspects:
                 is_placed = self._place_suspect(task, queue, usable, now)
                 (started if is_placed else unplaced).append(task)
-        if unplaced and not started and not job.has_runs:
+        is_paced = not self._paced.is_empty
+        if is_paced and unplaced and not started and not job.has_runs:
             started += self._start_first(unplaced[0], queue, usable, now)
         if started or not unplaced:
             job.idle_since = 0.0
@@ -329,9 +330,8 @@
     ) -> list[state.Task]:
         """Start a task of a job without runs, though its host has enough starts.
 
-        Hosts start tasks in the order in which they get them. So a job whose turn has
-        come begins behind those that were sent before, not behind all that wait. If
-        few cores are free, the order of the jobs decides.
+        It begins behind those that were sent before, not behind all that wait. If few
+        cores are free, the order of the jobs decides.
         """
         step, service = task.step, queue.service
         is_paced = self._paced.covers(step, service)
